Add the design page, the skeleton and the typed boundaries between modules

Cause: an empty repository; the modules can only grow in parallel when their boundaries are typed and written down first. Ruled out: per-daemon shares, load-report balancing and forwarding owners for admission control (docs/design.md 4.1), object-per-operation claims (4.4). Change: design page, configuration schema, peer protocol, engine and platform protocols, build, linter, tests of length classes and of import direction. Conclusion: pool coordinators with per-request reservations carry the design.

--- /dev/null
+++ b/src/configuration/schema.ts
@@ -0,0 +1,150 @@
+/**
+ * Schema of the configuration that operators hand to the system.
+ * Every field is checked here; cross-references are checked in `check-configuration.ts`.
+ */
+import {z} from 'zod';
+import {lengthClasses} from '../util/length-class.js';
+
+const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/v, 'lower-case letters, digits and hyphens, starting with a letter, at most 63 characters');
+const positive = z.number().int().positive();
+const count = z.number().int().nonnegative();
+
+/** A failure domain. New work goes only to domains whose state is `in`. */
+export const failureDomainSchema = z.strictObject({
+	name,
+	region: name,
+	state: z.enum(['in', 'out']),
+}).readonly();
+
+/** What one backend server bears at once: requests in flight and their prompt tokens not yet prefilled. */
+export const bearableLoadSchema = z.strictObject({
+	requests: positive,
+	prefillTokens: positive,
+}).readonly();
+
+/** A model service: a pool of engines in each of its failure domains. */
+export const modelServiceSchema = z.strictObject({
+	kind: z.literal('model'),
+	name,
+	failureDomains: z.array(name).min(1).readonly(),
+	/** Values that callers may put in `model`. The first is the base model; the others are adapters or versions. */
+	models: z.array(z.strictObject({name: z.string().min(1), version: z.string().min(1)}).readonly()).min(1).readonly(),
+	warm: bearableLoadSchema,
+	cold: bearableLoadSchema,
+	/** KV cache of one engine in tokens. */
+	kvTokens: positive,
+	/** Prefill speed of one warm engine in tokens per second, used for estimates until observed. */
+	prefillTokensPerSecond: positive,
+	/** Generated tokens per second for one stream of one warm engine. */
+	decodeTokensPerSecond: positive,
+	/** Share of a pool's engines on which long prefill may run at one time. */
+	longPromptShare: z.number().min(0.1).max(1),
+	/** Largest number of engines that one prompt may span. */
+	maxGangSize: positive,
+	/** Whether the engines refuse orders with an old fencing number. */
+	fencing: z.enum(['checked', 'ignored']),
+	/** Number of pools into which the backend servers of one failure domain are split. */
+	poolShards: positive,
+}).readonly();
+
+/** A route of a plain service. The first route whose method and path prefix match decides. */
+export const plainRouteSchema = z.strictObject({
+	method: z.enum(['GET', 'POST', 'PUT', 'PATCH', 'DELETE']),
+	pathPrefix: z.string().startsWith('/'),
+	idempotent: z.boolean(),
+	timeoutMs: positive,
+}).readonly();
+
+/** A plain service, reached under `/services/<name>/...`. */
+export const plainServiceSchema = z.strictObject({
+	kind: z.literal('plain'),
+	name,
+	failureDomains: z.array(name).min(1).readonly(),
+	warm: z.strictObject({requests: positive}).readonly(),
+	cold: z.strictObject({requests: positive}).readonly(),
+	/** `checked`: the backend servers refuse to run an operation identity twice, so a repeat is safe. */
+	operationIdentity: z.enum(['checked', 'unchecked']),
+	routes: z.array(plainRouteSchema).min(1).readonly(),
+	poolShards: positive,
+}).readonly();
+
+export const serviceSchema = z.discriminatedUnion('kind', [modelServiceSchema, plainServiceSchema]);
+
+/** A priority class. Smaller `rank` goes first in the queue and at the engine. */
+export const prioritySchema = z.strictObject({
+	name,
+	rank: count.max(9),
+}).readonly();
+
+/** Time allowed for a request of one length class, and the share of requests that has to meet it. */
+export const objectiveSchema = z.strictObject({
+	service: name,
+	lengthClass: z.enum(lengthClasses),
+	firstTokenMs: positive,
+	betweenTokensMs: positive,
+	/** Time in which a request finishes or fails, from its arrival. */
+	totalMs: positive,
+	/** Share of requests within the objective, for example 0.95. */
+	target: z.number().min(0.5).max(0.9999),
+}).readonly();
+
+/** Limits of one workspace over the whole system. */
+export const workspaceLimitsSchema = z.strictObject({
+	requestsPerSecond: z.number().positive(),
+	concurrentRequests: positive,
+	promptTokensPerMinute: positive,
+}).readonly();
+
+export const workspaceSchema = z.strictObject({
+	name,
+	/** SHA-256 digests of API keys, in lower-case hex. */
+	apiKeyDigests: z.array(z.string().regex(/^[\da-f]{64}$/v, 'SHA-256 digest in lower-case hex')).min(1).readonly(),
+	services: z.array(name).min(1).readonly(),
+	/** Name of the priority class for each length class. */
+	priorities: z.strictObject({
+		short: name, medium: name, long: name, huge: name,
+	}).readonly(),
+	/** Weight in fair queueing against other workspaces of the same priority. */
+	weight: positive,
+	limits: workspaceLimitsSchema,
+}).readonly();
+
+export const configurationSchema = z.strictObject({
+	formatVersion: z.literal(1),
+	deployment: name,
+	failureDomains: z.array(failureDomainSchema).min(1).readonly(),
+	services: z.array(serviceSchema).min(1).readonly(),
+	priorities: z.array(prioritySchema).min(1).readonly(),
+	objectives: z.array(objectiveSchema).readonly(),
+	workspaces: z.array(workspaceSchema).readonly(),
+	claims: z.strictObject({
+		/** How long an operation claim is remembered. */
+		retentionMs: positive,
+		/** Number of claim objects for each time bucket. */
+		partitions: positive.max(256),
+	}).readonly(),
+	weightStore: z.strictObject({
+		/** Model loads per minute that the weight store bears from the whole system. */
+		loadsPerMinute: positive,
+	}).readonly(),
+}).readonly();
+
+export type FailureDomain = z.infer<typeof failureDomainSchema>;
+export type ModelService = z.infer<typeof modelServiceSchema>;
+export type PlainRoute = z.infer<typeof plainRouteSchema>;
+export type PlainService = z.infer<typeof plainServiceSchema>;
+export type Service = z.infer<typeof serviceSchema>;
+export type Priority = z.infer<typeof prioritySchema>;
+export type Objective = z.infer<typeof objectiveSchema>;
+export type WorkspaceLimits = z.infer<typeof workspaceLimitsSchema>;
+export type Workspace = z.infer<typeof workspaceSchema>;
+export type Configuration = z.infer<typeof configurationSchema>;
+
+/** A configuration with the version under which the object API accepted it. */
+export type AcceptedConfiguration = {
+	readonly version: number;
+	readonly configuration: Configuration;
+};
+
+/** Key of the configuration in the object API. */
+export const CONFIGURATION_KEY = 'config/current';
--- /dev/null
+++ b/src/util/prefix-hash.ts
@@ -0,0 +1,24 @@
+/** Hashes of the leading blocks of a prompt, by which prefix cache entries are matched. */
+import {createHash} from 'node:crypto';
+import {BYTES_PER_TOKEN} from './length-class.js';
+
+/** Tokens in one block of the prefix cache. */
+export const PREFIX_BLOCK_TOKENS = 1024;
+
+/** Largest number of blocks hashed; longer prefixes match by their first blocks. */
+export const MAX_PREFIX_BLOCKS = 64;
+
+/** Returns chained SHA-256 hashes (16 hex digits) of the whole leading blocks of `prompt`, shortest prefix first. */
+export function prefixHashes(prompt: string): readonly string[] {
+	const blockCharacters = PREFIX_BLOCK_TOKENS * BYTES_PER_TOKEN;
+	const blocks = Math.min(MAX_PREFIX_BLOCKS, Math.floor(prompt.length / blockCharacters));
+	const hashes: string[] = [];
+	let previous = '';
+	for (let index = 0; index < blocks; index++) {
+		const block = prompt.slice(index * blockCharacters, (index + 1) * blockCharacters);
+		previous = createHash('sha256').update(previous).update(block).digest('hex').slice(0, 16);
+		hashes.push(previous);
+	}
+
+	return hashes;
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+	test: {
+		include: ['tests/**/*.test.ts'],
+		testTimeout: 30_000,
+		hookTimeout: 30_000,
+		// Tests that start processes measure latencies; a bounded number of workers keeps the verdict stable.
+		maxWorkers: 4,
+	},
+});
