Add settings of the daemon, the logger and metrics

Cause: the daemon needs checked settings before anything listens. A wrong setting names flag, value and what is accepted.

--- /dev/null
+++ b/tests/settings.test.ts
@@ -0,0 +1,72 @@
+import {describe, expect, it} from 'vitest';
+import {readSettings} from '../src/daemon/settings.js';
+import {createLogger, formatLogfmt} from '../src/util/logger.js';
+
+const complete = [
+	'--listen',
+	'127.0.0.1:0',
+	'--peer-listen',
+	'127.0.0.1:0',
+	'--region',
+	'pt-norte',
+	'--failure-domain',
+	'braga',
+	'--object-api',
+	'http://127.0.0.1:9000',
+	'--host-list',
+	'http://127.0.0.1:9001/',
+];
+
+const without = (flag: string): readonly string[] => complete.toSpliced(complete.indexOf(flag), 2);
+
+describe('settings', () => {
+	it('should read flags before environment variables and fill in defaults', () => {
+		const environment = {FIREFLYPORT_REGION: 'other', FIREFLYPORT_DRAIN_LAG_MS: '20'};
+		const settings = readSettings(complete, environment);
+		expect(settings).toMatchObject({
+			region: 'pt-norte', drainLagMs: 20, logLevel: 'info', listen: {host: '127.0.0.1', port: 0}, hostList: 'http://127.0.0.1:9001',
+		});
+	});
+
+	it('should name the flag, the value and what is accepted for a wrong setting', () => {
+		const cases: ReadonlyArray<readonly [readonly string[], RegExp]> = [
+			[[...without('--listen'), '--listen', 'localhost:80'], /^--listen "localhost:80" is not accepted; accepted is IP:PORT/v],
+			[[...without('--listen'), '--listen', '10.0.0.256:80'], /^--listen "10\.0\.0\.256:80" is not accepted/v],
+			[[...without('--object-api'), '--object-api', 'http://objects.example:1'], /^--object-api .* with an IP number/v],
+			[[...complete, '--drain-lag-ms', '1.5'], /^--drain-lag-ms "1\.5" is not accepted; accepted is a whole number of milliseconds/v],
+			[[...complete, '--log-level', 'loud'], /one of error, warn, info, debug/v],
+			[[...complete, '--region', 'a'], /^--region is given 2 times/v],
+			[without('--region'), /^--region \(or FIREFLYPORT_REGION\) is missing/v],
+			[[...complete, '--statsd'], /^--statsd has no value/v],
+			[[...complete, '--peer-lisen', '127.0.0.1:1'], /^unknown flag --peer-lisen/v],
+			[[...complete, 'extra'], /^argument "extra" is not accepted/v],
+		];
+		for (const [argv, message] of cases) {
+			expect(() => readSettings(argv, {})).toThrow(message);
+		}
+	});
+
+	it('should name the environment variable that holds a wrong value', () => {
+		expect(() => readSettings(complete, {FIREFLYPORT_MAX_BODY_BYTES: '10'})).toThrow(/^FIREFLYPORT_MAX_BODY_BYTES "10" is not accepted/v);
+	});
+});
+
+describe('log lines', () => {
+	it('should quote values that would break a key=value line', () => {
+		expect(formatLogfmt({
+			a: 'x y', b: 'q"', c: 1, d: undefined, e: '', f: 'l\nm', g: 'k=v',
+		})).toBe(String.raw`a="x y" b="q\"" c=1 e="" f="l\nm" g="k=v"`);
+	});
+
+	it('should write one line for each event at or above the level', () => {
+		const lines: string[] = [];
+		const logger = createLogger('info', {daemon: 'd1'}, line => {
+			lines.push(line);
+		});
+		logger.debug('hidden');
+		logger.info('listening', {address: '127.0.0.1:1'});
+		logger.info('listening', {address: '127.0.0.1:1'});
+		expect(lines).toHaveLength(2);
+		expect(lines[0]).toMatch(/^time=\S+ level=info event=listening daemon=d1 address=127\.0\.0\.1:1$/v);
+	});
+});
