--- /dev/null
+++ b/src/backend/engine-client.ts
@@ -0,0 +1,226 @@
+/** Client of model engines, see `engine-protocol.ts`. */
+import {Agent, type Dispatcher} from 'undici';
+import {z} from 'zod';
+import type {
+	AcceptedSegment, CancelOutcome, EngineCallOptions, EngineFacts, EngineStreams, NotStarted, ResumeOutcome, SegmentOutcome, StartOutcome,
+} from '../streams/engine-streams.js';
+import {messageOf, openConnection, type Opened} from './engine-connection.js';
+import {readEngineEvents} from './engine-events.js';
+import {
+	cacheEventsSchema,
+	engineHealthSchema,
+	engineListingSchema,
+	engineLoadSchema,
+	type CacheEvents,
+	type EngineHealth,
+	type EngineListing,
+	type EngineLoad,
+	type EngineOrder,
+	type SegmentRequest,
+	type StreamRequest,
+} from './engine-protocol.js';
+
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** Answer of a query. `failed` covers transport errors, other statuses and answers that break the protocol. */
+export type EngineAnswer<T> =
+	| {readonly kind: 'answered'; readonly value: T}
+	| {readonly kind: 'failed'; readonly message: string};
+
+/** `stale`: the engine has seen the fencing number `highest`, which is larger. */
+export type OrderOutcome =
+	| {readonly kind: 'accepted'}
+	| {readonly kind: 'stale'; readonly highest: number}
+	| {readonly kind: 'failed'; readonly message: string};
+
+type Response = Extract<Opened, {readonly kind: 'response'}>;
+
+const segmentAnswerSchema = z.object({id: z.string(), tokens: z.number().int().nonnegative()});
+const staleSchema = z.object({highest: z.number().int()});
+
+function header(response: Dispatcher.ResponseData, name: string): string {
+	const value = response.headers[name];
+	return typeof value === 'string' ? value : '';
+}
+
+const factsOf = (response: Dispatcher.ResponseData): EngineFacts => ({
+	boot: header(response, 'x-engine-boot'),
+	warm: header(response, 'x-engine-warm') === 'true',
+});
+
+/** Whether the status proves that the request does not run. 409 means that the stream exists. */
+const isRefusal = (statusCode: number): boolean => statusCode === 503 || (statusCode >= 400 && statusCode < 500 && statusCode !== 409);
+
+/** Turns a response other than 200 into an outcome and drops the connection. */
+function notStarted(opened: Opened): NotStarted {
+	if (opened.kind !== 'response') {
+		return opened;
+	}
+
+	opened.close();
+	const {statusCode} = opened.response;
+	const message = `the engine answered with status ${statusCode}`;
+	return isRefusal(statusCode) ? {kind: 'not_accepted', message} : {kind: 'unknown', message};
+}
+
+const isAccepted = (opened: Opened): opened is Response => opened.kind === 'response' && opened.response.statusCode === 200;
+
+/** The answer to a segment, read when the prefill is finished. */
+function acceptedSegment(opened: Response, id: string): AcceptedSegment {
+	return {
+		kind: 'accepted',
+		...factsOf(opened.response),
+		async finished(limitMs) {
+			const timer = setTimeout(() => {
+				opened.response.body.destroy(new Error(`no answer within ${limitMs} ms`));
+			}, limitMs);
+			try {
+				const answer = segmentAnswerSchema.parse(await opened.response.body.json());
+				return answer.id === id
+					? {kind: 'kept', tokens: answer.tokens}
+					: {kind: 'failed', message: `answer for segment ${answer.id} instead of ${id}`};
+			} catch (err) {
+				return {kind: 'failed', message: messageOf(err)};
+			} finally {
+				clearTimeout(timer);
+				opened.close();
+			}
+		},
+	};
+}
+
+/** Calls engines over HTTP. Each stream and each segment has a connection of its own; queries share connections. */
+export class EngineClient implements EngineStreams {
+	static create(): EngineClient {
+		return new EngineClient(new Agent({
+			connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: MAX_ANSWER_BYTES,
+		}));
+	}
+
+	readonly #agent: Agent;
+
+	private constructor(agent: Agent) {
+		this.#agent = agent;
+	}
+
+	async start(address: string, request: StreamRequest, options: EngineCallOptions): Promise<StartOutcome> {
+		const opened = await openConnection(address, {method: 'POST', path: '/v1/streams', body: request}, options);
+		if (!isAccepted(opened)) {
+			return notStarted(opened);
+		}
+
+		const {response, close} = opened;
+		const streamId = header(response, 'x-stream-id');
+		if (streamId !== '' && streamId !== request.id) {
+			close();
+			return {kind: 'unknown', message: `the engine answered for stream ${streamId}`};
+		}
+
+		return {kind: 'accepted', events: readEngineEvents(response.body, close), ...factsOf(response)};
+	}
+
+	async resume(address: string, id: string, from: number, options: EngineCallOptions): Promise<ResumeOutcome> {
+		const opened = await openConnection(address, {method: 'GET', path: `/v1/streams/${encodeURIComponent(id)}?from=${from}`}, options);
+		if (opened.kind !== 'response') {
+			return {kind: 'unreachable', message: opened.message};
+		}
+
+		const {response, close} = opened;
+		if (response.statusCode === 200) {
+			return {kind: 'accepted', events: readEngineEvents(response.body, close), ...factsOf(response)};
+		}
+
+		close();
+		const message = `the engine answered with status ${response.statusCode}`;
+		return response.statusCode === 404 ? {kind: 'gone', message} : {kind: 'unreachable', message};
+	}
+
+	async prefillSegment(address: string, request: SegmentRequest, options: EngineCallOptions): Promise<SegmentOutcome> {
+		const opened = await openConnection(address, {method: 'POST', path: '/v1/segments', body: request}, options);
+		return isAccepted(opened) ? acceptedSegment(opened, request.id) : notStarted(opened);
+	}
+
+	async cancelStream(address: string, id: string, options: EngineCallOptions): Promise<CancelOutcome> {
+		return this.#remove(address, `/v1/streams/${encodeURIComponent(id)}`, options);
+	}
+
+	async freeSegment(address: string, id: string, options: EngineCallOptions): Promise<CancelOutcome> {
+		return this.#remove(address, `/v1/segments/${encodeURIComponent(id)}`, options);
+	}
+
+	async health(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineHealth>> {
+		return this.#query(address, '/health', engineHealthSchema, options);
+	}
+
+	async load(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineLoad>> {
+		return this.#query(address, '/load', engineLoadSchema, options);
+	}
+
+	async listing(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineListing>> {
+		return this.#query(address, '/v1/streams', engineListingSchema, options);
+	}
+
+	/** Prefix cache changes with a sequence number above `after`. */
+	async cacheEvents(address: string, after: number, options: EngineCallOptions): Promise<EngineAnswer<CacheEvents>> {
+		return this.#query(address, `/cache-events?after=${after}`, cacheEventsSchema, options);
+	}
+
+	async order(address: string, order: EngineOrder, options: EngineCallOptions): Promise<OrderOutcome> {
+		try {
+			const {statusCode, body} = await this.#request(address, {method: 'POST', path: '/v1/orders', body: JSON.stringify(order)}, options);
+			if (statusCode === 409) {
+				return {kind: 'stale', highest: staleSchema.parse(await body.json()).highest};
+			}
+
+			await body.dump();
+			return statusCode === 200 ? {kind: 'accepted'} : {kind: 'failed', message: `the engine answered with status ${statusCode}`};
+		} catch (err) {
+			return {kind: 'failed', message: messageOf(err)};
+		}
+	}
+
+	/** Ends all queries under way. Connections of streams end with their streams. */
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #query<T>(address: string, path: string, schema: z.ZodType<T>, options: EngineCallOptions): Promise<EngineAnswer<T>> {
+		try {
+			const {statusCode, body} = await this.#request(address, {method: 'GET', path}, options);
+			if (statusCode !== 200) {
+				await body.dump();
+				return {kind: 'failed', message: `GET ${path} answered with status ${statusCode}`};
+			}
+
+			return {kind: 'answered', value: schema.parse(await body.json())};
+		} catch (err) {
+			return {kind: 'failed', message: messageOf(err)};
+		}
+	}
+
+	async #remove(address: string, path: string, options: EngineCallOptions): Promise<CancelOutcome> {
+		try {
+			const {statusCode, body} = await this.#request(address, {method: 'DELETE', path}, options);
+			await body.dump();
+			return statusCode === 204 ? {kind: 'cancelled'} : {kind: 'unreachable', message: `DELETE ${path} answered with status ${statusCode}`};
+		} catch (err) {
+			const refused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+			return {kind: refused ? 'refused' : 'unreachable', message: messageOf(err)};
+		}
+	}
+
+	async #request(
+		address: string,
+		request: {readonly method: 'GET' | 'POST' | 'DELETE'; readonly path: string; readonly body?: string},
+		{timeoutMs, signal}: EngineCallOptions,
+	): Promise<Dispatcher.ResponseData> {
+		const timeout = AbortSignal.timeout(timeoutMs);
+		return this.#agent.request({
+			origin: `http://${address}`,
+			...request,
+			headers: request.body === undefined ? {} : {'content-type': 'application/json'},
+			signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+		});
+	}
+}
