Add a seeded load generator

Ruled out: a load tool from elsewhere; the prompts, streams and failure bodies are the project's own.

--- /dev/null
+++ b/testing/load/arrivals.ts
@@ -0,0 +1,74 @@
+/** Seeded arrivals of model requests: Poisson arrival times and the mix of prompt lengths that the design states. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {lengthClassOf, type LengthClass} from '../../src/util/length-class.js';
+
+/** One request to send. `atMs` counts from the start of the run. */
+export type Arrival = {
+	readonly index: number;
+	readonly atMs: number;
+	readonly promptTokens: number;
+	readonly maxTokens: number;
+	readonly lengthClass: LengthClass;
+};
+
+/** Range of prompt lengths in tokens, drawn log-uniformly. */
+export type LengthRange = {readonly fromTokens: number; readonly toTokens: number};
+
+/** One part of a mix: its share of the arrivals and its lengths. */
+export type MixPart = LengthRange & {readonly share: number};
+
+/** One in fifty prompts is above 100 k tokens, the others are between 1 k and 100 k. */
+export const letterMix: readonly MixPart[] = [
+	{share: 0.98, fromTokens: 1000, toTokens: 100_000},
+	{share: 0.02, fromTokens: 100_000, toTokens: 1_000_000},
+];
+
+export const shortMix: readonly MixPart[] = [{share: 1, fromTokens: 1000, toTokens: 7900}];
+export const longMix: readonly MixPart[] = [{share: 1, fromTokens: 32_000, toTokens: 100_000}];
+
+export type ArrivalPlan = {
+	readonly seed: number;
+	readonly durationMs: number;
+	readonly requestsPerSecond: number;
+	readonly mix: readonly MixPart[];
+	readonly maxTokens: number;
+};
+
+/** A source of uniform numbers in [0, 1) for a seed. */
+export function createRandom(seed: number): () => number {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+}
+
+function drawLength(mix: readonly MixPart[], random: () => number): number {
+	let rest = random();
+	const part = mix.find(candidate => {
+		rest -= candidate.share;
+		return rest < 0;
+	}) ?? mix.at(-1)!;
+	const span = Math.log(part.toTokens / part.fromTokens);
+	return Math.round(part.fromTokens * Math.exp(span * random()));
+}
+
+/** Draws the arrivals of a plan. The same plan gives the same arrivals. */
+export function drawArrivals(plan: ArrivalPlan): readonly Arrival[] {
+	const random = createRandom(plan.seed);
+	const arrivals: Arrival[] = [];
+	let atMs = 0;
+	for (;;) {
+		atMs += -Math.log(1 - random()) * 1000 / plan.requestsPerSecond;
+		if (atMs >= plan.durationMs) {
+			return arrivals;
+		}
+
+		const promptTokens = drawLength(plan.mix, random);
+		arrivals.push({
+			index: arrivals.length,
+			atMs,
+			promptTokens,
+			maxTokens: plan.maxTokens,
+			lengthClass: lengthClassOf(promptTokens),
+		});
+	}
+}
--- /dev/null
+++ b/testing/load/summary.ts
@@ -0,0 +1,49 @@
+/** Latency percentiles and outcome counts of a load run. */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {lengthClasses, type LengthClass} from '../../src/util/length-class.js';
+import type {CompletionRecord} from './completion-client.js';
+
+/** Percentiles in ms with 0.1 ms resolution. */
+export type Percentiles = {readonly count: number; readonly p50: number; readonly p95: number; readonly p99: number; readonly max: number};
+
+/** Histogram units for each millisecond. */
+const UNITS_PER_MS = 10;
+
+/** Computes percentiles of `valuesMs` with an HDR histogram of three significant digits. */
+export function percentilesOf(valuesMs: readonly number[]): Percentiles {
+	const histogram: Histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 36_000_000, numberOfSignificantValueDigits: 3});
+	for (const value of valuesMs) {
+		histogram.recordValue(Math.max(1, Math.round(value * UNITS_PER_MS)));
+	}
+
+	const at = (percentile: number) => valuesMs.length === 0 ? Number.NaN : histogram.getValueAtPercentile(percentile) / UNITS_PER_MS;
+	return {
+		count: valuesMs.length, p50: at(50), p95: at(95), p99: at(99), max: at(100),
+	};
+}
+
+/** First-token percentiles of the requests that got a first token. */
+export const firstTokenOf = (records: readonly CompletionRecord[]): Percentiles =>
+	percentilesOf(records.flatMap(record => record.firstTokenMs ?? []));
+
+/** Records of one length class. */
+export const ofClass = (records: readonly CompletionRecord[], lengthClass: LengthClass): readonly CompletionRecord[] =>
+	records.filter(record => record.lengthClass === lengthClass);
+
+/** Counts of ends, for example `{finished: 118, 'refused overloaded not_run': 2}`. */
+export function countEnds(records: readonly CompletionRecord[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const {end} of records) {
+		const label = end.kind === 'refused' || end.kind === 'failed' ? `${end.kind} ${end.code} ${end.ran}` : end.kind;
+		counts[label] = (counts[label] ?? 0) + 1;
+	}
+
+	return counts;
+}
+
+/** First-token percentiles by length class, leaving out classes without requests. */
+export function firstTokenByClass(records: readonly CompletionRecord[]): ReadonlyArray<readonly [LengthClass, Percentiles]> {
+	return lengthClasses
+		.map(lengthClass => [lengthClass, firstTokenOf(ofClass(records, lengthClass))] as const)
+		.filter(([, percentiles]) => percentiles.count > 0);
+}
