Add engine orders fenced by the lease epoch and load permits

Cause: engines take orders from whoever asks and some ignore the fencing token; the weight store bears a fixed rate. Ruled out: a permit lease for each failure domain; a fixed share of each pool needs no message and holds in a partition. Change: order plan from reported and wanted models, proof of the lease before each order, load permits by share. Conclusion: wiring follows with the pool lease.

--- /dev/null
+++ b/src/orders/load-permits.ts
@@ -0,0 +1,36 @@
+/**
+ * Permits for model loads, so that all coordinators together stay within the rate of the weight store.
+ *
+ * Each pool has a fixed share of the configured rate, so no messages are needed and the sum holds in a partition.
+ * A new coordinator starts without a permit, since its predecessor may just have used the last one.
+ */
+
+const MS_PER_MINUTE = 60_000;
+
+/** Token bucket of one pool with room for one permit. */
+export class LoadPermits {
+	/** `loadsPerMinute` is the rate of the whole system, divided by the number of model pools. */
+	static create(loadsPerMinute: number, pools: number, now: number): LoadPermits {
+		return new LoadPermits(loadsPerMinute / Math.max(1, pools) / MS_PER_MINUTE, now);
+	}
+
+	private permits = 0;
+
+	private constructor(
+		private readonly permitsPerMs: number,
+		private refilledAt: number,
+	) {}
+
+	/** Takes one permit when there is one. */
+	take(now: number): boolean {
+		const elapsed = Math.max(0, now - this.refilledAt);
+		this.permits = Math.min(1, this.permits + (elapsed * this.permitsPerMs));
+		this.refilledAt = Math.max(now, this.refilledAt);
+		if (this.permits < 1) {
+			return false;
+		}
+
+		this.permits -= 1;
+		return true;
+	}
+}
--- /dev/null
+++ b/tests/engine-orders.test.ts
@@ -0,0 +1,112 @@
+import {describe, expect, it} from 'vitest';
+import fc from 'fast-check';
+import type {EngineLoad, EngineOrder} from '../src/backend/engine-protocol.js';
+import type {ModelService} from '../src/configuration/schema.js';
+import {EngineOrders, type LeaseProof} from '../src/orders/engine-orders.js';
+import {LoadPermits} from '../src/orders/load-permits.js';
+import {ORDER_REPEAT_MS} from '../src/orders/order-plan.js';
+
+const service: ModelService = {
+	kind: 'model',
+	name: 'fio-lm',
+	failureDomains: ['braga'],
+	models: [{name: 'fio-lm', version: '3'}],
+	warm: {requests: 8, prefillTokens: 100_000},
+	cold: {requests: 2, prefillTokens: 10_000},
+	kvTokens: 400_000,
+	prefillTokensPerSecond: 50_000,
+	decodeTokensPerSecond: 50,
+	longPromptShare: 0.5,
+	maxGangSize: 4,
+	fencing: 'ignored',
+	poolShards: 1,
+};
+
+const load = (models: readonly string[]): EngineLoad =>
+	({
+		boot: 'b', warm: true, ageMs: 0, runningRequests: 0, pendingPrefillTokens: 0, kvTokensUsed: 0, kvTokensTotal: 1, models, role: 'mixed',
+	});
+
+function createFixture(proof: () => LeaseProof) {
+	let now = 0;
+	const sent: EngineOrder[] = [];
+	const orders = EngineOrders.create({
+		lease: {prove: async () => proof()},
+		permits: LoadPermits.create(60, 1, -1000),
+		async send(_address, order) {
+			sent.push(order);
+			return {kind: 'accepted'};
+		},
+		clock: () => now,
+	});
+	return {
+		sent,
+		async reconcileAt(time: number, models: readonly string[]) {
+			now = time;
+			return orders.reconcile(service, [{id: 'e1', address: '127.0.0.1:1', load: load(models)}], now);
+		},
+	};
+}
+
+describe('engine orders', () => {
+	it('should send the epoch as fencing token and not repeat an order before the reports can show it', async () => {
+		const fixture = createFixture(() => ({
+			kind: 'held', epoch: 7, validUntil: 1e9, ordersAllowedFrom: 0,
+		}));
+		await fixture.reconcileAt(0, []);
+		await fixture.reconcileAt(1000, []);
+		await fixture.reconcileAt(ORDER_REPEAT_MS, []);
+		expect(fixture.sent).toEqual(Array.from({length: 2}, () => ({
+			kind: 'load-model', model: 'fio-lm', version: '3', fencing: 7,
+		})));
+	});
+
+	it('should send nothing when a paused holder wakes after its lease was taken over', async () => {
+		const fixture = createFixture(() => ({kind: 'lost', message: 'epoch 8 is held by d2'}));
+		expect(await fixture.reconcileAt(0, [])).toMatchObject([{kind: 'withheld', reason: 'lease_lost'}]);
+		expect(fixture.sent).toEqual([]);
+	});
+
+	it('should wait for orders of the predecessor and refuse a lease shorter than the order timeout', async () => {
+		const fixture = createFixture(() => ({
+			kind: 'held', epoch: 7, validUntil: 12_000, ordersAllowedFrom: 8000,
+		}));
+		expect(await fixture.reconcileAt(7999, [])).toMatchObject([{reason: 'predecessor'}]);
+		expect(await fixture.reconcileAt(9501, [])).toMatchObject([{reason: 'lease_too_short'}]);
+		expect(await fixture.reconcileAt(9500, [])).toMatchObject([{kind: 'sent'}]);
+	});
+
+	it('should unload a model that the configuration no longer names', async () => {
+		const fixture = createFixture(() => ({
+			kind: 'held', epoch: 7, validUntil: 1e9, ordersAllowedFrom: 0,
+		}));
+		await fixture.reconcileAt(0, ['fio-lm', 'old']);
+		expect(fixture.sent).toEqual([{kind: 'unload-model', model: 'old', fencing: 7}]);
+	});
+});
+
+describe('load permits', () => {
+	it('should keep the rate of the weight store over all pools and takeovers', () => {
+		fc.assert(fc.property(
+			fc.integer({min: 1, max: 12}),
+			fc.integer({min: 1, max: 30}),
+			fc.array(fc.record({pool: fc.nat(11), stepMs: fc.nat(20_000), takeover: fc.boolean()}), {maxLength: 200}),
+			(pools, loadsPerMinute, steps) => {
+				const permits = Array.from({length: pools}, () => LoadPermits.create(loadsPerMinute, pools, 0));
+				let now = 0;
+				let loads = 0;
+				for (const step of steps) {
+					now += step.stepMs;
+					const pool = step.pool % pools;
+					if (step.takeover) {
+						permits[pool] = LoadPermits.create(loadsPerMinute, pools, now);
+					}
+
+					loads += permits[pool]!.take(now) ? 1 : 0;
+				}
+
+				expect(loads).toBeLessThanOrEqual((loadsPerMinute * now / 60_000) + 1e-6);
+			},
+		));
+	});
+});
