--- /dev/null
+++ b/src/platform/http-object-api.ts
@@ -0,0 +1,130 @@
+/**
+ * Object API over HTTP, by the protocol in `object-api.ts`.
+ *
+ * A write is `rejected` only where it is known that it cannot take effect: the connection was never opened, or the
+ * object API refused the request with a status. Every other error is `unknown`, since bytes may have left this host.
+ */
+import {z} from 'zod';
+import {
+	describeError, isUnsent, JsonClient, type JsonAnswer, type JsonRequest,
+} from './json-client.js';
+import type {
+	CallOptions, ListOutcome, ObjectApi, ReadOutcome, StoredObject, WatchOutcome, WriteCondition, WriteOutcome,
+} from './object-api.js';
+
+/** Statuses with which the object API refuses a request before it takes effect. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([400, 401, 403, 405, 413, 422, 429, 503]);
+
+const storedObjectSchema = z.object({key: z.string(), version: z.number().int(), value: z.unknown()});
+const listSchema = z.object({objects: z.array(storedObjectSchema)});
+const versionSchema = z.object({version: z.number().int()});
+
+export class HttpObjectApi implements ObjectApi {
+	/** `caller` is the id of this daemon, sent as `x-caller`. */
+	static create(options: {readonly baseUrl: string; readonly caller: string}): HttpObjectApi {
+		return new HttpObjectApi(JsonClient.create(options.baseUrl, options.caller));
+	}
+
+	private constructor(private readonly client: JsonClient) {}
+
+	async read(key: string, options: CallOptions): Promise<ReadOutcome> {
+		return this.#query<ReadOutcome>({method: 'GET', path: objectPath(key)}, options, answer => {
+			if (answer.status === 404) {
+				return {kind: 'absent'};
+			}
+
+			return answer.status === 200 ? {kind: 'found', object: parseObject(answer.body)} : unexpected(answer);
+		});
+	}
+
+	async list(prefix: string, options: CallOptions): Promise<ListOutcome> {
+		const path = `/v1/objects?prefix=${encodeURIComponent(prefix)}`;
+		return this.#query<ListOutcome>({method: 'GET', path}, options, answer => answer.status === 200
+			? {kind: 'listed', objects: listSchema.parse(answer.body).objects}
+			: unexpected(answer));
+	}
+
+	async watch(key: string, afterVersion: number, waitMs: number, options: CallOptions): Promise<WatchOutcome> {
+		const path = `/v1/watch/${encodeKey(key)}?after=${afterVersion}&waitMs=${waitMs}`;
+		return this.#query<WatchOutcome>({method: 'GET', path}, options, answer => {
+			if (answer.status === 204) {
+				return {kind: 'unchanged'};
+			}
+
+			return answer.status === 200 ? {kind: 'changed', object: parseObject(answer.body)} : unexpected(answer);
+		});
+	}
+
+	async write(key: string, value: unknown, condition: WriteCondition, options: CallOptions): Promise<WriteOutcome> {
+		const headers = conditionHeaders(condition);
+		return this.#change({
+			method: 'PUT', path: objectPath(key), headers, body: value,
+		}, options, answer => versionSchema.parse(answer.body).version);
+	}
+
+	async remove(key: string, version: number, options: CallOptions): Promise<WriteOutcome> {
+		const headers = conditionHeaders({kind: 'version', version});
+		return this.#change({method: 'DELETE', path: objectPath(key), headers}, options, () => version);
+	}
+
+	async close(): Promise<void> {
+		await this.client.close();
+	}
+
+	async #query<T>(req: JsonRequest, options: CallOptions, interpret: (answer: JsonAnswer) => T): Promise<T | Unavailable> {
+		try {
+			return interpret(await this.client.call(req, options));
+		} catch (err) {
+			return {kind: 'unavailable', message: this.#message(req, err)};
+		}
+	}
+
+	async #change(req: JsonRequest, options: CallOptions, versionOf: (answer: JsonAnswer) => number): Promise<WriteOutcome> {
+		if (options.signal?.aborted) {
+			return {kind: 'rejected', message: this.#message(req, 'cancelled before it was sent')};
+		}
+
+		try {
+			const answer = await this.client.call(req, options);
+			return interpretChange(answer, versionOf) ?? {kind: 'unknown', message: this.#message(req, statusText(answer))};
+		} catch (err) {
+			const kind = isUnsent(err) ? 'rejected' : 'unknown';
+			return {kind, message: this.#message(req, err)};
+		}
+	}
+
+	#message(req: JsonRequest, observed: unknown): string {
+		return `${req.method} ${this.client.origin}${req.path}: ${describeError(observed)}`;
+	}
+}
+
+type Unavailable = {readonly kind: 'unavailable'; readonly message: string};
+
+const encodeKey = (key: string): string => key.split('/').map(part => encodeURIComponent(part)).join('/');
+const objectPath = (key: string): string => `/v1/objects/${encodeKey(key)}`;
+const statusText = (answer: JsonAnswer): string => `status ${answer.status}`;
+const parseObject = (body: unknown): StoredObject => storedObjectSchema.parse(body);
+
+const conditionHeaders = (condition: WriteCondition): Record<string, string> => condition.kind === 'absent'
+	? {'if-none-match': '*'}
+	: {'if-match': String(condition.version)};
+
+function unexpected(answer: JsonAnswer): never {
+	throw new Error(statusText(answer));
+}
+
+function interpretChange(answer: JsonAnswer, versionOf: (answer: JsonAnswer) => number): WriteOutcome | undefined {
+	if (answer.status === 200) {
+		return {kind: 'written', version: versionOf(answer)};
+	}
+
+	if (answer.status === 404) {
+		return {kind: 'conflict', version: 0};
+	}
+
+	if (answer.status === 412) {
+		return {kind: 'conflict', version: versionSchema.parse(answer.body).version};
+	}
+
+	return REFUSED_STATUSES.has(answer.status) ? {kind: 'rejected', message: `the object API refused with ${statusText(answer)}`} : undefined;
+}
--- /dev/null
+++ b/src/platform/json-client.ts
@@ -0,0 +1,87 @@
+/** JSON over HTTP towards the platform's services, with a time limit on each call. */
+import {Agent, type Dispatcher} from 'undici';
+import {withTimeLimit, type TimeLimit} from '../util/time-limit.js';
+
+/** Time limit of opening a connection. A connection that was never open carried no bytes of a request. */
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 10_000;
+
+/** An answer: status and parsed JSON body, or undefined when the body is empty. */
+export type JsonAnswer = {
+	readonly status: number;
+	readonly body: unknown;
+};
+
+/** One request. `path` includes the query. */
+export type JsonRequest = {
+	readonly method: 'GET' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: unknown;
+};
+
+/** Whether `err` proves that no byte of the request left this host. */
+export function isUnsent(err: unknown): boolean {
+	if (!(err instanceof Error)) {
+		return false;
+	}
+
+	// With several addresses for a name, Node reports each attempt to connect in one AggregateError.
+	if (err instanceof AggregateError) {
+		return err.errors.length > 0 && err.errors.every(item => isUnsent(item));
+	}
+
+	const {code, syscall} = err as NodeJS.ErrnoException;
+	return code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect' || syscall === 'getaddrinfo';
+}
+
+/** Text of an error for messages: its code and message where it has them. */
+export function describeError(err: unknown): string {
+	if (!(err instanceof Error)) {
+		return String(err);
+	}
+
+	const {code} = err as NodeJS.ErrnoException;
+	const message = err.message || err.name;
+	return code && !message.includes(code) ? `${code}: ${message}` : message;
+}
+
+/** Client of one base URL. Calls reject on transport errors, on time-out and on a body that is not JSON. */
+export class JsonClient {
+	/** `caller` is sent as `x-caller`, by which the platform accounts for calls. */
+	static create(baseUrl: string, caller: string): JsonClient {
+		return new JsonClient(new URL(baseUrl).origin, caller);
+	}
+
+	readonly #agent = new Agent({connect: {timeout: CONNECT_TIMEOUT_MS}, keepAliveTimeout: KEEP_ALIVE_MS, pipelining: 1});
+
+	private constructor(readonly origin: string, private readonly caller: string) {}
+
+	async call(req: JsonRequest, limit: TimeLimit): Promise<JsonAnswer> {
+		return withTimeLimit(limit, async signal => {
+			const res = await this.#agent.request({
+				origin: this.origin,
+				path: req.path,
+				method: req.method,
+				headers: this.#headers(req),
+				body: req.body === undefined ? undefined : JSON.stringify(req.body),
+				signal,
+			});
+			return {status: res.statusCode, body: await parseBody(res)};
+		});
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	#headers(req: JsonRequest): Record<string, string> {
+		const contentType: Record<string, string> = req.body === undefined ? {} : {'content-type': 'application/json'};
+		return {...contentType, ...req.headers, 'x-caller': this.caller};
+	}
+}
+
+async function parseBody(res: Dispatcher.ResponseData): Promise<unknown> {
+	const text = await res.body.text();
+	return text === '' ? undefined : JSON.parse(text);
+}
--- /dev/null
+++ b/tests/http-object-api.test.ts
@@ -0,0 +1,97 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {HttpHostList} from '../src/platform/http-host-list.js';
+import {HttpObjectApi} from '../src/platform/http-object-api.js';
+import {HttpStandIn} from './fixtures/http-stand-in.js';
+
+const closers: Array<() => Promise<void>> = [];
+
+async function connect(answer: (req: IncomingMessage, res: ServerResponse) => void) {
+	const server = await HttpStandIn.start(answer);
+	const api = HttpObjectApi.create({baseUrl: server.url, caller: 'daemon-1'});
+	closers.push(async () => api.close(), async () => server.close());
+	return {server, api};
+}
+
+const replyWith = (status: number, body?: unknown) => (_req: IncomingMessage, res: ServerResponse) => {
+	res.writeHead(status).end(body === undefined ? undefined : JSON.stringify(body));
+};
+
+const write = async (api: HttpObjectApi, timeoutMs = 2000) => api.write('pools/braga/a b', {x: 1}, {kind: 'version', version: 7}, {timeoutMs});
+
+afterEach(async () => {
+	await Promise.all(closers.splice(0).map(async close => close()));
+});
+
+describe('HttpObjectApi', () => {
+	it('should send the key, the condition and the caller as the protocol states', async () => {
+		const seen: unknown[] = [];
+		const {api} = await connect((req, res) => {
+			seen.push([req.method, req.url, req.headers['if-match'], req.headers['x-caller']]);
+			replyWith(200, {version: 8})(req, res);
+		});
+		expect(await write(api)).toEqual({kind: 'written', version: 8});
+		expect(seen).toEqual([['PUT', '/v1/objects/pools/braga/a%20b', '7', 'daemon-1']]);
+	});
+
+	it.each([
+		[412, {version: 9}, 'conflict'],
+		[429, undefined, 'rejected'],
+		[503, undefined, 'rejected'],
+		[500, undefined, 'unknown'],
+		[502, undefined, 'unknown'],
+		[200, {unexpected: true}, 'unknown'],
+	] as const)('should class the answer %i %o to a write as it was proven', async (status, body, kind) => {
+		const {api} = await connect(replyWith(status, body));
+		expect(await write(api)).toMatchObject({kind});
+	});
+
+	it('should never call a write rejected once bytes may have left', async () => {
+		const {api} = await connect(req => req.socket.destroy());
+		expect(await write(api)).toMatchObject({kind: 'unknown'});
+		const stalled = await connect(() => undefined);
+		expect(await write(stalled.api, 50)).toMatchObject({kind: 'unknown', message: expect.stringContaining('no answer within 50 ms') as string});
+	});
+
+	it('should call a write rejected when nothing listens', async () => {
+		const {api, server} = await connect(replyWith(200, {version: 1}));
+		await server.close();
+		expect(await write(api)).toMatchObject({kind: 'rejected', message: expect.stringContaining('ECONNREFUSED') as string});
+	});
+
+	it('should end a watch on cancellation and tell unchanged from unavailable', async () => {
+		const {api} = await connect(replyWith(204));
+		expect(await api.watch('config/current', 3, 10, {timeoutMs: 1000})).toEqual({kind: 'unchanged'});
+		const controller = new AbortController();
+		const stalled = await connect(() => {
+			controller.abort();
+		});
+		const outcome = await stalled.api.watch('config/current', 3, 60_000, {timeoutMs: 60_000, signal: controller.signal});
+		expect(outcome.kind).toBe('unavailable');
+	});
+
+	it('should tell an absent object from an unavailable object API', async () => {
+		const absent = await connect(replyWith(404));
+		expect(await absent.api.read('config/current', {timeoutMs: 1000})).toEqual({kind: 'absent'});
+		const down = await connect(replyWith(503));
+		expect(await down.api.read('config/current', {timeoutMs: 1000})).toMatchObject({kind: 'unavailable'});
+	});
+});
+
+describe('HttpHostList', () => {
+	it('should return checked hosts and report a malformed list as unavailable', async () => {
+		const host = {
+			id: 'e1', address: '127.0.0.1:1', service: 'fio-lm', failureDomain: 'braga', state: 'live',
+		};
+		const answers = [{version: 1, hosts: [host]}, {version: 2, hosts: [{id: 'e1'}]}];
+		const server = await HttpStandIn.start((req, res) => {
+			replyWith(200, answers.shift())(req, res);
+		});
+		const client = HttpHostList.create({baseUrl: server.url, caller: 'daemon-1'});
+		closers.push(async () => client.close(), async () => server.close());
+		expect(await client.fetchHosts({timeoutMs: 1000})).toEqual({kind: 'listed', list: {version: 1, hosts: [host]}});
+		expect(await client.fetchHosts({timeoutMs: 1000})).toMatchObject({kind: 'unavailable'});
+	});
+});
