--- a/src/orders/engine-orders.ts
+++ b/src/orders/engine-orders.ts
@@ -94,7 +94,9 @@
 		this.sentAt.set(orderKey(order), now);
 		const {epoch} = decision;
 		const outcome = await send(order.engine.address, toEngineOrder(order, epoch), ORDER_TIMEOUT_MS);
-		return {kind: 'sent', order, epoch, outcome};
+		return {
+			kind: 'sent', order, epoch, outcome,
+		};
 	}
 }
 
