--- a/src/backend/engine-client.ts
+++ b/src/backend/engine-client.ts
@@ -4,6 +4,7 @@
 import type {
 	AcceptedSegment, CancelOutcome, EngineCallOptions, EngineFacts, EngineStreams, NotStarted, ResumeOutcome, SegmentOutcome, StartOutcome,
 } from '../streams/engine-streams.js';
+import {withTimeLimit} from '../util/time-limit.js';
 import {messageOf, openConnection, type Opened} from './engine-connection.js';
 import {readEngineEvents} from './engine-events.js';
 import {
@@ -167,17 +168,14 @@
 	}
 
 	async order(address: string, order: EngineOrder, options: EngineCallOptions): Promise<OrderOutcome> {
-		try {
-			const {statusCode, body} = await this.#request(address, {method: 'POST', path: '/v1/orders', body: JSON.stringify(order)}, options);
+		return this.#request(address, {method: 'POST', path: '/v1/orders', body: JSON.stringify(order)}, options, async ({statusCode, body}): Promise<OrderOutcome> => {
 			if (statusCode === 409) {
 				return {kind: 'stale', highest: staleSchema.parse(await body.json()).highest};
 			}
 
 			await body.dump();
 			return statusCode === 200 ? {kind: 'accepted'} : {kind: 'failed', message: `the engine answered with status ${statusCode}`};
-		} catch (err) {
-			return {kind: 'failed', message: messageOf(err)};
-		}
+		});
 	}
 
 	/** Ends all queries under way. Connections of streams end with their streams. */
@@ -186,41 +184,40 @@
 	}
 
 	async #query<T>(address: string, path: string, schema: z.ZodType<T>, options: EngineCallOptions): Promise<EngineAnswer<T>> {
-		try {
-			const {statusCode, body} = await this.#request(address, {method: 'GET', path}, options);
+		return this.#request(address, {method: 'GET', path}, options, async ({statusCode, body}): Promise<EngineAnswer<T>> => {
 			if (statusCode !== 200) {
 				await body.dump();
 				return {kind: 'failed', message: `GET ${path} answered with status ${statusCode}`};
 			}
 
 			return {kind: 'answered', value: schema.parse(await body.json())};
-		} catch (err) {
-			return {kind: 'failed', message: messageOf(err)};
-		}
+		});
 	}
 
 	async #remove(address: string, path: string, options: EngineCallOptions): Promise<CancelOutcome> {
-		try {
-			const {statusCode, body} = await this.#request(address, {method: 'DELETE', path}, options);
+		const outcome = await this.#request(address, {method: 'DELETE', path}, options, async ({statusCode, body}): Promise<CancelOutcome> => {
 			await body.dump();
 			return statusCode === 204 ? {kind: 'cancelled'} : {kind: 'unreachable', message: `DELETE ${path} answered with status ${statusCode}`};
-		} catch (err) {
-			const refused = (err as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-			return {kind: refused ? 'refused' : 'unreachable', message: messageOf(err)};
-		}
+		});
+		return outcome.kind === 'failed' ? {kind: outcome.refused ? 'refused' : 'unreachable', message: outcome.message} : outcome;
 	}
 
-	async #request(
+	/** Sends a request on a shared connection and reads its answer within the time limit. */
+	async #request<T>(
 		address: string,
 		request: {readonly method: 'GET' | 'POST' | 'DELETE'; readonly path: string; readonly body?: string},
-		{timeoutMs, signal}: EngineCallOptions,
-	): Promise<Dispatcher.ResponseData> {
-		const timeout = AbortSignal.timeout(timeoutMs);
-		return this.#agent.request({
-			origin: `http://${address}`,
-			...request,
-			headers: request.body === undefined ? {} : {'content-type': 'application/json'},
-			signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
-		});
+		options: EngineCallOptions,
+		read: (response: Dispatcher.ResponseData) => Promise<T>,
+	): Promise<T | {readonly kind: 'failed'; readonly message: string; readonly refused: boolean}> {
+		try {
+			return await withTimeLimit(options, async signal => read(await this.#agent.request({
+				origin: `http://${address}`,
+				...request,
+				headers: request.body === undefined ? {} : {'content-type': 'application/json'},
+				signal,
+			})));
+		} catch (err) {
+			return {kind: 'failed', message: messageOf(err), refused: (err as NodeJS.ErrnoException).code === 'ECONNREFUSED'};
+		}
 	}
 }
