Add admission, choice of pools and the execution of a model request

Cause: a request has to reserve, run, be relayed and be freed within its deadline, whatever fails on the way.

--- /dev/null
+++ b/src/admission/request-deadline.ts
@@ -0,0 +1,34 @@
+/** The time that a request has. */
+import {failure, type Failure} from '../util/failure.js';
+
+/** Request header with the caller's own time limit in ms; the smaller of it and the objective counts. */
+export const TIMEOUT_HEADER = 'x-fireflyport-timeout-ms';
+
+/** Time allowed where no objective is configured. */
+export const DEFAULT_TOTAL_MS = 120_000;
+
+const MAX_TIMEOUT_MS = 86_400_000;
+
+/** Parses the header of {@link TIMEOUT_HEADER}. Returns undefined when there is none. */
+export function parseTimeout(header: string | undefined): number | undefined | Failure {
+	if (header === undefined) {
+		return undefined;
+	}
+
+	const timeoutMs = /^\d{1,9}$/v.test(header) ? Number(header) : 0;
+	if (timeoutMs < 1 || timeoutMs > MAX_TIMEOUT_MS) {
+		return failure({
+			code: 'invalid_request',
+			message: `header ${TIMEOUT_HEADER} is ${JSON.stringify(header)}; accepted is a whole number of milliseconds from 1 to ${MAX_TIMEOUT_MS}`,
+			ran: 'not_run',
+			step: 'parse',
+			param: TIMEOUT_HEADER,
+		});
+	}
+
+	return timeoutMs;
+}
+
+/** Returns the time at which a request that arrived at `arrivedAt` has finished or fails, on the same clock. */
+export const deadlineOf = (arrivedAt: number, totalMs: number | undefined, timeoutMs: number | undefined): number =>
+	arrivedAt + Math.min(totalMs ?? DEFAULT_TOTAL_MS, timeoutMs ?? Number.POSITIVE_INFINITY);
--- /dev/null
+++ b/src/routing/model-attempt.ts
@@ -0,0 +1,226 @@
+/** One try to run a model request under one grant: send, relay, free. */
+import type {AdmittedRequest} from '../admission/model-admission.js';
+import type {DoneEvent, SegmentReference} from '../backend/engine-protocol.js';
+import type {GrantedServer} from '../peer/protocol.js';
+import type {EngineEvents, EngineFacts, EngineStreams} from '../streams/engine-streams.js';
+import type {Held, StreamCleanup} from '../streams/stream-cleanup.js';
+import {
+	relayTokens, type RelayOutcome, type SilenceLimits, type TokenSink,
+} from '../streams/token-relay.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import type {Grant, ReleaseOutcome} from './reservation.js';
+import {prefillSegments, splitPrompt} from './split-prompt.js';
+
+const START_TIMEOUT_MS = 2000;
+/** Silence before the first token, over the prefill of the request and of what the engine may have queued before it. */
+const FIRST_TOKEN_FACTOR = 2;
+const FIRST_TOKEN_MARGIN_MS = 1000;
+/** Silence between tokens, as a multiple of the expected gap. */
+const GAP_FACTOR = 8;
+const MIN_GAP_LIMIT_MS = 500;
+
+/**
+ * `finished`: complete. `not_run`: known not to have run; `blamed` is the backend server at fault, if any.
+ * `broken`: sent, but not completed. `stopped`: the signal was aborted.
+ */
+export type AttemptOutcome =
+	| {readonly kind: 'finished'; readonly done: DoneEvent; readonly firstTokenMs: number | undefined}
+	| {readonly kind: 'not_run'; readonly message: string; readonly blamed?: GrantedServer}
+	| {
+		readonly kind: 'broken';
+		readonly message: string;
+		readonly ran: 'ran' | 'unknown';
+		readonly tokens: number;
+		/** The engine gave up at the deadline. */
+		readonly expired: boolean;
+		readonly blamed: GrantedServer;
+	}
+	| {readonly kind: 'stopped'; readonly ran: 'not_run' | 'ran' | 'unknown'; readonly tokens: number};
+
+export type AttemptParts = {
+	readonly engine: EngineStreams;
+	readonly cleanup: StreamCleanup;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+export type Attempt = {
+	readonly requestId: string;
+	readonly request: AdmittedRequest;
+	readonly grant: Grant;
+	readonly sink: TokenSink;
+	/** Aborted when the caller has left or the deadline has passed. */
+	readonly signal: AbortSignal;
+};
+
+/** What an attempt ended with and how its reservation is released. */
+type Ended = {readonly outcome: AttemptOutcome; readonly release: ReleaseOutcome};
+
+type Started =
+	| ({readonly kind: 'accepted'; readonly events: EngineEvents} & EngineFacts)
+	| Ended & {readonly kind: 'ended'};
+
+/** Silence that a stream may show before its connection is given up. */
+function silenceLimits({service, promptTokens}: AdmittedRequest): SilenceLimits {
+	const expectedMs = (promptTokens + service.warm.prefillTokens) / service.prefillTokensPerSecond * 1000;
+	return {
+		firstTokenMs: FIRST_TOKEN_MARGIN_MS + (expectedMs * FIRST_TOKEN_FACTOR),
+		betweenTokensMs: Math.max(MIN_GAP_LIMIT_MS, GAP_FACTOR * 1000 / service.decodeTokensPerSecond),
+	};
+}
+
+/** Runs one attempt and releases its grant once the engines hold nothing of it any more. Does not throw. */
+export async function runAttempt(parts: AttemptParts, attempt: Attempt): Promise<AttemptOutcome> {
+	const {grant, request} = attempt;
+	const held: Held[] = [];
+	const {outcome, release} = await execute(parts, attempt, held);
+	const firstTokenMs = outcome.kind === 'finished' ? outcome.firstTokenMs : undefined;
+	parts.cleanup.free(held, request.deadline, () => {
+		grant.release(release, firstTokenMs);
+	});
+	return outcome;
+}
+
+async function execute(parts: AttemptParts, attempt: Attempt, held: Held[]): Promise<Ended> {
+	const {grant, request, signal} = attempt;
+	const {clock} = parts;
+	// A process that was paused since the reservation must not send under an expired grant.
+	if (clock() >= grant.validUntil) {
+		return {outcome: {kind: 'not_run', message: 'the grant expired before the request could be sent'}, release: 'not_sent'};
+	}
+
+	if (signal.aborted) {
+		return {outcome: {kind: 'stopped', ran: 'not_run', tokens: 0}, release: 'not_sent'};
+	}
+
+	const prompts = splitPrompt(request.prompt, grant.servers.map(server => server.tokens));
+	const segments = await prefillSegments(parts.engine, {
+		grant,
+		model: request.model,
+		parts: prompts.slice(0, -1),
+		prefillTokensPerSecond: request.service.prefillTokensPerSecond,
+		deadline: request.deadline,
+		signal,
+		held,
+	}, clock);
+	if (segments.kind === 'failed') {
+		return segmentFailed(segments.server, segments.cause, held.length > 0, signal);
+	}
+
+	const sentAt = clock();
+	const started = await start(parts, attempt, held, {prompt: prompts.at(-1)!, segments: segments.references});
+	return started.kind === 'ended' ? started : relay(parts, attempt, started.events, sentAt);
+}
+
+/** A segment failed: nothing has reached the caller, and earlier segments have run. */
+function segmentFailed(server: GrantedServer, cause: {readonly kind: string; readonly message: string}, anyRan: boolean, signal: AbortSignal): Ended {
+	if (signal.aborted) {
+		return {outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
+	}
+
+	const message = `prefilling a segment: ${cause.message}`;
+	const outcome: AttemptOutcome = anyRan
+		? {
+			kind: 'broken', message, ran: 'ran', tokens: 0, expired: false, blamed: server,
+		}
+		: {kind: 'not_run', message, blamed: server};
+	return {outcome, release: 'failed'};
+}
+
+/** Starts the stream on the last server of the grant and acknowledges it. */
+async function start(
+	{engine, clock}: AttemptParts,
+	{grant, request, signal}: Attempt,
+	held: Held[],
+	{prompt, segments}: {readonly prompt: string; readonly segments: readonly SegmentReference[]},
+): Promise<Started> {
+	const server = grant.servers.at(-1)!;
+	const anyRan = held.length > 0;
+	const remainingMs = request.deadline - clock();
+	if (signal.aborted || remainingMs <= 0) {
+		return {kind: 'ended', outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
+	}
+
+	const {address} = server;
+	const timeoutMs = Math.min(START_TIMEOUT_MS, remainingMs);
+	const outcome = await engine.start(address, {
+		id: grant.id, model: request.model, prompt, maxTokens: request.maxTokens, priority: grant.enginePriority, remainingMs, segments,
+	}, {timeoutMs, signal});
+	if (outcome.kind === 'not_sent' || outcome.kind === 'not_accepted') {
+		const ended = segmentFailed(server, outcome, anyRan, signal);
+		return {kind: 'ended', ...ended};
+	}
+
+	// An answer that was lost may belong to a stream that runs: ask for it on a new connection.
+	const known = outcome.kind === 'accepted' || signal.aborted ? outcome : await engine.resume(address, grant.id, 0, {timeoutMs, signal});
+	held.push({
+		kind: 'stream', address, id: grant.id, uncertain: known.kind !== 'accepted',
+	});
+	if (known.kind === 'accepted') {
+		grant.acknowledge({server: server.id, boot: known.boot, warm: known.warm});
+		return known;
+	}
+
+	if (signal.aborted) {
+		return {kind: 'ended', outcome: {kind: 'stopped', ran: 'unknown', tokens: 0}, release: 'cancelled'};
+	}
+
+	return {
+		kind: 'ended',
+		outcome: {
+			kind: 'broken', message: `starting the stream: ${outcome.kind === 'unknown' ? outcome.message : ''}`, ran: 'unknown', tokens: 0, expired: false, blamed: server,
+		},
+		release: 'silent',
+	};
+}
+
+async function relay({engine, clock, logger}: AttemptParts, {requestId, grant, request, sink, signal}: Attempt, events: EngineEvents, sentAt: number): Promise<Ended> {
+	const server = grant.servers.at(-1)!;
+	const outcome = await relayTokens({id: grant.id, address: server.address, events}, {
+		engine,
+		sink,
+		limits: silenceLimits(request),
+		signal,
+		clock,
+		onFault(message, nextIndex) {
+			logger.warn('stream_fault', {
+				request: requestId, stream: grant.id, server: server.id, next: nextIndex, message,
+			});
+		},
+	});
+	return relayEnded(outcome, server, sentAt);
+}
+
+function relayEnded(outcome: RelayOutcome, blamed: GrantedServer, sentAt: number): Ended {
+	const {tokens} = outcome;
+	switch (outcome.kind) {
+		case 'finished': {
+			const firstTokenMs = outcome.firstTokenAt === undefined ? undefined : outcome.firstTokenAt - sentAt;
+			return {outcome: {kind: 'finished', done: outcome.done, firstTokenMs}, release: 'finished'};
+		}
+
+		case 'failed': {
+			const {code, message} = outcome.event;
+			return {
+				outcome: {
+					kind: 'broken', message: `the engine gave up (${code}): ${message}`, ran: 'ran', tokens, expired: code === 'expired', blamed,
+				},
+				release: code === 'expired' ? 'cancelled' : 'failed',
+			};
+		}
+
+		case 'lost': {
+			return {
+				outcome: {
+					kind: 'broken', message: `the stream was lost: ${outcome.message}`, ran: 'ran', tokens, expired: false, blamed,
+				},
+				release: outcome.silent ? 'silent' : 'failed',
+			};
+		}
+
+		case 'stopped': {
+			return {outcome: {kind: 'stopped', ran: 'ran', tokens}, release: 'cancelled'};
+		}
+	}
+}
--- /dev/null
+++ b/src/routing/pool-choice.ts
@@ -0,0 +1,68 @@
+/** Orders the pools in which a request may run. */
+import type {FailureDomain, Service} from '../configuration/schema.js';
+import {formatPool} from '../membership/directory.js';
+import type {PoolSummary} from '../peer/protocol.js';
+import type {LengthClass} from '../util/length-class.js';
+
+/** A pool of the own failure domain is preferred up to this estimated wait. */
+const NO_WAIT_MS = 50;
+/** A summary older than this says nothing about the present load. */
+const SUMMARY_MAX_AGE_MS = 5000;
+
+/** The newest summary of each pool, as received with answers to reservations. */
+export class PoolSummaries {
+	static create(): PoolSummaries {
+		return new PoolSummaries();
+	}
+
+	readonly #newest = new Map<string, {readonly summary: PoolSummary; readonly at: number}>();
+
+	record(summary: PoolSummary, now: number): void {
+		this.#newest.set(summary.pool, {summary, at: now});
+	}
+
+	/** Estimated wait in ms; 0 where nothing recent is known, so that such a pool is tried. */
+	waitMs(pool: string, lengthClass: LengthClass, now: number): number {
+		const entry = this.#newest.get(pool);
+		if (!entry || now - entry.at > SUMMARY_MAX_AGE_MS) {
+			return 0;
+		}
+
+		const {shortWaitMs, longWaitMs} = entry.summary;
+		return lengthClass === 'short' || lengthClass === 'medium' ? shortWaitMs : longWaitMs;
+	}
+}
+
+export type PoolCandidate = {
+	readonly pool: string;
+	readonly failureDomain: string;
+	/** Whether a coordinator has been seen. */
+	readonly coordinated: boolean;
+	/** Estimated wait of this request in ms. */
+	readonly waitMs: number;
+};
+
+/** Pools of a service in the failure domains of `region` that are `in`. */
+export function poolsOf(service: Service, failureDomains: readonly FailureDomain[], region: string): ReadonlyArray<{readonly pool: string; readonly failureDomain: string}> {
+	const usable = failureDomains.filter(domain => domain.state === 'in' && domain.region === region && service.failureDomains.includes(domain.name));
+	return usable.flatMap(({name}) => Array.from({length: service.poolShards}, (_, shard) => ({
+		pool: formatPool({failureDomain: name, service: service.name, shard}),
+		failureDomain: name,
+	})));
+}
+
+/**
+ * Orders candidates: coordinated ones first, then those of the own failure domain without a wait, then by estimated
+ * wait. `turn` rotates equal ones, so that successive requests spread over them.
+ */
+export function orderPools(candidates: readonly PoolCandidate[], ownDomain: string, turn: number): readonly string[] {
+	const start = candidates.length === 0 ? 0 : turn % candidates.length;
+	const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
+	const isNear = (candidate: PoolCandidate): boolean => candidate.failureDomain === ownDomain && candidate.waitMs <= NO_WAIT_MS;
+	const ordered = rotated.toSorted((a, b) =>
+		Number(b.coordinated) - Number(a.coordinated)
+		|| Number(isNear(b)) - Number(isNear(a))
+		|| a.waitMs - b.waitMs
+		|| Number(b.failureDomain === ownDomain) - Number(a.failureDomain === ownDomain));
+	return ordered.map(candidate => candidate.pool);
+}
--- /dev/null
+++ b/src/routing/split-prompt.ts
@@ -0,0 +1,115 @@
+/** Prefills a prompt that is split over several engines, one segment after the other. */
+import {Buffer} from 'node:buffer';
+import type {SegmentReference} from '../backend/engine-protocol.js';
+import type {GrantedServer} from '../peer/protocol.js';
+import type {EngineStreams, NotStarted} from '../streams/engine-streams.js';
+import type {Held} from '../streams/stream-cleanup.js';
+import {BYTES_PER_TOKEN} from '../util/length-class.js';
+import type {Clock} from '../util/clock.js';
+import type {Grant} from './reservation.js';
+
+const SEGMENT_START_TIMEOUT_MS = 2000;
+
+/**
+ * Splits `prompt` into one part for each entry of `tokens`, at borders of UTF-8 characters. The last part takes what
+ * is left.
+ */
+export function splitPrompt(prompt: string, tokens: readonly number[]): readonly string[] {
+	const bytes = Buffer.from(prompt);
+	const parts: string[] = [];
+	let from = 0;
+	for (const [index, count] of tokens.entries()) {
+		const isLast = index === tokens.length - 1;
+		const to = isLast ? bytes.length : characterStart(bytes, Math.min(bytes.length, from + (count * BYTES_PER_TOKEN)));
+		parts.push(bytes.toString('utf8', from, to));
+		from = to;
+	}
+
+	return parts;
+}
+
+/** The last start of a UTF-8 character at or before `offset`. Continuation bytes are 10xxxxxx. */
+function characterStart(bytes: Uint8Array, offset: number): number {
+	let start = offset;
+	while (start < bytes.length && start > 0 && bytes[start]! >= 0x80 && bytes[start]! < 0xC0) {
+		start--;
+	}
+
+	return start;
+}
+
+export type SplitPrompt = {
+	readonly grant: Grant;
+	readonly model: string;
+	/** One part for each server of the grant but the last. */
+	readonly parts: readonly string[];
+	readonly prefillTokensPerSecond: number;
+	/** Monotonic ms. */
+	readonly deadline: number;
+	readonly signal: AbortSignal;
+	/** Receives whatever an engine may hold, also when a segment fails. */
+	readonly held: Held[];
+};
+
+/** `kept`: all segments are held. Otherwise the first one that failed says why. */
+export type SegmentsOutcome =
+	| {readonly kind: 'kept'; readonly references: readonly SegmentReference[]}
+	| {readonly kind: 'failed'; readonly server: GrantedServer; readonly cause: NotStarted | {readonly kind: 'lost'; readonly message: string}};
+
+/** A prefill may take this many times its estimate, and a fixed time for what the engine has queued, before it counts as lost. */
+const PREFILL_FACTOR = 4;
+const PREFILL_MARGIN_MS = 10_000;
+
+/** Prefills all segments in order. */
+export async function prefillSegments(engine: EngineStreams, split: SplitPrompt, clock: Clock): Promise<SegmentsOutcome> {
+	const references: SegmentReference[] = [];
+	for (const [index, prompt] of split.parts.entries()) {
+		const server = split.grant.servers[index]!;
+		const id = `${split.grant.id}.segment${index}`;
+		const cause = await prefillSegment(engine, split, {
+			server, id, prompt, previous: [...references],
+		}, clock);
+		if (cause.kind !== 'kept') {
+			return {kind: 'failed', server, cause};
+		}
+
+		references.push({address: server.address, id, tokens: cause.tokens});
+	}
+
+	return {kind: 'kept', references};
+}
+
+type Segment = {
+	readonly server: GrantedServer;
+	readonly id: string;
+	readonly prompt: string;
+	readonly previous: readonly SegmentReference[];
+};
+
+async function prefillSegment(engine: EngineStreams, split: SplitPrompt, segment: Segment, clock: Clock) {
+	const {server, id, prompt, previous} = segment;
+	const remainingMs = split.deadline - clock();
+	if (remainingMs <= 0) {
+		return {kind: 'lost', message: 'the deadline passed'} as const;
+	}
+
+	const outcome = await engine.prefillSegment(server.address, {
+		id, model: split.model, prompt, previous, remainingMs, priority: split.grant.enginePriority,
+	}, {timeoutMs: Math.min(SEGMENT_START_TIMEOUT_MS, remainingMs), signal: split.signal});
+	if (outcome.kind === 'not_sent' || outcome.kind === 'not_accepted') {
+		return outcome;
+	}
+
+	split.held.push({
+		kind: 'segment', address: server.address, id, uncertain: outcome.kind === 'unknown',
+	});
+	if (outcome.kind === 'unknown') {
+		return outcome;
+	}
+
+	split.grant.acknowledge({server: server.id, boot: outcome.boot, warm: outcome.warm});
+	const expectedMs = server.tokens / split.prefillTokensPerSecond * 1000;
+	const limitMs = Math.min((expectedMs * PREFILL_FACTOR) + PREFILL_MARGIN_MS, Math.max(0, split.deadline - clock()));
+	const finished = await outcome.finished(limitMs);
+	return finished.kind === 'kept' ? finished : {kind: 'lost', message: finished.message} as const;
+}
