--- /dev/null
+++ b/testing/stand-ins/host-list/host-list-stand-in.ts
@@ -0,0 +1,111 @@
+/** Stand-in of the platform's lagging host list. Protocol: `src/platform/host-list.ts`; control: `/hosts`, `/faults`, `/counts`. */
+import {z} from 'zod';
+import {hostSchema, type Host, type HostList} from '../../../src/platform/host-list.js';
+import {monotonicMs} from '../../../src/util/clock.js';
+import {portSetting} from '../run-stand-in.js';
+import {
+	controlRoutes, delay, readJson, sendJson, StandInServer, type Exchange, type Route,
+} from '../stand-in-server.js';
+
+export const hostListSettingsSchema = z.object({
+	port: portSetting,
+	lagMs: z.coerce.number().min(0).default(0).describe('time until a change shows, in ms'),
+});
+
+const faultsSchema = z.strictObject({
+	outage: z.enum(['none', 'refuse']).default('none'),
+	slowMs: z.number().min(0).default(0),
+	/** Replaces the lag of the settings. */
+	lagMs: z.number().min(0).optional(),
+});
+
+const wholeListSchema = z.object({hosts: z.array(hostSchema)});
+const changeSchema = z.strictObject({state: hostSchema.unwrap().shape.state});
+
+type Snapshot = {readonly since: number; readonly list: HostList};
+
+export class HostListStandIn {
+	static async create(input: z.input<typeof hostListSettingsSchema> = {}): Promise<HostListStandIn> {
+		const standIn = new HostListStandIn(hostListSettingsSchema.parse(input));
+		standIn.#server = await StandInServer.create(standIn.#settings.port, standIn.#routes());
+		return standIn;
+	}
+
+	readonly #settings: z.infer<typeof hostListSettingsSchema>;
+	#snapshots: readonly Snapshot[] = [{since: -Infinity, list: {version: 0, hosts: []}}];
+	#faults = faultsSchema.parse({});
+	#reads = 0;
+	#server!: StandInServer;
+
+	private constructor(settings: z.infer<typeof hostListSettingsSchema>) {
+		this.#settings = settings;
+	}
+
+	get address(): string {
+		return this.#server.address;
+	}
+
+	/** Replaces the list; readers see it after the lag. */
+	setHosts(hosts: readonly Host[], now: number): void {
+		const version = this.#snapshots.at(-1)!.list.version + 1;
+		this.#snapshots = [...this.#snapshots, {since: now, list: {version, hosts}}];
+	}
+
+	async close(): Promise<void> {
+		await this.#server.close();
+	}
+
+	#visible(now: number): HostList {
+		const lagMs = this.#faults.lagMs ?? this.#settings.lagMs;
+		const index = this.#snapshots.findLastIndex(snapshot => snapshot.since + lagMs <= now);
+		return this.#snapshots[Math.max(0, index)]!.list;
+	}
+
+	#routes(): readonly Route[] {
+		return [
+			...controlRoutes({
+				schema: faultsSchema,
+				faults: () => this.#faults,
+				setFaults: faults => {
+					this.#faults = faults;
+				},
+				counts: () => ({reads: this.#reads, version: this.#snapshots.at(-1)!.list.version}),
+			}),
+			{method: 'GET', pattern: /^\/v1\/hosts$/v, handle: async exchange => this.#read(exchange)},
+			{
+				method: 'PUT', pattern: /^\/hosts$/v, handle: async ({req, res}) => {
+					const {hosts} = await readJson(req, wholeListSchema);
+					this.#change(res, hosts);
+				},
+			},
+			{method: 'PATCH', pattern: /^\/hosts\/(?<id>.+)$/v, handle: async exchange => this.#patch(exchange)},
+		];
+	}
+
+	async #read({res}: Exchange): Promise<void> {
+		this.#reads++;
+		await delay(this.#faults.slowMs);
+		if (this.#faults.outage === 'refuse') {
+			sendJson(res, 503, {error: 'unavailable'});
+			return;
+		}
+
+		sendJson(res, 200, this.#visible(monotonicMs()));
+	}
+
+	async #patch({req, res, groups}: Exchange): Promise<void> {
+		const {state} = await readJson(req, changeSchema);
+		const {hosts} = this.#snapshots.at(-1)!.list;
+		if (!hosts.some(host => host.id === groups.id)) {
+			sendJson(res, 404, {error: `no host ${groups.id}`});
+			return;
+		}
+
+		this.#change(res, hosts.map(host => host.id === groups.id ? {...host, state} : host));
+	}
+
+	#change(res: Exchange['res'], hosts: readonly Host[]): void {
+		this.setHosts(hosts, monotonicMs());
+		sendJson(res, 200, {version: this.#snapshots.at(-1)!.list.version});
+	}
+}
