--- /dev/null
+++ b/src/configuration/check-references.ts
@@ -0,0 +1,117 @@
+/** Rules on the references between the parts of a configuration whose fields are already checked. */
+import type {CheckOptions} from './check-configuration.js';
+import type {Finding} from './finding.js';
+import type {
+	Configuration, ModelService, Objective, Service, Workspace,
+} from './schema.js';
+
+const names = (items: ReadonlyArray<{readonly name: string}>): readonly string[] => items.map(item => item.name);
+
+/** Returns every broken reference, duplicate and inconsistent limit. */
+export function checkReferences(configuration: Configuration, options: CheckOptions): readonly Finding[] {
+	return [
+		...findDuplicates(names(configuration.failureDomains), index => `failureDomains[${index}].name`),
+		...findDuplicates(names(configuration.services), index => `services[${index}].name`),
+		...findDuplicates(names(configuration.priorities), index => `priorities[${index}].name`),
+		...findDuplicates(names(configuration.workspaces), index => `workspaces[${index}].name`),
+		...configuration.services.flatMap((service, index) => checkService(configuration, service, `services[${index}]`)),
+		...checkModels(configuration),
+		...checkObjectives(configuration),
+		...configuration.workspaces.flatMap((workspace, index) => checkWorkspace(configuration, workspace, `workspaces[${index}]`)),
+		...checkDigests(configuration.workspaces),
+		...(options.allowUnserved ? [] : checkServed(configuration)),
+	];
+}
+
+function findDuplicates(values: readonly string[], pathOf: (index: number) => string): readonly Finding[] {
+	const first = new Map<string, string>();
+	const findings: Finding[] = [];
+	for (const [index, value] of values.entries()) {
+		const path = pathOf(index);
+		const earlier = first.get(value);
+		if (earlier === undefined) {
+			first.set(value, path);
+		} else {
+			findings.push({path, value, rule: `already used at ${earlier}`});
+		}
+	}
+
+	return findings;
+}
+
+function findUnknown(values: readonly string[], known: readonly string[], what: string, pathOf: (index: number) => string): readonly Finding[] {
+	return values.flatMap((value, index) => known.includes(value)
+		? []
+		: [{path: pathOf(index), value, rule: `names no ${what}; known: ${known.join(', ')}`}]);
+}
+
+function checkService(configuration: Configuration, service: Service, path: string): readonly Finding[] {
+	const pathOf = (index: number) => `${path}.failureDomains[${index}]`;
+	return [
+		...findUnknown(service.failureDomains, names(configuration.failureDomains), 'failure domain', pathOf),
+		...findDuplicates(service.failureDomains, pathOf),
+		...checkColdLimits(service, path),
+	];
+}
+
+function checkColdLimits(service: Service, path: string): readonly Finding[] {
+	const warm = new Map<string, number>(Object.entries(service.warm));
+	return Object.entries(service.cold)
+		.filter(([field, value]) => value > warm.get(field)!)
+		.map(([field, value]) => ({path: `${path}.cold.${field}`, value, rule: `at most the warm limit, ${warm.get(field)}`}));
+}
+
+/** A model name chooses its service, so it is unique over all services. */
+function checkModels({services}: Configuration): readonly Finding[] {
+	const models = services.flatMap((service, serviceIndex) => service.kind === 'model'
+		? modelsOf(service).map((name, index) => ({name, path: `services[${serviceIndex}].models[${index}].name`}))
+		: []);
+	return findDuplicates(names(models), index => models[index]!.path);
+}
+
+const modelsOf = (service: ModelService): readonly string[] => names(service.models);
+
+function checkObjectives({objectives, services}: Configuration): readonly Finding[] {
+	const identify = (objective: Objective) => `${objective.service}/${objective.lengthClass}`;
+	return [
+		...findUnknown(objectives.map(objective => objective.service), names(services), 'service', index => `objectives[${index}].service`),
+		...findDuplicates(objectives.map(objective => identify(objective)), index => `objectives[${index}]`),
+		...objectives.flatMap((objective, index) => objective.firstTokenMs > objective.totalMs
+			? [{path: `objectives[${index}].firstTokenMs`, value: objective.firstTokenMs, rule: `at most totalMs, ${objective.totalMs}`}]
+			: []),
+	];
+}
+
+function checkWorkspace(configuration: Configuration, workspace: Workspace, path: string): readonly Finding[] {
+	const classes = Object.keys(workspace.priorities);
+	const pathOf = (index: number) => `${path}.services[${index}]`;
+	return [
+		...findUnknown(workspace.services, names(configuration.services), 'service', pathOf),
+		...findDuplicates(workspace.services, pathOf),
+		...findUnknown(Object.values(workspace.priorities), names(configuration.priorities), 'priority', index => `${path}.priorities.${classes[index]}`),
+	];
+}
+
+/** An API key identifies one workspace. */
+function checkDigests(workspaces: readonly Workspace[]): readonly Finding[] {
+	const digests = workspaces.flatMap((workspace, workspaceIndex) => workspace.apiKeyDigests.map((digest, index) => ({
+		digest, path: `workspaces[${workspaceIndex}].apiKeyDigests[${index}]`,
+	})));
+	return findDuplicates(digests.map(({digest}) => digest), index => digests[index]!.path);
+}
+
+function checkServed({failureDomains, services}: Configuration): readonly Finding[] {
+	const inNames = new Set(names(failureDomains.filter(domain => domain.state === 'in')));
+	const findings: Finding[] = [];
+	if (inNames.size === 0) {
+		findings.push({path: 'failureDomains', value: failureDomains.map(domain => domain.state), rule: 'at least one failure domain in state in'});
+	}
+
+	for (const [index, service] of services.entries()) {
+		if (!service.failureDomains.some(name => inNames.has(name))) {
+			findings.push({path: `services[${index}].failureDomains`, value: service.failureDomains, rule: 'at least one of them in state in'});
+		}
+	}
+
+	return findings;
+}
--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import {lengthClasses} from '../util/length-class.js';
 
-const name = z.string().regex(/^[a-z][a-z\d-]{0,62}$/v, 'lower-case letters, digits and hyphens, starting with a letter, at most 63 characters');
+const name = z.string().regex(/^[a-z][a-z\d\-]{0,62}$/v, 'lower-case letters, digits and hyphens, starting with a letter, at most 63 characters');
 const positive = z.number().int().positive();
 const count = z.number().int().nonnegative();
 
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -129,14 +129,21 @@
 
 /** A change of configuration: whole, or the top-level entries that changed since `fromVersion`. */
 export const configurationPollAnswerSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('unchanged'), version: z.number().int()}),
+	z.object({
+		kind: z.literal('unchanged'),
+		version: z.number().int(),
+		/** Time since the answering daemon last heard from the object API; absent when it does not watch. */
+		sourceAgeMs: z.number().optional(),
+	}),
 	z.object({kind: z.literal('whole'), version: z.number().int(), configuration: z.unknown()}),
 	z.object({
 		kind: z.literal('delta'),
 		version: z.number().int(),
 		fromVersion: z.number().int(),
-		/** Changed entries by section; entries of array sections are matched by name. */
-		set: z.array(z.object({section: z.string(), name: z.string(), value: z.unknown()}).readonly()).readonly(),
+		/** Changed entries by section; entries of array sections are matched by name. New ones have their index in `at`. */
+		set: z.array(z.object({
+			section: z.string(), name: z.string(), value: z.unknown(), at: z.number().int().min(0).optional(),
+		}).readonly()).readonly(),
 		removed: z.array(z.object({section: z.string(), name: z.string()}).readonly()).readonly(),
 	}),
 ]);
