Add claims of non-idempotent operations

The number of partitions and the retention are fixed by the object claims/layout, since a claim that is looked for elsewhere, or after deletion, would allow a second execution. Ruled out: taking both values from the configuration, because daemons can hold different versions for seconds.

--- /dev/null
+++ b/src/operations/claim-relay.ts
@@ -0,0 +1,130 @@
+/** Serves claims and settlements of any partition to this daemon and its peers, so that their claims share writes. */
+import type {ObjectApi} from '../platform/object-api.js';
+import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
+import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
+import {claimObjectKey, type ClaimLayoutStore} from './claim-layout.js';
+import {ClaimPartition, type ClaimPartitionCounts} from './claim-partition.js';
+
+/** Time after which the relay gives up a settlement; its sender tries again. */
+const SETTLE_TIMEOUT_MS = 3000;
+const MAX_CLAIM_WAIT_MS = 10_000;
+const MAX_PARTITIONS = 256;
+const MINIMUM_WRITE_INTERVAL_MS = 100;
+
+/** What a relay needs. */
+export type ClaimRelayOptions = {
+	readonly objectApi: ObjectApi;
+	readonly layout: ClaimLayoutStore;
+	/** Shortest time between two writes of one claim object; default 100 ms. */
+	readonly minimumWriteIntervalMs?: number;
+	/** Largest number of claim objects kept in memory; default 256. */
+	readonly maxPartitions?: number;
+	readonly clock?: Clock;
+	readonly wallClock?: Clock;
+};
+
+/** The claim objects that this daemon writes at present. */
+export class ClaimRelay {
+	static create(options: ClaimRelayOptions): ClaimRelay {
+		return new ClaimRelay(options);
+	}
+
+	readonly #options: ClaimRelayOptions;
+	readonly #clock: Clock;
+	/** In the order of their last use. */
+	readonly #partitions = new Map<string, ClaimPartition>();
+	#forgotten: ClaimPartitionCounts = {messages: 0, writes: 0};
+
+	private constructor(options: ClaimRelayOptions) {
+		this.#options = options;
+		this.#clock = options.clock ?? monotonicMs;
+	}
+
+	/** Messages served and writes sent since the start. */
+	get counts(): ClaimPartitionCounts {
+		let sum = this.#forgotten;
+		for (const partition of this.#partitions.values()) {
+			sum = addCounts(sum, partition.counts);
+		}
+
+		return sum;
+	}
+
+	/** Number of claim objects in memory. */
+	get size(): number {
+		return this.#partitions.size;
+	}
+
+	async claim(claim: Claim): Promise<ClaimAnswer> {
+		const deadline = this.#clock() + Math.min(claim.remainingMs, MAX_CLAIM_WAIT_MS);
+		const partition = await this.#partitionOf(claim, deadline);
+		return partition
+			? partition.claim(claim, deadline)
+			: {kind: 'unavailable', message: 'the claim layout is not readable or too many claim objects are in use', unwritten: true};
+	}
+
+	/** Rejects with an Error when the settlement was not recorded in time. */
+	async settle(settle: Settle): Promise<void> {
+		const deadline = this.#clock() + SETTLE_TIMEOUT_MS;
+		const partition = await this.#partitionOf(settle, deadline);
+		if (!partition) {
+			throw new Error(`settling ${settle.operation}: the claim layout is not readable or too many claim objects are in use`);
+		}
+
+		await partition.settle(settle, deadline);
+	}
+
+	close(): void {
+		for (const partition of this.#partitions.values()) {
+			partition.close();
+		}
+	}
+
+	async #partitionOf(message: {readonly operation: string; readonly keyTimeMs: number}, deadline: number): Promise<ClaimPartition | undefined> {
+		const wallNow = (this.#options.wallClock ?? wallClockMs)();
+		const layout = await this.#options.layout.get(deadline - this.#clock(), wallNow);
+		if (!layout) {
+			return undefined;
+		}
+
+		const key = claimObjectKey(message.operation, message.keyTimeMs, layout);
+		const known = this.#partitions.get(key);
+		this.#partitions.delete(key);
+		this.#forgetIdle();
+		if (!known && this.#partitions.size >= this.#limit) {
+			return undefined;
+		}
+
+		const partition = known ?? this.#createPartition(key);
+		this.#partitions.set(key, partition);
+		return partition;
+	}
+
+	get #limit(): number {
+		return this.#options.maxPartitions ?? MAX_PARTITIONS;
+	}
+
+	#createPartition(key: string): ClaimPartition {
+		const {objectApi, clock, wallClock, minimumWriteIntervalMs = MINIMUM_WRITE_INTERVAL_MS} = this.#options;
+		return ClaimPartition.create({
+			objectApi, key, minimumWriteIntervalMs, clock, wallClock,
+		});
+	}
+
+	/** Forgets the longest unused partitions that nothing waits for, down to one below the limit. */
+	#forgetIdle(): void {
+		for (const [key, partition] of this.#partitions) {
+			if (this.#partitions.size < this.#limit) {
+				return;
+			}
+
+			if (partition.idle) {
+				this.#forgotten = addCounts(this.#forgotten, partition.counts);
+				this.#partitions.delete(key);
+			}
+		}
+	}
+}
+
+const addCounts = (a: ClaimPartitionCounts, b: ClaimPartitionCounts): ClaimPartitionCounts =>
+	({messages: a.messages + b.messages, writes: a.writes + b.writes});
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -166,7 +166,8 @@
 	z.object({kind: z.literal('held'), attempt: z.string(), ageMs: z.number()}),
 	z.object({kind: z.literal('done'), response: storedResponseSchema, requestDigest: z.string()}),
 	z.object({kind: z.literal('mismatch')}),
-	z.object({kind: z.literal('unavailable'), message: z.string()}),
+	/** `unwritten`: no write with this claim was or will be sent, so there is nothing to release. */
+	z.object({kind: z.literal('unavailable'), message: z.string(), unwritten: z.boolean().optional()}),
 ]);
 
 /** Records the end of an attempt: `released` was never sent, `done` has its response. */
@@ -211,6 +212,7 @@
 	promise(message: PromiseRequest): Promise<{readonly promised: boolean}>;
 	configuration(message: ConfigurationPoll, signal?: AbortSignal): Promise<ConfigurationPollAnswer>;
 	claim(message: Claim, signal?: AbortSignal): Promise<ClaimAnswer>;
+	/** Rejects also when the settlement was not recorded in time. */
 	settle(message: Settle): Promise<void>;
 	/** Serialized latency histograms and counters, see `src/service-levels`. */
 	levels(): Promise<unknown>;
