--- /dev/null
+++ b/src/backend/plain-service-client.ts
@@ -0,0 +1,136 @@
+/** HTTP client of plain services, with outcomes that say whether a request can have run. */
+import {Buffer} from 'node:buffer';
+import type {Readable} from 'node:stream';
+import {Agent, buildConnector, Client} from 'undici';
+import type {
+	PlainHead, PlainOutcome, PlainServiceClient, PlainServiceRequest, SentOnceOutcome,
+} from './plain-service-protocol.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_MS = 10_000;
+
+/** Largest answer to a non-idempotent call, which is held in memory until it is complete. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** No connection was opened: no byte of the request left this host. */
+class NotConnectedError extends Error {
+	override readonly name = 'NotConnectedError';
+}
+
+type ConnectionCheck = () => string | undefined;
+
+/** A connector whose failures are {@link NotConnectedError}; `check` can refuse an open connection before its use. */
+function createConnector(check: ConnectionCheck): buildConnector.connector {
+	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+	return (options, callback) => {
+		connect(options, (...[err, socket]) => {
+			const refusal = err ? err.message : check();
+			if (err === null && refusal === undefined) {
+				callback(null, socket);
+				return;
+			}
+
+			socket?.destroy();
+			callback(new NotConnectedError(refusal), null);
+		});
+	};
+}
+
+/** Client over undici. Idempotent requests share connections; others have a connection of their own. */
+export class UndiciPlainServiceClient implements PlainServiceClient {
+	static create(): UndiciPlainServiceClient {
+		return new UndiciPlainServiceClient();
+	}
+
+	readonly #agent = new Agent({connect: createConnector(() => undefined), keepAliveTimeout: KEEP_ALIVE_MS, pipelining: 1});
+	readonly #clients = new Set<Client>();
+
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	async send(request: PlainServiceRequest, signal: AbortSignal): Promise<PlainOutcome> {
+		try {
+			const timeout = AbortSignal.timeout(Math.ceil(request.timeoutMs));
+			const res = await this.#agent.request({...optionsOf(request), origin: originOf(request), signal: AbortSignal.any([signal, timeout])});
+			return {
+				kind: 'answered', status: res.statusCode, headers: res.headers, body: res.body,
+			};
+		} catch (err) {
+			return failureOf(err);
+		}
+	}
+
+	/**
+	 * Uses a connection of its own and lets the library open only that one. A kept-alive connection can be closed by the
+	 * service while the request is being written, and undici sends some such requests again on a new connection.
+	 */
+	async sendOnce(request: PlainServiceRequest, mayStillSend: ConnectionCheck): Promise<SentOnceOutcome> {
+		let opened = false;
+		const connect = createConnector(() => {
+			const refusal = opened ? 'a second connection is not opened for a non-idempotent call' : mayStillSend();
+			opened ||= refusal === undefined;
+			return refusal;
+		});
+		const client = new Client(originOf(request), {connect, pipelining: 1});
+		this.#clients.add(client);
+		try {
+			return await exchangeOnce(client, request);
+		} catch (err) {
+			return opened ? {kind: 'unknown', message: messageOf(err)} : failureOf(err);
+		} finally {
+			this.#clients.delete(client);
+			void client.destroy();
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all([this.#agent.destroy(), ...[...this.#clients].map(async client => client.destroy())]);
+	}
+}
+
+async function exchangeOnce(client: Client, request: PlainServiceRequest): Promise<SentOnceOutcome> {
+	const signal = AbortSignal.timeout(Math.ceil(request.timeoutMs));
+	const res = await client.request({...optionsOf(request), signal});
+	const head = {status: res.statusCode, headers: res.headers};
+	try {
+		return {kind: 'answered', ...head, body: await readBounded(res.body)};
+	} catch (err) {
+		return {kind: 'broken', ...head, message: messageOf(err)};
+	}
+}
+
+async function readBounded(body: Readable): Promise<Buffer> {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	for await (const chunk of body as AsyncIterable<Buffer>) {
+		bytes += chunk.length;
+		if (bytes > MAX_ANSWER_BYTES) {
+			throw new Error(`the answer is larger than ${MAX_ANSWER_BYTES} bytes`);
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+}
+
+const originOf = (request: PlainServiceRequest): string => `http://${request.address}`;
+
+const optionsOf = (request: PlainServiceRequest) => ({
+	method: request.method as 'GET',
+	path: request.path,
+	headers: Object.fromEntries(Object.entries(request.headers).map(([name, value]) => [name, typeof value === 'object' ? [...value] : value])),
+	body: request.body.length > 0 ? Buffer.from(request.body) : undefined,
+	headersTimeout: 0,
+	bodyTimeout: 0,
+});
+
+const failureOf = (err: unknown): {readonly kind: 'not_sent' | 'unknown'; readonly message: string} =>
+	({kind: err instanceof NotConnectedError ? 'not_sent' : 'unknown', message: messageOf(err)});
+
+const messageOf = (err: unknown): string => err instanceof Error ? err.message : String(err);
+
+/** Boot and temperature that an answer states; an answer without them counts as warm with an empty boot. */
+export const temperatureOf = ({headers}: PlainHead): {readonly boot: string; readonly warm: boolean} => ({
+	boot: String(headers['x-backend-boot'] ?? ''),
+	warm: headers['x-backend-warm'] !== 'false',
+});
--- /dev/null
+++ b/src/operations/plain-http.ts
@@ -0,0 +1,49 @@
+/** Reads the body of a plain call from an HTTP request, and writes its answer to an HTTP response. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {pipeline} from 'node:stream/promises';
+import {failure, type Failure} from '../util/failure.js';
+import type {PlainAnswer} from './plain-call.js';
+
+/** Largest body of a call to a plain service. */
+export const MAX_PLAIN_BODY_BYTES = 1024 * 1024;
+
+/** Reads a whole body of at most {@link MAX_PLAIN_BODY_BYTES}. Rejects when the caller breaks off. */
+export async function readPlainBody(req: IncomingMessage): Promise<Buffer | Failure> {
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	for await (const chunk of req as AsyncIterable<Buffer>) {
+		bytes += chunk.length;
+		if (bytes > MAX_PLAIN_BODY_BYTES) {
+			return failure({
+				code: 'request_too_large', message: `the body is larger than ${MAX_PLAIN_BODY_BYTES} bytes`, ran: 'not_run', step: 'parse', param: 'body',
+			});
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+}
+
+/** Writes an answer. When the service breaks off, the caller's connection is cut, so that no part passes for the whole. */
+export async function writePlainAnswer(res: ServerResponse, answer: PlainAnswer, requestId: string): Promise<void> {
+	res.statusCode = answer.status;
+	for (const [name, value] of Object.entries(answer.headers)) {
+		if (value !== undefined) {
+			res.setHeader(name, typeof value === 'string' ? value : [...value]);
+		}
+	}
+
+	res.setHeader('x-request-id', requestId);
+	if (Buffer.isBuffer(answer.body)) {
+		res.end(answer.body);
+		return;
+	}
+
+	try {
+		await pipeline(answer.body, res);
+	} catch {
+		res.destroy();
+	}
+}
