Add the HTTP front and the daemon around injected parts

Cause: callers need the OpenAI endpoints, typed errors and a drain that cuts nothing. Change: handlers in files of their own; parts behind the front are built by a function, so that tests substitute them.

--- a/src/admission/configuration-index.ts
+++ b/src/admission/configuration-index.ts
@@ -1,14 +1,11 @@
 /** Lookups in one version of the configuration, built once for each version. */
-import {createHash} from 'node:crypto';
+import {digestApiKey} from '../configuration/api-key.js';
 import type {ConfigurationSource} from '../configuration/configuration-source.js';
 import type {
 	AcceptedConfiguration, ModelService, Objective, Service, Workspace,
 } from '../configuration/schema.js';
 import type {LengthClass} from '../util/length-class.js';
 
-/** SHA-256 digest of an API key in lower-case hex, as configurations hold it. */
-export const digestApiKey = (apiKey: string): string => createHash('sha256').update(apiKey).digest('hex');
-
 const objectiveKey = (service: string, lengthClass: LengthClass): string => `${service}/${lengthClass}`;
 
 /** Constant-time lookups in one configuration. */
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,185 @@
+/** One daemon: builds its parts, serves callers, drains and closes. */
+import {randomBytes} from 'node:crypto';
+import {ConfigurationIndexes} from '../admission/configuration-index.js';
+import {ModelRunner} from '../routing/model-runner.js';
+import {Reservations} from '../routing/reservations.js';
+import {StreamCleanup} from '../streams/stream-cleanup.js';
+import {BackgroundTasks} from '../util/background-tasks.js';
+import {monotonicMs} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import {pause} from '../util/pause.js';
+import {createCompletionHandler} from './completion-handler.js';
+import {chatFormat, textFormat} from './completion-responses.js';
+import type {
+	CreateParts, DaemonParts, Identity, PartSources,
+} from './daemon-parts.js';
+import {HttpFront, type Route} from './http-front.js';
+import {Lifecycle} from './lifecycle.js';
+import {createModelsHandler} from './models-handler.js';
+import {
+	createReadinessHandler, createReportHandler, handleHealth, type DaemonStatus,
+} from './operator-handlers.js';
+import {createPlainHandler, PLAIN_PREFIX} from './plain-handler.js';
+import {createPlainReservations} from './plain-reservations.js';
+import {BodyReader} from './request-body.js';
+import type {Settings} from './settings.js';
+
+/** Longest wait for the release of engines' memory after the last response. */
+const CLEANUP_TIMEOUT_MS = 10_000;
+const HAND_OVER_TIMEOUT_MS = 5000;
+
+/** What a daemon needs from its process. */
+export type DaemonSources = Omit<PartSources, 'settings' | 'identity' | 'clock'> & {readonly createParts: CreateParts};
+
+/** A running daemon. */
+export class Daemon {
+	/** Starts a daemon. Rejects when an address cannot be used. */
+	static async create(settings: Settings, {createParts, logger, metrics}: DaemonSources): Promise<Daemon> {
+		const identity = {id: settings.id, incarnation: randomBytes(8).toString('hex')};
+		const parts = await createParts({
+			settings, identity, clock: monotonicMs, logger, metrics,
+		});
+		try {
+			const daemon = new Daemon(settings, identity, parts, logger);
+			await daemon.#listen();
+			return daemon;
+		} catch (err) {
+			await parts.close();
+			throw err;
+		}
+	}
+
+	readonly #lifecycle = Lifecycle.create();
+	readonly #tasks: BackgroundTasks;
+	readonly #indexes: ConfigurationIndexes;
+	#front: HttpFront | undefined;
+	#draining: Promise<void> | undefined;
+
+	private constructor(
+		private readonly settings: Settings,
+		private readonly identity: Identity,
+		private readonly parts: DaemonParts,
+		private readonly logger: Logger,
+	) {
+		this.#indexes = ConfigurationIndexes.create(parts.configuration);
+		this.#tasks = BackgroundTasks.create(err => {
+			logger.error('unexpected_error', {message: String(err)});
+		});
+	}
+
+	/** Address for callers, as IP:PORT. */
+	get address(): string {
+		return this.#front!.address();
+	}
+
+	/** Address for other daemons, as IP:PORT. */
+	get peerAddress(): string {
+		return this.parts.peerAddress;
+	}
+
+	status(): DaemonStatus {
+		return {
+			...this.identity,
+			configurationVersion: this.#indexes.current()?.version,
+			draining: this.#lifecycle.phase !== 'serving',
+			pools: this.parts.coordinated(),
+			openRequests: this.#front?.openRequests ?? 0,
+		};
+	}
+
+	/**
+	 * Leaves without cutting a request: `/readyz` fails, the balancer's lag passes, new requests are refused, open ones
+	 * finish within the drain timeout. The daemon is closed afterwards. Calls after the first wait for the same drain.
+	 */
+	async drain(): Promise<void> {
+		this.#draining ??= this.#drain();
+		return this.#draining;
+	}
+
+	/** Cuts what is open and closes. */
+	async close(): Promise<void> {
+		this.#lifecycle.advance('refusing');
+		this.#front!.close();
+		await Promise.race([this.#tasks.settled(), pause(CLEANUP_TIMEOUT_MS)]);
+		await this.parts.close();
+	}
+
+	async #drain(): Promise<void> {
+		const front = this.#front!;
+		const {drainLagMs, drainTimeoutMs} = this.settings;
+		this.#lifecycle.advance('leaving');
+		this.parts.announceDrain();
+		this.logger.info('draining', {open_requests: front.openRequests, lag_ms: drainLagMs});
+		await pause(drainLagMs);
+		this.#lifecycle.advance('refusing');
+		front.stopListening();
+		await front.idle(drainTimeoutMs);
+		if (front.openRequests > 0) {
+			this.logger.warn('drain_timeout', {open_requests: front.openRequests, timeout_ms: drainTimeoutMs});
+		}
+
+		await this.parts.handOver(HAND_OVER_TIMEOUT_MS);
+		await this.close();
+		this.logger.info('drained');
+	}
+
+	async #listen(): Promise<void> {
+		this.#front = await HttpFront.listen(this.settings.listen, {
+			routes: this.#routes(), lifecycle: this.#lifecycle, clock: monotonicMs, logger: this.logger,
+		});
+		try {
+			await this.parts.start(this.address);
+		} catch (err) {
+			this.#front.close();
+			throw err;
+		}
+
+		this.logger.info('listening', {address: this.address, peer_address: this.peerAddress});
+	}
+
+	#routes(): readonly Route[] {
+		const indexes = this.#indexes;
+		const reservations = this.#reservations();
+		const completions = {
+			indexes, runner: this.#runner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.parts.observer,
+		};
+		const router = this.parts.createPlainCalls(createPlainReservations(reservations, indexes));
+		return [
+			{method: 'POST', path: '/v1/chat/completions', handle: createCompletionHandler(chatFormat, completions)},
+			{method: 'POST', path: '/v1/completions', handle: createCompletionHandler(textFormat, completions)},
+			{method: 'GET', path: '/v1/models', handle: createModelsHandler(indexes)},
+			{path: PLAIN_PREFIX, handle: createPlainHandler({indexes, router})},
+			{
+				method: 'GET', path: '/healthz', handle: handleHealth, isOperational: true,
+			},
+			{
+				method: 'GET', path: '/readyz', handle: createReadinessHandler(indexes, this.#lifecycle), isOperational: true,
+			},
+			{
+				method: 'GET', path: '/status', handle: createReportHandler(() => this.status()), isOperational: true,
+			},
+			{
+				method: 'GET', path: '/levels', handle: createReportHandler(() => this.parts.levels()), isOperational: true,
+			},
+		];
+	}
+
+	#reservations(): Reservations {
+		const {pools, directory, configuration} = this.parts;
+		return Reservations.create({
+			client: pools, directory, configuration, clock: monotonicMs,
+		});
+	}
+
+	#runner(reservations: Reservations): ModelRunner {
+		const {engine} = this.parts;
+		const cleanup = StreamCleanup.create(engine, this.#tasks, monotonicMs, (held, outcome) => {
+			this.logger.warn('cleanup_failed', {
+				held: held.kind, id: held.id, server: held.address, message: outcome.kind === 'cancelled' ? undefined : outcome.message,
+			});
+		});
+		return ModelRunner.create({
+			engine, cleanup, reservations, clock: monotonicMs, logger: this.logger,
+		});
+	}
+}
--- /dev/null
+++ b/src/daemon/error-response.ts
@@ -0,0 +1,75 @@
+/** Errors as callers receive them, in the shape that OpenAI clients parse. See docs/callers.md. */
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import type {Failure, FailureCode} from '../util/failure.js';
+
+type ErrorType = 'invalid_request_error' | 'authentication_error' | 'permission_error' | 'rate_limit_error' | 'conflict_error' | 'server_error';
+
+type Presentation = {readonly status: number; readonly type: ErrorType};
+
+const presentations: Readonly<Record<FailureCode, Presentation>> = {
+	invalid_api_key: {status: 401, type: 'authentication_error'},
+	invalid_request: {status: 400, type: 'invalid_request_error'},
+	request_too_large: {status: 413, type: 'invalid_request_error'},
+	unknown_service: {status: 404, type: 'invalid_request_error'},
+	service_not_allowed: {status: 403, type: 'permission_error'},
+	limit_exceeded: {status: 429, type: 'rate_limit_error'},
+	overloaded: {status: 503, type: 'server_error'},
+	no_capacity: {status: 503, type: 'server_error'},
+	too_large: {status: 413, type: 'invalid_request_error'},
+	deadline_unreachable: {status: 503, type: 'server_error'},
+	deadline_exceeded: {status: 504, type: 'server_error'},
+	not_ready: {status: 503, type: 'server_error'},
+	draining: {status: 503, type: 'server_error'},
+	claim_unavailable: {status: 503, type: 'server_error'},
+	operation_in_progress: {status: 409, type: 'conflict_error'},
+	operation_in_doubt: {status: 409, type: 'conflict_error'},
+	operation_expired: {status: 409, type: 'conflict_error'},
+	operation_key_invalid: {status: 400, type: 'invalid_request_error'},
+	operation_key_reused: {status: 422, type: 'invalid_request_error'},
+	backend_failed: {status: 502, type: 'server_error'},
+	// Nobody reads it; the status appears in logs.
+	caller_left: {status: 499, type: 'server_error'},
+	internal: {status: 500, type: 'server_error'},
+};
+
+/** HTTP status of a failure. */
+export const statusOf = (code: FailureCode): number => presentations[code].status;
+
+/** Body of an error response, and data of an error event in a stream. */
+export const errorBody = (failed: Failure) => ({
+	error: {
+		message: failed.message,
+		type: presentations[failed.code].type,
+		code: failed.code,
+		param: failed.param ?? null,
+		ran: failed.ran,
+		step: failed.step,
+		peer: failed.peer ?? null,
+	},
+});
+
+/** Sends JSON as a whole response. */
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+	const text = JSON.stringify(body);
+	res.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
+	res.end(text);
+}
+
+/** Sends a failure as a whole response. */
+export function sendFailure(res: ServerResponse, failed: Failure): void {
+	if (failed.retryAfterMs !== undefined) {
+		res.setHeader('retry-after', Math.max(1, Math.ceil(failed.retryAfterMs / 1000)));
+	}
+
+	if (failed.ran !== 'not_run') {
+		// OpenAI clients repeat 409 and 5xx by themselves unless told not to; what may have run is for the caller to decide.
+		res.setHeader('x-should-retry', 'false');
+	}
+
+	if (failed.code === 'invalid_api_key') {
+		res.setHeader('www-authenticate', 'Bearer');
+	}
+
+	sendJson(res, statusOf(failed.code), errorBody(failed));
+}
--- /dev/null
+++ b/src/daemon/http-front.ts
@@ -0,0 +1,218 @@
+/** HTTP server for callers: dispatch, request ids, errors, log lines and shutdown without cutting responses. */
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {Clock} from '../util/clock.js';
+import {failure, type Failure} from '../util/failure.js';
+import type {Logger} from '../util/logger.js';
+import {pause} from '../util/pause.js';
+import {openCall, type Call, type CallHandler} from './call.js';
+import {errorBody, sendFailure} from './error-response.js';
+import type {Lifecycle} from './lifecycle.js';
+import {formatEndpoint, type Endpoint} from './settings.js';
+
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Time for headers and body together; bodies have a shorter limit of their own. */
+const REQUEST_TIMEOUT_MS = 60_000;
+const KEEP_ALIVE_TIMEOUT_MS = 65_000;
+const TIMEOUT_CHECK_INTERVAL_MS = 1000;
+const MAX_OPEN_REQUESTS = 2000;
+const MAX_CONNECTIONS = 10_000;
+const RETRY_AFTER_MS = 1000;
+
+/** A handler and the paths for which it answers. */
+export type Route = {
+	readonly method?: 'GET' | 'POST';
+	/** Exact path, or a prefix when it ends with `/`. */
+	readonly path: string;
+	readonly handle: CallHandler;
+	/** Answered in each phase and beyond the limit of open requests. */
+	readonly isOperational?: boolean;
+};
+
+export type FrontParts = {
+	readonly routes: readonly Route[];
+	readonly lifecycle: Lifecycle;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** Serves callers at one address. */
+export class HttpFront {
+	/** Starts to listen. Rejects when the address cannot be used. */
+	static async listen(endpoint: Endpoint, parts: FrontParts): Promise<HttpFront> {
+		const server = createServer({
+			headersTimeout: HEADERS_TIMEOUT_MS,
+			requestTimeout: REQUEST_TIMEOUT_MS,
+			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+			connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
+		});
+		server.maxConnections = MAX_CONNECTIONS;
+		const front = new HttpFront(server, parts);
+		server.listen(endpoint.port, endpoint.host);
+		await once(server, 'listening');
+		return front;
+	}
+
+	/** Address that is listened on, as IP:PORT. */
+	readonly address: () => string;
+	readonly #open = new Set<Call>();
+	readonly #onEmpty: Array<() => void> = [];
+
+	private constructor(private readonly server: Server, private readonly parts: FrontParts) {
+		this.address = () => {
+			const {address, port} = server.address() as AddressInfo;
+			return formatEndpoint({host: address, port});
+		};
+
+		server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+			void this.#serve(req, res);
+		});
+		server.on('clientError', refuseMalformed);
+	}
+
+	/** Requests of callers whose response is not complete. */
+	get openRequests(): number {
+		return this.#open.size;
+	}
+
+	/** Stops listening and closes connections without a request. Open requests go on. */
+	stopListening(): void {
+		if (this.server.listening) {
+			this.server.close();
+		}
+
+		this.server.closeIdleConnections();
+	}
+
+	/** Resolves when no request is open, or after `timeoutMs`. */
+	async idle(timeoutMs: number): Promise<void> {
+		if (this.#open.size === 0) {
+			return;
+		}
+
+		const emptied = new AbortController();
+		this.#onEmpty.push(() => {
+			emptied.abort();
+		});
+		await pause(timeoutMs, emptied.signal);
+	}
+
+	/** Cuts all connections. */
+	close(): void {
+		this.stopListening();
+		this.server.closeAllConnections();
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {clock, lifecycle, logger} = this.parts;
+		const call = openCall(req, res, clock());
+		const route = this.parts.routes.find(candidate => matches(candidate, call));
+		if (lifecycle.phase !== 'serving') {
+			// A connection that is kept alive would bring further requests.
+			res.setHeader('connection', 'close');
+		}
+
+		const failed = await this.#respond(call, route);
+		if (failed && !res.headersSent && !res.destroyed) {
+			res.shouldKeepAlive &&= req.complete;
+			sendFailure(res, failed);
+		}
+
+		if (!route?.isOperational) {
+			logger.info('request', {
+				request: call.requestId,
+				method: call.method,
+				path: call.path,
+				status: res.statusCode,
+				...call.notes,
+				code: failed?.code ?? call.notes.code,
+				ran: failed?.ran,
+				ms: Math.round(clock() - call.arrivedAt),
+			});
+		}
+	}
+
+	async #respond(call: Call, route: Route | undefined): Promise<Failure | undefined> {
+		if (!route) {
+			return failure({
+				code: 'invalid_request', message: `there is no ${call.method} ${call.path}`, ran: 'not_run', step: 'parse',
+			});
+		}
+
+		if (route.isOperational) {
+			return route.handle(call);
+		}
+
+		const refusal = this.#refusal();
+		if (refusal) {
+			return refusal;
+		}
+
+		this.#open.add(call);
+		call.res.on('close', () => {
+			this.#closed(call);
+		});
+		try {
+			return await route.handle(call);
+		} catch (err) {
+			return this.#unexpected(call, err);
+		}
+	}
+
+	#closed(call: Call): void {
+		this.#open.delete(call);
+		if (this.#open.size === 0) {
+			for (const notify of this.#onEmpty.splice(0)) {
+				notify();
+			}
+		}
+	}
+
+	#refusal(): Failure | undefined {
+		if (this.parts.lifecycle.phase === 'refusing') {
+			return failure({
+				code: 'draining', message: 'this daemon is shutting down', ran: 'not_run', step: 'admit', retryAfterMs: RETRY_AFTER_MS,
+			});
+		}
+
+		return this.#open.size >= MAX_OPEN_REQUESTS
+			? failure({
+				code: 'overloaded', message: `this daemon has ${MAX_OPEN_REQUESTS} open requests`, ran: 'not_run', step: 'admit', retryAfterMs: RETRY_AFTER_MS,
+			})
+			: undefined;
+	}
+
+	#unexpected(call: Call, err: unknown): Failure {
+		const message = err instanceof Error ? (err.stack ?? err.message) : String(err);
+		this.parts.logger.error('unexpected_error', {request: call.requestId, message});
+		if (call.res.headersSent) {
+			call.res.destroy();
+		}
+
+		return failure({
+			code: 'internal', message: 'unexpected error in the daemon; its log names the request id', ran: 'unknown', step: 'admit',
+		});
+	}
+}
+
+function matches({method, path}: Route, call: Call): boolean {
+	const isPath = path.endsWith('/') ? call.path.startsWith(path) : call.path === path;
+	return isPath && (method === undefined || method === call.method);
+}
+
+/** Answers a request that is not HTTP, or whose headers or body are too slow or too large. */
+function refuseMalformed(err: NodeJS.ErrnoException, socket: Socket): void {
+	if (!socket.writable || err.code === 'ECONNRESET') {
+		socket.destroy();
+		return;
+	}
+
+	const body = JSON.stringify(errorBody(failure({
+		code: 'invalid_request', message: `the request could not be read: ${err.message}`, ran: 'not_run', step: 'parse',
+	})));
+	const status = err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
+	socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/src/daemon/request-body.ts
@@ -0,0 +1,115 @@
+/** Reads request bodies within limits of size, time and memory. */
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import type {z} from 'zod';
+import {failure, type Failure} from '../util/failure.js';
+
+/** A body that arrives slower holds memory for too long. */
+const BODY_TIMEOUT_MS = 30_000;
+/** Bytes of all bodies that one daemon reads or holds at one time. */
+const MAX_BUFFERED_BYTES = 256 * 1024 * 1024;
+const RETRY_AFTER_MS = 1000;
+
+const invalid = (message: string, param?: string): Failure => failure({
+	code: 'invalid_request', message, ran: 'not_run', step: 'parse', ...(param === undefined ? {} : {param}),
+});
+
+/** A body whose memory is counted until `release` is called. */
+export type Body = {
+	readonly kind: 'body';
+	readonly bytes: Buffer;
+	release(): void;
+};
+
+/** Reads bodies for one daemon. */
+export class BodyReader {
+	static create(maxBodyBytes: number): BodyReader {
+		return new BodyReader(maxBodyBytes);
+	}
+
+	#buffered = 0;
+
+	private constructor(private readonly maxBodyBytes: number) {}
+
+	/** Reads a whole body. Returns a failure when it is too large, too slow, or cut off. */
+	async read(req: IncomingMessage): Promise<Body | Failure> {
+		if (Number(req.headers['content-length'] ?? 0) > this.maxBodyBytes) {
+			return this.#tooLarge();
+		}
+
+		const chunks: Buffer[] = [];
+		let size = 0;
+		const release = (): void => {
+			this.#buffered -= size;
+			size = 0;
+		};
+
+		let timedOut = false;
+		const timer = setTimeout(() => {
+			timedOut = true;
+			req.destroy();
+		}, BODY_TIMEOUT_MS);
+		try {
+			for await (const chunk of req as AsyncIterable<Buffer>) {
+				size += chunk.length;
+				this.#buffered += chunk.length;
+				const refusal = this.#refusal(size);
+				if (refusal) {
+					release();
+					return refusal;
+				}
+
+				chunks.push(chunk);
+			}
+
+			return {kind: 'body', bytes: Buffer.concat(chunks), release};
+		} catch {
+			release();
+			return failure({
+				code: timedOut ? 'deadline_exceeded' : 'caller_left',
+				message: timedOut ? `the body did not arrive within ${BODY_TIMEOUT_MS} ms` : 'the caller closed the connection before the body was complete',
+				ran: 'not_run',
+				step: 'parse',
+			});
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	#refusal(size: number): Failure | undefined {
+		if (size > this.maxBodyBytes) {
+			return this.#tooLarge();
+		}
+
+		return this.#buffered > MAX_BUFFERED_BYTES
+			? failure({
+				code: 'overloaded', message: 'this daemon holds too many request bodies', ran: 'not_run', step: 'parse', retryAfterMs: RETRY_AFTER_MS,
+			})
+			: undefined;
+	}
+
+	#tooLarge(): Failure {
+		return failure({
+			code: 'request_too_large', message: `the body exceeds ${this.maxBodyBytes} bytes`, ran: 'not_run', step: 'parse',
+		});
+	}
+}
+
+/** Parses a JSON body and checks it; the failure names the field at fault. */
+export function parseBody<T>(bytes: Buffer, schema: z.ZodType<T>): {readonly kind: 'parsed'; readonly value: T} | Failure {
+	let json: unknown;
+	try {
+		json = JSON.parse(bytes.toString('utf8'));
+	} catch (err) {
+		return invalid(`the body is not JSON: ${(err as Error).message}`);
+	}
+
+	const checked = schema.safeParse(json);
+	if (checked.success) {
+		return {kind: 'parsed', value: checked.data};
+	}
+
+	const issue = checked.error.issues[0]!;
+	const path = [...issue.path, ...(issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [])].join('.');
+	return invalid(path === '' ? issue.message : `${path}: ${issue.message}`, path === '' ? undefined : path);
+}
--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -25,7 +25,7 @@
  * `broken`: sent, but not completed. `stopped`: the signal was aborted.
  */
 export type AttemptOutcome =
-	| {readonly kind: 'finished'; readonly done: DoneEvent; readonly firstTokenMs: number | undefined}
+	| {readonly kind: 'finished'; readonly done: DoneEvent; readonly sentAt: number; readonly firstTokenAt: number | undefined}
 	| {readonly kind: 'not_run'; readonly message: string; readonly blamed?: GrantedServer}
 	| {
 		readonly kind: 'broken';
@@ -75,7 +75,7 @@
 	const {grant, request} = attempt;
 	const held: Held[] = [];
 	const {outcome, release} = await execute(parts, attempt, held);
-	const firstTokenMs = outcome.kind === 'finished' ? outcome.firstTokenMs : undefined;
+	const firstTokenMs = outcome.kind === 'finished' && outcome.firstTokenAt !== undefined ? outcome.firstTokenAt - outcome.sentAt : undefined;
 	parts.cleanup.free(held, request.deadline, () => {
 		grant.release(release, firstTokenMs);
 	});
@@ -196,8 +196,13 @@
 	const {tokens} = outcome;
 	switch (outcome.kind) {
 		case 'finished': {
-			const firstTokenMs = outcome.firstTokenAt === undefined ? undefined : outcome.firstTokenAt - sentAt;
-			return {outcome: {kind: 'finished', done: outcome.done, firstTokenMs}, release: 'finished'};
+			const {done, firstTokenAt} = outcome;
+			return {
+				outcome: {
+					kind: 'finished', done, sentAt, firstTokenAt,
+				},
+				release: 'finished',
+			};
 		}
 
 		case 'failed': {
--- a/src/routing/model-runner.ts
+++ b/src/routing/model-runner.ts
@@ -4,11 +4,12 @@
 import type {TokenSink} from '../streams/token-relay.js';
 import {failure, type Failure, type Ran} from '../util/failure.js';
 import {prefixHashes} from '../util/prefix-hash.js';
+import {RetryBudget} from '../util/retry-budget.js';
 import {runAttempt, type AttemptOutcome, type AttemptParts} from './model-attempt.js';
 import type {Reservations} from './reservations.js';
-import {RetryBudget} from './retry-budget.js';
 
 const RETRY_AFTER_MS = 1000;
+const RETRIES_PER_REQUEST = 0.2;
 
 export type ModelRun = {
 	/** Id under which the request is logged. */
@@ -24,8 +25,8 @@
 	readonly kind: 'finished';
 	readonly done: DoneEvent;
 	readonly attempts: number;
-	/** Milliseconds from sending the successful attempt to its first token. */
-	readonly firstTokenMs: number | undefined;
+	/** Monotonic ms of the first token; undefined for an empty response. */
+	readonly firstTokenAt: number | undefined;
 };
 
 export type ModelRunnerParts = AttemptParts & {readonly reservations: Reservations};
@@ -40,7 +41,7 @@
 /** Executes model requests of one daemon. */
 export class ModelRunner {
 	static create(parts: ModelRunnerParts): ModelRunner {
-		return new ModelRunner(parts, RetryBudget.create(parts.clock()));
+		return new ModelRunner(parts, RetryBudget.create(RETRIES_PER_REQUEST));
 	}
 
 	private constructor(private readonly parts: ModelRunnerParts, private readonly budget: RetryBudget) {}
@@ -49,7 +50,7 @@
 	async run(run: ModelRun): Promise<Finished | Failure> {
 		const {request} = run;
 		const {clock} = this.parts;
-		this.budget.onRequest();
+		this.budget.recordRequest();
 		const remainingMs = Math.max(0, Math.ceil(request.deadline - clock()));
 		const signal = AbortSignal.any([run.signal, AbortSignal.timeout(remainingMs)]);
 		const history: History = {ran: 'not_run', attempts: 0, exclude: []};
@@ -86,7 +87,7 @@
 		switch (outcome.kind) {
 			case 'finished': {
 				return {
-					kind: 'finished', done: outcome.done, attempts: history.attempts, firstTokenMs: outcome.firstTokenMs,
+					kind: 'finished', done: outcome.done, attempts: history.attempts, firstTokenAt: outcome.firstTokenAt,
 				};
 			}
 
@@ -119,7 +120,7 @@
 
 	/** Takes a retry from the budget, or returns the failure. */
 	#retryOr(failed: Failure): Failure | undefined {
-		return this.budget.tryTake(this.parts.clock()) ? undefined : failed;
+		return this.budget.tryRetry() ? undefined : failed;
 	}
 }
 
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -4,7 +4,7 @@
 import type {Directory} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
-import {wait} from '../util/wait.js';
+import {pause} from '../util/pause.js';
 import {orderPools, poolsOf, PoolSummaries} from './pool-choice.js';
 import {isTransient, refusalFailure, type NotGranted} from './refusals.js';
 import type {Grant, PoolClient, ReservationRequest} from './reservation.js';
@@ -60,7 +60,7 @@
 			}
 
 			this.parts.directory.refresh();
-			await wait(delayMs, signal);
+			await pause(delayMs, signal);
 			delayMs = Math.min(LAST_ROUND_DELAY_MS, delayMs * 2);
 		}
 	}
--- a/src/streams/stream-cleanup.ts
+++ b/src/streams/stream-cleanup.ts
@@ -1,7 +1,7 @@
 /** Frees streams and segments at engines when a request has ended, however it ended. */
 import type {BackgroundTasks} from '../util/background-tasks.js';
 import type {Clock} from '../util/clock.js';
-import {wait} from '../util/wait.js';
+import {pause} from '../util/pause.js';
 import type {CancelOutcome, EngineStreams} from './engine-streams.js';
 
 const CANCEL_TIMEOUT_MS = 2000;
@@ -53,7 +53,7 @@
 	async #freeOne(item: Held, until: number): Promise<void> {
 		await this.#untilConfirmed(item, until);
 		for (const delayMs of item.uncertain ? LATE_ARRIVAL_REPEATS_MS : []) {
-			await wait(delayMs);
+			await pause(delayMs);
 			await this.#untilConfirmed(item, until);
 		}
 	}
@@ -71,7 +71,7 @@
 				return;
 			}
 
-			await wait(delayMs);
+			await pause(delayMs);
 			delayMs = Math.min(LAST_RETRY_MS, delayMs * 2);
 		}
 	}
--- a/src/streams/token-relay.ts
+++ b/src/streams/token-relay.ts
@@ -1,7 +1,7 @@
 /** Relays the tokens of one stream from its engine to a sink, each exactly once and in order. */
 import type {DoneEvent, FailedEvent} from '../backend/engine-protocol.js';
 import type {Clock} from '../util/clock.js';
-import {wait} from '../util/wait.js';
+import {pause} from '../util/pause.js';
 import type {EngineEvent, EngineEvents, EngineStreams} from './engine-streams.js';
 
 /** Faults in a row, without a token in between, after which the stream counts as lost. */
@@ -212,7 +212,7 @@
 			}
 
 			const backoffMs = this.#faults === 0 ? 0 : RESUME_BACKOFF_MS * (2 ** (this.#faults - 1));
-			await wait(backoffMs, signal);
+			await pause(backoffMs, signal);
 			const resumed = signal.aborted ? undefined : await engine.resume(address, id, this.#next, {timeoutMs: RESUME_TIMEOUT_MS, signal});
 			if (!resumed || signal.aborted) {
 				if (resumed?.kind === 'accepted') {
