--- /dev/null
+++ b/tests/platform-stand-ins.test.ts
@@ -0,0 +1,122 @@
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {HostListStandIn} from '../testing/stand-ins/host-list/host-list-stand-in.js';
+import {ObjectApiStandIn} from '../testing/stand-ins/object-api/object-api-stand-in.js';
+import {PlainServiceStandIn} from '../testing/stand-ins/plain-service/plain-service-stand-in.js';
+import {json, until} from './fixtures/http.js';
+
+const open: Array<{close(): Promise<void>}> = [];
+
+afterEach(async () => {
+	await Promise.all(open.splice(0).map(async standIn => standIn.close()));
+});
+
+/** Registers a stand-in to be closed after the test. */
+function opened<T extends {close(): Promise<void>}>(standIn: T): T {
+	open.push(standIn);
+	return standIn;
+}
+
+type Stored = {readonly version: number; readonly value: unknown};
+
+describe('object API stand-in', () => {
+	const start = async (): Promise<{readonly api: ObjectApiStandIn; readonly url: string}> => {
+		const api = opened(await ObjectApiStandIn.create());
+		return {api, url: `http://${api.address}/v1/objects/a/b`};
+	};
+
+	it('should write only under its condition and tell a watcher of the newer version', async () => {
+		const {api, url} = await start();
+		expect(await json('PUT', url, 1, {'if-none-match': '*'})).toEqual({status: 200, body: {version: 1}});
+		const watch = json('GET', `http://${api.address}/v1/watch/a/b?after=1&waitMs=5000`);
+		expect(await json('PUT', url, 2, {'if-none-match': '*'})).toEqual({status: 412, body: {version: 1}});
+		await until(() => api.counts().pendingWatches === 1);
+		await json('PUT', url, 3, {'if-match': '1'});
+		expect(await watch).toEqual({status: 200, body: {key: 'a/b', version: 2, value: 3}});
+		expect(await json('DELETE', url, undefined, {'if-match': '1'})).toEqual({status: 412, body: {version: 2}});
+		expect(api.counts()).toMatchObject({writes: 4, conflicts: 2, watches: 1});
+	});
+
+	it('should lose answers before or after the effect, and let a late write fail its condition', async () => {
+		const {api, url} = await start();
+		const lose = async (mode: 'after-effect' | 'before-effect' | 'late-effect', value: unknown, version: number): Promise<void> => {
+			api.setFaults({lost: {mode, lateMs: 200, count: 1}});
+			await expect(json('PUT', url, value, version === 0 ? {'if-none-match': '*'} : {'if-match': String(version)})).rejects.toThrow();
+		};
+
+		await lose('before-effect', 'x', 0);
+		expect((await json('GET', url))).toMatchObject({status: 404});
+		await lose('after-effect', 'first', 0);
+		expect(await json<Stored>('GET', url)).toMatchObject({body: {version: 1, value: 'first'}});
+		await lose('late-effect', 'late', 1);
+		expect(await json('GET', url)).toMatchObject({body: {value: 'first'}});
+		await until(async () => {
+			const {body} = await json<Stored>('GET', url);
+			return body.value === 'late';
+		});
+		await lose('late-effect', 'too late', 2);
+		await json('PUT', url, 'fenced', {'if-match': '2'});
+		await until(() => api.counts().conflicts === 1);
+		expect(await json('GET', url)).toMatchObject({body: {value: 'fenced'}});
+	});
+
+	it('should cut off callers of one failure domain and refuse calls above its rate', async () => {
+		const {api, url} = await start();
+		api.setFaults({cutCallers: ['braga'], writesPerSecond: 1});
+		const cut = json('GET', url, undefined, {'x-caller': 'braga/d1'});
+		const outcome = expect(cut).rejects.toThrow();
+		expect(await json('GET', url, undefined, {'x-caller': 'braga-2/d1'})).toMatchObject({status: 404});
+		expect(await json('PUT', url, 1, {'if-none-match': '*'})).toMatchObject({status: 200});
+		expect(await json('PUT', url, 1, {'if-match': '1'})).toMatchObject({status: 429});
+		api.setFaults({outage: 'refuse'});
+		await outcome;
+		expect(await json('GET', url)).toMatchObject({status: 503});
+	});
+
+	it('should refuse values above its size limit', async () => {
+		const {url} = await start();
+		expect(await json('PUT', url, 'x'.repeat(1024 * 1024), {'if-none-match': '*'})).toMatchObject({status: 413});
+	});
+});
+
+describe('plain service stand-in', () => {
+	const headers = {'x-operation-id': 'op'};
+
+	it('should execute an operation whose response is lost, and refuse its repeat only where it checks identities', async () => {
+		for (const checkIdentity of [false, true]) {
+			const service = opened(await PlainServiceStandIn.create({checkIdentity}));
+			const url = `http://${service.address}/orders`;
+			service.setFaults({loseResponses: true});
+			await expect(json('POST', url, {}, headers)).rejects.toThrow();
+			service.setFaults({});
+			expect(await json('POST', url, {}, headers)).toMatchObject({status: checkIdentity ? 409 : 200});
+			expect(service.counts()).toMatchObject({operations: {op: checkIdentity ? 1 : 2}});
+		}
+	});
+
+	it('should fall over when a cold service gets more requests than it bears', async () => {
+		const service = opened(await PlainServiceStandIn.create({coldRequests: 1, executeMs: 10_000}));
+		const url = `http://${service.address}/orders`;
+		const outcomes = await Promise.allSettled([json('POST', url, {}), json('POST', url, {})]);
+		expect(outcomes.map(({status}) => status)).toEqual(['rejected', 'rejected']);
+		expect(service.counts()).toMatchObject({overloadCrashes: 1, maxColdRequests: 2});
+	});
+});
+
+describe('host list stand-in', () => {
+	it('should show a leaving host after its lag', async () => {
+		const list = opened(await HostListStandIn.create({lagMs: 200}));
+		const url = `http://${list.address}`;
+		const host = {
+			id: 'h', address: '127.0.0.1:1', service: 's', failureDomain: 'd', state: 'live',
+		};
+		await json('PUT', `${url}/hosts`, {hosts: [host]});
+		await json('PATCH', `${url}/hosts/h`, {state: 'leaving'});
+		expect(await json('GET', `${url}/v1/hosts`)).toMatchObject({body: {hosts: []}});
+		await until(async () => {
+			const {body} = await json<{hosts: ReadonlyArray<{state: string}>}>('GET', `${url}/v1/hosts`);
+			return body.hosts[0]?.state === 'leaving';
+		});
+	});
+});
