Deliver the configuration through two watchers in each failure domain

Cause: 450 watches and as many full reads at each change exceed what the object API bears. Change: watchers by rendezvous hash; the others poll the two in turn and read directly where neither answers or both have not heard from the object API; a daemon without the object API asks other daemons of the region; polls are answered with a delta where the version is kept. A round that ends at once without a newer version is followed by a backoff, so that no answer makes the loop spin. Ruled out: always polling the same watcher, since a watcher with a stalled watch would hold up its followers.

--- /dev/null
+++ b/src/util/backoff.ts
@@ -0,0 +1,35 @@
+/** Growing delays between attempts, with jitter from a seeded generator. */
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+export type BackoffOptions = {
+	readonly baseMs: number;
+	readonly maxMs: number;
+	/** Seed of the jitter. Daemons use different seeds, so that they do not retry at the same moment. */
+	readonly seed: number;
+};
+
+export class Backoff {
+	static create(options: BackoffOptions): Backoff {
+		return new Backoff(options);
+	}
+
+	readonly #random;
+	#failures = 0;
+
+	private constructor(private readonly options: BackoffOptions) {
+		this.#random = xoroshiro128plus(options.seed);
+	}
+
+	/** Delay before the next attempt in ms: between half and all of `baseMs` doubled with each failure, up to `maxMs`. */
+	nextMs(): number {
+		const limitMs = Math.min(this.options.maxMs, this.options.baseMs * (2 ** this.#failures));
+		this.#failures = Math.min(this.#failures + 1, 30);
+		return uniformInt(this.#random, Math.ceil(limitMs / 2), Math.ceil(limitMs));
+	}
+
+	/** Starts again from `baseMs` after a success. */
+	reset(): void {
+		this.#failures = 0;
+	}
+}
--- /dev/null
+++ b/src/util/pause.ts
@@ -0,0 +1,11 @@
+/** A pause that ends early, without an error, when its signal is aborted. */
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** Resolves after `ms`, or as soon as `signal` is aborted. */
+export async function pause(ms: number, signal?: AbortSignal): Promise<void> {
+	try {
+		await delay(ms, undefined, {signal});
+	} catch {
+		// The only rejection is the abort, which ends the pause.
+	}
+}
--- a/src/util/time-limit.ts
+++ b/src/util/time-limit.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Calls `call` with a signal that aborts after `timeoutMs` or together with `signal`.
- * Rejects as `call` does; `call` decides when to stop.
+ * Calls `call` with a signal that aborts after `timeoutMs` or together with `signal`, and then rejects with its reason,
+ * even when `call` does not heed the signal.
  */
 export async function withTimeLimit<T>(limit: TimeLimit, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
 	const controller = new AbortController();
@@ -34,9 +34,23 @@
 	}
 
 	try {
-		return await call(controller.signal);
+		return await Promise.race([call(controller.signal), rejectOnAbort(controller.signal)]);
 	} finally {
 		clearTimeout(timer);
 		limit.signal?.removeEventListener('abort', cancel);
 	}
 }
+
+async function rejectOnAbort(signal: AbortSignal): Promise<never> {
+	return new Promise((_resolve, reject) => {
+		const rejectWithReason = () => {
+			reject(signal.reason as Error);
+		};
+
+		if (signal.aborted) {
+			rejectWithReason();
+		} else {
+			signal.addEventListener('abort', rejectWithReason, {once: true});
+		}
+	});
+}
--- /dev/null
+++ b/tests/configuration-delivery.test.ts
@@ -0,0 +1,187 @@
+import {
+	afterEach, describe, expect, it, vi,
+} from 'vitest';
+import {ConfigurationDelivery} from '../src/configuration/configuration-delivery.js';
+import {ConfigurationPolls} from '../src/configuration/configuration-polls.js';
+import {ConfigurationStore} from '../src/configuration/configuration-store.js';
+import {CONFIGURATION_KEY} from '../src/configuration/schema.js';
+import {chooseWatchers} from '../src/configuration/watchers.js';
+import type {Member} from '../src/membership/directory.js';
+import type {ConfigurationPollAnswer, PeerService} from '../src/peer/protocol.js';
+import {monotonicMs} from '../src/util/clock.js';
+import {sampleConfiguration, sampleWorkspace} from './fixtures/configurations.js';
+import {MemoryObjectApi} from './fixtures/memory-object-api.js';
+
+const TIMES = {
+	waitMs: 100, callMs: 50, directReadMs: 200, staleSourceMs: 400, backoffBaseMs: 5, backoffMaxMs: 20,
+};
+
+const member = (id: string): Member => ({
+	id, incarnation: '1', peerAddress: id, address: id, region: 'pt-norte', failureDomain: 'braga', renewal: 1, draining: false,
+});
+
+type Daemon = {
+	readonly store: ConfigurationStore;
+	readonly polls: ConfigurationPolls;
+	readonly delivery: ConfigurationDelivery;
+	readonly answers: ConfigurationPollAnswer[];
+};
+
+/** Daemons of one failure domain that reach each other, except those listed in `cutOff` or `stalled`. */
+class Domain {
+	readonly cutOff = new Set<string>();
+	readonly stalled = new Set<string>();
+	readonly daemons = new Map<string, Daemon>();
+	readonly objectApis = new Map<string, MemoryObjectApi>();
+
+	constructor(readonly ids: readonly string[], readonly objectApi: MemoryObjectApi) {}
+
+	get watchers(): readonly string[] {
+		return chooseWatchers(member(this.ids[0]!), this.ids.map(id => member(id))).map(({id}) => id);
+	}
+
+	get followers(): readonly string[] {
+		return this.ids.filter(id => !this.watchers.includes(id));
+	}
+
+	start(id: string): void {
+		const answers: ConfigurationPollAnswer[] = [];
+		const store = ConfigurationStore.create({onInvalid: vi.fn()});
+		const delivery = ConfigurationDelivery.create({
+			directory: {
+				self: member(id),
+				members: () => this.ids.map(other => member(other)),
+				poolLease: () => undefined,
+				hosts: () => [],
+				refresh: vi.fn(),
+			},
+			objectApi: this.objectApis.get(id) ?? this.objectApi,
+			peer: address => ({configuration: async (message, signal) => this.#poll(address, answers, message, signal)}),
+			store,
+			clock: monotonicMs,
+			seed: id.length,
+			log: vi.fn(),
+			times: TIMES,
+		});
+		const polls = ConfigurationPolls.create({store, sourceAgeMs: () => delivery.sourceAgeMs(monotonicMs())});
+		this.daemons.set(id, {
+			store, polls, delivery, answers,
+		});
+	}
+
+	version(id: string): number {
+		return this.daemons.get(id)?.store.version() ?? 0;
+	}
+
+	async waitForVersion(ids: readonly string[], version: number): Promise<void> {
+		await vi.waitFor(() => {
+			expect(ids.map(id => this.version(id))).toEqual(ids.map(() => version));
+		}, {timeout: 5000, interval: 5});
+	}
+
+	async close(): Promise<void> {
+		await Promise.all([...this.daemons.values()].map(async ({delivery, polls}) => {
+			polls.close();
+			await delivery.close();
+		}));
+	}
+
+	async #poll(id: string, answers: ConfigurationPollAnswer[], ...[message, signal]: Parameters<PeerService['configuration']>): Promise<ConfigurationPollAnswer> {
+		const daemon = this.daemons.get(id);
+		if (this.stalled.has(id)) {
+			return new Promise(vi.fn());
+		}
+
+		if (!daemon || this.cutOff.has(id)) {
+			throw new Error('connection refused');
+		}
+
+		const answer = await daemon.polls.answer(message, signal);
+		answers.push(answer);
+		return answer;
+	}
+}
+
+const domains: Domain[] = [];
+
+function startDomain(count: number, prepare: (domain: Domain) => void = () => undefined): Domain {
+	const objectApi = new MemoryObjectApi();
+	objectApi.put(CONFIGURATION_KEY, sampleConfiguration());
+	const domain = new Domain(Array.from({length: count}, (_, index) => `daemon-${index}`), objectApi);
+	domains.push(domain);
+	prepare(domain);
+	for (const id of domain.ids) {
+		domain.start(id);
+	}
+
+	return domain;
+}
+
+const changed = () => sampleConfiguration({workspaces: ['mills', 'agents', 'growers'].map(name => sampleWorkspace(name))});
+
+afterEach(async () => {
+	await Promise.all(domains.splice(0).map(async domain => domain.close()));
+});
+
+describe('configuration delivery', () => {
+	it('should bring a change to all daemons through two watchers, as a delta', async () => {
+		const domain = startDomain(5);
+		await domain.waitForVersion(domain.ids, 1);
+		const {read} = domain.objectApi.calls;
+		const version = domain.objectApi.put(CONFIGURATION_KEY, changed());
+		await domain.waitForVersion(domain.ids, version);
+		expect(domain.objectApi.calls.read).toBe(read);
+		const answers = domain.followers.flatMap(id => domain.daemons.get(id)!.answers);
+		expect(answers.some(answer => answer.kind === 'delta')).toBe(true);
+		expect(domain.daemons.get(domain.followers[0]!)!.store.current()?.configuration).toEqual(changed());
+	});
+
+	it('should go on when one watcher refuses connections and the other stalls', async () => {
+		const domain = startDomain(4);
+		await domain.waitForVersion(domain.ids, 1);
+		domain.cutOff.add(domain.watchers[0]!);
+		domain.stalled.add(domain.watchers[1]!);
+		const version = domain.objectApi.put(CONFIGURATION_KEY, changed());
+		await domain.waitForVersion(domain.followers, version);
+	});
+
+	it('should read directly when both watchers answer but do not hear the object API', async () => {
+		const domain = startDomain(4, prepared => {
+			for (const id of prepared.watchers) {
+				const blind = new MemoryObjectApi();
+				blind.isDown = true;
+				prepared.objectApis.set(id, blind);
+			}
+		});
+		await domain.waitForVersion(domain.ids, 1);
+		const version = domain.objectApi.put(CONFIGURATION_KEY, changed());
+		await domain.waitForVersion(domain.ids, version);
+	});
+
+	it('should give a new daemon the configuration of a peer while the object API is down', async () => {
+		const domain = startDomain(2);
+		await domain.waitForVersion(domain.ids, 1);
+		domain.objectApi.isDown = true;
+		const joined = new Domain(['daemon-0', 'daemon-1', 'daemon-9'], domain.objectApi);
+		domains.push(joined);
+		for (const [id, daemon] of domain.daemons) {
+			joined.daemons.set(id, daemon);
+		}
+
+		joined.start('daemon-9');
+		await joined.waitForVersion(['daemon-9'], 1);
+	});
+
+	it('should keep the version in force when an invalid one is written, and take the next valid one', async () => {
+		const domain = startDomain(3);
+		await domain.waitForVersion(domain.ids, 1);
+		domain.objectApi.put(CONFIGURATION_KEY, {formatVersion: 1});
+		const {watch} = domain.objectApi.calls;
+		await vi.waitFor(() => {
+			expect(domain.objectApi.calls.watch).toBeGreaterThan(watch + 2);
+		});
+		expect(domain.ids.map(id => domain.version(id))).toEqual([1, 1, 1]);
+		const version = domain.objectApi.put(CONFIGURATION_KEY, changed());
+		await domain.waitForVersion(domain.ids, version);
+	});
+});
