--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -129,14 +129,21 @@
 
 /** A change of configuration: whole, or the top-level entries that changed since `fromVersion`. */
 export const configurationPollAnswerSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('unchanged'), version: z.number().int()}),
+	z.object({
+		kind: z.literal('unchanged'),
+		version: z.number().int(),
+		/** Time since the answering daemon last heard from the object API; absent when it does not watch. */
+		sourceAgeMs: z.number().optional(),
+	}),
 	z.object({kind: z.literal('whole'), version: z.number().int(), configuration: z.unknown()}),
 	z.object({
 		kind: z.literal('delta'),
 		version: z.number().int(),
 		fromVersion: z.number().int(),
-		/** Changed entries by section; entries of array sections are matched by name. */
-		set: z.array(z.object({section: z.string(), name: z.string(), value: z.unknown()}).readonly()).readonly(),
+		/** Changed entries by section; entries of array sections are matched by name. New ones have their index in `at`. */
+		set: z.array(z.object({
+			section: z.string(), name: z.string(), value: z.unknown(), at: z.number().int().min(0).optional(),
+		}).readonly()).readonly(),
 		removed: z.array(z.object({section: z.string(), name: z.string()}).readonly()).readonly(),
 	}),
 ]);
@@ -166,7 +173,8 @@
 	z.object({kind: z.literal('held'), attempt: z.string(), ageMs: z.number()}),
 	z.object({kind: z.literal('done'), response: storedResponseSchema, requestDigest: z.string()}),
 	z.object({kind: z.literal('mismatch')}),
-	z.object({kind: z.literal('unavailable'), message: z.string()}),
+	/** `unwritten`: no write with this claim was or will be sent, so there is nothing to release. */
+	z.object({kind: z.literal('unavailable'), message: z.string(), unwritten: z.boolean().optional()}),
 ]);
 
 /** Records the end of an attempt: `released` was never sent, `done` has its response. */
@@ -211,6 +219,7 @@
 	promise(message: PromiseRequest): Promise<{readonly promised: boolean}>;
 	configuration(message: ConfigurationPoll, signal?: AbortSignal): Promise<ConfigurationPollAnswer>;
 	claim(message: Claim, signal?: AbortSignal): Promise<ClaimAnswer>;
+	/** Rejects also when the settlement was not recorded in time. */
 	settle(message: Settle): Promise<void>;
 	/** Serialized latency histograms and counters, see `src/service-levels`. */
 	levels(): Promise<unknown>;
