--- a/src/configuration/configuration-delivery.ts
+++ b/src/configuration/configuration-delivery.ts
@@ -4,7 +4,7 @@
  * one other daemon of the region, so that a version that reached any reachable daemon goes on.
  */
 import type {Directory, Member} from '../membership/directory.js';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi, ReadOutcome, WatchOutcome} from '../platform/object-api.js';
 import type {ConfigurationPollAnswer, PeerService} from '../peer/protocol.js';
 import {Backoff} from '../util/backoff.js';
 import type {Clock} from '../util/clock.js';
@@ -172,21 +172,7 @@
 
 	async #read(): Promise<boolean> {
 		const {signal} = this.#closed;
-		const outcome = await this.options.objectApi.read(CONFIGURATION_KEY, {timeoutMs: this.#times.callMs, signal});
-		switch (outcome.kind) {
-			case 'found': {
-				return this.#acceptFromSource(outcome.object.version, outcome.object.value);
-			}
-
-			case 'absent': {
-				this.#sourceHeardMs = this.options.clock();
-				return true;
-			}
-
-			case 'unavailable': {
-				return this.#fail('object-api', outcome.message);
-			}
-		}
+		return this.#accept(await this.options.objectApi.read(CONFIGURATION_KEY, {timeoutMs: this.#times.callMs, signal}));
 	}
 
 	async #watch(): Promise<boolean> {
@@ -194,26 +180,20 @@
 		const {waitMs, callMs} = this.#times;
 		// An invalid version is not waited for again, so that it does not make the watch return at once.
 		const afterVersion = this.options.store.seenVersion();
-		const outcome = await this.options.objectApi.watch(CONFIGURATION_KEY, afterVersion, waitMs, {timeoutMs: waitMs + callMs, signal});
-		switch (outcome.kind) {
-			case 'changed': {
-				return this.#acceptFromSource(outcome.object.version, outcome.object.value);
-			}
-
-			case 'unchanged': {
-				this.#sourceHeardMs = this.options.clock();
-				return true;
-			}
+		return this.#accept(await this.options.objectApi.watch(CONFIGURATION_KEY, afterVersion, waitMs, {timeoutMs: waitMs + callMs, signal}));
+	}
 
-			case 'unavailable': {
-				return this.#fail('object-api', outcome.message);
-			}
+	/** Returns whether the object API answered. */
+	#accept(outcome: ReadOutcome | WatchOutcome): boolean {
+		if (outcome.kind === 'unavailable') {
+			return this.#fail('object-api', outcome.message);
 		}
-	}
 
-	#acceptFromSource(version: number, configuration: unknown): true {
 		this.#sourceHeardMs = this.options.clock();
-		this.#offer('object-api', version, configuration);
+		if (outcome.kind === 'found' || outcome.kind === 'changed') {
+			this.#offer('object-api', outcome.object.version, outcome.object.value);
+		}
+
 		return true;
 	}
 
--- /dev/null
+++ b/src/operator/branches.ts
@@ -0,0 +1,46 @@
+/** Workspaces of branches: shared rules, and the exceptions of single branches over them. */
+import type {Workspace, WorkspaceLimits} from '../configuration/schema.js';
+
+/** Rules that hold for each branch which declares no exception. */
+export type SharedRules = Omit<Workspace, 'name' | 'apiKeyDigests'>;
+
+/** A limit of a branch: a number, or a function of the shared limit. */
+export type LimitException = number | ((shared: number) => number);
+
+/** One branch: the digests of its API keys, and the fields in which it departs from the shared rules. */
+export type Branch = {
+	/** SHA-256 digests, see {@link digestApiKey}. */
+	readonly apiKeyDigests: readonly string[];
+	/** Replaces the shared list. */
+	readonly services?: readonly string[];
+	/** Replaces the priority of the length classes that it names. */
+	readonly priorities?: Partial<Workspace['priorities']>;
+	readonly weight?: LimitException;
+	/** Replaces the limits that it names. */
+	readonly limits?: Partial<Readonly<Record<keyof WorkspaceLimits, LimitException>>>;
+};
+
+/** Builds the workspaces of `branches` by name. Fields that no rule knows are kept, so that the check names them. */
+export function branches(rules: SharedRules, declared: Readonly<Record<string, Branch>>): readonly Workspace[] {
+	return Object.entries(declared).map(([name, branch]) => ({
+		name,
+		...rules,
+		...branch,
+		priorities: {...rules.priorities, ...branch.priorities},
+		weight: resolve(branch.weight, rules.weight),
+		limits: {...rules.limits, ...resolveAll(branch.limits ?? {}, rules.limits)},
+	}));
+}
+
+function resolve(exception: LimitException | undefined, shared: number): number {
+	if (exception === undefined) {
+		return shared;
+	}
+
+	return typeof exception === 'function' ? exception(shared) : exception;
+}
+
+function resolveAll(exceptions: NonNullable<Branch['limits']>, shared: WorkspaceLimits): Partial<WorkspaceLimits> {
+	const names = Object.keys(exceptions) as ReadonlyArray<keyof WorkspaceLimits>;
+	return Object.fromEntries(names.map(name => [name, resolve(exceptions[name], shared[name])]));
+}
--- /dev/null
+++ b/src/operator/deployment.ts
@@ -0,0 +1,80 @@
+/** The declaration of a whole deployment. */
+import {checkConfiguration} from '../configuration/check-configuration.js';
+import type {Configuration, Objective, Workspace} from '../configuration/schema.js';
+import type {LengthClass} from '../util/length-class.js';
+import {DeclarationError, toFault, type DeclarationFault} from './declaration-error.js';
+import type {ServiceDeclaration} from './services.js';
+
+const HOUR_MS = 3_600_000;
+const DEFAULT_RETENTION_MS = 24 * HOUR_MS;
+const DEFAULT_CLAIM_PARTITIONS = 8;
+
+/** Times in ms and target share of one length class of a service. */
+export type ObjectiveDeclaration = Omit<Objective, 'service' | 'lengthClass'>;
+
+export type DeploymentDeclaration = {
+	readonly name: string;
+	/** Failure domains by region. */
+	readonly regions: Readonly<Record<string, readonly string[]>>;
+	/** Failure domains that are taken out. */
+	readonly out?: readonly string[];
+	/** Priority classes, most urgent first. */
+	readonly priorities: readonly string[];
+	readonly services: Readonly<Record<string, ServiceDeclaration>>;
+	/** Objectives by service and length class. */
+	readonly objectives: Readonly<Record<string, Partial<Readonly<Record<LengthClass, ObjectiveDeclaration>>>>>;
+	/** Workspaces, see {@link branches}. */
+	readonly workspaces: readonly Workspace[];
+	/** Claims of non-idempotent operations: remembered for 24 h in 8 partitions unless declared. */
+	readonly claims?: Partial<Configuration['claims']>;
+	readonly weightStore: Configuration['weightStore'];
+};
+
+/** Builds and checks the configuration. Throws a {@link DeclarationError} that names each item and field at fault. */
+export function deployment(declaration: DeploymentDeclaration): Configuration {
+	const built = build(declaration);
+	// Operators take failure domains out while the system runs, so the declaration of such a state is accepted here;
+	// `fireflyport config apply` refuses it unless forced.
+	const outcome = checkConfiguration(built, {allowUnserved: true});
+	const findings = outcome.kind === 'refused' ? outcome.findings : [];
+	const faults = [...unknownOut(declaration), ...findings.map(finding => toFault(finding, built))];
+	if (outcome.kind === 'refused' || faults.length > 0) {
+		throw new DeclarationError(declaration.name, faults);
+	}
+
+	return outcome.configuration;
+}
+
+function build(declaration: DeploymentDeclaration): Configuration {
+	const allFailureDomains = Object.values(declaration.regions).flat();
+	return {
+		formatVersion: 1,
+		deployment: declaration.name,
+		failureDomains: buildFailureDomains(declaration),
+		services: Object.entries(declaration.services).map(([name, declare]) => declare(name, allFailureDomains)),
+		priorities: declaration.priorities.map((name, rank) => ({name, rank})),
+		objectives: buildObjectives(declaration),
+		workspaces: declaration.workspaces,
+		claims: {retentionMs: DEFAULT_RETENTION_MS, partitions: DEFAULT_CLAIM_PARTITIONS, ...declaration.claims},
+		weightStore: declaration.weightStore,
+	};
+}
+
+function buildFailureDomains({regions, out = []}: DeploymentDeclaration): Configuration['failureDomains'] {
+	return Object.entries(regions).flatMap(([region, failureDomains]) => failureDomains.map(name => ({
+		name, region, state: out.includes(name) ? 'out' : 'in',
+	})));
+}
+
+function buildObjectives({objectives}: DeploymentDeclaration): readonly Objective[] {
+	return Object.entries(objectives).flatMap(([service, byClass]) => Object.entries(byClass).map(([lengthClass, objective]) => ({
+		service, lengthClass: lengthClass as LengthClass, ...objective,
+	})));
+}
+
+function unknownOut({regions, out = []}: DeploymentDeclaration): readonly DeclarationFault[] {
+	const known = Object.values(regions).flat();
+	return out.filter(name => !known.includes(name)).map(name => ({
+		item: 'deployment', field: 'out', value: name, rule: `names no failure domain; known: ${known.join(', ')}`,
+	}));
+}
