--- a/src/backend/engine-connection.ts
+++ b/src/backend/engine-connection.ts
@@ -1,5 +1,6 @@
 /** One connection to a backend server for one request, so that a stalled connection disturbs no other request. */
 import {Client, type Dispatcher} from 'undici';
+import {LimitedSignal} from '../util/limited-signal.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 
@@ -40,16 +41,12 @@
 	client.once('connect', () => {
 		connected = true;
 	});
-	const limit = new AbortController();
-	const timer = setTimeout(() => {
-		limit.abort(new Error(`no response headers within ${timeoutMs} ms`));
-	}, timeoutMs);
-	const signals = signal ? [limit.signal, signal] : [limit.signal];
+	const limit = LimitedSignal.create(timeoutMs, signal);
 	try {
 		const response = await client.request({
 			method: request.method,
 			path: request.path,
-			signal: AbortSignal.any(signals),
+			signal: limit.signal,
 			...(request.body === undefined ? {} : {body: JSON.stringify(request.body), headers: {'content-type': 'application/json'}}),
 		});
 		// A destroyed body reports an error that nobody waits for.
@@ -58,14 +55,16 @@
 			kind: 'response',
 			response,
 			close() {
+				limit.close();
 				response.body.destroy();
 				void client.destroy();
 			},
 		};
 	} catch (err) {
+		limit.close();
 		void client.destroy();
 		return {kind: connected ? 'unknown' : 'not_sent', message: messageOf(err)};
 	} finally {
-		clearTimeout(timer);
+		limit.stopTimer();
 	}
 }
--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -70,16 +70,25 @@
 	};
 }
 
-/** Runs one attempt and releases its grant once the engines hold nothing of it any more. Does not throw. */
+/** Runs one attempt and releases its grant once the engines hold nothing of it any more. */
 export async function runAttempt(parts: AttemptParts, attempt: Attempt): Promise<AttemptOutcome> {
 	const {grant, request} = attempt;
 	const held: Held[] = [];
-	const {outcome, release} = await execute(parts, attempt, held);
-	const firstTokenMs = outcome.kind === 'finished' && outcome.firstTokenAt !== undefined ? outcome.firstTokenAt - outcome.sentAt : undefined;
-	parts.cleanup.free(held, request.deadline, () => {
-		grant.release(release, firstTokenMs);
-	});
-	return outcome;
+	let ended: Ended | undefined;
+	try {
+		ended = await execute(parts, attempt, held);
+		return ended.outcome;
+	} finally {
+		const firstTokenMs = ended && firstTokenTime(ended.outcome);
+		parts.cleanup.free(held, request.deadline, () => {
+			grant.release(ended?.release ?? 'failed', firstTokenMs);
+		});
+	}
+}
+
+/** Milliseconds from sending to the first token of a finished attempt. */
+function firstTokenTime(outcome: AttemptOutcome): number | undefined {
+	return outcome.kind === 'finished' && outcome.firstTokenAt !== undefined ? outcome.firstTokenAt - outcome.sentAt : undefined;
 }
 
 async function execute(parts: AttemptParts, attempt: Attempt, held: Held[]): Promise<Ended> {
--- a/src/routing/model-runner.ts
+++ b/src/routing/model-runner.ts
@@ -3,9 +3,11 @@
 import type {DoneEvent} from '../backend/engine-protocol.js';
 import type {TokenSink} from '../streams/token-relay.js';
 import {failure, type Failure, type Ran} from '../util/failure.js';
+import {LimitedSignal} from '../util/limited-signal.js';
 import {prefixHashes} from '../util/prefix-hash.js';
 import {RetryBudget} from '../util/retry-budget.js';
 import {runAttempt, type AttemptOutcome, type AttemptParts} from './model-attempt.js';
+import type {Grant} from './reservation.js';
 import type {Reservations} from './reservations.js';
 
 const RETRY_AFTER_MS = 1000;
@@ -35,7 +37,9 @@
 type History = {
 	ran: Ran;
 	attempts: number;
+	/** Ids of backend servers that failed the request. */
 	exclude: string[];
+	failed?: Failure;
 };
 
 /** Executes model requests of one daemon. */
@@ -48,27 +52,24 @@
 
 	/** Runs a request. It finishes or fails within its deadline. Does not throw. */
 	async run(run: ModelRun): Promise<Finished | Failure> {
-		const {request} = run;
-		const {clock} = this.parts;
 		this.budget.recordRequest();
-		const remainingMs = Math.max(0, Math.ceil(request.deadline - clock()));
-		const signal = AbortSignal.any([run.signal, AbortSignal.timeout(remainingMs)]);
+		const timeoutMs = Math.max(0, Math.ceil(run.request.deadline - this.parts.clock()));
+		const limit = LimitedSignal.create(timeoutMs, run.signal);
+		try {
+			return await this.#attempts(run, limit.signal);
+		} finally {
+			limit.close();
+		}
+	}
+
+	async #attempts(run: ModelRun, signal: AbortSignal): Promise<Finished | Failure> {
 		const history: History = {ran: 'not_run', attempts: 0, exclude: []};
-		const hashes = prefixHashes(request.prompt);
+		const hashes = prefixHashes(run.request.prompt);
 		for (;;) {
-			const grant = await this.parts.reservations.reserve(request.service, {
-				workspace: request.workspace.name,
-				priority: request.priority,
-				weight: request.workspace.weight,
-				lengthClass: request.lengthClass,
-				promptTokens: request.promptTokens,
-				kvTokens: request.promptTokens + request.maxTokens,
-				prefixHashes: hashes,
-				exclude: history.exclude,
-				deadline: request.deadline,
-			}, signal);
+			const grant = await this.#reserve(run.request, hashes, history, signal);
 			if (grant.kind === 'failure') {
-				return {...grant, ran: history.ran};
+				// The failure of an attempt says more than the lack of another backend server.
+				return grant.code === 'no_capacity' && history.failed ? history.failed : {...grant, ran: history.ran};
 			}
 
 			history.attempts++;
@@ -78,10 +79,24 @@
 				return ended;
 			}
 
-			this.parts.logger.warn('request_retry', {request: run.requestId, attempt: history.attempts, message: 'message' in outcome ? outcome.message : ''});
+			this.parts.logger.warn('request_retry', {request: run.requestId, attempt: history.attempts, message: history.failed?.message});
 		}
 	}
 
+	async #reserve(request: AdmittedRequest, hashes: readonly string[], {exclude}: History, signal: AbortSignal): Promise<Grant | Failure> {
+		return this.parts.reservations.reserve(request.service, {
+			workspace: request.workspace.name,
+			priority: request.priority,
+			weight: request.workspace.weight,
+			lengthClass: request.lengthClass,
+			promptTokens: request.promptTokens,
+			kvTokens: request.promptTokens + request.maxTokens,
+			prefixHashes: hashes,
+			exclude: [...exclude],
+			deadline: request.deadline,
+		}, signal);
+	}
+
 	/** The result of a request after an attempt, or undefined when it is tried again. */
 	#judge(run: ModelRun, outcome: AttemptOutcome, history: History): Finished | Failure | undefined {
 		switch (outcome.kind) {
@@ -101,13 +116,15 @@
 					history.exclude.push(outcome.blamed.id);
 				}
 
-				return this.#retryOr(backendFailure(outcome.message, history.ran, outcome.blamed?.address));
+				history.failed = backendFailure(outcome.message, history.ran, outcome.blamed?.address);
+				return this.#retryOr(history.failed);
 			}
 
 			case 'broken': {
 				history.ran = combineRan(history.ran, outcome.ran);
 				history.exclude.push(outcome.blamed.id);
 				const failed = backendFailure(outcome.message, history.ran, outcome.blamed.address);
+				history.failed = failed;
 				if (outcome.expired) {
 					return {...failed, code: 'deadline_exceeded'};
 				}
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
 import {pause} from '../util/pause.js';
+import {TimeLimitError} from '../util/time-limit.js';
 import {orderPools, poolsOf, PoolSummaries} from './pool-choice.js';
 import {isTransient, refusalFailure, type NotGranted} from './refusals.js';
 import type {Grant, PoolClient, ReservationRequest} from './reservation.js';
@@ -127,7 +128,7 @@
 
 /** The failure of a request whose caller left or whose deadline passed before it was sent. */
 function endedBefore(deadline: number, now: number, signal: AbortSignal): Failure | undefined {
-	const timedOut = signal.aborted && (signal.reason as Error).name === 'TimeoutError';
+	const timedOut = signal.aborted && signal.reason instanceof TimeLimitError;
 	if (now >= deadline || timedOut) {
 		return failure({
 			code: 'deadline_exceeded', message: 'the deadline passed while the request waited for capacity', ran: 'not_run', step: 'reserve',
