--- /dev/null
+++ b/testing/deployment.ts
@@ -0,0 +1,268 @@
+/** A whole deployment on loopback: stand-ins of the platform, backend servers and daemons, each its own process. */
+import {request} from 'undici';
+import {
+	CONFIGURATION_KEY, type Configuration, type FailureDomain, type ModelService, type PlainService, type Service,
+} from '../src/configuration/schema.js';
+import type {Host} from '../src/platform/host-list.js';
+import {Processes, type RunningProcess} from './processes.js';
+import {delay} from './stand-ins/stand-in-server.js';
+
+const READY_TIMEOUT_MS = 30_000;
+const READY_POLL_MS = 50;
+
+export type DeploymentOptions = {
+	readonly configuration: Configuration;
+	/** Backend servers of each service in each of its failure domains; by service name, or one number for all. */
+	readonly backendsPerDomain: number | Readonly<Record<string, number>>;
+	readonly daemonsPerDomain: number;
+	readonly seed?: number;
+	/** Factor by which engines are faster than the configuration states. */
+	readonly speed?: number;
+	/** Whether backend servers are warm at their first boot. */
+	readonly startsWarm?: boolean;
+	readonly hostListLagMs?: number;
+	/** Further flags of the stand-ins and of the daemon, for example `['--log-level', 'debug']`. */
+	readonly engineArgs?: readonly string[];
+	readonly plainServiceArgs?: readonly string[];
+	readonly daemonArgs?: readonly string[];
+};
+
+/** A backend server with its entry in the host list. */
+export type Backend = {
+	readonly host: Host;
+	readonly kind: Service['kind'];
+	readonly process: RunningProcess;
+};
+
+/** A daemon. Its process has an address for callers and one for other daemons. */
+export type Daemon = {
+	readonly id: string;
+	readonly failureDomain: string;
+	readonly region: string;
+	readonly process: RunningProcess;
+};
+
+type Json = {readonly status: number; readonly body: unknown};
+
+/** Sends JSON to a stand-in or daemon. Rejects when there is no answer. */
+export async function sendJsonRequest(
+	method: 'GET' | 'PUT' | 'POST' | 'PATCH' | 'DELETE',
+	url: string,
+	body?: unknown,
+	headers: Readonly<Record<string, string>> = {},
+): Promise<Json> {
+	const answer = await request(url, {
+		method, headers: {'content-type': 'application/json', ...headers}, body: body === undefined ? null : JSON.stringify(body),
+	});
+	const text = await answer.body.text();
+	return {status: answer.statusCode, body: text === '' ? undefined : JSON.parse(text)};
+}
+
+const flags = (values: Readonly<Record<string, string | number>>): readonly string[] => Object.entries(values).flatMap(([key, value]) => [`--${key}`, String(value)]);
+
+export class Deployment {
+	/** Starts everything and waits until each daemon is ready. Ends what was started when it fails. */
+	static async create(options: DeploymentOptions): Promise<Deployment> {
+		const deployment = new Deployment(options);
+		try {
+			await deployment.#startPlatform();
+			await deployment.#startBackends();
+			await deployment.#startDaemons();
+		} catch (err) {
+			await deployment.close();
+			throw err;
+		}
+
+		return deployment;
+	}
+
+	objectApi!: RunningProcess;
+	hostList!: RunningProcess;
+	weightStore!: RunningProcess;
+	readonly #options: DeploymentOptions;
+	readonly #processes = Processes.create();
+	readonly #backends: Backend[] = [];
+	readonly #daemons: Daemon[] = [];
+	readonly #numbers = new Map<string, number>();
+
+	private constructor(options: DeploymentOptions) {
+		this.#options = options;
+	}
+
+	/** Backend servers in the order of their start, those that ended included. */
+	get backends(): readonly Backend[] {
+		return this.#backends;
+	}
+
+	/** Daemons in the order of their start, those that ended included. */
+	get daemons(): readonly Daemon[] {
+		return this.#daemons;
+	}
+
+	/** Replaces the faults of a stand-in. */
+	async setFaults(standIn: RunningProcess, faults: unknown): Promise<void> {
+		await this.#expect('PUT', `${standIn.url}/faults`, faults);
+	}
+
+	/** Reads what a stand-in counts. */
+	async counts(standIn: RunningProcess): Promise<Readonly<Record<string, unknown>>> {
+		return await this.#expect('GET', `${standIn.url}/counts`) as Readonly<Record<string, unknown>>;
+	}
+
+	/** Writes a configuration over whatever version is stored; returns the new version. */
+	async applyConfiguration(configuration: Configuration): Promise<number> {
+		const url = `${this.objectApi.url}/v1/objects/${CONFIGURATION_KEY}`;
+		const present = await sendJsonRequest('GET', url);
+		const condition: Readonly<Record<string, string>> = present.status === 200
+			? {'if-match': String((present.body as {version: number}).version)}
+			: {'if-none-match': '*'};
+		const {version} = await this.#expect('PUT', url, configuration, condition) as {version: number};
+		return version;
+	}
+
+	/** Starts one more backend server of a service and lists it as live. */
+	async addBackend(service: Service, failureDomain: string): Promise<Backend> {
+		const backend = await this.#startBackend(service, failureDomain);
+		await this.listHosts(this.#backends.filter(({process}) => process.isRunning).map(({host}) => host));
+		return backend;
+	}
+
+	/** Starts one more daemon and waits until it is ready. */
+	async addDaemon(failureDomain: FailureDomain): Promise<Daemon> {
+		const daemon = await this.#startDaemon(failureDomain);
+		await this.#waitUntilReady(daemon);
+		return daemon;
+	}
+
+	/** Replaces the host list. */
+	async listHosts(hosts: readonly Host[]): Promise<void> {
+		await this.#expect('PUT', `${this.hostList.url}/hosts`, {hosts});
+	}
+
+	/** Marks a backend server in the host list. */
+	async markHost(id: string, state: Host['state']): Promise<void> {
+		await this.#expect('PATCH', `${this.hostList.url}/hosts/${encodeURIComponent(id)}`, {state});
+	}
+
+	/** Ends all processes: daemons first, so that they do not see their platform go. */
+	async close(): Promise<void> {
+		await Promise.all(this.#daemons.map(async ({process}) => process.stop()));
+		await this.#processes.closeAll();
+	}
+
+	async #startPlatform(): Promise<void> {
+		const {seed = 1, hostListLagMs = 0, configuration} = this.#options;
+		[this.objectApi, this.hostList, this.weightStore] = await Promise.all([
+			this.#start('object-api', {seed}),
+			this.#start('host-list', {'lag-ms': hostListLagMs}),
+			this.#start('weight-store', {'loads-per-minute': configuration.weightStore.loadsPerMinute}),
+		]);
+		await this.applyConfiguration(configuration);
+	}
+
+	async #startBackends(): Promise<void> {
+		const {backendsPerDomain, configuration} = this.#options;
+		const wanted = configuration.services.flatMap(service => {
+			const count = typeof backendsPerDomain === 'number' ? backendsPerDomain : backendsPerDomain[service.name] ?? 0;
+			return service.failureDomains.flatMap(domain => Array.from({length: count}, () => ({service, domain})));
+		});
+		await Promise.all(wanted.map(async ({service, domain}) => this.#startBackend(service, domain)));
+		await this.listHosts(this.#backends.map(({host}) => host));
+	}
+
+	async #startBackend(service: Service, failureDomain: string): Promise<Backend> {
+		const id = this.#nextId(`${service.name}-${failureDomain}`);
+		const process = service.kind === 'model' ? await this.#startEngine(id, service) : await this.#startPlainService(id, service);
+		const backend: Backend = {
+			kind: service.kind,
+			process,
+			host: {
+				id, address: process.address, service: service.name, failureDomain, state: 'live',
+			},
+		};
+		this.#backends.push(backend);
+		return backend;
+	}
+
+	async #startEngine(id: string, service: ModelService): Promise<RunningProcess> {
+		const {seed = 1, speed = 1, engineArgs = []} = this.#options;
+		return this.#start('engine', {
+			seed,
+			speed,
+			'kv-tokens': service.kvTokens,
+			'prefill-tokens-per-second': service.prefillTokensPerSecond,
+			'decode-tokens-per-second': service.decodeTokensPerSecond,
+			'cold-requests': service.cold.requests,
+			'cold-prefill-tokens': service.cold.prefillTokens,
+			fencing: service.fencing,
+			models: service.models.map(({name, version}) => `${name}@${version}`).join(','),
+			'weight-store': this.weightStore.url,
+		}, [...this.#warmth(), ...engineArgs], id);
+	}
+
+	async #startPlainService(id: string, service: PlainService): Promise<RunningProcess> {
+		const identity = service.operationIdentity === 'checked' ? ['--check-identity'] : [];
+		const {plainServiceArgs = []} = this.#options;
+		return this.#start('plain-service', {'cold-requests': service.cold.requests}, [...identity, ...this.#warmth(), ...plainServiceArgs], id);
+	}
+
+	#warmth(): readonly string[] {
+		return this.#options.startsWarm ? ['--starts-warm'] : [];
+	}
+
+	async #startDaemons(): Promise<void> {
+		const {daemonsPerDomain, configuration} = this.#options;
+		const wanted = configuration.failureDomains.flatMap(domain => Array.from({length: daemonsPerDomain}, () => domain));
+		const daemons = await Promise.all(wanted.map(async domain => this.#startDaemon(domain)));
+		await Promise.all(daemons.map(async daemon => this.#waitUntilReady(daemon)));
+	}
+
+	async #startDaemon({name, region}: FailureDomain): Promise<Daemon> {
+		const id = this.#nextId(name);
+		const args = flags({
+			id, region, 'failure-domain': name, listen: '127.0.0.1:0', 'peer-listen': '127.0.0.1:0', 'object-api': this.objectApi.url, 'host-list': this.hostList.url,
+		});
+		const process = await this.#processes.start({name: id, program: 'src/daemon/main.js', args: [...args, ...this.#options.daemonArgs ?? []]});
+		const daemon: Daemon = {
+			id, failureDomain: name, region, process,
+		};
+		this.#daemons.push(daemon);
+		return daemon;
+	}
+
+	async #waitUntilReady({id, process}: Daemon): Promise<void> {
+		const end = performance.now() + READY_TIMEOUT_MS;
+		for (;;) {
+			const {status, body} = await sendJsonRequest('GET', `${process.url}/readyz`);
+			if (status === 200) {
+				return;
+			}
+
+			if (performance.now() > end) {
+				throw new Error(`daemon ${id} was not ready within ${READY_TIMEOUT_MS} ms: status ${status} ${JSON.stringify(body)}\n${process.log.slice(-20).join('\n')}`);
+			}
+
+			await delay(READY_POLL_MS);
+		}
+	}
+
+	async #start(standIn: string, values: Readonly<Record<string, string | number>>, more: readonly string[] = [], name = standIn): Promise<RunningProcess> {
+		return this.#processes.start({name, program: `testing/stand-ins/${standIn}/main.js`, args: [...flags(values), ...more]});
+	}
+
+	/** The next unused identity with this prefix: `<prefix>-1`, `<prefix>-2` and so on. */
+	#nextId(prefix: string): string {
+		const number = (this.#numbers.get(prefix) ?? 0) + 1;
+		this.#numbers.set(prefix, number);
+		return `${prefix}-${number}`;
+	}
+
+	async #expect(method: 'GET' | 'PUT' | 'PATCH', url: string, body?: unknown, headers?: Readonly<Record<string, string>>): Promise<unknown> {
+		const answer = await sendJsonRequest(method, url, body, headers);
+		if (answer.status !== 200) {
+			throw new Error(`${method} ${url}: status ${answer.status} ${JSON.stringify(answer.body)}`);
+		}
+
+		return answer.body;
+	}
+}
--- /dev/null
+++ b/testing/processes.ts
@@ -0,0 +1,215 @@
+/** Starts and ends the processes of a deployment. Only testing code starts processes. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+
+const READY_TIMEOUT_MS = 20_000;
+const STOP_TIMEOUT_MS = 10_000;
+const KEPT_LOG_LINES = 5000;
+const ERROR_LOG_LINES = 20;
+
+/** The folder with the built programs, seen from this file in `testing/` or in `dist/testing/`. */
+const distFolder = path.resolve(import.meta.dirname, path.basename(path.resolve(import.meta.dirname, '..')) === 'dist' ? '..' : '../dist');
+
+/** Path of a built program, for example `src/daemon/main.js`. */
+export const builtProgram = (program: string): string => path.join(distFolder, program);
+
+/** How a process ended. */
+export type Exit = {readonly code: number | null; readonly signal: NodeJS.Signals | null};
+
+export type StartOptions = {
+	/** Name in error messages. */
+	readonly name: string;
+	/** Program below the build folder. */
+	readonly program: string;
+	readonly args: readonly string[];
+	readonly env?: Readonly<Record<string, string>>;
+};
+
+const LISTENING = /(?:^|\s)(?:event=)?(?:listening|ready)(?:\s|$)/v;
+
+/** Reads `key=value` pairs of a log line; quoted values are unquoted. */
+export function parseLogLine(line: string): Readonly<Record<string, string>> {
+	const pairs = line.matchAll(/(?<key>[\w.]+)=(?:"(?<quoted>[^"]*)"|(?<bare>\S+))/gv);
+	return Object.fromEntries([...pairs].map(({groups}) => [groups!.key!, groups!.quoted ?? groups!.bare ?? '']));
+}
+
+/** A process that printed that it listens. */
+export class RunningProcess {
+	/** Starts a process and waits for its `listening` line. Rejects with its last log lines when it ends before. */
+	static async start(options: StartOptions, onStart: (started: RunningProcess) => void): Promise<RunningProcess> {
+		const child = spawn(process.execPath, [builtProgram(options.program), ...options.args], {
+			env: {...process.env, ...options.env},
+			stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		const running = new RunningProcess(options.name, child);
+		onStart(running);
+		await running.#waitUntilReady();
+		return running;
+	}
+
+	/** Settles when the process has ended. */
+	readonly exited: Promise<Exit>;
+	readonly #child: ChildProcess;
+	readonly #log: string[] = [];
+	#fields: Readonly<Record<string, string>> = {};
+	#exit: Exit | undefined;
+	#onReady: (() => void) | undefined;
+
+	private constructor(readonly name: string, child: ChildProcess) {
+		this.#child = child;
+		this.exited = this.#waitForExit();
+		for (const stream of [child.stdout!, child.stderr!]) {
+			createInterface({input: stream}).on('line', line => {
+				this.#addLine(line);
+			});
+		}
+	}
+
+	/** Undefined when the process could not be started. */
+	get pid(): number | undefined {
+		return this.#child.pid;
+	}
+
+	/** Address as IP:PORT from the `listening` line. */
+	get address(): string {
+		return this.fields.address!;
+	}
+
+	get url(): string {
+		return `http://${this.address}`;
+	}
+
+	/** Pairs of the `listening` line. */
+	get fields(): Readonly<Record<string, string>> {
+		return this.#fields;
+	}
+
+	/** The last lines of both outputs. */
+	get log(): readonly string[] {
+		return this.#log;
+	}
+
+	get isRunning(): boolean {
+		return this.#exit === undefined;
+	}
+
+	/** Sends a signal by process id; does nothing after the end. */
+	kill(signal: NodeJS.Signals): void {
+		if (this.isRunning) {
+			this.#child.kill(signal);
+		}
+	}
+
+	/** Asks the process to end, and kills it when it has not ended after `timeoutMs`. */
+	async stop(timeoutMs = STOP_TIMEOUT_MS): Promise<Exit> {
+		this.kill('SIGTERM');
+		const timer = setTimeout(() => {
+			this.kill('SIGKILL');
+		}, timeoutMs);
+		const exit = await this.exited;
+		clearTimeout(timer);
+		return exit;
+	}
+
+	async #waitForExit(): Promise<Exit> {
+		try {
+			const [code, signal] = await once(this.#child, 'exit') as [number | null, NodeJS.Signals | null];
+			this.#exit = {code, signal};
+		} catch (err) {
+			this.#addLine(String(err));
+			this.#exit = {code: null, signal: null};
+		}
+
+		return this.#exit;
+	}
+
+	#addLine(line: string): void {
+		this.#log.push(line);
+		if (this.#log.length > KEPT_LOG_LINES * 2) {
+			this.#log.splice(0, KEPT_LOG_LINES);
+		}
+
+		const fields = parseLogLine(line);
+		if (this.#fields.address === undefined && fields.address !== undefined && LISTENING.test(line)) {
+			this.#fields = fields;
+			this.#onReady?.();
+		}
+	}
+
+	async #waitUntilReady(): Promise<void> {
+		let timer: NodeJS.Timeout | undefined;
+		const listening = new Promise<string>(resolve => {
+			this.#onReady = () => {
+				resolve('');
+			};
+
+			timer = setTimeout(resolve, READY_TIMEOUT_MS, `${this.name} did not listen within ${READY_TIMEOUT_MS} ms`);
+		});
+		const ended = async (): Promise<string> => {
+			const {code, signal} = await this.exited;
+			return `${this.name} ended with ${signal ?? code} before it listened`;
+		};
+
+		const problem = await Promise.race([listening, ended()]);
+		clearTimeout(timer);
+		if (problem !== '') {
+			this.kill('SIGKILL');
+			throw new Error([problem, ...this.#log.slice(-ERROR_LOG_LINES)].join('\n'));
+		}
+	}
+}
+
+/** All processes that one test or program started. They end with it, however it ends. */
+export class Processes {
+	static create(): Processes {
+		return new Processes();
+	}
+
+	readonly #running = new Set<RunningProcess>();
+	readonly #guard: ChildProcess;
+	readonly #killAll: () => void;
+
+	private constructor() {
+		this.#killAll = () => {
+			for (const running of this.#running) {
+				running.kill('SIGKILL');
+			}
+		};
+
+		this.#guard = spawn(process.execPath, [builtProgram('testing/process-guard.js')], {stdio: ['pipe', 'ignore', 'inherit']});
+		this.#guard.stdin!.on('error', () => undefined);
+		process.on('exit', this.#killAll);
+	}
+
+	/** Starts a process and waits until it listens. */
+	async start(options: StartOptions): Promise<RunningProcess> {
+		return RunningProcess.start(options, running => {
+			void this.#watch(running);
+		});
+	}
+
+	/** Ends everything that was started and is still running. */
+	async closeAll(): Promise<void> {
+		await Promise.all([...this.#running].map(async running => running.stop()));
+		process.off('exit', this.#killAll);
+		this.#guard.stdin!.end();
+		if (this.#guard.exitCode === null) {
+			await once(this.#guard, 'exit');
+		}
+	}
+
+	async #watch(running: RunningProcess): Promise<void> {
+		if (running.pid === undefined) {
+			return;
+		}
+
+		this.#running.add(running);
+		this.#guard.stdin!.write(`add ${running.pid}\n`);
+		await running.exited;
+		this.#running.delete(running);
+		this.#guard.stdin!.write(`remove ${running.pid}\n`);
+	}
+}
--- a/testing/stand-ins/object-api/faults.ts
+++ b/testing/stand-ins/object-api/faults.ts
@@ -30,7 +30,7 @@
 		keyPrefix: z.string().default(''),
 		lateMs: z.number().min(0).default(1000),
 	}).optional(),
-	/** Callers that are cut off (never answered): an `x-caller` value, or its leading part up to a `/`, `.` or `:`. */
+	/** Callers that are cut off (never answered): an `x-caller` value, or the part of it before `-<number>`, which is the failure domain. */
 	cutCallers: z.array(z.string().min(1)).default([]),
 	/** Rate limits; the settings hold where absent. */
 	writesPerSecond: limit,
@@ -40,6 +40,6 @@
 export type ObjectApiSettings = z.infer<typeof objectApiSettingsSchema>;
 export type ObjectApiFaults = z.infer<typeof objectApiFaultsSchema>;
 
-/** Whether `caller` is one of the cut callers or belongs to a failure domain that is cut. */
-export const isCut = (faults: ObjectApiFaults, caller: string): boolean => faults.cutCallers.some(cut => caller === cut
-	|| (caller.startsWith(cut) && '/.:'.includes(caller.charAt(cut.length))));
+/** Whether `caller` is one of the cut callers, or a daemon `<failure domain>-<number>` of a failure domain that is cut. */
+export const isCut = ({cutCallers}: ObjectApiFaults, caller: string): boolean => cutCallers.includes(caller)
+	|| cutCallers.includes(caller.replace(/-\d+$/v, ''));
--- a/tests/platform-stand-ins.test.ts
+++ b/tests/platform-stand-ins.test.ts
@@ -64,9 +64,9 @@
 	it('should cut off callers of one failure domain and refuse calls above its rate', async () => {
 		const {api, url} = await start();
 		api.setFaults({cutCallers: ['braga'], writesPerSecond: 1});
-		const cut = json('GET', url, undefined, {'x-caller': 'braga/d1'});
+		const cut = json('GET', url, undefined, {'x-caller': 'braga-1'});
 		const outcome = expect(cut).rejects.toThrow();
-		expect(await json('GET', url, undefined, {'x-caller': 'braga-2/d1'})).toMatchObject({status: 404});
+		expect(await json('GET', url, undefined, {'x-caller': 'braga-2-1'})).toMatchObject({status: 404});
 		expect(await json('PUT', url, 1, {'if-none-match': '*'})).toMatchObject({status: 200});
 		expect(await json('PUT', url, 1, {'if-match': '1'})).toMatchObject({status: 429});
 		api.setFaults({outage: 'refuse'});
