Add the demo

Cause: a reader has to see the deployment at work in under a minute. Ruled out: scaled-down configurations; the examples run as they are, with fewer backend servers and engines that are ten times as fast. Change: npm run demo sends a short, a long and a very long prompt and one booking through daemons in different failure domains, checks each answer against its prompt and the executions of the booking, and cleans up.

--- /dev/null
+++ b/testing/demo.ts
@@ -0,0 +1,230 @@
+/**
+ * `npm run demo`: brings up an example deployment on loopback, sends prompts of three lengths and one booking through
+ * daemons in different failure domains, prints what callers see, and ends everything.
+ */
+import process from 'node:process';
+import {cac} from 'cac';
+import {z} from 'zod';
+import {configuration as frialia, exampleKeys as frialiaKeys} from '../examples/frialia.js';
+import {configuration as sacaria, exampleKeys as sacariaKeys} from '../examples/sacaria.js';
+import type {Configuration, ModelService, PlainService} from '../src/configuration/schema.js';
+import {BYTES_PER_TOKEN, lengthClassOf} from '../src/util/length-class.js';
+import {Deployment, sendJsonRequest, type Daemon} from './deployment.js';
+import {expectedText} from './expected-token.js';
+import {CompletionClient} from './load/completion-client.js';
+import {buildPrompt} from './load/load-run.js';
+import {uuidV7} from './uuid-v7.js';
+
+const BACKENDS_PER_DOMAIN = 2;
+const DAEMONS_PER_DOMAIN = 2;
+/** Engines run this many times faster than the configuration states, so that a very long prompt takes seconds. */
+const ENGINE_SPEED = 10;
+const ANSWER_TOKENS = 20;
+const SHORT_TOKENS = 1200;
+const LONG_TOKENS = 60_000;
+/** Share of one engine's memory that the very long prompt needs. */
+const VERY_LONG_SHARE = 1.25;
+const TIME_LIMIT_MS = 55_000;
+
+const examples = {
+	sacaria: {configuration: sacaria, keys: sacariaKeys as Readonly<Record<string, string>>},
+	frialia: {configuration: frialia, keys: frialiaKeys as Readonly<Record<string, string>>},
+};
+
+const optionsSchema = z.object({
+	example: z.enum(['sacaria', 'frialia', 'both']).default('both'),
+	keep: z.boolean().default(false),
+	seed: z.number().int().default(1),
+});
+
+type Options = z.infer<typeof optionsSchema>;
+
+/** What the demo uses of an example. */
+type Scene = {
+	readonly configuration: Configuration;
+	readonly model: ModelService;
+	readonly plain: PlainService;
+	readonly apiKey: string;
+	readonly deployment: Deployment;
+};
+
+/** A step of the demo did not go as it has to. */
+class DemoError extends Error {
+	override readonly name = 'DemoError';
+}
+
+function serviceOf<K extends 'model' | 'plain'>(configuration: Configuration, kind: K): Extract<Configuration['services'][number], {kind: K}> {
+	const found = configuration.services.find(service => service.kind === kind);
+	if (!found) {
+		throw new DemoError(`configuration ${configuration.deployment} has no ${kind} service`);
+	}
+
+	return found as Extract<Configuration['services'][number], {kind: K}>;
+}
+
+/** API key of the first workspace that may use both services. */
+function keyFor(configuration: Configuration, keys: Readonly<Record<string, string>>, services: readonly string[]): string {
+	const workspace = configuration.workspaces.find(candidate => services.every(service => candidate.services.includes(service)));
+	return keys[workspace?.name ?? ''] ?? '';
+}
+
+async function open({configuration, keys}: (typeof examples)['sacaria'], seed: number): Promise<Scene> {
+	const model = serviceOf(configuration, 'model');
+	const plain = serviceOf(configuration, 'plain');
+	const deployment = await Deployment.create({
+		configuration,
+		backendsPerDomain: {[model.name]: BACKENDS_PER_DOMAIN, [plain.name]: 1},
+		daemonsPerDomain: DAEMONS_PER_DOMAIN,
+		seed,
+		speed: ENGINE_SPEED,
+		startsWarm: true,
+	});
+	return {
+		configuration, model, plain, apiKey: keyFor(configuration, keys, [model.name, plain.name]), deployment,
+	};
+}
+
+/** The first daemon of the failure domain at `index`, counted around. */
+function daemonIn({deployment, configuration}: Scene, index: number): Daemon {
+	const {failureDomains} = configuration;
+	const {name} = failureDomains[index % failureDomains.length]!;
+	return deployment.daemons.find(daemon => daemon.failureDomain === name)!;
+}
+
+/** Sends one prompt and checks that the answer is the whole answer to it. */
+async function prompt(scene: Scene, daemon: Daemon, tokens: number): Promise<void> {
+	const client = CompletionClient.create();
+	const text = buildPrompt('demo', tokens, tokens);
+	const record = await client.send({
+		target: daemon.process.url,
+		apiKey: scene.apiKey,
+		model: scene.model.models[0]!.name,
+		prompt: text,
+		promptTokens: tokens,
+		lengthClass: lengthClassOf(tokens),
+		maxTokens: ANSWER_TOKENS,
+	});
+	await client.close();
+	const label = `${lengthClassOf(tokens)} prompt of ${tokens} tokens through ${daemon.id} (${daemon.process.address})`;
+	if (record.end.kind !== 'finished') {
+		throw new DemoError(`${label}: ${JSON.stringify(record.end)}, request ${record.requestId}`);
+	}
+
+	if (record.tokens.join('') !== expectedText(text, ANSWER_TOKENS)) {
+		throw new DemoError(`${label}: the answer is not the whole answer to this prompt: ${record.tokens.join('')}`);
+	}
+
+	console.log(`${label}: first token ${record.tokens[0]!.trim()} after ${Math.round(record.firstTokenMs!)} ms, ${record.tokens.length} tokens in ${Math.round(record.totalMs)} ms`);
+}
+
+/** Sends one booking through two failure domains with the same key and checks that it ran once. */
+async function book(scene: Scene): Promise<void> {
+	const route = scene.plain.routes.find(({idempotent}) => !idempotent)!;
+	const headers = {authorization: `Bearer ${scene.apiKey}`, 'idempotency-key': uuidV7(Date.now())};
+	const path = `/services/${scene.plain.name}${route.pathPrefix}`;
+	for (const index of [0, 1]) {
+		const daemon = daemonIn(scene, index);
+		const {status, body} = await sendJsonRequest('POST', `${daemon.process.url}${path}`, {item: 'demo', quantity: 1}, headers);
+		console.log(`booking ${index === 0 ? 'sent' : 'repeated'} through ${daemon.id}: status ${status}, ${JSON.stringify(body)}`);
+		if (status !== 200) {
+			throw new DemoError(`booking through ${daemon.id}: status ${status}, expected 200`);
+		}
+	}
+
+	const executions = await countExecutions(scene, `${route.method} ${route.pathPrefix}`);
+	console.log(`booking executed ${executions} time(s)`);
+	if (executions !== 1) {
+		throw new DemoError(`the booking was executed ${executions} times, expected 1`);
+	}
+}
+
+const countsSchema = z.object({paths: z.record(z.string(), z.number())});
+
+async function countExecutions({deployment}: Scene, path: string): Promise<number> {
+	const services = deployment.backends.filter(({kind}) => kind === 'plain');
+	const counts = await Promise.all(services.map(async ({process: service}) => countsSchema.parse(await deployment.counts(service))));
+	return counts.reduce((sum, {paths}) => sum + (paths[path] ?? 0), 0);
+}
+
+async function play(scene: Scene): Promise<void> {
+	const veryLong = Math.ceil(scene.model.kvTokens * VERY_LONG_SHARE);
+	console.log(`one engine of ${scene.model.name} holds ${scene.model.kvTokens} tokens; engines run ${ENGINE_SPEED} times as fast as configured`);
+	for (const [index, tokens] of [SHORT_TOKENS, LONG_TOKENS, veryLong].entries()) {
+		await prompt(scene, daemonIn(scene, index), tokens);
+	}
+
+	await book(scene);
+}
+
+function printKept({deployment, model, apiKey}: Scene): void {
+	for (const {id, process: daemon} of deployment.daemons) {
+		console.log(`daemon ${id} at ${daemon.url}`);
+	}
+
+	const body = JSON.stringify({
+		model: model.models[0]!.name, prompt: 'Quote 2,000 jute sacks of 60 kg', max_tokens: 8, stream: true,
+	});
+	console.log('Try, and end with Ctrl+C:');
+	console.log(`curl -sN ${deployment.daemons[0]!.process.url}/v1/completions -H 'authorization: Bearer ${apiKey}' -H 'content-type: application/json' -d '${body}'`);
+}
+
+async function untilInterrupted(): Promise<void> {
+	// A pending promise alone does not keep the process alive.
+	const alive = setInterval(() => undefined, 60_000);
+	await new Promise<void>(resolve => {
+		process.once('SIGINT', resolve);
+		process.once('SIGTERM', resolve);
+	});
+	clearInterval(alive);
+}
+
+async function run(name: keyof typeof examples, {keep, seed}: Options): Promise<void> {
+	const startedAt = performance.now();
+	const scene = await open(examples[name], seed);
+	const {deployment} = scene;
+	try {
+		console.log(`${name}: ${deployment.daemons.length} daemons and ${deployment.backends.length} backend servers ready after ${Math.round(performance.now() - startedAt)} ms`);
+		await play(scene);
+		if (keep) {
+			printKept(scene);
+			await untilInterrupted();
+		}
+	} finally {
+		await deployment.close();
+	}
+}
+
+async function main(): Promise<void> {
+	const cli = cac('npm run demo --');
+	cli.option('--example <name>', 'sacaria, frialia or both (default: both; with --keep sacaria)');
+	cli.option('--keep', 'Leave the deployment up until Ctrl+C');
+	cli.option('--seed <number>', 'Seed of the stand-ins');
+	cli.help();
+	const {options: flags} = cli.parse();
+	if (flags.help) {
+		return;
+	}
+
+	const options = optionsSchema.parse(flags);
+	// Processes that were started end with this one.
+	const limit = options.keep
+		? undefined
+		: setTimeout(() => {
+			console.error(`demo failed: not finished within ${TIME_LIMIT_MS} ms`);
+			process.exit(1);
+		}, TIME_LIMIT_MS);
+	const both = options.keep ? ['sacaria'] as const : ['sacaria', 'frialia'] as const;
+	for (const name of options.example === 'both' ? both : [options.example]) {
+		await run(name, options);
+	}
+
+	clearTimeout(limit);
+	console.log('demo finished');
+}
+
+try {
+	await main();
+} catch (err) {
+	console.error(`demo failed: ${err instanceof Error ? err.message : String(err)}`);
+	process.exit(1);
+}
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -9,6 +9,8 @@
 
 const READY_TIMEOUT_MS = 30_000;
 const READY_POLL_MS = 50;
+/** Shorter than in operation, since no balancer has to notice. */
+const DRAIN_LAG_MS = 100;
 
 export type DeploymentOptions = {
 	readonly configuration: Configuration;
@@ -21,6 +23,8 @@
 	/** Whether backend servers are warm at their first boot. */
 	readonly startsWarm?: boolean;
 	readonly hostListLagMs?: number;
+	/** Time for which a daemon that is asked to end still accepts requests, in ms. */
+	readonly drainLagMs?: number;
 	/** Further flags of the stand-ins and of the daemon, for example `['--log-level', 'debug']`. */
 	readonly engineArgs?: readonly string[];
 	readonly plainServiceArgs?: readonly string[];
@@ -220,7 +224,14 @@
 	async #startDaemon({name, region}: FailureDomain): Promise<Daemon> {
 		const id = this.#nextId(name);
 		const args = flags({
-			id, region, 'failure-domain': name, listen: '127.0.0.1:0', 'peer-listen': '127.0.0.1:0', 'object-api': this.objectApi.url, 'host-list': this.hostList.url,
+			id,
+			region,
+			'failure-domain': name,
+			listen: '127.0.0.1:0',
+			'peer-listen': '127.0.0.1:0',
+			'object-api': this.objectApi.url,
+			'host-list': this.hostList.url,
+			'drain-lag-ms': this.#options.drainLagMs ?? DRAIN_LAG_MS,
 		});
 		const process = await this.#processes.start({name: id, program: 'src/daemon/main.js', args: [...args, ...this.#options.daemonArgs ?? []]});
 		const daemon: Daemon = {
