Add the command-line tool fireflyport

Cause: operators check, apply and compare configurations and take failure domains out and in. Change: one file a command; config apply is conditional on the version it is based on, and a lost answer is resolved by a second write on the same condition and a comparison; domain out and in repeat read, change and conditional write; status names the daemons that did not answer. Ruled out: resolving a lost answer by a read alone, since a delayed write could still take effect after it. Conclusion: 18 tests pass, among them both cases of a lost answer and a lost race.

--- /dev/null
+++ b/src/cli/config-apply.ts
@@ -0,0 +1,89 @@
+/** `config apply FILE`: brings a configuration into force if nobody changed it in between. */
+import {randomInt} from 'node:crypto';
+import {applyConfiguration, type ApplyOutcome} from '../configuration/apply-configuration.js';
+import {formatDifference, listDifferences, type Difference} from '../configuration/configuration-differences.js';
+import {CONFIGURATION_KEY} from '../configuration/schema.js';
+import {Backoff} from '../util/backoff.js';
+import {CommandError, type Call, type Command} from './command.js';
+import {EXIT, type ExitCode} from './exit-codes.js';
+import {
+	CALL_TIMEOUT_MS, nameOf, readFile, readStored, requireValid,
+} from './stored-configuration.js';
+
+export const configApply: Command = {
+	usage: 'config apply <file>',
+	description: 'Bring a configuration file (- for standard input) into force',
+	flags: [
+		['--based-on <version>', 'Version that the file was made from (default: the version read when the command starts)'],
+		['--force', 'Accept services without a failure domain that is in'],
+	],
+	async run(call) {
+		const [file] = call.args as [string];
+		const requested = parseVersion(call.flags.basedOn);
+		const stored = await readStored(call);
+		const configuration = requireValid(await readFile(call, file), file, {allowUnserved: call.flags.force === true});
+		const basedOn = requested ?? stored.version;
+		const differences = listDifferences(stored.value, configuration);
+		if (differences.length === 0) {
+			call.output.result({kind: 'unchanged', version: stored.version}, `${nameOf(file)} equals version ${stored.version}, which stays in force`);
+			return EXIT.done;
+		}
+
+		if (stored.version !== basedOn) {
+			return reportConflict(call, basedOn, {
+				kind: 'conflict', version: stored.version, differences, isReplaced: false,
+			});
+		}
+
+		call.output.progress(`writing ${CONFIGURATION_KEY} at ${call.objectApiUrl}, based on version ${basedOn}`);
+		const outcome = await applyConfiguration(call.objectApi(), configuration, basedOn, applyOptions(call));
+		return report(call, basedOn, outcome);
+	},
+};
+
+/** Time limits and retry delays of changes made from the command line. */
+export const applyOptions = (call: Call) => ({
+	timeoutMs: CALL_TIMEOUT_MS, signal: call.signal, backoff: Backoff.create({baseMs: 50, maxMs: 1000, seed: randomInt(2 ** 31)}),
+});
+
+function parseVersion(flag: unknown): number | undefined {
+	if (flag !== undefined && !(Number.isSafeInteger(flag) && Number(flag) >= 0)) {
+		throw new CommandError(EXIT.usage, `--based-on ${JSON.stringify(flag)} is not a version number; take the version from config show --json`);
+	}
+
+	return flag === undefined ? undefined : Number(flag);
+}
+
+function report(call: Call, basedOn: number, outcome: ApplyOutcome): ExitCode {
+	switch (outcome.kind) {
+		case 'applied': {
+			const note = outcome.isResolved ? ' (an answer of the object API was lost; the stored configuration was compared)' : '';
+			call.output.result(outcome, `version ${outcome.version} is accepted${note}`);
+			return EXIT.done;
+		}
+
+		case 'conflict': {
+			return reportConflict(call, basedOn, outcome);
+		}
+
+		case 'not_applied': {
+			throw new CommandError(EXIT.unavailable, `could not write ${CONFIGURATION_KEY}: ${outcome.message}; nothing was changed, try again`);
+		}
+
+		case 'unknown': {
+			throw new CommandError(EXIT.unknown, `wrote ${CONFIGURATION_KEY}, but the answer was lost (${outcome.message}); compare with config diff before you try again`);
+		}
+	}
+}
+
+function reportConflict(call: Call, basedOn: number, outcome: Extract<ApplyOutcome, {kind: 'conflict'}>): ExitCode {
+	const replaced = outcome.isReplaced
+		? 'An answer of the object API was lost; the file may have been in force for a moment before the competing version replaced it.\n'
+		: 'Nothing was changed. ';
+	call.output.result({...outcome, basedOn}, `the file is based on version ${basedOn}, but version ${outcome.version} is in force. ${replaced}`
+	+ `From version ${outcome.version} to the file:\n${formatAll(outcome.differences)}\n`
+	+ `Bring these changes into the file (config show) and apply it with --based-on ${outcome.version}.`);
+	return EXIT.conflict;
+}
+
+const formatAll = (differences: readonly Difference[]): string => differences.map(difference => `  ${formatDifference(difference)}`).join('\n');
--- /dev/null
+++ b/src/cli/daemons.ts
@@ -0,0 +1,54 @@
+/** Asks all registered daemons for a report. */
+import {memberSchema, type Member} from '../membership/directory.js';
+import {describeError, JsonClient} from '../platform/json-client.js';
+import {CommandError, type Call} from './command.js';
+import {EXIT} from './exit-codes.js';
+import {CALL_TIMEOUT_MS} from './stored-configuration.js';
+
+/** Daemons asked at one time. */
+const CONCURRENT_CALLS = 32;
+const REPORT_TIMEOUT_MS = 2000;
+
+/** A daemon's parsed report, or why there is none. */
+export type DaemonReport<T> =
+	| {readonly kind: 'answered'; readonly member: Member; readonly report: T}
+	| {readonly kind: 'silent'; readonly member: Member; readonly message: string};
+
+/** Lists the daemons registered at the object API, sorted by failure domain and id. */
+export async function listDaemons(call: Call): Promise<readonly Member[]> {
+	const outcome = await call.objectApi().list('members/', {timeoutMs: CALL_TIMEOUT_MS, signal: call.signal});
+	if (outcome.kind === 'unavailable') {
+		throw new CommandError(EXIT.unavailable, `could not list the daemons at ${call.objectApiUrl}: ${outcome.message}; check the address and try again`);
+	}
+
+	return outcome.objects
+		.map(object => memberSchema.safeParse(object.value))
+		.flatMap(parsed => parsed.success ? [parsed.data] : [])
+		.toSorted((a, b) => `${a.failureDomain}/${a.id}`.localeCompare(`${b.failureDomain}/${b.id}`));
+}
+
+/** Asks each daemon for `GET <path>` and parses the answer. Daemons that fail are reported, never left out. */
+export async function askDaemons<T>(call: Call, members: readonly Member[], path: string, parse: (body: unknown) => T): Promise<ReadonlyArray<DaemonReport<T>>> {
+	const reports: Array<DaemonReport<T>> = [];
+	for (let start = 0; start < members.length; start += CONCURRENT_CALLS) {
+		call.output.progress(`asked ${start} of ${members.length} daemons`);
+		const batch = members.slice(start, start + CONCURRENT_CALLS);
+		reports.push(...await Promise.all(batch.map(async member => askDaemon(call, member, path, parse))));
+	}
+
+	return reports;
+}
+
+async function askDaemon<T>(call: Call, member: Member, path: string, parse: (body: unknown) => T): Promise<DaemonReport<T>> {
+	const client = JsonClient.create(`http://${member.address}`, 'fireflyport');
+	try {
+		const answer = await client.call({method: 'GET', path}, {timeoutMs: REPORT_TIMEOUT_MS, signal: call.signal});
+		return answer.status === 200
+			? {kind: 'answered', member, report: parse(answer.body)}
+			: {kind: 'silent', member, message: `status ${answer.status}`};
+	} catch (err) {
+		return {kind: 'silent', member, message: describeError(err)};
+	} finally {
+		await client.close();
+	}
+}
--- /dev/null
+++ b/src/cli/domain.ts
@@ -0,0 +1,62 @@
+/** `domain out NAME` and `domain in NAME`: take a failure domain out of service or back. */
+import {changeDomain, type DomainOutcome} from '../configuration/change-domain.js';
+import {formatFinding} from '../configuration/finding.js';
+import {CommandError, type Call, type Command} from './command.js';
+import {applyOptions} from './config-apply.js';
+import {EXIT, type ExitCode} from './exit-codes.js';
+
+export const domainOut: Command = {
+	usage: 'domain out <name>',
+	description: 'Take a failure domain out: no new work after 5 s, running requests finish',
+	flags: [['--force', 'Take it out even if a service has no other failure domain that is in']],
+	run: async call => changeState(call, 'out'),
+};
+
+export const domainIn: Command = {
+	usage: 'domain in <name>',
+	description: 'Take a failure domain in again',
+	flags: [],
+	run: async call => changeState(call, 'in'),
+};
+
+async function changeState(call: Call, state: 'in' | 'out'): Promise<ExitCode> {
+	const [name] = call.args as [string];
+	call.output.progress(`taking failure domain ${name} ${state} at ${call.objectApiUrl}`);
+	const outcome = await changeDomain(call.objectApi(), {name, state, isForced: call.flags.force === true}, applyOptions(call));
+	return report(call, {name, state}, outcome);
+}
+
+function report(call: Call, {name, state}: {readonly name: string; readonly state: string}, outcome: DomainOutcome): ExitCode {
+	const attempt = `taking failure domain ${name} ${state} at ${call.objectApiUrl}`;
+	switch (outcome.kind) {
+		case 'changed': {
+			call.output.result(outcome, `failure domain ${name} is ${state} from version ${outcome.version}`);
+			return EXIT.done;
+		}
+
+		case 'already': {
+			call.output.result(outcome, `failure domain ${name} is ${state} already, in version ${outcome.version}`);
+			return EXIT.done;
+		}
+
+		case 'unserved': {
+			throw new CommandError(EXIT.refused, `${attempt}: refused, since it is the last failure domain that is in of ${outcome.services.join(', ')}; take another one in first, or add --force`);
+		}
+
+		case 'unknown_domain': {
+			throw new CommandError(EXIT.refused, `${attempt}: there is no such failure domain; choose one of ${outcome.known.join(', ')}`);
+		}
+
+		case 'invalid': {
+			const findings = outcome.findings.map(finding => `  ${formatFinding(finding)}`).join('\n');
+			throw new CommandError(EXIT.refused, `${attempt}: the stored configuration is not valid; apply a valid one first:\n${findings}`);
+		}
+
+		case 'failed': {
+			const [exitCode, advice] = outcome.isUncertain
+				? [EXIT.unknown, 'the change may have taken effect; look with config show'] as const
+				: [EXIT.unavailable, 'nothing was changed, try again'] as const;
+			throw new CommandError(exitCode, `${attempt}: ${outcome.message}; ${advice}`);
+		}
+	}
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,27 @@
+#!/usr/bin/env node
+/** Program `fireflyport`. */
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {text} from 'node:stream/consumers';
+import {HttpObjectApi} from '../platform/http-object-api.js';
+import type {Io} from './command.js';
+import {runProgram} from './program.js';
+
+const io: Io = {
+	stdout(line) {
+		process.stdout.write(`${line}\n`);
+	},
+	stderr(line) {
+		process.stderr.write(`${line}\n`);
+	},
+	isTerminal: process.stderr.isTTY,
+	environment: process.env,
+	readInput: async file => file === '-' ? text(process.stdin) : readFile(file, 'utf8'),
+	openObjectApi: url => HttpObjectApi.create({baseUrl: url, caller: 'fireflyport'}),
+};
+
+const interrupted = new AbortController();
+process.once('SIGINT', () => {
+	interrupted.abort();
+});
+process.exitCode = await runProgram(process.argv.slice(2), io, interrupted.signal);
--- /dev/null
+++ b/src/configuration/change-domain.ts
@@ -0,0 +1,106 @@
+/** Takes a failure domain out or in by read, change and conditional write. */
+import type {ObjectApi} from '../platform/object-api.js';
+import {pause} from '../util/pause.js';
+import {conditionOn, type ApplyOptions} from './apply-configuration.js';
+import {checkConfiguration} from './check-configuration.js';
+import type {Finding} from './finding.js';
+import {CONFIGURATION_KEY, type Configuration, type FailureDomain} from './schema.js';
+
+export type DomainChange = {
+	readonly name: string;
+	readonly state: FailureDomain['state'];
+	/** Takes out the last failure domain of a service, too. */
+	readonly isForced: boolean;
+};
+
+/**
+ * - `changed`: in force under `version`; `already` when it was so before
+ * - `unserved`: refused, since the services would have no failure domain in
+ * - `unknown_domain`: refused, with the names that exist
+ * - `invalid`: the stored configuration is not valid
+ * - `failed`: the object API gave no usable answer; with `isUncertain` the change may have taken effect
+ */
+export type DomainOutcome =
+	| {readonly kind: 'changed'; readonly version: number}
+	| {readonly kind: 'already'; readonly version: number}
+	| {readonly kind: 'unserved'; readonly services: readonly string[]}
+	| {readonly kind: 'unknown_domain'; readonly known: readonly string[]}
+	| {readonly kind: 'invalid'; readonly findings: readonly Finding[]}
+	| {readonly kind: 'failed'; readonly message: string; readonly isUncertain: boolean};
+
+/** Reads and writes tried in all: conflicts, refusals and lost answers. */
+const MAX_ATTEMPTS = 10;
+
+/** Makes the change on the version in force at that moment; other changes made at the same time are kept. */
+export async function changeDomain(api: ObjectApi, change: DomainChange, options: ApplyOptions): Promise<DomainOutcome> {
+	let isUncertain = false;
+	let message = 'cancelled';
+	for (let attempt = 0; attempt < MAX_ATTEMPTS && !options.signal.aborted; attempt++) {
+		const read = await api.read(CONFIGURATION_KEY, options);
+		if (read.kind === 'found') {
+			const {version, value} = read.object;
+			const decision = decide(value, change);
+			if (decision.kind === 'already') {
+				return {kind: isUncertain ? 'changed' : 'already', version};
+			}
+
+			if (decision.kind !== 'write') {
+				return decision;
+			}
+
+			const outcome = await api.write(CONFIGURATION_KEY, decision.configuration, conditionOn(version), options);
+			if (outcome.kind === 'written') {
+				return {kind: 'changed', version: outcome.version};
+			}
+
+			isUncertain ||= outcome.kind === 'unknown';
+			message = outcome.kind === 'conflict' ? `version ${outcome.version} was written at the same time` : outcome.message;
+		} else {
+			message = read.kind === 'absent' ? 'there is no configuration yet' : read.message;
+		}
+
+		await pause(options.backoff.nextMs(), options.signal);
+	}
+
+	return {kind: 'failed', message, isUncertain};
+}
+
+type Decision =
+	| {readonly kind: 'write'; readonly configuration: Configuration}
+	| {readonly kind: 'already'}
+	| Extract<DomainOutcome, {kind: 'unserved' | 'unknown_domain' | 'invalid'}>;
+
+function decide(value: unknown, change: DomainChange): Decision {
+	const checked = checkConfiguration(value, {allowUnserved: true});
+	if (checked.kind === 'refused') {
+		return {kind: 'invalid', findings: checked.findings};
+	}
+
+	const {configuration} = checked;
+	const domain = configuration.failureDomains.find(({name}) => name === change.name);
+	if (!domain) {
+		return {kind: 'unknown_domain', known: configuration.failureDomains.map(({name}) => name)};
+	}
+
+	if (domain.state === change.state) {
+		return {kind: 'already'};
+	}
+
+	const services = change.state === 'out' ? servedOnlyBy(configuration, change.name) : [];
+	return services.length > 0 && !change.isForced
+		? {kind: 'unserved', services}
+		: {kind: 'write', configuration: withState(configuration, change)};
+}
+
+/** Names of the services whose only failure domain in state `in` is `name`. */
+function servedOnlyBy({failureDomains, services}: Configuration, name: string): readonly string[] {
+	const others = new Set(failureDomains.filter(domain => domain.state === 'in' && domain.name !== name).map(domain => domain.name));
+	return services
+		.filter(service => service.failureDomains.includes(name) && !service.failureDomains.some(other => others.has(other)))
+		.map(service => service.name);
+}
+
+const withState = (configuration: Configuration, {name, state}: DomainChange): Configuration => ({
+	...configuration,
+	failureDomains: configuration.failureDomains.map(domain => domain.name === name ? {...domain, state} : domain),
+});
--- /dev/null
+++ b/src/configuration/configuration-differences.ts
@@ -0,0 +1,62 @@
+/** Differences between two configurations for people, field by field. */
+import {isDeepStrictEqual} from 'node:util';
+
+/** A field that differs. `from` or `to` is absent where the field exists on one side only. */
+export type Difference = {
+	/** Path with names instead of indexes, as in `workspaces.mills.limits.requestsPerSecond`. */
+	readonly path: string;
+	readonly from?: unknown;
+	readonly to?: unknown;
+};
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Lists all differences between two configurations as parsed JSON. Neither needs to be valid. */
+export function listDifferences(from: unknown, to: unknown, path = ''): readonly Difference[] {
+	if (isDeepStrictEqual(from, to)) {
+		return [];
+	}
+
+	const before = fieldsOf(from);
+	const after = fieldsOf(to);
+	const differences = before && after ? compareFields(before, after, path) : [];
+	// Entries that differ only in their order compare as equal by name.
+	return differences.length > 0 ? differences : [{path, from, to}];
+}
+
+function compareFields(before: Fields, after: Fields, path: string): readonly Difference[] {
+	const names = new Set([...Object.keys(before), ...Object.keys(after)]);
+	return [...names].flatMap(name => listDifferences(before[name], after[name], path === '' ? name : `${path}.${name}`));
+}
+
+/** Fields of an object, or the entries of an array of named objects; undefined for any other value. */
+function fieldsOf(value: unknown): Fields | undefined {
+	if (!Array.isArray(value)) {
+		return isObject(value) ? value : undefined;
+	}
+
+	const names = value.map(item => nameOf(item));
+	const isNamed = value.length > 0 && names.every(name => name !== undefined) && new Set(names).size === names.length;
+	return isNamed ? Object.fromEntries(names.map((name, index) => [name, value[index] as unknown])) : undefined;
+}
+
+const isObject = (value: unknown): value is Fields => typeof value === 'object' && value !== null && !Array.isArray(value);
+
+function nameOf(item: unknown): string | undefined {
+	if (!isObject(item)) {
+		return undefined;
+	}
+
+	if (typeof item.name === 'string') {
+		return item.name;
+	}
+
+	return typeof item.service === 'string' && typeof item.lengthClass === 'string' ? `${item.service}/${item.lengthClass}` : undefined;
+}
+
+/** One line: `path: old -> new`. */
+export function formatDifference({path, from, to}: Difference): string {
+	return `${path === '' ? '(whole configuration)' : path}: ${formatValue(from)} -> ${formatValue(to)}`;
+}
+
+const formatValue = (value: unknown): string => JSON.stringify(value) ?? 'absent';
--- /dev/null
+++ b/tests/cli.test.ts
@@ -0,0 +1,195 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {runProgram} from '../src/cli/program.js';
+import {CONFIGURATION_KEY, type Configuration} from '../src/configuration/schema.js';
+import {sampleConfiguration, sampleWorkspace} from './fixtures/configurations.js';
+import {HttpStandIn} from './fixtures/http-stand-in.js';
+import {MemoryObjectApi} from './fixtures/memory-object-api.js';
+
+const servers: HttpStandIn[] = [];
+
+afterEach(async () => {
+	await Promise.all(servers.splice(0).map(async server => server.close()));
+});
+
+/** Runs a command line against `api`; `file` is what every FILE holds. */
+async function run(api: MemoryObjectApi, line: string, file: unknown = sampleConfiguration()) {
+	const out: string[] = [];
+	const errors: string[] = [];
+	const exitCode = await runProgram(line.split(' '), {
+		stdout: text => out.push(text),
+		stderr: text => errors.push(text),
+		isTerminal: false,
+		environment: {FIREFLYPORT_OBJECT_API: 'http://object-api.test'},
+		readInput: async () => typeof file === 'string' ? file : JSON.stringify(file),
+		openObjectApi: () => api,
+	}, new AbortController().signal);
+	return {exitCode, out: out.join('\n'), errors: errors.join('\n')};
+}
+
+const jsonOf = (result: {readonly out: string}): unknown => JSON.parse(result.out);
+
+function stored(configuration: Configuration = sampleConfiguration()): MemoryObjectApi {
+	const api = new MemoryObjectApi();
+	api.put(CONFIGURATION_KEY, configuration);
+	return api;
+}
+
+const wider = sampleConfiguration({workspaces: ['mills', 'agents', 'growers'].map(name => sampleWorkspace(name))});
+const heavier = sampleConfiguration({workspaces: [sampleWorkspace('mills', 5), sampleWorkspace('agents')]});
+const inForce = (api: MemoryObjectApi) => api.get(CONFIGURATION_KEY)?.value;
+
+describe('command line', () => {
+	it.each([
+		['config check - --dry-run', 'unknown flag --dry-run'],
+		['status --no-color', 'unknown flag --no-color'],
+		['config aply -', 'no command config aply'],
+		['config apply', 'missing required args'],
+		['config apply - --based-on x', '--based-on "x" is not a version number'],
+		['domain out braga --force --force', '--force is given more than once'],
+		['config show --object-api ftp://x', 'ftp://x, is not of the form http://HOST:PORT'],
+	])('should refuse "%s" with exit code 2 and name what is wrong', async (line, message) => {
+		const api = stored();
+		const result = await run(api, line);
+		expect(result).toMatchObject({exitCode: 2, out: ''});
+		expect(result.errors).toContain(message);
+		expect(api.calls.write).toBe(0);
+	});
+
+	it('should refuse a file with all its findings and write nothing', async () => {
+		const api = stored();
+		const file = sampleConfiguration({objectives: [{...sampleConfiguration().objectives[0]!, service: 'loom'}], workspaces: [sampleWorkspace('a'), sampleWorkspace('a')]});
+		const result = await run(api, 'config apply -', file);
+		expect(result.exitCode).toBe(3);
+		for (const path of ['objectives[0].service', 'workspaces[1].name', 'workspaces[1].apiKeyDigests[0]']) {
+			expect(result.errors).toContain(path);
+		}
+
+		expect(jsonOf(await run(api, 'config check - --json', file))).toMatchObject({kind: 'refused'});
+		expect(await run(api, 'config check -', '{"formatVersion":')).toMatchObject({exitCode: 3});
+		expect(api.calls.write).toBe(0);
+	});
+});
+
+describe('config apply', () => {
+	it('should create the first configuration, show it, and leave an equal one alone', async () => {
+		const api = new MemoryObjectApi();
+		expect(await run(api, 'config apply -')).toMatchObject({exitCode: 0});
+		expect(jsonOf(await run(api, 'config show'))).toEqual(sampleConfiguration());
+		expect(jsonOf(await run(api, 'config apply - --json'))).toEqual({kind: 'unchanged', version: 1});
+		expect(jsonOf(await run(api, 'config diff - --json', heavier))).toEqual({
+			version: 1, differences: [{path: 'workspaces.mills.weight', from: 1, to: 5}],
+		});
+	});
+
+	it('should lose a race without overwriting, and name the competing version and what differs', async () => {
+		const api = stored();
+		api.beforeWrite = () => {
+			api.put(CONFIGURATION_KEY, heavier);
+		};
+
+		const result = await run(api, 'config apply -', wider);
+		expect(result.exitCode).toBe(4);
+		expect(result.out).toContain('based on version 1, but version 2 is in force');
+		expect(result.out).toContain('workspaces.mills.weight: 5 -> 1');
+		expect(result.out).toContain('workspaces.growers: absent -> ');
+		expect(inForce(api)).toEqual(heavier);
+	});
+
+	it('should refuse a file that is based on an older version than the one in force', async () => {
+		const api = stored();
+		api.put(CONFIGURATION_KEY, heavier);
+		expect(jsonOf(await run(api, 'config apply - --based-on 1 --json', wider))).toMatchObject({kind: 'conflict', basedOn: 1, version: 2});
+		expect(api.calls.write).toBe(0);
+		expect(await run(api, 'config apply - --based-on 2', wider)).toMatchObject({exitCode: 0});
+	});
+
+	it('should find out that a write with a lost answer took effect', async () => {
+		const api = stored();
+		api.writeFaults.push('lost_after');
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({kind: 'applied', version: 2, isResolved: true});
+		expect(inForce(api)).toEqual(wider);
+	});
+
+	it('should write again when a write with a lost answer did not take effect', async () => {
+		const api = stored();
+		api.writeFaults.push('lost_before', 'rejected');
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({kind: 'applied', version: 2, isResolved: true});
+		expect(inForce(api)).toEqual(wider);
+	});
+
+	it('should not claim success when a competing version follows a write with a lost answer', async () => {
+		const api = stored();
+		api.writeFaults.push('lost_before');
+		api.beforeWrite = () => {
+			api.put(CONFIGURATION_KEY, heavier);
+		};
+
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toMatchObject({kind: 'conflict', version: 2, isReplaced: true});
+		expect(inForce(api)).toEqual(heavier);
+	});
+
+	it('should tell a refused write from an unknown outcome by the exit code', async () => {
+		const api = stored();
+		api.writeFaults.push('rejected');
+		expect(await run(api, 'config apply -', wider)).toMatchObject({exitCode: 1});
+		api.writeFaults.push(...Array.from({length: 6}, () => 'lost_before' as const));
+		expect(await run(api, 'config apply -', wider)).toMatchObject({exitCode: 5});
+	});
+});
+
+describe('domain out and in', () => {
+	const states = (api: MemoryObjectApi) => (inForce(api) as Configuration).failureDomains.map(({state}) => state);
+
+	it('should keep a competing change and resolve a lost answer', async () => {
+		const api = stored();
+		api.writeFaults.push('lost_after');
+		expect(await run(api, 'domain out braga')).toMatchObject({out: expect.stringContaining('failure domain braga is out from version 2') as string});
+		api.beforeWrite = () => {
+			api.put(CONFIGURATION_KEY, {...heavier, failureDomains: (inForce(api) as Configuration).failureDomains});
+		};
+
+		expect(await run(api, 'domain in braga')).toMatchObject({exitCode: 0});
+		expect(states(api)).toEqual(['in', 'in', 'in']);
+		expect((inForce(api) as Configuration).workspaces).toEqual(heavier.workspaces);
+		expect(await run(api, 'domain in braga')).toMatchObject({out: expect.stringContaining('is in already') as string});
+	});
+
+	it('should refuse to take out the last failure domain of a service unless forced', async () => {
+		const api = stored();
+		const refused = await run(api, 'domain out guimaraes');
+		expect(refused.exitCode).toBe(3);
+		expect(refused.errors).toContain('of balcao');
+		expect(await run(api, 'domain out guimaraes --force')).toMatchObject({exitCode: 0});
+		expect(states(api)).toEqual(['out', 'in', 'in']);
+		expect(await run(api, 'domain out lisboa')).toMatchObject({errors: expect.stringContaining('choose one of guimaraes, famalicao, braga') as string});
+	});
+});
+
+describe('status', () => {
+	it('should show each daemon and say which did not answer', async () => {
+		const api = stored();
+		const server = await HttpStandIn.start((_req: IncomingMessage, res: ServerResponse) => {
+			res.end(JSON.stringify({
+				configurationVersion: 1, draining: true, pools: ['braga/fio-lm/0'], openRequests: 3,
+			}));
+		});
+		const gone = await HttpStandIn.start(() => undefined);
+		servers.push(server);
+		await gone.close();
+		for (const [id, {url}] of Object.entries({a: server, b: gone})) {
+			const address = url.replace('http://', '');
+			api.put(`members/pt-norte/braga/${id}`, {
+				id, incarnation: '1', peerAddress: address, address, region: 'pt-norte', failureDomain: 'braga', renewal: 1, draining: false,
+			});
+		}
+
+		const result = await run(api, 'status');
+		expect(result.exitCode).toBe(6);
+		expect(result.out).toContain('version 1 is stored, 1 of 2 daemons answered');
+		expect(result.out).toContain('version 1; 3 open requests; coordinates braga/fio-lm/0; draining');
+		expect(result.out).toMatch(/b .*did not answer: connect ECONNREFUSED/v);
+	});
+});
