Activate further members of a split prompt and report the first token

Cause: the coordinator counts unacknowledged work and unfinished prefill of each member of a gang. Change: a grant has activate and prefilled, as the coordinator's client offers them.

--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -10,7 +10,9 @@
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {Grant, ReleaseOutcome} from './reservation.js';
-import {prefillSegments, splitPrompt} from './split-prompt.js';
+import {
+	activateServer, prefillSegments, splitPrompt, type SegmentFailure,
+} from './split-prompt.js';
 
 const START_TIMEOUT_MS = 2000;
 /** Silence before the first token, over the prefill of the request and of what the engine may have queued before it. */
@@ -34,7 +36,7 @@
 		readonly tokens: number;
 		/** The engine gave up at the deadline. */
 		readonly expired: boolean;
-		readonly blamed: GrantedServer;
+		readonly blamed?: GrantedServer;
 	}
 	| {readonly kind: 'stopped'; readonly ran: 'not_run' | 'ran' | 'unknown'; readonly tokens: number};
 
@@ -114,7 +116,7 @@
 		held,
 	}, clock);
 	if (segments.kind === 'failed') {
-		return segmentFailed(segments.server, segments.cause, held.length > 0, signal);
+		return notStarted(segments.server, segments.cause, held.length > 0, signal);
 	}
 
 	const sentAt = clock();
@@ -122,19 +124,20 @@
 	return started.kind === 'ended' ? started : relay(parts, attempt, started.events, sentAt);
 }
 
-/** A segment failed: nothing has reached the caller, and earlier segments have run. */
-function segmentFailed(server: GrantedServer, cause: {readonly kind: string; readonly message: string}, anyRan: boolean, signal: AbortSignal): Ended {
+/** Nothing was accepted at `server`, nothing has reached the caller; earlier segments may have run. */
+function notStarted(server: GrantedServer, cause: SegmentFailure, anyRan: boolean, signal: AbortSignal): Ended {
 	if (signal.aborted) {
 		return {outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
 	}
 
-	const message = `prefilling a segment: ${cause.message}`;
+	const isAtFault = cause.kind !== 'not_activated';
+	const fault = {message: `sending to ${server.id}: ${cause.message}`, ...(isAtFault ? {blamed: server} : {})};
 	const outcome: AttemptOutcome = anyRan
 		? {
-			kind: 'broken', message, ran: 'ran', tokens: 0, expired: false, blamed: server,
+			kind: 'broken', ran: 'ran', tokens: 0, expired: false, ...fault,
 		}
-		: {kind: 'not_run', message, blamed: server};
-	return {outcome, release: 'failed'};
+		: {kind: 'not_run', ...fault};
+	return {outcome, release: isAtFault ? 'failed' : 'cancelled'};
 }
 
 /** Starts the stream on the last server of the grant and acknowledges it. */
@@ -151,14 +154,18 @@
 		return {kind: 'ended', outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
 	}
 
+	const refused = await activateServer(grant, grant.servers.length - 1, signal, clock);
+	if (refused) {
+		return {kind: 'ended', ...notStarted(server, refused, anyRan, signal)};
+	}
+
 	const {address} = server;
 	const timeoutMs = Math.min(START_TIMEOUT_MS, remainingMs);
 	const outcome = await engine.start(address, {
 		id: grant.id, model: request.model, prompt, maxTokens: request.maxTokens, priority: grant.enginePriority, remainingMs, segments,
 	}, {timeoutMs, signal});
 	if (outcome.kind === 'not_sent' || outcome.kind === 'not_accepted') {
-		const ended = segmentFailed(server, outcome, anyRan, signal);
-		return {kind: 'ended', ...ended};
+		return {kind: 'ended', ...notStarted(server, outcome, anyRan, signal)};
 	}
 
 	// An answer that was lost may belong to a stream that runs: ask for it on a new connection.
@@ -192,6 +199,9 @@
 		limits: silenceLimits(request),
 		signal,
 		clock,
+		onFirstToken() {
+			grant.prefilled(server.id);
+		},
 		onFault(message, nextIndex) {
 			logger.warn('stream_fault', {
 				request: requestId, stream: grant.id, server: server.id, next: nextIndex, message,
--- a/src/routing/model-runner.ts
+++ b/src/routing/model-runner.ts
@@ -122,8 +122,11 @@
 
 			case 'broken': {
 				history.ran = combineRan(history.ran, outcome.ran);
-				history.exclude.push(outcome.blamed.id);
-				const failed = backendFailure(outcome.message, history.ran, outcome.blamed.address);
+				if (outcome.blamed) {
+					history.exclude.push(outcome.blamed.id);
+				}
+
+				const failed = backendFailure(outcome.message, history.ran, outcome.blamed?.address);
 				history.failed = failed;
 				if (outcome.expired) {
 					return {...failed, code: 'deadline_exceeded'};
--- a/src/routing/reservation.ts
+++ b/src/routing/reservation.ts
@@ -12,6 +12,11 @@
 /** How a reservation ended, see {@link Release}. */
 export type ReleaseOutcome = Release['outcome'];
 
+/** Answer to the wish to use a further server of a split prompt. `validUntil` as in {@link Grant}. */
+export type Activation =
+	| {readonly kind: 'activated'; readonly validUntil: number}
+	| {readonly kind: 'refused'; readonly message: string};
+
 /** Capacity held for one request until `release` is called, which the holder does exactly once. */
 export type Grant = {
 	readonly kind: 'granted';
@@ -26,6 +31,10 @@
 	readonly summary: PoolSummary;
 	/** Reports that a backend server answered with headers. */
 	acknowledge(accepted: Pick<Acknowledge, 'server' | 'boot' | 'warm'>): void;
+	/** Reports the first token, or a finished segment, of a backend server. */
+	prefilled(server: string): void;
+	/** Waits for the turn of a further server of a split prompt; nothing may be sent there before. Does not throw. */
+	activate(server: string, signal: AbortSignal): Promise<Activation>;
 	/** Returns the capacity. `firstTokenMs` is the time from sending to the first token. */
 	release(outcome: ReleaseOutcome, firstTokenMs?: number): void;
 };
--- a/src/routing/split-prompt.ts
+++ b/src/routing/split-prompt.ts
@@ -54,7 +54,27 @@
 /** `kept`: all segments are held. Otherwise the first one that failed says why. */
 export type SegmentsOutcome =
 	| {readonly kind: 'kept'; readonly references: readonly SegmentReference[]}
-	| {readonly kind: 'failed'; readonly server: GrantedServer; readonly cause: NotStarted | {readonly kind: 'lost'; readonly message: string}};
+	| {readonly kind: 'failed'; readonly server: GrantedServer; readonly cause: SegmentFailure};
+
+/** `not_activated`: the coordinator refused to continue; the backend server is not at fault. */
+export type SegmentFailure =
+	| NotStarted
+	| {readonly kind: 'lost'; readonly message: string}
+	| {readonly kind: 'not_activated'; readonly message: string};
+
+/** Waits for the turn of server `index` of a grant. The first one needs none. */
+export async function activateServer(grant: Grant, index: number, signal: AbortSignal, clock: Clock): Promise<SegmentFailure | undefined> {
+	if (index === 0) {
+		return undefined;
+	}
+
+	const activation = await grant.activate(grant.servers[index]!.id, signal);
+	if (activation.kind === 'refused') {
+		return {kind: 'not_activated', message: activation.message};
+	}
+
+	return clock() >= activation.validUntil ? {kind: 'not_activated', message: 'its turn passed before it could be used'} : undefined;
+}
 
 /** A prefill may take this many times its estimate, and a fixed time for what the engine has queued, before it counts as lost. */
 const PREFILL_FACTOR = 4;
@@ -65,6 +85,11 @@
 	const references: SegmentReference[] = [];
 	for (const [index, prompt] of split.parts.entries()) {
 		const server = split.grant.servers[index]!;
+		const refused = await activateServer(split.grant, index, split.signal, clock);
+		if (refused) {
+			return {kind: 'failed', server, cause: refused};
+		}
+
 		const id = `${split.grant.id}.segment${index}`;
 		const cause = await prefillSegment(engine, split, {
 			server, id, prompt, previous: [...references],
@@ -111,5 +136,10 @@
 	const expectedMs = server.tokens / split.prefillTokensPerSecond * 1000;
 	const limitMs = Math.min((expectedMs * PREFILL_FACTOR) + PREFILL_MARGIN_MS, Math.max(0, split.deadline - clock()));
 	const finished = await outcome.finished(limitMs);
-	return finished.kind === 'kept' ? finished : {kind: 'lost', message: finished.message} as const;
+	if (finished.kind === 'failed') {
+		return {kind: 'lost', message: finished.message} as const;
+	}
+
+	split.grant.prefilled(server.id);
+	return finished;
 }
--- a/src/streams/token-relay.ts
+++ b/src/streams/token-relay.ts
@@ -35,6 +35,7 @@
 	/** Aborted when the caller has left or the deadline has passed. */
 	readonly signal: AbortSignal;
 	readonly clock: Clock;
+	readonly onFirstToken?: () => void;
 	/** Told of each connection that was given up. */
 	readonly onFault?: (message: string, nextIndex: number) => void;
 };
@@ -183,7 +184,11 @@
 		this.#next++;
 		this.#faults = 0;
 		this.#silences = 0;
-		this.#firstTokenAt ??= this.#options.clock();
+		if (this.#firstTokenAt === undefined) {
+			this.#firstTokenAt = this.#options.clock();
+			this.#options.onFirstToken?.();
+		}
+
 		await this.#options.sink.write(text, this.#options.signal);
 		return CONTINUE;
 	}
--- a/tests/model-execution.test.ts
+++ b/tests/model-execution.test.ts
@@ -100,7 +100,9 @@
 		front.pools.gangSize = 3;
 		const prompt = 'saca de juta é boa — '.repeat(4000);
 		expect(await textOf(front, prompt, 10)).toBe(expectedText(prompt, 10));
-		expect(front.pools.acknowledged).toHaveLength(3);
+		const [first, second, third] = front.pools.acknowledged;
+		expect(front.pools.activated).toEqual([second, third]);
+		expect(front.pools.prefilled).toEqual([first, second, third]);
 		await freed(front);
 	});
 
