Ask backend servers for health, load and listings through one client

Cause: the coordinator's probe asks engines and plain services in the same way. Change: a query client that the engine client and the probe share.

--- a/src/backend/engine-client.ts
+++ b/src/backend/engine-client.ts
@@ -1,10 +1,10 @@
 /** Client of model engines, see `engine-protocol.ts`. */
-import {Agent, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import {z} from 'zod';
 import type {
 	AcceptedSegment, CancelOutcome, EngineCallOptions, EngineFacts, EngineStreams, NotStarted, ResumeOutcome, SegmentOutcome, StartOutcome,
 } from '../streams/engine-streams.js';
-import {withTimeLimit} from '../util/time-limit.js';
+import {QueryClient, type QueryAnswer} from './query-client.js';
 import {messageOf, openConnection, type Opened} from './engine-connection.js';
 import {readEngineEvents} from './engine-events.js';
 import {
@@ -21,14 +21,6 @@
 	type StreamRequest,
 } from './engine-protocol.js';
 
-const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-const CONNECT_TIMEOUT_MS = 1000;
-
-/** Answer of a query. `failed` covers transport errors, other statuses and answers that break the protocol. */
-export type EngineAnswer<T> =
-	| {readonly kind: 'answered'; readonly value: T}
-	| {readonly kind: 'failed'; readonly message: string};
-
 /** `stale`: the engine has seen the fencing number `highest`, which is larger. */
 export type OrderOutcome =
 	| {readonly kind: 'accepted'}
@@ -94,16 +86,10 @@
 /** Calls engines over HTTP. Each stream and each segment has a connection of its own; queries share connections. */
 export class EngineClient implements EngineStreams {
 	static create(): EngineClient {
-		return new EngineClient(new Agent({
-			connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0, maxResponseSize: MAX_ANSWER_BYTES,
-		}));
+		return new EngineClient();
 	}
 
-	readonly #agent: Agent;
-
-	private constructor(agent: Agent) {
-		this.#agent = agent;
-	}
+	readonly #queries = QueryClient.create();
 
 	async start(address: string, request: StreamRequest, options: EngineCallOptions): Promise<StartOutcome> {
 		const opened = await openConnection(address, {method: 'POST', path: '/v1/streams', body: request}, options);
@@ -143,32 +129,32 @@
 	}
 
 	async cancelStream(address: string, id: string, options: EngineCallOptions): Promise<CancelOutcome> {
-		return this.#remove(address, `/v1/streams/${encodeURIComponent(id)}`, options);
+		return this.#queries.remove(address, `/v1/streams/${encodeURIComponent(id)}`, options);
 	}
 
 	async freeSegment(address: string, id: string, options: EngineCallOptions): Promise<CancelOutcome> {
-		return this.#remove(address, `/v1/segments/${encodeURIComponent(id)}`, options);
+		return this.#queries.remove(address, `/v1/segments/${encodeURIComponent(id)}`, options);
 	}
 
-	async health(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineHealth>> {
-		return this.#query(address, '/health', engineHealthSchema, options);
+	async health(address: string, options: EngineCallOptions): Promise<QueryAnswer<EngineHealth>> {
+		return this.#queries.query(address, '/health', engineHealthSchema, options);
 	}
 
-	async load(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineLoad>> {
-		return this.#query(address, '/load', engineLoadSchema, options);
+	async load(address: string, options: EngineCallOptions): Promise<QueryAnswer<EngineLoad>> {
+		return this.#queries.query(address, '/load', engineLoadSchema, options);
 	}
 
-	async listing(address: string, options: EngineCallOptions): Promise<EngineAnswer<EngineListing>> {
-		return this.#query(address, '/v1/streams', engineListingSchema, options);
+	async listing(address: string, options: EngineCallOptions): Promise<QueryAnswer<EngineListing>> {
+		return this.#queries.query(address, '/v1/streams', engineListingSchema, options);
 	}
 
 	/** Prefix cache changes with a sequence number above `after`. */
-	async cacheEvents(address: string, after: number, options: EngineCallOptions): Promise<EngineAnswer<CacheEvents>> {
-		return this.#query(address, `/cache-events?after=${after}`, cacheEventsSchema, options);
+	async cacheEvents(address: string, after: number, options: EngineCallOptions): Promise<QueryAnswer<CacheEvents>> {
+		return this.#queries.query(address, `/cache-events?after=${after}`, cacheEventsSchema, options);
 	}
 
 	async order(address: string, order: EngineOrder, options: EngineCallOptions): Promise<OrderOutcome> {
-		return this.#request(address, {method: 'POST', path: '/v1/orders', body: JSON.stringify(order)}, options, async ({statusCode, body}): Promise<OrderOutcome> => {
+		return this.#queries.call(address, {method: 'POST', path: '/v1/orders', body: JSON.stringify(order)}, options, async ({statusCode, body}): Promise<OrderOutcome> => {
 			if (statusCode === 409) {
 				return {kind: 'stale', highest: staleSchema.parse(await body.json()).highest};
 			}
@@ -180,44 +166,6 @@
 
 	/** Ends all queries under way. Connections of streams end with their streams. */
 	async close(): Promise<void> {
-		await this.#agent.destroy();
-	}
-
-	async #query<T>(address: string, path: string, schema: z.ZodType<T>, options: EngineCallOptions): Promise<EngineAnswer<T>> {
-		return this.#request(address, {method: 'GET', path}, options, async ({statusCode, body}): Promise<EngineAnswer<T>> => {
-			if (statusCode !== 200) {
-				await body.dump();
-				return {kind: 'failed', message: `GET ${path} answered with status ${statusCode}`};
-			}
-
-			return {kind: 'answered', value: schema.parse(await body.json())};
-		});
-	}
-
-	async #remove(address: string, path: string, options: EngineCallOptions): Promise<CancelOutcome> {
-		const outcome = await this.#request(address, {method: 'DELETE', path}, options, async ({statusCode, body}): Promise<CancelOutcome> => {
-			await body.dump();
-			return statusCode === 204 ? {kind: 'cancelled'} : {kind: 'unreachable', message: `DELETE ${path} answered with status ${statusCode}`};
-		});
-		return outcome.kind === 'failed' ? {kind: outcome.refused ? 'refused' : 'unreachable', message: outcome.message} : outcome;
-	}
-
-	/** Sends a request on a shared connection and reads its answer within the time limit. */
-	async #request<T>(
-		address: string,
-		request: {readonly method: 'GET' | 'POST' | 'DELETE'; readonly path: string; readonly body?: string},
-		options: EngineCallOptions,
-		read: (response: Dispatcher.ResponseData) => Promise<T>,
-	): Promise<T | {readonly kind: 'failed'; readonly message: string; readonly refused: boolean}> {
-		try {
-			return await withTimeLimit(options, async signal => read(await this.#agent.request({
-				origin: `http://${address}`,
-				...request,
-				headers: request.body === undefined ? {} : {'content-type': 'application/json'},
-				signal,
-			})));
-		} catch (err) {
-			return {kind: 'failed', message: messageOf(err), refused: (err as NodeJS.ErrnoException).code === 'ECONNREFUSED'};
-		}
+		await this.#queries.close();
 	}
 }
