Test at-most-once execution over faults and random interleavings

Cause: the claim path had no run behind it. Settlements to a peer that does not answer are given up after 5 s and tried elsewhere.

--- a/src/operations/claim-layout.ts
+++ b/src/operations/claim-layout.ts
@@ -6,7 +6,7 @@
 import {z} from 'zod';
 import type {ObjectApi} from '../platform/object-api.js';
 import type {Configuration} from '../configuration/schema.js';
-import {pause} from '../util/pause.js';
+import {wait} from '../util/wait.js';
 
 const LAYOUT_KEY = 'claims/layout';
 const CALL_TIMEOUT_MS = 1000;
@@ -54,7 +54,7 @@
 		while (this.#layout === undefined && !timeout.aborted) {
 			this.#layout = await this.#readOrRecord(wallNow, timeout);
 			if (this.#layout === undefined) {
-				await pause(RETRY_PAUSE_MS, timeout);
+				await wait(RETRY_PAUSE_MS, timeout);
 			}
 		}
 
--- a/src/operations/claim-partition.ts
+++ b/src/operations/claim-partition.ts
@@ -6,7 +6,7 @@
 import type {ObjectApi} from '../platform/object-api.js';
 import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
-import {pause} from '../util/pause.js';
+import {wait} from '../util/wait.js';
 import {ClaimState, type ClaimMessage, type MessageAnswer} from './claim-state.js';
 
 const CALL_TIMEOUT_MS = 1000;
@@ -115,7 +115,7 @@
 			const progress = await this.#round();
 			this.#pauseMs = progress ? RETRY_PAUSE_MS : Math.min(MAX_RETRY_PAUSE_MS, this.#pauseMs * 2);
 			if (!progress) {
-				await pause(this.#pauseMs * (0.5 + (Math.random() / 2)), this.#closing.signal);
+				await wait(this.#pauseMs * (0.5 + (Math.random() / 2)), this.#closing.signal);
 			}
 
 			this.#expire();
@@ -143,9 +143,9 @@
 			return true;
 		}
 
-		const wait = this.#lastWriteAt + this.#options.minimumWriteIntervalMs - this.#clock();
-		if (wait > 0) {
-			await pause(wait, this.#closing.signal);
+		const intervalLeftMs = this.#lastWriteAt + this.#options.minimumWriteIntervalMs - this.#clock();
+		if (intervalLeftMs > 0) {
+			await wait(intervalLeftMs, this.#closing.signal);
 			this.#expire();
 			return true;
 		}
--- a/src/operations/claim-retention.ts
+++ b/src/operations/claim-retention.ts
@@ -6,7 +6,7 @@
 import type {Directory} from '../membership/directory.js';
 import type {ObjectApi, WriteCondition} from '../platform/object-api.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
-import {pause} from '../util/pause.js';
+import {wait} from '../util/wait.js';
 import {chooseNode} from '../util/rendezvous.js';
 import {
 	CLAIM_BUCKET_MS, claimBucket, type ClaimLayout, type ClaimLayoutStore,
@@ -70,7 +70,7 @@
 				await this.#sweep(layout);
 			}
 
-			await pause(idlePauseMs, this.#closing.signal);
+			await wait(idlePauseMs, this.#closing.signal);
 		}
 	}
 
@@ -98,7 +98,7 @@
 			complete = await this.#deleteBucket(untilMs);
 			untilMs += complete ? CLAIM_BUCKET_MS : 0;
 			sinceRecord++;
-			await pause(bucketPauseMs, this.#closing.signal);
+			await wait(bucketPauseMs, this.#closing.signal);
 		}
 
 		if (untilMs > progress.untilMs) {
--- a/src/operations/operation-claims.ts
+++ b/src/operations/operation-claims.ts
@@ -7,13 +7,15 @@
 	Claim, ClaimAnswer, PeerService, Settle,
 } from '../peer/protocol.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
-import {pause} from '../util/pause.js';
+import {wait} from '../util/wait.js';
 import {chooseNode} from '../util/rendezvous.js';
 import {claimObjectKey, type ClaimLayout, type ClaimLayoutStore} from './claim-layout.js';
 import type {ClaimRelay} from './claim-relay.js';
 
 const RELAY_TIMEOUT_MS = 1000;
 const LAYOUT_TIMEOUT_MS = 1000;
+/** Longer than a relay tries to record a settlement. */
+const SETTLE_TIMEOUT_MS = 5000;
 const FIRST_SETTLE_PAUSE_MS = 100;
 const MAX_SETTLE_PAUSE_MS = 5000;
 const MAX_PENDING_SETTLES = 10_000;
@@ -96,7 +98,7 @@
 		const timeout = new AbortController();
 		await Promise.race([
 			Promise.all(this.#pending),
-			pause(timeoutMs, timeout.signal),
+			wait(timeoutMs, timeout.signal),
 		]);
 		timeout.abort();
 	}
@@ -129,7 +131,7 @@
 			}
 
 			relayFirst = !relayFirst;
-			await pause(pauseMs, this.#closing.signal);
+			await wait(pauseMs, this.#closing.signal);
 			pauseMs = Math.min(MAX_SETTLE_PAUSE_MS, pauseMs * 2);
 		}
 
@@ -144,13 +146,32 @@
 	async #settleOnce(settle: Settle, relayFirst: boolean): Promise<boolean> {
 		try {
 			const relay = relayFirst ? await this.#relayOf(settle) : undefined;
-			await (relay ? this.#options.peer(relay.peerAddress).settle(settle) : this.#options.relay.settle(settle));
-			return true;
+			return await this.#settleAt(relay ? this.#options.peer(relay.peerAddress) : this.#options.relay, settle);
 		} catch {
 			return false;
 		}
 	}
 
+	/** Gives up waiting after a time, since a peer's connection can stall. Settling twice does no harm. */
+	async #settleAt(target: Pick<ClaimPeer, 'settle'>, settle: Settle): Promise<boolean> {
+		const waiting = new AbortController();
+		const settled = async () => {
+			await target.settle(settle);
+			return true;
+		};
+
+		const limit = async () => {
+			await wait(SETTLE_TIMEOUT_MS, waiting.signal);
+			return false;
+		};
+
+		try {
+			return await Promise.race([settled(), limit()]);
+		} finally {
+			waiting.abort();
+		}
+	}
+
 	async #isForgotten(settle: Settle): Promise<boolean> {
 		const layout = await this.layout();
 		return layout !== undefined && this.#wallClock() - settle.keyTimeMs > layout.retentionMs;
--- /dev/null
+++ b/tests/operations.test.ts
@@ -0,0 +1,202 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {parseOperationKey} from '../src/operations/operation-key.js';
+import type {PlainResult} from '../src/operations/plain-call.js';
+import {MemoryObjectApi, type WriteFate} from './fixtures/memory-object-api.js';
+import {
+	CountingService, DaemonFleet, ranOf, summaryOf, uuidV7, type Moment,
+} from './fixtures/operation-daemons.js';
+
+const fleets: DaemonFleet[] = [];
+
+function start(options: {readonly checked?: boolean; readonly latencyMs?: number} = {}) {
+	const api = new MemoryObjectApi();
+	const service = new CountingService(options.checked ?? false, () => options.latencyMs ?? 0);
+	const fleet = new DaemonFleet(api, service, 3);
+	fleets.push(fleet);
+	const [a, b, c] = fleet.daemons;
+	return {
+		api, service, fleet, a: a!, b: b!, c: c!, key: uuidV7(Date.now()),
+	};
+}
+
+const total = (service: CountingService): number => [...service.executions.values()].reduce((sum, count) => sum + count, 0);
+
+/** Counts callers that received the answer of the one execution, and those that were told of an earlier request. */
+function answersOf(results: ReadonlyArray<PlainResult | undefined>) {
+	const summaries = results.map(result => summaryOf(result) ?? 'none');
+	return {
+		first: summaries.filter(summary => summary === '201').length,
+		others: summaries.filter(summary => ['operation_in_progress', 'repeated 201'].includes(summary)).length,
+	};
+}
+
+afterEach(() => {
+	for (const fleet of fleets.splice(0)) {
+		fleet.close();
+	}
+});
+
+describe('operation key', () => {
+	const context = {workspace: 'w', service: 's', retentionMs: 1000};
+	const now = 1_800_000_000_000;
+
+	it.each([
+		['no key', undefined, 'operation_key_invalid', 'not_run'],
+		['a UUID of version 4', '3bbcee75-cecc-4b56-8031-b6641c1ed1f1', 'operation_key_invalid', 'not_run'],
+		['a key more than 5 min ahead', uuidV7(now + 300_001), 'operation_key_invalid', 'not_run'],
+		['a key whose claim may be deleted', uuidV7(now - 1001), 'operation_expired', 'unknown'],
+	])('should refuse %s', (_, header, code, ran) => {
+		expect(parseOperationKey(header, context, now)).toMatchObject({code, ran});
+	});
+
+	it('should tell workspaces and services apart, and not the case of the key', () => {
+		const key = uuidV7(now, 0xAB);
+		const same = parseOperationKey(key.toUpperCase(), context, now);
+		expect(same).toEqual(parseOperationKey(key, context, now));
+		expect(parseOperationKey(key, {...context, workspace: 'v'}, now)).not.toEqual(same);
+		expect(parseOperationKey(key, {...context, service: 't'}, now)).not.toEqual(same);
+	});
+});
+
+describe('operations', () => {
+	it('should run once and answer repeats through any daemon with the stored answer', async () => {
+		const {service, a, b, key} = start();
+		expect(summaryOf(await a.call(key, 'r1'))).toBe('201');
+		await a.claims.drain(2000);
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('repeated 201');
+		expect(summaryOf(await b.call(key, 'r3', 'other body'))).toBe('operation_key_reused');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should run once when two daemons receive it at the same instant', async () => {
+		const {service, a, b, c, key} = start();
+		const results = await Promise.all([a, b, c].map(async (daemon, index) => daemon.call(key, `r${index}`)));
+		expect(answersOf(results)).toEqual({first: 1, others: 2});
+		expect(total(service)).toBe(1);
+	});
+
+	it.each([
+		['between claim and send', 'send', 0],
+		['between send and answer', 'answered', 1],
+	] as const)('should not run again when the daemon dies %s', async (_, moment: Moment, executions) => {
+		const {
+			service, fleet, a, b, key,
+		} = start();
+		a.hooks.act = at => {
+			if (at === moment) {
+				a.kill();
+			}
+		};
+
+		expect(await a.call(key, 'r1')).toBeUndefined();
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('operation_in_progress');
+		for (const daemon of fleet.daemons) {
+			daemon.skewMs = 10_000;
+		}
+
+		expect([summaryOf(await b.call(key, 'r3')), ranOf(await b.call(key, 'r4'))]).toEqual(['operation_in_doubt', 'unknown']);
+		expect(total(service)).toBe(executions);
+	});
+
+	it('should not run again when the daemon dies before its answer is recorded', async () => {
+		const {service, a, b, key} = start();
+		expect(summaryOf(await a.call(key, 'r1'))).toBe('201');
+		a.kill();
+		expect(['operation_in_progress', 'repeated 201']).toContain(summaryOf(await b.call(key, 'r2')));
+		expect(total(service)).toBe(1);
+	});
+
+	it('should send again under the same identity when the holder is gone and the service checks identities', async () => {
+		const {service, a, b, key} = start({checked: true});
+		a.hooks.act = moment => {
+			if (moment === 'answered') {
+				a.kill();
+			}
+		};
+
+		await a.call(key, 'r1');
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
+		expect(total(service)).toBe(1);
+	});
+
+	it.each<[string, WriteFate[]]>([
+		['with effect', ['lost-after-effect']],
+		['without effect', ['lost-before-effect']],
+		['with late effect', ['late']],
+		['several times', ['late', 'lost-after-effect', 'rejected', 'lost-before-effect']],
+	])('should run once when the answer to the claim is lost %s', async (_, fates) => {
+		const {api, service, a, b, key} = start();
+		api.fates.push(...fates);
+		expect(summaryOf(await a.call(key, 'r1'))).toBe('201');
+		await a.claims.drain(2000);
+		// Longer than a late write needs, which must fail by then.
+		await delay(40);
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('repeated 201');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should not send after a pause longer than 2 s, and let a repeat run', async () => {
+		const {service, a, b, key} = start();
+		a.hooks.act = moment => {
+			a.skewMs += moment === 'send' ? 2001 : 0;
+		};
+
+		expect(ranOf(await a.call(key, 'r1'))).toBe('not_run');
+		expect(total(service)).toBe(0);
+		await a.claims.drain(2000);
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should refuse with not_run while the object API is down, and run a repeat afterwards', async () => {
+		const {api, service, a, b, key} = start();
+		await a.claims.layout();
+		api.down = true;
+		expect(await a.call(key, 'r1')).toMatchObject({code: 'claim_unavailable', ran: 'not_run'});
+		expect(total(service)).toBe(0);
+		api.down = false;
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
+	});
+
+	it('should release a claim whose recording was in doubt at the deadline', async () => {
+		const {api, service, a, b, key} = start();
+		await a.claims.layout();
+		api.fates.push('lost-then-down');
+		expect(ranOf(await a.call(key, 'r1'))).toBe('not_run');
+		api.down = false;
+		await a.claims.drain(5000);
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should answer unknown when the service loses the answer, and never run again', async () => {
+		const {service, a, b, key} = start();
+		service.fates.push('lost');
+		expect(await a.call(key, 'r1')).toMatchObject({code: 'backend_failed', ran: 'unknown'});
+		expect(ranOf(await b.call(key, 'r2'))).toBe('unknown');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should use another backend server only after proof that the first did not run it', async () => {
+		const {service, a, key} = start();
+		service.fates.push('refused', 'no-connection');
+		expect(summaryOf(await a.call(key, 'r1'))).toBe('201');
+		service.fates.push('refused', 'refused', 'no-connection');
+		expect(ranOf(await a.call(uuidV7(Date.now(), 2), 'r2'))).toBe('not_run');
+		expect(total(service)).toBe(1);
+	});
+
+	it('should claim by its own write when the relay cannot be reached', async () => {
+		const {fleet, service, a, b, c, key} = start();
+		for (const {member} of fleet.daemons) {
+			fleet.cut.add(member.peerAddress);
+		}
+
+		const results = await Promise.all([a, b, c].map(async daemon => daemon.call(key, daemon.member.id)));
+		expect(answersOf(results)).toEqual({first: 1, others: 2});
+		expect(total(service)).toBe(1);
+	});
+});
