--- a/src/operations/claim-partition.ts
+++ b/src/operations/claim-partition.ts
@@ -143,9 +143,9 @@
 			return true;
 		}
 
-		const wait = this.#lastWriteAt + this.#options.minimumWriteIntervalMs - this.#clock();
-		if (wait > 0) {
-			await pause(wait, this.#closing.signal);
+		const intervalLeftMs = this.#lastWriteAt + this.#options.minimumWriteIntervalMs - this.#clock();
+		if (intervalLeftMs > 0) {
+			await pause(intervalLeftMs, this.#closing.signal);
 			this.#expire();
 			return true;
 		}
