--- /dev/null
+++ b/src/capacity/backend-server-state.ts
@@ -0,0 +1,381 @@
+/** What a coordinator knows of one backend server, and what it may still grant there. */
+import type {EngineListing} from '../backend/engine-protocol.js';
+import {isLong, lengthClassOf} from '../util/length-class.js';
+import {PrefillBacklog} from './prefill-backlog.js';
+import {parseReservationId} from './reservation-id.js';
+import {
+	count, type Demand, emptyTotals, type Held, type HeldState, type LoadTotals,
+} from './server-load.js';
+import {type ServerLimits, ServerWarmth} from './server-warmth.js';
+import {type GrantMode, usableShare} from './usable-share.js';
+
+/** Oldest `/health` answer on which a request above the cold limit may be sent. */
+export const PROBE_MAX_AGE_MS = 50;
+
+const BACK_OFF_MIN_MS = 250;
+const BACK_OFF_MAX_MS = 30_000;
+
+/** Ids that were released are remembered this long, since a listing under way may still show them. */
+const RELEASED_MEMORY_MS = 5000;
+const RELEASED_MEMORY_ITEMS = 256;
+
+/**
+ * Whether a demand fits now.
+ * - `probe`: it would, after a fresh answer of `/health` that says warm
+ * - `exclusive`: it would, as soon as nothing else is unacknowledged
+ */
+export type Fit = 'yes' | 'no' | 'probe' | 'exclusive';
+
+/** A load report of an engine or a plain service. */
+export type LoadReport = {
+	readonly boot: string;
+	readonly warm: boolean;
+	readonly ageMs: number;
+	readonly runningRequests: number;
+	readonly pendingPrefillTokens?: number;
+};
+
+export type BackendServerOptions = {
+	readonly id: string;
+	readonly address: string;
+	readonly limits: ServerLimits;
+	/** Engines list what they run; plain services only count it. */
+	readonly listable: boolean;
+};
+
+/** All times are monotonic ms of this daemon. The limits hold whatever the order of calls. */
+export class BackendServerState {
+	static create(options: BackendServerOptions): BackendServerState {
+		return new BackendServerState(options);
+	}
+
+	readonly id: string;
+	address: string;
+	leaving = false;
+	/** Demand that waits for this server: other demands are granted only if this one still fits afterwards. */
+	hold: Demand | undefined;
+	/** Reservation that waits until nothing else is unacknowledged here; others are not granted meanwhile. */
+	exclusiveFor: string | undefined;
+	readonly #listable: boolean;
+	readonly #held = new Map<string, Held>();
+	readonly #released = new Map<string, number>();
+	readonly #warmth = new ServerWarmth();
+	#limits: ServerLimits;
+	readonly #totals: LoadTotals = emptyTotals();
+	#backlog: PrefillBacklog;
+	/** Running requests of a plain service that no reservation explains. */
+	#untracked = 0;
+	/** Whether what ran before this coordinator came into office is known. */
+	#accounted = false;
+	#warmProbeAtMs = -Infinity;
+	#failures = 0;
+	#retryAtMs = -Infinity;
+
+	private constructor(options: BackendServerOptions) {
+		this.id = options.id;
+		this.address = options.address;
+		this.#listable = options.listable;
+		this.#limits = options.limits;
+		this.#backlog = new PrefillBacklog(options.limits.prefillTokensPerSecond);
+	}
+
+	get totals(): Readonly<LoadTotals> {
+		return this.#totals;
+	}
+
+	get limits(): ServerLimits {
+		return this.#limits;
+	}
+
+	/** Whether a listing (or load report of a plain service) is needed. */
+	get needsListing(): boolean {
+		return !this.#accounted || this.#totals.orphans > 0;
+	}
+
+	/** Whether grants are possible at all: accounted for, staying, and not backing off. */
+	isUsable(now: number): boolean {
+		return this.#accounted && !this.leaving && now >= this.#retryAtMs;
+	}
+
+	isBackingOff(now: number): boolean {
+		return now < this.#retryAtMs;
+	}
+
+	isPrefilled(id: string): boolean {
+		return this.#held.get(id)?.state === 'prefilled';
+	}
+
+	/** What a reservation holds here while its turn has not come; undefined in any other state. */
+	inactiveDemand(id: string): Demand | undefined {
+		const held = this.#held.get(id);
+		return held?.state === 'inactive' ? held.demand : undefined;
+	}
+
+	setLimits(limits: ServerLimits): void {
+		if (limits.prefillTokensPerSecond !== this.#limits.prefillTokensPerSecond) {
+			this.#backlog = new PrefillBacklog(limits.prefillTokensPerSecond);
+		}
+
+		this.#limits = limits;
+	}
+
+	/** Limit on requests and prefill tokens at `now`; the cold limit while `recovering`. */
+	limitAt(now: number, recovering: boolean): ServerLimits['warm'] {
+		return recovering ? this.#limits.cold : this.#warmth.limit(this.#limits, now);
+	}
+
+	/** KV tokens that a demand could use now, without regard to the other limits. */
+	freeKvTokens(mode: GrantMode): number {
+		return Math.max(0, usableShare(this.#limits.kvTokens, mode) - this.#totals.kvTokens - (this.hold?.kvTokens ?? 0));
+	}
+
+	/** Whether `demand` may be granted. A demand that is this server's hold, or the turn of an inactive member, ignores the hold. */
+	canAccept(demand: Demand, mode: GrantMode, now: number, recovering: boolean): Fit {
+		const reservedForOther = this.exclusiveFor !== undefined && this.exclusiveFor !== demand.id;
+		if (!this.isUsable(now) || reservedForOther) {
+			return 'no';
+		}
+
+		const inactive = this.#held.get(demand.id);
+		const hold = this.hold?.id === demand.id || inactive ? undefined : this.hold;
+		const limit = this.limitAt(now, recovering);
+		const totals = this.#totals;
+		const requests = totals.requests + this.#untracked + (inactive ? 0 : 1) + (hold ? 1 : 0);
+		const prefillTokens = totals.prefillTokens + demand.prefillTokens + (hold?.prefillTokens ?? 0);
+		const kvTokens = totals.kvTokens + (inactive ? 0 : demand.kvTokens) + (hold?.kvTokens ?? 0);
+		const fits = requests <= usableShare(limit.requests, mode)
+			&& prefillTokens <= usableShare(limit.prefillTokens, mode)
+			&& kvTokens <= usableShare(this.#limits.kvTokens, mode);
+		return fits ? this.#fitsUnacknowledged(demand, mode, now) : 'no';
+	}
+
+	/** Whether memory for `demand` may be reserved for later use, without prefill now. */
+	canHold(demand: Demand, mode: GrantMode, now: number, recovering: boolean): boolean {
+		const hold = this.hold?.id === demand.id ? undefined : this.hold;
+		const requests = this.#totals.requests + this.#untracked + 1 + (hold ? 1 : 0);
+		const kvTokens = this.#totals.kvTokens + demand.kvTokens + (hold?.kvTokens ?? 0);
+		return this.isUsable(now)
+			&& requests <= usableShare(this.limitAt(now, recovering).requests, mode)
+			&& kvTokens <= usableShare(this.#limits.kvTokens, mode);
+	}
+
+	/** Records a grant. The caller has checked {@link canAccept}. */
+	reserve(demand: Demand, state: 'inactive' | 'unacknowledged', now: number): void {
+		this.#put({demand, state, sinceMs: now});
+		if (state === 'unacknowledged') {
+			this.#backlog.add(demand.rank, demand.prefillTokens, now);
+			this.#warmProbeAtMs = demand.prefillTokens > this.#limits.cold.prefillTokens ? -Infinity : this.#warmProbeAtMs;
+		}
+	}
+
+	/** Counts a reservation that a daemon reported, whether or not it fits. */
+	register(demand: Demand, state: HeldState, now: number): void {
+		this.#put({demand, state, sinceMs: now});
+	}
+
+	/** The backend server accepted the request: its headers state boot id and warmth. */
+	acknowledge(id: string, answer: {readonly boot: string; readonly warm: boolean}, now: number): void {
+		this.#warmth.observe(answer.boot, answer.warm, now);
+		this.#failures = 0;
+		this.#retryAtMs = -Infinity;
+		this.markAcknowledged(id, now);
+	}
+
+	/** The backend server accepted the request; what its headers stated is not known. */
+	markAcknowledged(id: string, now: number): void {
+		const held = this.#held.get(id);
+		if (held?.state === 'unacknowledged') {
+			this.#put({...held, state: 'acknowledged', sinceMs: now});
+		}
+	}
+
+	/** The prompt of a reservation no longer counts as prefill. */
+	markPrefilled(id: string): void {
+		const held = this.#held.get(id);
+		if (held && held.state !== 'prefilled' && held.state !== 'inactive') {
+			this.#put({...held, state: 'prefilled'});
+		}
+	}
+
+	/** Ends a reservation. Failures without an answer let the server rest for a growing time. */
+	release(id: string, failed: boolean, now: number): void {
+		const held = this.#held.get(id);
+		if (!held) {
+			return;
+		}
+
+		this.#remove(id);
+		this.#remember(id, now);
+		if (failed) {
+			this.noteFailure(now);
+		}
+	}
+
+	/** The server did not answer or failed: no grants for a time that doubles with each failure in a row. */
+	noteFailure(now: number): void {
+		this.#failures++;
+		this.#retryAtMs = now + Math.min(BACK_OFF_MAX_MS, BACK_OFF_MIN_MS * (2 ** (this.#failures - 1)));
+	}
+
+	/** Nobody answers for the reservation any more; it counts until the server is known to have dropped it. */
+	orphan(id: string, now: number): void {
+		const held = this.#held.get(id);
+		if (held) {
+			this.#put({...held, orphanedAtMs: now});
+		}
+	}
+
+	/** Takes over an answer of `/health` that was asked for at `requestedAtMs`. */
+	applyHealth(health: {readonly boot: string; readonly warm: boolean}, requestedAtMs: number, now: number): void {
+		this.#warmth.observe(health.boot, health.warm, now);
+		this.#warmProbeAtMs = health.warm ? requestedAtMs : -Infinity;
+	}
+
+	/** Takes over a load report; one that is older than the last change of boot or warmth is ignored. */
+	applyLoad(report: LoadReport, now: number): void {
+		const takenAtMs = now - report.ageMs;
+		if (takenAtMs <= this.#warmth.changedAtMs) {
+			return;
+		}
+
+		this.#warmth.observe(report.boot, report.warm, now);
+		if (report.pendingPrefillTokens !== undefined) {
+			this.#applyPending(report.pendingPrefillTokens, takenAtMs, now);
+		}
+
+		if (!this.#listable) {
+			this.#applyRunning(report.runningRequests, takenAtMs);
+		}
+	}
+
+	/** Takes over an engine's listing that was asked for at `requestedAtMs`. What it shows and no daemon claims becomes an orphan. */
+	applyListing(listing: EngineListing, requestedAtMs: number, now: number): void {
+		this.#warmth.observe(listing.boot, listing.warm, now);
+		this.#forgetReleased(now);
+		const shown = new Set<string>();
+		for (const stream of listing.streams) {
+			const prefilling = stream.state === 'queued' || stream.state === 'prefill';
+			const id = this.#applyListed(stream.id, {prefillTokens: prefilling ? stream.promptTokens : 0, kvTokens: stream.kvTokens}, now);
+			shown.add(id);
+			if (!prefilling) {
+				this.markPrefilled(id);
+			}
+		}
+
+		for (const segment of listing.segments) {
+			shown.add(this.#applyListed(segment.id, {prefillTokens: 0, kvTokens: segment.kvTokens}, now));
+		}
+
+		for (const [id, held] of this.#held) {
+			if (held.orphanedAtMs !== undefined && held.orphanedAtMs < requestedAtMs && !shown.has(id)) {
+				this.#remove(id);
+			}
+		}
+
+		this.#accounted = true;
+	}
+
+	/** Starts the slow start again when the failure domain returns. */
+	restartRamp(now: number): void {
+		this.#warmth.restartRamp(now);
+	}
+
+	/** Estimated time to the first token in ms. */
+	estimateMs(rank: number, tokens: number, now: number): number {
+		return this.#backlog.estimateMs(rank, tokens, now);
+	}
+
+	#fitsUnacknowledged(demand: Demand, mode: GrantMode, now: number): Fit {
+		const {cold} = this.#limits;
+		const coldTokens = usableShare(cold.prefillTokens, mode);
+		const requests = this.#totals.unacknowledgedRequests + 1;
+		if (requests <= usableShare(cold.requests, mode) && this.#totals.unacknowledgedTokens + demand.prefillTokens <= coldTokens) {
+			return 'yes';
+		}
+
+		// What another coordinator has unacknowledged is not known, so the exception needs the whole limit.
+		const alone = mode.kind === 'full' && mode.unconfirmed === 0;
+		if (demand.prefillTokens <= cold.prefillTokens || !alone) {
+			return 'no';
+		}
+
+		if (this.#totals.unacknowledgedRequests > 0) {
+			return 'exclusive';
+		}
+
+		return now - this.#warmProbeAtMs < PROBE_MAX_AGE_MS ? 'yes' : 'probe';
+	}
+
+	#applyPending(pendingTokens: number, takenAtMs: number, now: number): void {
+		let newer = 0;
+		for (const [id, held] of this.#held) {
+			if (held.state === 'unacknowledged' || (held.state === 'acknowledged' && held.sinceMs >= takenAtMs)) {
+				newer += held.demand.prefillTokens;
+			} else if (pendingTokens === 0) {
+				this.markPrefilled(id);
+			}
+		}
+
+		this.#backlog.correct(pendingTokens + newer, now);
+	}
+
+	#applyRunning(runningRequests: number, takenAtMs: number): void {
+		let explained = 0;
+		for (const [id, held] of this.#held) {
+			if (held.orphanedAtMs !== undefined && held.orphanedAtMs < takenAtMs) {
+				// From here on the report counts it, if it still runs.
+				this.#remove(id);
+			} else if (held.state !== 'unacknowledged' && held.sinceMs < takenAtMs) {
+				explained++;
+			}
+		}
+
+		this.#untracked = Math.max(0, runningRequests - explained);
+		this.#accounted = true;
+	}
+
+	/** Returns the id under which the listed item counts. */
+	#applyListed(listedId: string, tokens: {readonly prefillTokens: number; readonly kvTokens: number}, now: number): string {
+		const id = parseReservationId(listedId)?.reservation ?? listedId;
+		const held = this.#held.get(id);
+		if (!held && !this.#released.has(id)) {
+			const demand: Demand = {
+				id, rank: 0, long: isLong(lengthClassOf(tokens.prefillTokens)), ...tokens,
+			};
+			this.#put({
+				demand, state: tokens.prefillTokens > 0 ? 'acknowledged' : 'prefilled', sinceMs: now, orphanedAtMs: now,
+			});
+		}
+
+		return id;
+	}
+
+	#remember(id: string, now: number): void {
+		this.#released.set(id, now);
+		if (this.#released.size >= RELEASED_MEMORY_ITEMS) {
+			this.#forgetReleased(now);
+		}
+	}
+
+	#forgetReleased(now: number): void {
+		for (const [id, releasedAtMs] of this.#released) {
+			if (now - releasedAtMs > RELEASED_MEMORY_MS) {
+				this.#released.delete(id);
+			}
+		}
+	}
+
+	#put(held: Held): void {
+		this.#remove(held.demand.id);
+		this.#held.set(held.demand.id, held);
+		count(this.#totals, held, 1);
+	}
+
+	#remove(id: string): void {
+		const held = this.#held.get(id);
+		if (held) {
+			this.#held.delete(id);
+			count(this.#totals, held, -1);
+		}
+	}
+}
--- /dev/null
+++ b/src/capacity/gang.ts
@@ -0,0 +1,94 @@
+/**
+ * Splits a prompt over several engines of a pool. All members are reserved at once or none, so requests never hold
+ * part of what they need while they wait for the rest.
+ */
+import type {BackendServerState} from './backend-server-state.js';
+import type {Demand} from './server-load.js';
+import {type GrantMode, usableShare} from './usable-share.js';
+
+/** A prompt to split. `kvTokens` are the prompt's and the generated tokens; the generated ones go to the last member. */
+export type GangRequest = {
+	readonly demand: Demand;
+	readonly exclude: readonly string[];
+	readonly maxGangSize: number;
+};
+
+/** One engine of a gang with its part of the prompt, in the order of the prompt. */
+export type GangMember = {
+	readonly server: BackendServerState;
+	readonly demand: Demand;
+};
+
+type Room = {
+	readonly server: BackendServerState;
+	readonly kvTokens: number;
+	readonly prefillTokens: number;
+};
+
+/** A room with the tokens that it can take of one prompt. */
+type SizedRoom = Room & {readonly tokens: number};
+
+const FULL: GrantMode = {kind: 'full', unconfirmed: 0};
+
+/** Plans with the memory that is free now. Undefined when it does not suffice. */
+export const planWithFreeMemory = (request: GangRequest, servers: readonly BackendServerState[], mode: GrantMode, now: number): readonly GangMember[] | undefined =>
+	plan(request, permitted(request, servers, now).map(server => ({...roomOf(server, mode), kvTokens: server.freeKvTokens(mode)})));
+
+/** Plans with the whole memory of the engines, the one with most free memory first. */
+export function planWithTotalMemory(request: GangRequest, servers: readonly BackendServerState[], mode: GrantMode, now: number): readonly GangMember[] | undefined {
+	const ordered = permitted(request, servers, now).sort((a, b) => b.freeKvTokens(mode) - a.freeKvTokens(mode));
+	return plan(request, ordered.map(server => roomOf(server, mode)));
+}
+
+/** Whether any permitted set of the engines could hold the prompt when empty and with the full limits. */
+export function couldEverHold(request: GangRequest, servers: readonly BackendServerState[]): boolean {
+	const staying = servers.filter(server => !server.leaving && !request.exclude.includes(server.id));
+	return plan(request, staying.map(server => roomOf(server, FULL))) !== undefined;
+}
+
+const roomOf = (server: BackendServerState, mode: GrantMode): Room => ({
+	server,
+	kvTokens: usableShare(server.limits.kvTokens, mode),
+	prefillTokens: usableShare(server.limits.warm.prefillTokens, mode),
+});
+
+const permitted = (request: GangRequest, servers: readonly BackendServerState[], now: number): BackendServerState[] =>
+	servers.filter(server => server.isUsable(now) && !request.exclude.includes(server.id));
+
+/** Takes the fewest engines that suffice, the roomiest first, and splits the tokens in proportion to their room. */
+function plan(request: GangRequest, rooms: readonly Room[]): readonly GangMember[] | undefined {
+	const {demand, maxGangSize} = request;
+	const generated = demand.kvTokens - demand.prefillTokens;
+	const roomiest: SizedRoom[] = rooms.map(room => ({...room, tokens: Math.min(room.kvTokens, room.prefillTokens)})).sort((a, b) => b.tokens - a.tokens);
+	let total = 0;
+	for (const [index, room] of roomiest.slice(0, maxGangSize).entries()) {
+		const tokens = index === 0 ? Math.min(room.kvTokens, room.prefillTokens + generated) : room.tokens;
+		roomiest[index] = {...room, tokens};
+		total += tokens;
+		if (total >= demand.kvTokens && roomiest[0]!.tokens > generated) {
+			return split(demand, generated, roomiest.slice(0, index + 1), total);
+		}
+	}
+
+	return undefined;
+}
+
+/** The roomiest engine comes last, since it also holds the generated tokens. */
+function split(demand: Demand, generated: number, rooms: readonly SizedRoom[], total: number): readonly GangMember[] {
+	const [last, ...others] = rooms as readonly [SizedRoom, ...SizedRoom[]];
+	const members: GangMember[] = [];
+	const lastKv = Math.max(generated + 1, Math.min(last.tokens, Math.ceil(demand.kvTokens * last.tokens / total)));
+	let kvLeft = demand.kvTokens - lastKv;
+	let roomLeft = total - last.tokens;
+	for (const {server, tokens} of others) {
+		const kvTokens = Math.min(tokens, Math.ceil(kvLeft * tokens / roomLeft));
+		kvLeft -= kvTokens;
+		roomLeft -= tokens;
+		if (kvTokens > 0) {
+			members.push({server, demand: {...demand, prefillTokens: kvTokens, kvTokens}});
+		}
+	}
+
+	const kvTokens = lastKv + kvLeft;
+	return [...members, {server: last.server, demand: {...demand, prefillTokens: kvTokens - generated, kvTokens}}];
+}
--- /dev/null
+++ b/src/capacity/grant-planner.ts
@@ -0,0 +1,174 @@
+/** Finds backend servers for one waiting request, and keeps room for requests that would otherwise be overtaken for ever. */
+import type {BackendServerState, Fit} from './backend-server-state.js';
+import {type GangMember, planWithFreeMemory, planWithTotalMemory} from './gang.js';
+import {isWithinQuota, place, type PlacementContext} from './placement.js';
+import type {PoolServers} from './pool-servers.js';
+import {usableShare} from './usable-share.js';
+import {isAged, type WaitQueue} from './wait-queue.js';
+import {waitingId, type WaitingRequest} from './waiting-request.js';
+
+/** What to do with a waiting request. */
+export type GrantPlan =
+	| {readonly kind: 'grant'; readonly members: readonly GangMember[]}
+	/** Ask `/health` of `server` first. */
+	| {readonly kind: 'probe'; readonly server: BackendServerState}
+	| {readonly kind: 'wait'};
+
+const WAIT: GrantPlan = {kind: 'wait'};
+
+export class GrantPlanner {
+	static create(servers: PoolServers): GrantPlanner {
+		return new GrantPlanner(servers);
+	}
+
+	/** The one request that collects freed memory, and where. Two such requests could hold half each for ever. */
+	#accumulating: {readonly id: string; readonly members: readonly GangMember[]} | undefined;
+
+	private constructor(private readonly servers: PoolServers) {}
+
+	plan(item: WaitingRequest, context: PlacementContext): GrantPlan {
+		if (context.mode.kind === 'none') {
+			return WAIT;
+		}
+
+		return item.message.activate === undefined ? this.#planNew(item, context) : this.#planActivation(item, item.message.activate, context);
+	}
+
+	/** Ends the exclusive use of servers by requests that left the queue or do not fit there any more. */
+	checkExclusive(queue: WaitQueue<WaitingRequest>, {mode, now, recovering}: PlacementContext): void {
+		for (const server of this.servers.all()) {
+			const id = server.exclusiveFor;
+			if (id === undefined) {
+				continue;
+			}
+
+			const item = queue.get(id) ?? queue.get(waitingId({id, activate: server.id}));
+			const demand = this.#accumulating?.id === id ? this.#accumulating.members[0]!.demand : item?.demand;
+			if (!demand || server.canAccept(demand, mode, now, recovering) === 'no') {
+				server.exclusiveFor = undefined;
+			}
+		}
+	}
+
+	/** Gives up what was kept for a request that was granted or left the queue. */
+	forget(item: WaitingRequest): void {
+		if (this.#accumulating?.id === item.id) {
+			this.#stopAccumulating();
+		}
+
+		this.#endExclusive(item);
+	}
+
+	#planNew(item: WaitingRequest, context: PlacementContext): GrantPlan {
+		const {exclude, prefixHashes} = item.message;
+		const placement = place({demand: item.demand, prefixHashes, exclude}, this.servers.all(), context);
+		if (placement.kind === 'placed') {
+			return {kind: 'grant', members: [{server: placement.server, demand: item.demand}]};
+		}
+
+		return placement.kind === 'none' ? this.#planGang(item, context) : this.#waitFor(placement.server, item, placement.kind);
+	}
+
+	#planActivation(item: WaitingRequest, serverId: string, {mode, now, recovering}: PlacementContext): GrantPlan {
+		const server = this.servers.for(serverId);
+		const fit = server.canAccept(item.demand, mode, now, recovering);
+		return this.#follow(fit, [{server, demand: item.demand}], item);
+	}
+
+	#planGang(item: WaitingRequest, context: PlacementContext): GrantPlan {
+		const servers = this.servers.all();
+		const permitted = servers.filter(server => !item.gang.exclude.includes(server.id));
+		if (item.demand.long && !isWithinQuota(permitted, context)) {
+			return WAIT;
+		}
+
+		this.#checkAccumulation(context);
+		const accumulated = this.#accumulating?.id === item.id ? this.#accumulating.members : undefined;
+		const members = accumulated ?? (item.demand.long ? planWithFreeMemory(item.gang, servers, context.mode, context.now) : undefined);
+		const fit = members ? fitOfGang(members, context) : 'no';
+		if (fit === 'no') {
+			this.#accumulate(item, context);
+		}
+
+		return this.#follow(fit, members ?? [], item);
+	}
+
+	#follow(fit: Fit, members: readonly GangMember[], item: WaitingRequest): GrantPlan {
+		switch (fit) {
+			case 'yes': {
+				return {kind: 'grant', members};
+			}
+
+			case 'probe':
+			case 'exclusive': {
+				return this.#waitFor(members[0]!.server, item, fit);
+			}
+
+			case 'no': {
+				return WAIT;
+			}
+		}
+	}
+
+	/** Keeps others away from `server` until the request can go there. */
+	#waitFor(server: BackendServerState, item: WaitingRequest, fit: 'probe' | 'exclusive'): GrantPlan {
+		if (server.exclusiveFor !== item.demand.id) {
+			this.#endExclusive(item);
+			server.exclusiveFor = item.demand.id;
+		}
+
+		return fit === 'probe' ? {kind: 'probe', server} : WAIT;
+	}
+
+	#endExclusive(item: WaitingRequest): void {
+		for (const server of this.servers.all()) {
+			if (server.exclusiveFor === item.demand.id) {
+				server.exclusiveFor = undefined;
+			}
+		}
+	}
+
+	#accumulate(item: WaitingRequest, {mode, now}: PlacementContext): void {
+		const waitsForMemory = item.demand.kvTokens > this.#largestServer() || isAged(item, now);
+		if (this.#accumulating !== undefined || !waitsForMemory) {
+			return;
+		}
+
+		const members = planWithTotalMemory(item.gang, this.servers.all(), mode, now);
+		if (members) {
+			this.#accumulating = {id: item.id, members};
+			for (const {server, demand} of members) {
+				server.hold = demand;
+			}
+		}
+	}
+
+	/** Gives up an accumulation whose servers are no longer usable or, after a change of the lease, no longer large enough. */
+	#checkAccumulation({mode, now}: PlacementContext): void {
+		const impossible = this.#accumulating?.members.some(({server, demand}) =>
+			!server.isUsable(now) || demand.kvTokens > usableShare(server.limits.kvTokens, mode));
+		if (impossible) {
+			this.#stopAccumulating();
+		}
+	}
+
+	#stopAccumulating(): void {
+		for (const {server} of this.#accumulating?.members ?? []) {
+			server.hold = undefined;
+		}
+
+		this.#accumulating = undefined;
+	}
+
+	#largestServer(): number {
+		return Math.max(0, ...this.servers.all().map(({limits}) => Math.min(limits.kvTokens, limits.warm.prefillTokens)));
+	}
+}
+
+/** The first member is used at once; the others only reserve memory until their turn. */
+function fitOfGang(members: readonly GangMember[], {mode, now, recovering}: PlacementContext): Fit {
+	const [first, ...others] = members as readonly [GangMember, ...GangMember[]];
+	const busy = members.some(({server, demand}) => demand.long && server.totals.longPrefills > 0);
+	const held = others.every(({server, demand}) => server.canHold(demand, mode, now, recovering));
+	return busy || !held ? 'no' : first.server.canAccept(first.demand, mode, now, recovering);
+}
--- /dev/null
+++ b/src/capacity/lease-peers.ts
@@ -0,0 +1,68 @@
+/** Questions that the holder of a pool lease asks other daemons. */
+import type {Member, PoolLease} from '../membership/directory.js';
+import type {IncarnationState} from '../membership/member-view.js';
+import type {SeenLease} from '../membership/region-directory.js';
+import type {PromiseRequest, StepDown} from '../peer/protocol.js';
+import {candidateName, LEASE_TTL_MS} from './lease-takeover.js';
+
+/** What the lease needs to know of other daemons. */
+export type LeaseDirectory = {
+	readonly self: Member;
+	readonly membersListedAtMs: number | undefined;
+	members(): readonly Member[];
+	leasesKnown(failureDomain: string): boolean;
+	seenLease(pool: string): SeenLease | undefined;
+	noteLease(pool: string, lease: PoolLease, version: number, now: number): void;
+	incarnationState(id: string, incarnation: string): IncarnationState;
+	refresh(): void;
+};
+
+/** Calls to other daemons about a lease. They reject when the peer does not answer. */
+export type LeasePeers = {
+	stepDown(address: string, message: StepDown): Promise<{readonly confirmed: boolean}>;
+	promise(address: string, message: PromiseRequest): Promise<{readonly promised: boolean}>;
+};
+
+/** A coordinator that was replaced without a release. */
+export type Predecessor = PoolLease['unconfirmed'][number];
+
+/** Identity of a predecessor, with its incarnation. */
+export const predecessorName = ({owner, incarnation}: Predecessor): string => candidateName({id: owner, incarnation});
+
+type LeaseContext = {
+	readonly directory: LeaseDirectory;
+	readonly peers: LeasePeers;
+};
+
+/** Asks every candidate not to take over for one TTL. True when all of them promised. */
+export async function askForPromises({directory, peers}: LeaseContext, lease: PoolLease, candidates: ReadonlySet<string>): Promise<boolean> {
+	const members = new Map(directory.members().map(member => [candidateName(member), member]));
+	const {id, incarnation, peerAddress} = directory.self;
+	const message: PromiseRequest = {
+		sender: {id, incarnation, peerAddress}, pool: lease.pool, epoch: lease.epoch, forMs: LEASE_TTL_MS,
+	};
+	const answers = await Promise.all([...candidates].map(async name => {
+		const address = members.get(name)?.peerAddress;
+		if (address === undefined) {
+			return false;
+		}
+
+		try {
+			const {promised} = await peers.promise(address, message);
+			return promised;
+		} catch {
+			return false;
+		}
+	}));
+	return answers.every(Boolean);
+}
+
+/** Asks a predecessor to confirm that it grants nothing below the epoch of `message`. False when it does not answer. */
+export async function askToStepDown({peers}: LeaseContext, predecessor: Predecessor, message: StepDown): Promise<boolean> {
+	try {
+		const {confirmed} = await peers.stepDown(predecessor.peerAddress, message);
+		return confirmed;
+	} catch {
+		return false;
+	}
+}
--- /dev/null
+++ b/src/capacity/pool-client.ts
@@ -0,0 +1,276 @@
+/** Reserves capacity of pools for the requests of this daemon, wherever their coordinators are. */
+import type {Directory} from '../membership/directory.js';
+import type {
+	Acknowledge, KeepAlive, Release, Reserve, ReserveAnswer, Sender,
+} from '../peer/protocol.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import type {PoolService} from './pool-coordinators.js';
+import {
+	type Activation, PoolReservation, type ReservationLink, type ReservationRequest,
+} from './pool-reservation.js';
+
+const KEEP_ALIVE_INTERVAL_MS = 1000;
+
+/** A grant with less validity left is confirmed first. */
+const LEAST_VALIDITY_MS = 200;
+
+/** Releases that did not reach the coordinator are repeated this often; then the reservation expires there. */
+const RELEASE_ATTEMPTS = 4;
+
+export type PoolClientOptions = {
+	readonly directory: Directory;
+	/** Coordinators in this process. */
+	readonly local: PoolService & {coordinates(pool: string): boolean};
+	/** Client for a peer's address. */
+	readonly peer: (address: string) => PoolService;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** Outcome of a reservation. `unreachable`: no coordinator answered; nothing may be sent. */
+export type ReserveResult =
+	| {readonly kind: 'granted'; readonly reservation: PoolReservation}
+	| Extract<ReserveAnswer, {kind: 'refused'}>
+	| {readonly kind: 'unreachable'; readonly message: string; readonly peer?: string};
+
+type Target = {
+	readonly service: PoolService;
+	/** Address of the coordinator, or `local`. */
+	readonly peer: string;
+};
+
+type PendingRelease = {
+	readonly message: Release;
+	readonly attempts: number;
+};
+
+export class PoolClient implements ReservationLink {
+	static create(options: PoolClientOptions): PoolClient {
+		return new PoolClient(options);
+	}
+
+	readonly #open = new Map<string, PoolReservation>();
+	readonly #keepingAlive = new Set<string>();
+	#pendingReleases: PendingRelease[] = [];
+	readonly #timer: NodeJS.Timeout;
+
+	private constructor(private readonly options: PoolClientOptions) {
+		this.#timer = setInterval(() => {
+			this.#tick();
+		}, KEEP_ALIVE_INTERVAL_MS);
+	}
+
+	/** Number of reservations that were granted and not released. */
+	get openReservations(): number {
+		return this.#open.size;
+	}
+
+	/** Waits until capacity is granted or refused. Aborting `signal` takes the request back. */
+	async reserve(request: ReservationRequest, {signal, now}: {readonly signal: AbortSignal; readonly now: number}): Promise<ReserveResult> {
+		const target = this.#target(request.pool);
+		if (!target) {
+			this.options.directory.refresh();
+			return {kind: 'unreachable', message: `no coordinator is known for pool ${request.pool}`};
+		}
+
+		const message: Reserve = {...request, sender: this.#sender};
+		try {
+			const answer = await withOwnSignal(signal, async own => target.service.reserve(message, own));
+			return answer.kind === 'granted' ? await this.#accept(request, answer, target, now) : this.#refused(answer);
+		} catch (err) {
+			this.#giveBack(message);
+			this.options.directory.refresh();
+			return {kind: 'unreachable', message: err instanceof Error ? err.message : String(err), peer: target.peer};
+		}
+	}
+
+	acknowledge(reservation: PoolReservation, server: string, answer: {readonly boot: string; readonly warm: boolean; readonly prefilled?: boolean}): void {
+		const {id, pool} = reservation;
+		const message: Acknowledge = {
+			sender: this.#sender, pool, id, server, ...answer,
+		};
+		// A lost message is made up for by the next keep-alive.
+		this.#send(pool, async service => service.acknowledge(message));
+	}
+
+	async activate(reservation: PoolReservation, server: string, signal: AbortSignal): Promise<Activation> {
+		const now = this.options.clock();
+		const target = this.#target(reservation.pool);
+		if (!target) {
+			return {kind: 'refused', message: `no coordinator is known for pool ${reservation.pool}`};
+		}
+
+		const message: Reserve = {...reservation.activation(server, now), sender: this.#sender};
+		try {
+			const answer = await withOwnSignal(signal, async own => target.service.reserve(message, own));
+			if (answer.kind === 'refused') {
+				return answer;
+			}
+
+			const validUntilMs = await this.#validUntil(reservation, answer, target, now);
+			return validUntilMs === undefined ? {kind: 'refused', message: `the grant of ${server} came too late`} : {kind: 'activated', validUntilMs};
+		} catch (err) {
+			return {kind: 'refused', message: err instanceof Error ? err.message : String(err)};
+		}
+	}
+
+	release(reservation: PoolReservation, outcome: Release['outcome'], firstTokenMs?: number): void {
+		const {id, pool} = reservation;
+		this.#open.delete(id);
+		void this.#release({
+			message: {
+				sender: this.#sender, pool, id, outcome, firstTokenMs,
+			}, attempts: 0,
+		});
+	}
+
+	/** Stops the keep-alives. Open reservations expire at their coordinators. */
+	async close(): Promise<void> {
+		clearInterval(this.#timer);
+	}
+
+	get #sender(): Sender {
+		const {id, incarnation, peerAddress} = this.options.directory.self;
+		return {id, incarnation, peerAddress};
+	}
+
+	#target(pool: string): Target | undefined {
+		const {local, directory, peer} = this.options;
+		if (local.coordinates(pool)) {
+			return {service: local, peer: 'local'};
+		}
+
+		const lease = directory.poolLease(pool);
+		if (!lease || lease.owner === '' || lease.owner === directory.self.id) {
+			return undefined;
+		}
+
+		return {service: peer(lease.peerAddress), peer: lease.peerAddress};
+	}
+
+	async #accept(request: ReservationRequest, answer: Extract<ReserveAnswer, {kind: 'granted'}>, target: Target, askedAtMs: number): Promise<ReserveResult> {
+		const provisional = new PoolReservation(request, {...answer, validUntilMs: askedAtMs + answer.validForMs}, this, askedAtMs);
+		const validUntilMs = await this.#validUntil(provisional, answer, target, askedAtMs);
+		if (validUntilMs === undefined) {
+			provisional.release('not_sent');
+			return {
+				kind: 'refused', reason: 'not_coordinator', message: `the grant of pool ${request.pool} came too late`, retryAfterMs: 0,
+			};
+		}
+
+		const reservation = new PoolReservation(request, {...answer, validUntilMs}, this, askedAtMs);
+		this.#open.set(reservation.id, reservation);
+		return {kind: 'granted', reservation};
+	}
+
+	/**
+	 * Time until which a grant may be used. A grant that waited in the queue is confirmed first: the coordinator may
+	 * have let it expire while this process was paused. Undefined when it is void.
+	 */
+	async #validUntil(reservation: PoolReservation, answer: {readonly epoch: number; readonly validForMs: number}, target: Target, askedAtMs: number): Promise<number | undefined> {
+		const untilMs = askedAtMs + answer.validForMs;
+		const sentAtMs = this.options.clock();
+		if (untilMs - sentAtMs >= LEAST_VALIDITY_MS) {
+			return untilMs;
+		}
+
+		const confirmed = await target.service.keepAlive({sender: this.#sender, pool: reservation.pool, open: [reservation.open(sentAtMs)]});
+		const held = confirmed.kind === 'accepted' && confirmed.epoch === answer.epoch && !confirmed.unknown?.includes(reservation.id);
+		return held ? sentAtMs + answer.validForMs : undefined;
+	}
+
+	#refused(answer: Extract<ReserveAnswer, {kind: 'refused'}>): ReserveResult {
+		if (answer.reason === 'not_coordinator' || answer.reason === 'draining') {
+			this.options.directory.refresh();
+		}
+
+		return answer;
+	}
+
+	/** The answer was lost or cancelled: a grant that may have been given is not used. */
+	#giveBack({sender, pool, id}: Reserve): void {
+		void this.#release({
+			message: {
+				sender, pool, id, outcome: 'not_sent',
+			}, attempts: RELEASE_ATTEMPTS - 1,
+		});
+	}
+
+	async #release({message, attempts}: PendingRelease): Promise<void> {
+		try {
+			await this.#target(message.pool)?.service.release(message);
+		} catch {
+			if (attempts + 1 < RELEASE_ATTEMPTS) {
+				this.#pendingReleases.push({message, attempts: attempts + 1});
+			}
+		}
+	}
+
+	#send(pool: string, call: (service: PoolService) => Promise<void>): void {
+		const target = this.#target(pool);
+		const send = async (): Promise<void> => {
+			try {
+				await (target && call(target.service));
+			} catch (err) {
+				this.options.logger.debug('pool_message_failed', {pool, peer: target?.peer, message: String(err)});
+			}
+		};
+
+		void send();
+	}
+
+	#tick(): void {
+		const releases = this.#pendingReleases;
+		this.#pendingReleases = [];
+		for (const release of releases) {
+			void this.#release(release);
+		}
+
+		const open = [...this.#open.values()];
+		for (const pool of new Set(open.map(reservation => reservation.pool))) {
+			void this.#keepAlive(pool, open.filter(reservation => reservation.pool === pool));
+		}
+	}
+
+	async #keepAlive(pool: string, reservations: readonly PoolReservation[]): Promise<void> {
+		const target = this.#target(pool);
+		if (!target || this.#keepingAlive.has(pool)) {
+			return;
+		}
+
+		this.#keepingAlive.add(pool);
+		const now = this.options.clock();
+		const message: KeepAlive = {sender: this.#sender, pool, open: reservations.map(reservation => reservation.open(now))};
+		try {
+			const answer = await target.service.keepAlive(message);
+			if (answer.kind === 'not_coordinator') {
+				this.options.directory.refresh();
+			}
+		} catch (err) {
+			this.options.logger.warn('keep_alive_failed', {pool, peer: target.peer, message: String(err)});
+			this.options.directory.refresh();
+		} finally {
+			this.#keepingAlive.delete(pool);
+		}
+	}
+}
+
+/** Passes cancellation on only until the call has ended, so that a later abort does not cancel what was granted. */
+async function withOwnSignal<T>(signal: AbortSignal, call: (own: AbortSignal) => Promise<T>): Promise<T> {
+	const controller = new AbortController();
+	const cancel = () => {
+		controller.abort(signal.reason);
+	};
+
+	signal.addEventListener('abort', cancel);
+	if (signal.aborted) {
+		cancel();
+	}
+
+	try {
+		return await call(controller.signal);
+	} finally {
+		signal.removeEventListener('abort', cancel);
+	}
+}
--- /dev/null
+++ b/src/capacity/pool-coordinator.ts
@@ -0,0 +1,290 @@
+/** Coordinates one pool while this daemon holds its lease. */
+import type {Configuration, Service} from '../configuration/schema.js';
+import type {Host} from '../platform/host-list.js';
+import type {
+	Acknowledge, KeepAlive, KeepAliveAnswer, Release, Reserve, ReserveAnswer,
+} from '../peer/protocol.js';
+import type {IncarnationState} from '../membership/member-view.js';
+import type {PoolLease} from '../membership/directory.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import type {BackendProbe} from './backend-probe.js';
+import {GRANT_VALID_MS, PoolAdmission} from './pool-admission.js';
+import {CoordinatorLease, type PoolLeaseOptions} from './pool-lease.js';
+import {LOAD_INTERVAL_MS, ServerPoller} from './server-poller.js';
+import {waitingId} from './waiting-request.js';
+
+/** Interval at which waiting requests are looked at when nothing else happens. */
+const DISPATCH_INTERVAL_MS = 50;
+
+const EXPIRY_INTERVAL_MS = 500;
+
+/** How often a planned release looks whether everything granted has been acknowledged. */
+const SETTLE_INTERVAL_MS = 10;
+
+export type PoolCoordinatorOptions = {
+	readonly lease: Omit<PoolLeaseOptions, 'onAcquired' | 'onLost'>;
+	readonly service: Service;
+	readonly configuration: Configuration;
+	readonly hosts: () => readonly Host[];
+	readonly incarnationState: (daemon: string, incarnation: string) => IncarnationState;
+	readonly probe: BackendProbe;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** False places long prompts like any other, for comparison. */
+	readonly longPromptQuota: boolean;
+};
+
+/** Work of one epoch. */
+type Term = {
+	readonly admission: PoolAdmission;
+	readonly poller: ServerPoller;
+	readonly waiting: Map<string, (answer: ReserveAnswer) => void>;
+};
+
+export class PoolCoordinator {
+	static create(options: PoolCoordinatorOptions): PoolCoordinator {
+		return new PoolCoordinator(options);
+	}
+
+	readonly pool: string;
+	readonly lease: CoordinatorLease;
+	#term: Term | undefined;
+	#service: Service;
+	#configuration: Configuration;
+	#draining = false;
+	#timers: NodeJS.Timeout[] = [];
+	#dispatchTimer: NodeJS.Timeout | undefined;
+
+	private constructor(private readonly options: PoolCoordinatorOptions) {
+		this.pool = options.lease.pool;
+		this.#service = options.service;
+		this.#configuration = options.configuration;
+		this.lease = CoordinatorLease.create({
+			...options.lease,
+			onAcquired: (lease, clean) => {
+				this.#begin(lease, clean);
+			},
+			onLost: () => {
+				this.#end();
+			},
+		});
+	}
+
+	/** Whether this daemon grants reservations of the pool now. */
+	get coordinates(): boolean {
+		return this.#term !== undefined && this.lease.mode(this.options.clock()).kind !== 'none';
+	}
+
+	/** Summary of the pool while this daemon coordinates it. */
+	summary(now: number) {
+		return this.#term?.admission.summary(now);
+	}
+
+	start(): void {
+		this.lease.start();
+	}
+
+	/** Waits for capacity. Aborting `signal` takes the request back, also when it was granted just before. */
+	async reserve(message: Reserve, signal?: AbortSignal): Promise<ReserveAnswer> {
+		const now = this.options.clock();
+		const term = this.#term;
+		const refused = this.#refusal(message, now);
+		if (!term || refused) {
+			return refused ?? {kind: 'refused', reason: 'not_coordinator', message: `this daemon does not coordinate pool ${this.pool}`};
+		}
+
+		if (signal?.aborted) {
+			term.admission.cancel(message, now);
+			return term.admission.refuse('deadline', 'the caller cancelled the reservation', now);
+		}
+
+		return new Promise(resolve => {
+			const id = waitingId(message);
+			signal?.addEventListener('abort', () => {
+				term.waiting.delete(id);
+				term.admission.cancel(message, this.options.clock());
+				resolve(term.admission.refuse('deadline', 'the caller cancelled the reservation', this.options.clock()));
+				this.#dispatch();
+			}, {once: true});
+			term.waiting.set(id, resolve);
+			this.#dispatch();
+		});
+	}
+
+	acknowledge(message: Acknowledge): void {
+		this.#term?.admission.acknowledge(message, this.options.clock());
+		this.#dispatch();
+	}
+
+	release(message: Release): void {
+		this.#term?.admission.release(message, this.options.clock());
+		this.#dispatch();
+	}
+
+	keepAlive(message: KeepAlive): KeepAliveAnswer {
+		const now = this.options.clock();
+		if (!this.#term || this.lease.mode(now).kind === 'none') {
+			return {kind: 'not_coordinator', epoch: this.lease.epoch ?? 0};
+		}
+
+		const {admission} = this.#term;
+		return {kind: 'accepted', epoch: admission.epoch, unknown: admission.keepAlive(message, now)};
+	}
+
+	/** Follows a change of the configuration. */
+	setConfiguration(service: Service, configuration: Configuration, now: number): void {
+		const wasOut = this.#isOut();
+		this.#service = service;
+		this.#configuration = configuration;
+		this.#term?.admission.setConfiguration(service, configuration, now);
+		if (this.#isOut()) {
+			this.#refuseWaiting('domain_out', `failure domain ${this.options.lease.failureDomain} is out`, now);
+		} else if (wasOut) {
+			this.#term?.admission.restartRamps(now);
+		}
+
+		this.#dispatch();
+	}
+
+	/** Refuses new work, waits shortly until granted requests are acknowledged, and gives the lease up. */
+	async drain(): Promise<void> {
+		const {clock} = this.options;
+		this.#draining = true;
+		this.lease.drain();
+		this.#refuseWaiting('draining', `the coordinator of pool ${this.pool} shuts down`, clock());
+		const untilMs = clock() + GRANT_VALID_MS;
+		while ((this.#term?.admission.unacknowledged ?? 0) > 0 && clock() < untilMs) {
+			await new Promise(resolve => {
+				setTimeout(resolve, SETTLE_INTERVAL_MS);
+			});
+		}
+
+		await this.lease.release((this.#term?.admission.unacknowledged ?? 0) === 0);
+	}
+
+	/** Ends all activity without giving the lease up. */
+	async close(): Promise<void> {
+		await this.lease.close();
+		this.#end();
+	}
+
+	#refusal(message: Reserve, now: number): ReserveAnswer | undefined {
+		const admission = this.#term?.admission;
+		if (!admission) {
+			return undefined;
+		}
+
+		// The turn of a gang member belongs to a request that runs already.
+		const isNew = message.activate === undefined;
+		if (isNew && this.#draining) {
+			return admission.refuse('draining', `the coordinator of pool ${this.pool} shuts down`, now);
+		}
+
+		if (isNew && this.#isOut()) {
+			return admission.refuse('domain_out', `failure domain ${this.options.lease.failureDomain} is out`, now);
+		}
+
+		return admission.admit(message, this.lease.mode(now), now);
+	}
+
+	#begin(lease: PoolLease, clean: boolean): void {
+		const {clock, probe, logger, incarnationState} = this.options;
+		this.#end();
+		const admission = PoolAdmission.create({
+			pool: this.pool,
+			epoch: lease.epoch,
+			service: this.#service,
+			configuration: this.#configuration,
+			clean,
+			longPromptQuota: this.options.longPromptQuota,
+			startedAtMs: clock(),
+		});
+		const poller = ServerPoller.create({
+			kind: this.#service.kind,
+			admission,
+			probe,
+			incarnationState,
+			clock,
+			logger,
+			onProgress: () => {
+				this.#dispatch();
+			},
+		});
+		this.#term = {admission, poller, waiting: new Map()};
+		this.#timers = [setInterval(() => {
+			this.#poll();
+		}, LOAD_INTERVAL_MS), setInterval(() => {
+			this.#expire();
+		}, EXPIRY_INTERVAL_MS)];
+		this.#poll();
+	}
+
+	#end(): void {
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
+		clearTimeout(this.#dispatchTimer);
+		this.#dispatchTimer = undefined;
+		this.#term?.poller.close();
+		this.#refuseWaiting('not_coordinator', `this daemon no longer coordinates pool ${this.pool}`, this.options.clock());
+		this.#term = undefined;
+	}
+
+	#poll(): void {
+		const term = this.#term;
+		term?.admission.servers.applyHosts(this.options.hosts());
+		term?.poller.poll();
+		this.#dispatch();
+	}
+
+	#expire(): void {
+		const now = this.options.clock();
+		for (const {id, sender} of this.#term?.admission.expire(now) ?? []) {
+			this.options.logger.warn('reservation_expired', {pool: this.pool, reservation: id, peer: sender.peerAddress});
+		}
+	}
+
+	#refuseWaiting(reason: 'domain_out' | 'draining' | 'not_coordinator', message: string, now: number): void {
+		const term = this.#term;
+		for (const id of term?.admission.abandonQueue(now) ?? []) {
+			this.#answer(id, term!.admission.refuse(reason, message, now));
+		}
+	}
+
+	#dispatch(): void {
+		const term = this.#term;
+		if (!term) {
+			return;
+		}
+
+		const now = this.options.clock();
+		const {answers, probes} = term.admission.dispatch(this.lease.mode(now), now);
+		for (const {id, answer} of answers) {
+			this.#answer(id, answer);
+		}
+
+		for (const server of probes) {
+			void term.poller.probeHealth(server);
+		}
+
+		if (term.admission.queued > 0) {
+			this.#dispatchTimer ??= setTimeout(() => {
+				this.#dispatchTimer = undefined;
+				this.#dispatch();
+			}, DISPATCH_INTERVAL_MS);
+		}
+	}
+
+	#answer(id: string, answer: ReserveAnswer): void {
+		const resolve = this.#term?.waiting.get(id);
+		this.#term?.waiting.delete(id);
+		resolve?.(answer);
+	}
+
+	#isOut(): boolean {
+		const domain = this.#configuration.failureDomains.find(({name}) => name === this.options.lease.failureDomain);
+		return domain?.state !== 'in';
+	}
+}
--- /dev/null
+++ b/src/capacity/pool-lease.ts
@@ -0,0 +1,374 @@
+/**
+ * The lease of one pool: acquired, renewed, taken over and released with conditional updates.
+ *
+ * The holder counts the TTL from before it sent the renewal, others from after they saw it, so a takeover never
+ * precedes the end of the holder's TTL, provided that monotonic clocks run at the same rate.
+ */
+import {type Member, type PoolLease, poolLeaseSchema} from '../membership/directory.js';
+import type {SeenLease} from '../membership/region-directory.js';
+import type {ObjectApi, WriteCondition} from '../platform/object-api.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import {rankNodes} from '../util/rendezvous.js';
+import {
+	askForPromises, askToStepDown, type LeaseDirectory, type LeasePeers, type Predecessor, predecessorName,
+} from './lease-peers.js';
+import {
+	chooseCandidates, DISCONNECTED_MAX_MS, LEASE_TTL_MS, mayTakeOver, TAKEOVER_MARGIN_MS, UNANIMITY_MAX_MS,
+} from './lease-takeover.js';
+import type {GrantMode} from './usable-share.js';
+
+const RENEWAL_INTERVAL_MS = 2000;
+
+/** Interval at which a daemon without the lease considers a takeover. */
+const WATCH_INTERVAL_MS = 500;
+
+const CALL_TIMEOUT_MS = 1500;
+
+export type PoolLeaseOptions = {
+	readonly pool: string;
+	readonly failureDomain: string;
+	readonly objects: ObjectApi;
+	readonly directory: LeaseDirectory;
+	readonly peers: LeasePeers;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Called after each acquisition with the new lease; `clean` when the predecessor released it with nothing unacknowledged. */
+	readonly onAcquired: (lease: PoolLease, clean: boolean) => void;
+	/** Called when this daemon learns that it no longer holds the lease. */
+	readonly onLost: () => void;
+};
+
+type Held = {
+	readonly lease: PoolLease;
+	readonly version: number;
+	readonly renewedAtMs: number;
+};
+
+/** Writes that were sent and whose outcome is not known yet. */
+type Unresolved = {
+	readonly epoch: number;
+	/** Time before the first of them was sent. */
+	readonly sentAtMs: number;
+	readonly candidates: ReadonlySet<string>;
+	readonly renewal: number;
+};
+
+export class CoordinatorLease {
+	static create(options: PoolLeaseOptions): CoordinatorLease {
+		return new CoordinatorLease(options);
+	}
+
+	#held: Held | undefined;
+	#unresolved: Unresolved | undefined;
+	#promisedToOthersUntilMs = -Infinity;
+	/** Time before the last promises were asked for that all candidates gave. */
+	#promisedAtMs = -Infinity;
+	#acquiredAtMs = -Infinity;
+	/** Epochs below this one were given up. */
+	#minEpoch = 0;
+	#absentSinceMs: number | undefined;
+	#confirmed = new Set<string>();
+	#releasing = false;
+	#draining = false;
+	#closed = false;
+	#timer: NodeJS.Timeout | undefined;
+	#step: Promise<void> = Promise.resolve();
+
+	private constructor(private readonly options: PoolLeaseOptions) {}
+
+	/** Epoch of the lease that this daemon holds or held last without knowing a successor; undefined otherwise. */
+	get epoch(): number | undefined {
+		return this.#held?.lease.epoch;
+	}
+
+	/** What this daemon may grant at `now`. */
+	mode(now: number): GrantMode {
+		if (!this.#held || this.#releasing) {
+			return {kind: 'none'};
+		}
+
+		const unconfirmed = this.#held.lease.unconfirmed.length;
+		const ageMs = now - this.#held.renewedAtMs;
+		const promiseAgeMs = now - this.#promisedAtMs;
+		if (ageMs < LEASE_TTL_MS || (promiseAgeMs < LEASE_TTL_MS && ageMs < UNANIMITY_MAX_MS)) {
+			return {kind: 'full', unconfirmed};
+		}
+
+		const sinceContactMs = Math.min(ageMs, promiseAgeMs);
+		return sinceContactMs < DISCONNECTED_MAX_MS && ageMs < UNANIMITY_MAX_MS + DISCONNECTED_MAX_MS ? {kind: 'disconnected', unconfirmed} : {kind: 'none'};
+	}
+
+	/** Starts to watch the lease, and to renew it once acquired. */
+	start(): void {
+		this.#schedule(0);
+	}
+
+	/** Answers a successor: true when nothing is granted any more under epochs below `epoch`. */
+	stepDown(epoch: number): boolean {
+		if (this.#held && this.#held.lease.epoch >= epoch) {
+			return false;
+		}
+
+		this.#minEpoch = Math.max(this.#minEpoch, epoch);
+		this.#lose('stepped_down');
+		return true;
+	}
+
+	/** Promises not to take over for `forMs` unless that may already have happened. */
+	promise(epoch: number, forMs: number, now: number): boolean {
+		const seen = this.options.directory.seenLease(this.options.pool);
+		const involved = this.#held !== undefined || this.#unresolved !== undefined;
+		if (involved || (seen?.lease.epoch ?? 0) > epoch) {
+			return false;
+		}
+
+		this.#promisedToOthersUntilMs = Math.max(this.#promisedToOthersUntilMs, now + forMs);
+		return true;
+	}
+
+	/** Stops acquiring; the lease that is held stays until {@link release}. */
+	drain(): void {
+		this.#draining = true;
+	}
+
+	/** Takes part in acquiring again. */
+	resume(): void {
+		this.#draining = false;
+	}
+
+	/** Gives the lease up at once. `settled` says that every granted request was acknowledged. */
+	async release(settled: boolean): Promise<void> {
+		this.#releasing = true;
+		await this.#step;
+		const held = this.#held;
+		if (held) {
+			const lease: PoolLease = {
+				...held.lease, owner: '', incarnation: '', peerAddress: '', renewal: held.lease.renewal + 1, settled: settled && !this.#unresolved,
+			};
+			const outcome = await this.#write(lease, {kind: 'version', version: held.version});
+			this.options.logger.info('pool_lease_released', {pool: this.options.pool, epoch: lease.epoch, outcome: outcome.kind});
+		}
+
+		this.#lose('released');
+		this.#releasing = false;
+	}
+
+	/** Ends all activity without a release. */
+	async close(): Promise<void> {
+		this.#closed = true;
+		clearTimeout(this.#timer);
+		await this.#step;
+	}
+
+	#schedule(delayMs: number): void {
+		clearTimeout(this.#timer);
+		if (!this.#closed) {
+			this.#timer = setTimeout(() => {
+				this.#step = this.#run();
+			}, delayMs);
+		}
+	}
+
+	async #run(): Promise<void> {
+		const startedAtMs = this.options.clock();
+		if (this.#held) {
+			await this.#renew(this.#held);
+			await this.#confirmPredecessors();
+		} else {
+			await this.#consider();
+		}
+
+		const intervalMs = this.#held ? RENEWAL_INTERVAL_MS : WATCH_INTERVAL_MS;
+		this.#schedule(Math.max(0, startedAtMs + intervalMs - this.options.clock()));
+	}
+
+	async #renew(held: Held): Promise<void> {
+		if (this.#releasing) {
+			return;
+		}
+
+		const renewal = Math.max(held.lease.renewal, this.#unresolved?.renewal ?? 0) + 1;
+		const lease: PoolLease = {
+			...held.lease,
+			renewal,
+			unconfirmed: held.lease.unconfirmed.filter(predecessor => !this.#confirmed.has(predecessorName(predecessor))),
+			candidates: this.#candidates(),
+		};
+		await this.#attempt(lease, {kind: 'version', version: held.version});
+		if (this.#held?.lease.epoch === held.lease.epoch && this.options.clock() - this.#held.renewedAtMs >= RENEWAL_INTERVAL_MS) {
+			await this.#askForPromises(this.#held);
+		}
+	}
+
+	/** Takes over when that is allowed. */
+	async #consider(): Promise<void> {
+		const now = this.options.clock();
+		const {pool, failureDomain, directory} = this.options;
+		const {self} = directory;
+		const registered = directory.incarnationState(self.id, self.incarnation) === 'live';
+		const promised = now < this.#promisedToOthersUntilMs;
+		const leaving = this.#draining ? true : self.draining;
+		if (leaving || promised || !registered || !directory.leasesKnown(failureDomain)) {
+			return;
+		}
+
+		const seen = directory.seenLease(pool);
+		this.#absentSinceMs = seen ? undefined : this.#absentSinceMs ?? now;
+		const sinceMs = seen?.firstSeenMs ?? this.#absentSinceMs ?? now;
+		const ownerSuperseded = seen !== undefined && this.#isSuperseded(seen.lease.owner, seen.lease.incarnation, sinceMs);
+		if (mayTakeOver({
+			lease: seen?.lease, unchangedMs: now - sinceMs, self, rank: this.#rank(seen?.lease.owner), ownerSuperseded,
+		})) {
+			await this.#takeOver(seen, ownerSuperseded);
+		}
+	}
+
+	async #takeOver(seen: SeenLease | undefined, ownerSuperseded: boolean): Promise<void> {
+		const {pool, directory: {self}} = this.options;
+		const previous = seen?.lease;
+		const ended = !previous || previous.owner === '' || previous.owner === self.id || ownerSuperseded;
+		const lease: PoolLease = {
+			pool,
+			owner: self.id,
+			incarnation: self.incarnation,
+			peerAddress: self.peerAddress,
+			epoch: (previous?.epoch ?? 0) + 1,
+			renewal: (this.#unresolved?.renewal ?? 0) + 1,
+			unconfirmed: ended
+				? previous?.unconfirmed ?? []
+				: [...previous.unconfirmed, {
+					owner: previous.owner, incarnation: previous.incarnation, peerAddress: previous.peerAddress,
+				}],
+			candidates: this.#candidates(),
+		};
+		await this.#attempt(lease, seen ? {kind: 'version', version: seen.version} : {kind: 'absent'});
+		if (this.#held) {
+			this.#acquiredAtMs = this.options.clock();
+			const clean = previous === undefined || (previous.owner === '' && previous.settled === true);
+			this.options.logger.info('pool_lease_acquired', {
+				pool, epoch: lease.epoch, unconfirmed: lease.unconfirmed.length, clean,
+			});
+			this.options.onAcquired(lease, clean);
+		}
+	}
+
+	/** Writes a lease of this daemon; an outcome that is not known is resolved by reading. */
+	async #attempt(lease: PoolLease, condition: WriteCondition): Promise<void> {
+		const sentAtMs = this.options.clock();
+		const earlier = this.#unresolved?.epoch === lease.epoch ? this.#unresolved : undefined;
+		this.#unresolved = {
+			epoch: lease.epoch,
+			sentAtMs: earlier?.sentAtMs ?? sentAtMs,
+			candidates: new Set([...earlier?.candidates ?? [], ...lease.candidates ?? []]),
+			renewal: lease.renewal,
+		};
+		const outcome = await this.#write(lease, condition);
+		if (outcome.kind === 'written') {
+			this.#hold(lease, outcome.version, sentAtMs);
+		} else if (outcome.kind === 'rejected') {
+			this.#unresolved = earlier;
+		} else {
+			await this.#resolve();
+		}
+	}
+
+	/** Reads the lease after a conflict or a lost answer. */
+	async #resolve(): Promise<void> {
+		const {pool, objects, directory, clock} = this.options;
+		const outcome = await objects.read(`pools/${pool}`, {timeoutMs: CALL_TIMEOUT_MS});
+		if (outcome.kind !== 'found') {
+			return;
+		}
+
+		const lease = poolLeaseSchema.parse(outcome.object.value);
+		directory.noteLease(pool, lease, outcome.object.version, clock());
+		const unresolved = this.#unresolved;
+		if (unresolved && this.#isOwn(lease) && lease.epoch === unresolved.epoch) {
+			this.#hold(lease, outcome.object.version, unresolved.sentAtMs);
+			return;
+		}
+
+		if (lease.epoch >= (this.#held?.lease.epoch ?? 0) && !this.#isOwn(lease)) {
+			// Any write that is still under way was conditional on an older version and fails.
+			this.#unresolved = undefined;
+			this.#lose('replaced');
+		}
+	}
+
+	#hold(lease: PoolLease, version: number, renewedAtMs: number): void {
+		if (lease.epoch < this.#minEpoch) {
+			return;
+		}
+
+		this.#held = {lease, version, renewedAtMs};
+		this.#unresolved = undefined;
+		this.options.directory.noteLease(this.options.pool, lease, version, this.options.clock());
+	}
+
+	#lose(reason: string): void {
+		const held = this.#held;
+		this.#held = undefined;
+		this.#confirmed = new Set();
+		this.#promisedAtMs = -Infinity;
+		if (held) {
+			this.options.logger.info('pool_lease_lost', {pool: this.options.pool, epoch: held.lease.epoch, reason});
+			this.options.onLost();
+		}
+	}
+
+	async #askForPromises(held: Held): Promise<void> {
+		const sentAtMs = this.options.clock();
+		const candidates = new Set([...held.lease.candidates ?? [], ...this.#unresolved?.candidates ?? []]);
+		const unanimous = await askForPromises(this.options, held.lease, candidates);
+		if (unanimous && this.#held?.lease.epoch === held.lease.epoch) {
+			this.#promisedAtMs = sentAtMs;
+		}
+	}
+
+	async #confirmPredecessors(): Promise<void> {
+		const held = this.#held;
+		await Promise.all((held?.lease.unconfirmed ?? []).map(async predecessor => {
+			if (await this.#hasEnded(predecessor, held!.lease.epoch)) {
+				this.#confirmed.add(predecessorName(predecessor));
+			}
+		}));
+	}
+
+	async #hasEnded(predecessor: Predecessor, epoch: number): Promise<boolean> {
+		const heldForMs = this.options.clock() - this.#acquiredAtMs;
+		return heldForMs >= DISCONNECTED_MAX_MS + TAKEOVER_MARGIN_MS
+			|| this.#isSuperseded(predecessor.owner, predecessor.incarnation, this.#acquiredAtMs)
+			|| askToStepDown(this.options, predecessor, {pool: this.options.pool, epoch});
+	}
+
+	/** Whether a listing of members taken after `sinceMs` shows a newer incarnation; each registers before it acquires. */
+	#isSuperseded(id: string, incarnation: string, sinceMs: number): boolean {
+		const {directory} = this.options;
+		return (directory.membersListedAtMs ?? -Infinity) > sinceMs && directory.incarnationState(id, incarnation) === 'replaced';
+	}
+
+	#isOwn(lease: PoolLease): boolean {
+		const {self} = this.options.directory;
+		return lease.owner === self.id && lease.incarnation === self.incarnation;
+	}
+
+	#others(): readonly Member[] {
+		const {directory, failureDomain} = this.options;
+		return directory.members().filter(member => member.failureDomain === failureDomain && !member.draining && member.id !== directory.self.id);
+	}
+
+	#candidates(): readonly string[] {
+		return chooseCandidates(this.options.pool, this.#others());
+	}
+
+	#rank(owner: string | undefined): number {
+		const {pool, directory: {self}} = this.options;
+		const ids = this.#others().map(member => member.id).filter(id => id !== owner);
+		return rankNodes(pool, [...ids, self.id]).indexOf(self.id);
+	}
+
+	async #write(lease: PoolLease, condition: WriteCondition) {
+		return this.options.objects.write(`pools/${this.options.pool}`, lease, condition, {timeoutMs: CALL_TIMEOUT_MS});
+	}
+}
--- /dev/null
+++ b/src/capacity/pool-reservation.ts
@@ -0,0 +1,126 @@
+/** A granted reservation, as the daemon that received the request holds it. */
+import type {
+	GrantedServer, KeepAlive, PoolSummary, Release, Reserve,
+} from '../peer/protocol.js';
+
+/** What a daemon asks for; the sender is added. */
+export type ReservationRequest = Omit<Reserve, 'sender' | 'activate'>;
+
+/** What becomes of the turn of a further member of a split prompt. */
+export type Activation =
+	| {readonly kind: 'activated'; readonly validUntilMs: number}
+	| {readonly kind: 'refused'; readonly message: string};
+
+/** Messages of a reservation to its coordinator. None of them rejects. */
+export type ReservationLink = {
+	acknowledge(reservation: PoolReservation, server: string, answer: {readonly boot: string; readonly warm: boolean; readonly prefilled?: boolean}): void;
+	activate(reservation: PoolReservation, server: string, signal: AbortSignal): Promise<Activation>;
+	release(reservation: PoolReservation, outcome: Release['outcome'], firstTokenMs?: number): void;
+};
+
+type Grant = {
+	readonly servers: readonly GrantedServer[];
+	readonly epoch: number;
+	readonly enginePriority: number;
+	readonly summary: PoolSummary;
+	/** Monotonic ms until which the first server may be sent to. */
+	readonly validUntilMs: number;
+};
+
+export class PoolReservation {
+	readonly id: string;
+	readonly pool: string;
+	readonly servers: readonly GrantedServer[];
+	readonly epoch: number;
+	readonly enginePriority: number;
+	readonly summary: PoolSummary;
+	readonly validUntilMs: number;
+	readonly #deadlineMs: number;
+	readonly #answers = new Map<string, {readonly boot: string; readonly warm: boolean}>();
+	readonly #prefilled = new Set<string>();
+	readonly #activated = new Set<string>();
+	#released = false;
+
+	constructor(private readonly request: ReservationRequest, grant: Grant, private readonly link: ReservationLink, askedAtMs: number) {
+		this.id = request.id;
+		this.pool = request.pool;
+		this.servers = grant.servers;
+		this.epoch = grant.epoch;
+		this.enginePriority = grant.enginePriority;
+		this.summary = grant.summary;
+		this.validUntilMs = grant.validUntilMs;
+		this.#deadlineMs = askedAtMs + request.remainingMs;
+	}
+
+	/** The request may be sent to the first server only while this holds; afterwards release it as `not_sent`. */
+	isValid(now: number): boolean {
+		return !this.#released && now < this.validUntilMs;
+	}
+
+	/** The backend server answered with headers. Call this as soon as they arrive. */
+	acknowledge(server: string, answer: {readonly boot: string; readonly warm: boolean}): void {
+		this.#answers.set(server, answer);
+		this.link.acknowledge(this, server, answer);
+	}
+
+	/** The first token, or the finished segment, arrived from `server`. */
+	prefilled(server: string): void {
+		const answer = this.#answers.get(server);
+		if (answer && !this.#prefilled.has(server)) {
+			this.#prefilled.add(server);
+			this.link.acknowledge(this, server, {...answer, prefilled: true});
+		}
+	}
+
+	/** Waits for the turn of a further member of a split prompt; nothing may be sent there before. */
+	async activate(server: string, signal: AbortSignal): Promise<Activation> {
+		const activation = await this.link.activate(this, server, signal);
+		if (activation.kind === 'activated') {
+			this.#activated.add(server);
+		}
+
+		return activation;
+	}
+
+	/** Ends the reservation, once. */
+	release(outcome: Release['outcome'], firstTokenMs?: number): void {
+		if (!this.#released) {
+			this.#released = true;
+			this.link.release(this, outcome, firstTokenMs);
+		}
+	}
+
+	/** The message that waits for the turn of `server`. */
+	activation(server: string, now: number): ReservationRequest & {readonly activate: string} {
+		return {...this.request, remainingMs: Math.max(1, this.#deadlineMs - now), activate: server};
+	}
+
+	/** Entry in the list of open reservations. */
+	open(now: number): KeepAlive['open'][number] {
+		const {id, promptTokens, kvTokens, workspace, lengthClass} = this.request;
+		return {
+			id,
+			servers: this.servers.map(server => server.id),
+			serverTokens: this.servers.map(server => server.tokens),
+			promptTokens,
+			kvTokens,
+			workspace,
+			lengthClass,
+			remainingMs: this.#deadlineMs - now,
+			acknowledged: this.#answers.size === this.servers.length,
+			serverStates: this.servers.map(server => this.#stateAt(server.id)),
+		};
+	}
+
+	#stateAt(server: string) {
+		if (this.#prefilled.has(server)) {
+			return 'prefilled';
+		}
+
+		if (this.#answers.has(server)) {
+			return 'acknowledged';
+		}
+
+		return server === this.servers[0]!.id || this.#activated.has(server) ? 'unacknowledged' : 'inactive';
+	}
+}
--- /dev/null
+++ b/src/capacity/pool-servers.ts
@@ -0,0 +1,84 @@
+/** The backend servers of one pool: follows the host list and the configuration. */
+import type {Service} from '../configuration/schema.js';
+import type {Host} from '../platform/host-list.js';
+import {BackendServerState} from './backend-server-state.js';
+import type {ServerLimits} from './server-warmth.js';
+
+/** Stands for "no limit" in sums of tokens. */
+const UNLIMITED = Number.MAX_SAFE_INTEGER;
+
+/** Limits of the backend servers of a service. Plain services have no tokens. */
+export function limitsOf(service: Service): ServerLimits {
+	if (service.kind === 'model') {
+		return {
+			warm: service.warm, cold: service.cold, kvTokens: service.kvTokens, prefillTokensPerSecond: service.prefillTokensPerSecond,
+		};
+	}
+
+	return {
+		warm: {...service.warm, prefillTokens: UNLIMITED},
+		cold: {...service.cold, prefillTokens: UNLIMITED},
+		kvTokens: UNLIMITED,
+		prefillTokensPerSecond: UNLIMITED,
+	};
+}
+
+export class PoolServers {
+	readonly #servers = new Map<string, BackendServerState>();
+	#service: Service;
+
+	constructor(service: Service) {
+		this.#service = service;
+	}
+
+	all(): readonly BackendServerState[] {
+		return [...this.#servers.values()];
+	}
+
+	get(id: string): BackendServerState | undefined {
+		return this.#servers.get(id);
+	}
+
+	/** Returns the server, or creates one that gets no work until the host list names it. */
+	for(id: string): BackendServerState {
+		const known = this.#servers.get(id);
+		if (known) {
+			return known;
+		}
+
+		const server = BackendServerState.create({
+			id, address: '', limits: limitsOf(this.#service), listable: this.#service.kind === 'model',
+		});
+		server.leaving = true;
+		this.#servers.set(id, server);
+		return server;
+	}
+
+	/** Takes over the host list. A server that is leaving, or no longer listed, gets no new work. */
+	applyHosts(hosts: readonly Host[]): void {
+		const listed = new Set(hosts.map(host => host.id));
+		for (const host of hosts) {
+			const server = this.for(host.id);
+			server.address = host.address;
+			server.leaving = host.state === 'leaving';
+		}
+
+		for (const server of this.#servers.values()) {
+			if (listed.has(server.id)) {
+				continue;
+			}
+
+			server.leaving = true;
+			if (server.totals.requests === 0) {
+				this.#servers.delete(server.id);
+			}
+		}
+	}
+
+	setService(service: Service): void {
+		this.#service = service;
+		for (const server of this.#servers.values()) {
+			server.setLimits(limitsOf(service));
+		}
+	}
+}
--- /dev/null
+++ b/src/capacity/prefill-backlog.ts
@@ -0,0 +1,49 @@
+/** Estimate of the prefill work that waits at one backend server, by priority. Used for placement only, never for limits. */
+
+const RANKS = 10;
+
+/** Work drains at the prefill rate, the most urgent first. */
+export class PrefillBacklog {
+	readonly #tokens = Array.from({length: RANKS}, () => 0);
+	#updatedAtMs: number | undefined;
+
+	constructor(private readonly tokensPerSecond: number) {}
+
+	/** Adds the tokens of a granted prompt. */
+	add(rank: number, tokens: number, now: number): void {
+		this.#drain(now);
+		this.#tokens[Math.min(rank, RANKS - 1)]! += tokens;
+	}
+
+	/** Takes over the pending tokens that the backend server itself reported. */
+	correct(pendingTokens: number, now: number): void {
+		this.#drain(now);
+		let excess = this.#tokens.reduce((sum, tokens) => sum + tokens, 0) - pendingTokens;
+		for (let rank = 0; rank < RANKS && excess > 0; rank++) {
+			const taken = Math.min(excess, this.#tokens[rank]!);
+			this.#tokens[rank]! -= taken;
+			excess -= taken;
+		}
+	}
+
+	/** Milliseconds until work of `rank` or more urgent and then `tokens` of its own would be prefilled. */
+	estimateMs(rank: number, tokens: number, now: number): number {
+		this.#drain(now);
+		let ahead = 0;
+		for (let index = 0; index <= Math.min(rank, RANKS - 1); index++) {
+			ahead += this.#tokens[index]!;
+		}
+
+		return (ahead + tokens) * 1000 / this.tokensPerSecond;
+	}
+
+	#drain(now: number): void {
+		let drained = Math.max(0, now - (this.#updatedAtMs ?? now)) * this.tokensPerSecond / 1000;
+		this.#updatedAtMs = now;
+		for (let rank = 0; rank < RANKS && drained > 0; rank++) {
+			const taken = Math.min(drained, this.#tokens[rank]!);
+			this.#tokens[rank]! -= taken;
+			drained -= taken;
+		}
+	}
+}
--- /dev/null
+++ b/src/capacity/reservation-book.ts
@@ -0,0 +1,93 @@
+/** The open reservations of a pool and who answers for them. */
+import type {Sender} from '../peer/protocol.js';
+import {isLong, type LengthClass} from '../util/length-class.js';
+
+/** A reservation ends this long after its daemon last listed it. */
+export const RESERVATION_TIMEOUT_MS = 5000;
+
+/** One granted or registered reservation. */
+export type OpenReservation = {
+	readonly id: string;
+	readonly sender: Sender;
+	readonly workspace: string;
+	readonly lengthClass: LengthClass;
+	readonly servers: readonly string[];
+	readonly lastSeenMs: number;
+	/** Whether its prompt may still be prefilled somewhere. */
+	readonly prefilling: boolean;
+};
+
+export class ReservationBook {
+	readonly #open = new Map<string, OpenReservation>();
+	/** Ended reservations by the time of their end, oldest first. */
+	readonly #closed = new Map<string, number>();
+
+	get size(): number {
+		return this.#open.size;
+	}
+
+	get(id: string): OpenReservation | undefined {
+		return this.#open.get(id);
+	}
+
+	put(reservation: OpenReservation): void {
+		this.#open.set(reservation.id, reservation);
+	}
+
+	/** The daemon listed it again. */
+	seen(id: string, now: number): void {
+		const reservation = this.#open.get(id);
+		if (reservation) {
+			this.#open.set(id, {...reservation, lastSeenMs: now});
+		}
+	}
+
+	prefilled(id: string): void {
+		const reservation = this.#open.get(id);
+		if (reservation) {
+			this.#open.set(id, {...reservation, prefilling: false});
+		}
+	}
+
+	remove(id: string): OpenReservation | undefined {
+		const reservation = this.#open.get(id);
+		this.#open.delete(id);
+		return reservation;
+	}
+
+	/** Takes out what no daemon listed for the time-out. */
+	removeExpired(now: number): readonly OpenReservation[] {
+		const expired = [...this.#open.values()].filter(reservation => now - reservation.lastSeenMs >= RESERVATION_TIMEOUT_MS);
+		for (const {id} of expired) {
+			this.#open.delete(id);
+		}
+
+		return expired;
+	}
+
+	/** Remembers an ended reservation for a while, so that a delayed keep-alive does not open it again. */
+	noteClosed(id: string, now: number): void {
+		this.#closed.set(id, now);
+		for (const [oldest, closedAtMs] of this.#closed) {
+			if (now - closedAtMs < RESERVATION_TIMEOUT_MS) {
+				break;
+			}
+
+			this.#closed.delete(oldest);
+		}
+	}
+
+	wasClosed(id: string, now: number): boolean {
+		return now - (this.#closed.get(id) ?? -Infinity) < RESERVATION_TIMEOUT_MS;
+	}
+
+	/** Long prompts that are being prefilled. A gang counts once, since its members prefill one after the other. */
+	longPrefills(): number {
+		let prefills = 0;
+		for (const {lengthClass, prefilling} of this.#open.values()) {
+			prefills += prefilling && isLong(lengthClass) ? 1 : 0;
+		}
+
+		return prefills;
+	}
+}
--- /dev/null
+++ b/src/capacity/server-poller.ts
@@ -0,0 +1,178 @@
+/** Keeps a coordinator's view of its backend servers current by asking them. */
+import type {IncarnationState} from '../membership/member-view.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import type {BackendProbe, ProbeTarget} from './backend-probe.js';
+import type {BackendServerState} from './backend-server-state.js';
+import {findLeftOver} from './left-over.js';
+import type {PoolAdmission} from './pool-admission.js';
+
+export const LOAD_INTERVAL_MS = 500;
+
+/** Listings look for left-over streams and segments at this interval even when no orphan is known. */
+const SWEEP_INTERVAL_MS = 10_000;
+
+const CALL_TIMEOUT_MS = 1000;
+
+/** Load reports that may be missed in a row before the server counts as failing. */
+const TOLERATED_MISSES = 2;
+
+export type ServerPollerOptions = {
+	readonly kind: 'model' | 'plain';
+	readonly admission: PoolAdmission;
+	readonly probe: BackendProbe;
+	readonly incarnationState: (daemon: string, incarnation: string) => IncarnationState;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Called when a server may accept more than before. */
+	readonly onProgress: () => void;
+};
+
+type Polled = {
+	busy: boolean;
+	misses: number;
+	sweptAtMs: number;
+};
+
+/** Works for one epoch. At most one poll and one health probe of a server is under way. */
+export class ServerPoller {
+	static create(options: ServerPollerOptions): ServerPoller {
+		return new ServerPoller(options);
+	}
+
+	readonly #polled = new Map<string, Polled>();
+	readonly #probing = new Set<string>();
+	readonly #abort = new AbortController();
+
+	private constructor(private readonly options: ServerPollerOptions) {}
+
+	/** Polls every server that is not being polled already. */
+	poll(): void {
+		const servers = this.options.admission.servers.all();
+		for (const server of servers) {
+			if (server.address !== '') {
+				void this.#pollServer(server);
+			}
+		}
+
+		const ids = new Set(servers.map(server => server.id));
+		for (const id of this.#polled.keys()) {
+			if (!ids.has(id)) {
+				this.#polled.delete(id);
+			}
+		}
+	}
+
+	/** Asks `/health` of a server for a request that waits for it. */
+	async probeHealth(server: BackendServerState): Promise<void> {
+		if (this.#probing.has(server.id) || this.#abort.signal.aborted) {
+			return;
+		}
+
+		this.#probing.add(server.id);
+		const requestedAtMs = this.options.clock();
+		try {
+			const health = await this.options.probe.health(this.#target(server), this.#call);
+			server.applyHealth(health, requestedAtMs, this.options.clock());
+		} catch {
+			server.noteFailure(this.options.clock());
+		} finally {
+			this.#probing.delete(server.id);
+		}
+
+		this.#progress();
+	}
+
+	close(): void {
+		this.#abort.abort();
+	}
+
+	get #call() {
+		return {timeoutMs: CALL_TIMEOUT_MS, signal: this.#abort.signal};
+	}
+
+	async #pollServer(server: BackendServerState): Promise<void> {
+		const polled = this.#polled.get(server.id) ?? {busy: false, misses: 0, sweptAtMs: -Infinity};
+		this.#polled.set(server.id, polled);
+		if (polled.busy) {
+			return;
+		}
+
+		polled.busy = true;
+		try {
+			await this.#ask(server, polled);
+			polled.misses = 0;
+		} catch (err) {
+			this.#miss(server, polled, err);
+		} finally {
+			polled.busy = false;
+		}
+
+		this.#progress();
+	}
+
+	async #ask(server: BackendServerState, polled: Polled): Promise<void> {
+		const {probe, clock, kind} = this.options;
+		const target = this.#target(server);
+		const sweep = clock() - polled.sweptAtMs >= SWEEP_INTERVAL_MS;
+		if (kind === 'model' && (server.needsListing || sweep)) {
+			polled.sweptAtMs = clock();
+			await this.#list(server, target);
+		}
+
+		const report = await probe.load(target, this.#call);
+		if (!this.#abort.signal.aborted) {
+			server.applyLoad(report, clock());
+		}
+	}
+
+	async #list(server: BackendServerState, target: ProbeTarget): Promise<void> {
+		const {probe, clock, admission, incarnationState} = this.options;
+		const requestedAtMs = clock();
+		const listing = await probe.listing(target, this.#call);
+		const now = clock();
+		if (this.#abort.signal.aborted) {
+			return;
+		}
+
+		server.applyListing(listing, requestedAtMs, now);
+		if (admission.isRecovering(now)) {
+			return;
+		}
+
+		const {streams, segments} = findLeftOver(listing, {isOpen: id => admission.isOpen(id), incarnationState});
+		for (const id of streams) {
+			this.options.logger.info('left_over_stream_cancelled', {server: server.id, stream: id});
+			await probe.cancel(target, id, this.#call);
+		}
+
+		for (const id of segments) {
+			this.options.logger.info('left_over_segment_freed', {server: server.id, segment: id});
+			await probe.freeSegment(target, id, this.#call);
+		}
+	}
+
+	#miss(server: BackendServerState, polled: Polled, err: unknown): void {
+		if (this.#abort.signal.aborted) {
+			return;
+		}
+
+		polled.misses++;
+		if (polled.misses > TOLERATED_MISSES) {
+			server.noteFailure(this.options.clock());
+			this.options.logger.warn('backend_server_silent', {
+				server: server.id, peer: server.address, misses: polled.misses, message: String(err),
+			});
+		}
+	}
+
+	#target(server: BackendServerState): ProbeTarget {
+		return {id: server.id, address: server.address, kind: this.options.kind};
+	}
+
+	#progress(): void {
+		if (!this.#abort.signal.aborted) {
+			this.options.onProgress();
+		}
+	}
+}
--- /dev/null
+++ b/src/capacity/usable-share.ts
@@ -0,0 +1,43 @@
+/**
+ * How much of a limit a coordinator may use, so that a coordinator and its unconfirmed predecessors together stay
+ * within it. The first in the chain of predecessors keeps half of the limit when disconnected, the next half of the
+ * rest, and so on; the coordinator in office uses what remains.
+ */
+
+/**
+ * What a coordinator may grant.
+ * - `full`: the lease is valid; `unconfirmed` predecessors may still use their disconnected share
+ * - `disconnected`: the lease could not be renewed, and a successor may be in office
+ * - `none`: the lease is not held, was released, or a successor is known
+ */
+export type GrantMode =
+	| {readonly kind: 'full'; readonly unconfirmed: number}
+	| {readonly kind: 'disconnected'; readonly unconfirmed: number}
+	| {readonly kind: 'none'};
+
+/** Share of `limit` (a count) that a coordinator in `mode` may use. */
+export function usableShare(limit: number, mode: GrantMode): number {
+	switch (mode.kind) {
+		case 'full': {
+			return remainder(limit, mode.unconfirmed);
+		}
+
+		case 'disconnected': {
+			return Math.floor(remainder(limit, mode.unconfirmed) / 2);
+		}
+
+		case 'none': {
+			return 0;
+		}
+	}
+}
+
+/** What `unconfirmed` predecessors in a row leave of `limit`. */
+function remainder(limit: number, unconfirmed: number): number {
+	let left = limit;
+	for (let index = 0; index < unconfirmed; index++) {
+		left -= Math.floor(left / 2);
+	}
+
+	return left;
+}
--- /dev/null
+++ b/src/capacity/wait-estimate.ts
@@ -0,0 +1,59 @@
+/** Estimates of how long requests wait in a pool, for early refusals and for the choice between pools. */
+import type {Service} from '../configuration/schema.js';
+import type {PoolSummary} from '../peer/protocol.js';
+import {isLong} from '../util/length-class.js';
+import type {BackendServerState} from './backend-server-state.js';
+import type {Waiting} from './wait-queue.js';
+
+/** Prompt sizes for which the summary estimates the wait. */
+const SHORT_PROMPT_TOKENS = 2000;
+const LONG_PROMPT_TOKENS = 50_000;
+
+/** Generated tokens that a request needs at least to be worth starting. */
+const LEAST_GENERATED_TOKENS = 16;
+
+export type PoolView = {
+	readonly pool: string;
+	readonly epoch: number;
+	readonly service: Service;
+	readonly servers: readonly BackendServerState[];
+	readonly waiting: ReadonlyArray<Waiting & {readonly promptTokens: number}>;
+	readonly running: number;
+};
+
+/** Milliseconds until a request of `rank` with `tokens` would have its first token, if all goes well. */
+export function estimateFirstTokenMs(view: PoolView, rank: number, tokens: number, now: number): number {
+	if (view.service.kind === 'plain') {
+		return 0;
+	}
+
+	const usable = view.servers.filter(server => server.isUsable(now));
+	const ahead = view.waiting.filter(item => item.rank <= rank).reduce((sum, item) => sum + item.promptTokens, 0);
+	const queueMs = ahead * 1000 / (view.service.prefillTokensPerSecond * Math.max(1, usable.length));
+	const serverMs = usable.length === 0 ? 0 : Math.min(...usable.map(server => server.estimateMs(rank, tokens, now)));
+	return queueMs + serverMs;
+}
+
+/** Least time in ms in which a request could finish, from now on. */
+export function estimateFinishMs(view: PoolView, request: {readonly rank: number; readonly promptTokens: number; readonly generatedTokens: number}, now: number): number {
+	const firstTokenMs = estimateFirstTokenMs(view, request.rank, request.promptTokens, now);
+	const decodeRate = view.service.kind === 'model' ? view.service.decodeTokensPerSecond : Infinity;
+	return firstTokenMs + (Math.min(request.generatedTokens, LEAST_GENERATED_TOKENS) * 1000 / decodeRate);
+}
+
+/** Summary that goes with each answer to a reservation. */
+export function summarize(view: PoolView, now: number): PoolSummary {
+	const wait = (long: boolean, tokens: number): number => {
+		const waitingMs = view.waiting.filter(item => isLong(item.lengthClass) === long).map(item => now - item.arrivedAtMs);
+		return Math.round(Math.max(estimateFirstTokenMs(view, 0, tokens, now), ...waitingMs));
+	};
+
+	return {
+		pool: view.pool,
+		epoch: view.epoch,
+		queued: view.waiting.length,
+		running: view.running,
+		shortWaitMs: wait(false, SHORT_PROMPT_TOKENS),
+		longWaitMs: wait(true, LONG_PROMPT_TOKENS),
+	};
+}
--- /dev/null
+++ b/src/capacity/wait-queue.ts
@@ -0,0 +1,141 @@
+/** Requests that wait for capacity of one pool: by priority, then by weighted fair queueing of workspaces, then by deadline. */
+import {isLong, type LengthClass} from '../util/length-class.js';
+
+/** A long request that waited this part of its time is raised one priority class. */
+export const AGING_PART = 0.25;
+
+/** One waiting request. */
+export type Waiting = {
+	readonly id: string;
+	readonly workspace: string;
+	readonly weight: number;
+	/** Rank of the priority class, 0 first. */
+	readonly rank: number;
+	readonly lengthClass: LengthClass;
+	/** Requests of one lane wait for the same kind of capacity; a lane whose first request does not fit blocks no other lane. */
+	readonly lane: string;
+	/** Tokens counted for fairness. */
+	readonly cost: number;
+	readonly arrivedAtMs: number;
+	readonly deadlineMs: number;
+};
+
+type Entry<T extends Waiting> = {
+	readonly item: T;
+	readonly sequence: number;
+};
+
+/** Bounded. Holds at most a few hundred requests, so it is searched without an index. */
+export class WaitQueue<T extends Waiting> {
+	static create<T extends Waiting>(options: {readonly capacity: number; readonly ranks: readonly number[]}): WaitQueue<T> {
+		return new WaitQueue<T>(options.capacity, options.ranks);
+	}
+
+	readonly #entries = new Map<string, Entry<T>>();
+	/** Virtual time up to which each workspace has used its share. */
+	readonly #usedUpTo = new Map<string, number>();
+	#virtualTime = 0;
+	#sequence = 0;
+	readonly #ranks: readonly number[];
+
+	private constructor(private readonly capacity: number, ranks: readonly number[]) {
+		this.#ranks = [...ranks].sort((a, b) => a - b);
+	}
+
+	get size(): number {
+		return this.#entries.size;
+	}
+
+	/** Adds a request. False when the queue is full. */
+	add(item: T): boolean {
+		if (this.#entries.size >= this.capacity) {
+			return false;
+		}
+
+		this.#entries.set(item.id, {item, sequence: this.#sequence++});
+		return true;
+	}
+
+	get(id: string): T | undefined {
+		return this.#entries.get(id)?.item;
+	}
+
+	items(): readonly T[] {
+		return [...this.#entries.values()].map(entry => entry.item);
+	}
+
+	/** First request outside of the `blocked` lanes. */
+	next(blocked: ReadonlySet<string>, now: number): T | undefined {
+		let best: Entry<T> | undefined;
+		for (const entry of this.#entries.values()) {
+			if (!blocked.has(entry.item.lane) && (!best || this.#precedes(entry, best, now))) {
+				best = entry;
+			}
+		}
+
+		return best?.item;
+	}
+
+	/** Takes out a request that is granted, and charges its workspace. */
+	take(id: string): T | undefined {
+		const item = this.remove(id);
+		if (item) {
+			const startsAt = this.#startOf(item);
+			this.#virtualTime = Math.max(this.#virtualTime, startsAt);
+			this.#usedUpTo.set(item.workspace, startsAt + (item.cost / item.weight));
+			this.#forgetIdle();
+		}
+
+		return item;
+	}
+
+	/** Takes out a request without a grant. */
+	remove(id: string): T | undefined {
+		const entry = this.#entries.get(id);
+		this.#entries.delete(id);
+		return entry?.item;
+	}
+
+	/** Takes out all requests whose deadline has passed. */
+	removeExpired(now: number): readonly T[] {
+		const expired = this.items().filter(item => item.deadlineMs <= now);
+		for (const item of expired) {
+			this.#entries.delete(item.id);
+		}
+
+		return expired;
+	}
+
+	/** Rank after aging. */
+	rankAt(item: T, now: number): number {
+		if (!isLong(item.lengthClass) || !isAged(item, now)) {
+			return item.rank;
+		}
+
+		return this.#ranks.findLast(rank => rank < item.rank) ?? item.rank;
+	}
+
+	#precedes(a: Entry<T>, b: Entry<T>, now: number): boolean {
+		const byRank = this.rankAt(a.item, now) - this.rankAt(b.item, now);
+		const byShare = this.#startOf(a.item) - this.#startOf(b.item);
+		const byDeadline = a.item.deadlineMs - b.item.deadlineMs;
+		return (byRank || byShare || byDeadline || a.sequence - b.sequence) < 0;
+	}
+
+	/** A workspace that was idle starts at the present virtual time: it has saved nothing up. */
+	#startOf(item: T): number {
+		return Math.max(this.#usedUpTo.get(item.workspace) ?? 0, this.#virtualTime);
+	}
+
+	#forgetIdle(): void {
+		for (const [workspace, usedUpTo] of this.#usedUpTo) {
+			if (usedUpTo <= this.#virtualTime) {
+				this.#usedUpTo.delete(workspace);
+			}
+		}
+	}
+}
+
+/** Whether a request has waited a quarter of its time. */
+export const isAged = (item: Waiting, now: number): boolean =>
+	now - item.arrivedAtMs >= AGING_PART * (item.deadlineMs - item.arrivedAtMs);
--- /dev/null
+++ b/src/capacity/workspace-limits.ts
@@ -0,0 +1,155 @@
+/**
+ * Limits of workspaces in one pool. Each pool enforces a fixed share of each limit, so that the sum over all pools
+ * stays within the limit without messages between pools.
+ */
+import type {Configuration, Workspace} from '../configuration/schema.js';
+import {allPoolsOf} from '../membership/pool-shards.js';
+import {rankNodes} from '../util/rendezvous.js';
+import {type GrantMode, usableShare} from './usable-share.js';
+
+/** Unused prompt tokens are saved up for this long at most. */
+const TOKEN_BURST_MS = 10_000;
+
+/** Unused requests are saved up for this long at most. */
+const REQUEST_BURST_MS = 1000;
+
+const MINUTE_MS = 60_000;
+
+/** Share of one workspace's limits in one pool. */
+export type WorkspaceShare = {
+	readonly concurrentRequests: number;
+	readonly requestsPerMs: number;
+	readonly promptTokensPerMs: number;
+};
+
+/** Outcome of a check. `retryAfterMs` is set where waiting helps. */
+export type LimitCheck =
+	| {readonly kind: 'within'}
+	| {readonly kind: 'exceeded'; readonly limit: string; readonly retryAfterMs?: number};
+
+/**
+ * Share of `workspace` in `pool`. The limits are divided by the pools of all services that the workspace uses, since
+ * they hold for the whole system; the remainder of a division goes to pools in the order of their rendezvous hash.
+ */
+export function shareOf(workspace: Workspace, pool: string, configuration: Configuration): WorkspaceShare {
+	const pools = configuration.services.filter(service => workspace.services.includes(service.name)).flatMap(service => allPoolsOf(service));
+	const {limits} = workspace;
+	const position = rankNodes(workspace.name, pools).indexOf(pool);
+	const whole = Math.floor(limits.concurrentRequests / pools.length);
+	const extra = position !== -1 && position < limits.concurrentRequests % pools.length ? 1 : 0;
+	return {
+		concurrentRequests: position < 0 ? 0 : whole + extra,
+		requestsPerMs: limits.requestsPerSecond / 1000 / pools.length,
+		promptTokensPerMs: limits.promptTokensPerMinute / MINUTE_MS / pools.length,
+	};
+}
+
+/** A bucket that fills at `ratePerMs`. A cost above its size is taken from a full bucket and leaves a debt. */
+class TokenBucket {
+	#level: number;
+	#updatedAtMs: number;
+
+	constructor(private readonly size: number, private readonly ratePerMs: number, level: number, now: number) {
+		this.#level = level;
+		this.#updatedAtMs = now;
+	}
+
+	/** Milliseconds until `cost` may be taken; 0 when it may be taken now. */
+	waitMs(cost: number, now: number): number {
+		this.#level = Math.min(this.size, this.#level + ((now - this.#updatedAtMs) * this.ratePerMs));
+		this.#updatedAtMs = now;
+		return Math.max(0, Math.min(cost, this.size) - this.#level) / this.ratePerMs;
+	}
+
+	take(cost: number): void {
+		this.#level -= cost;
+	}
+}
+
+type Usage = {
+	readonly share: WorkspaceShare;
+	readonly requests: TokenBucket;
+	readonly tokens: TokenBucket;
+	concurrent: number;
+};
+
+/** Counts what workspaces use in one pool. */
+export class WorkspaceLimits {
+	/** `fresh` is false after a predecessor that may just have used up the buckets: they start empty. */
+	static create(options: {readonly pool: string; readonly configuration: Configuration; readonly fresh: boolean}): WorkspaceLimits {
+		return new WorkspaceLimits(options.pool, options.configuration, options.fresh);
+	}
+
+	readonly #usage = new Map<string, Usage>();
+	#configuration: Configuration;
+
+	private constructor(private readonly pool: string, configuration: Configuration, private readonly fresh: boolean) {
+		this.#configuration = configuration;
+	}
+
+	/** Follows a change of the configuration; what is in use stays counted. */
+	setConfiguration(configuration: Configuration, now: number): void {
+		this.#configuration = configuration;
+		for (const [name, usage] of this.#usage) {
+			const renewed = this.#createUsage(name, now);
+			this.#usage.set(name, sameShare(renewed.share, usage.share) ? usage : {...renewed, concurrent: usage.concurrent});
+		}
+	}
+
+	/** Admits one request, or says which limit it would exceed. An admitted request has to {@link leave}. */
+	enter(workspace: string, promptTokens: number, mode: GrantMode, now: number): LimitCheck {
+		const usage = this.#of(workspace, now);
+		if (usage.concurrent >= usableShare(usage.share.concurrentRequests, mode)) {
+			return {kind: 'exceeded', limit: 'concurrent requests'};
+		}
+
+		const requestWaitMs = usage.requests.waitMs(1, now);
+		if (requestWaitMs > 0) {
+			return {kind: 'exceeded', limit: 'requests per second', retryAfterMs: requestWaitMs};
+		}
+
+		const tokenWaitMs = usage.tokens.waitMs(promptTokens, now);
+		if (tokenWaitMs > 0) {
+			return {kind: 'exceeded', limit: 'prompt tokens per minute', retryAfterMs: tokenWaitMs};
+		}
+
+		usage.requests.take(1);
+		usage.tokens.take(promptTokens);
+		usage.concurrent++;
+		return {kind: 'within'};
+	}
+
+	/** Counts a request that runs already, whether or not it is within the limits. */
+	register(workspace: string, now: number): void {
+		this.#of(workspace, now).concurrent++;
+	}
+
+	leave(workspace: string, now: number): void {
+		const usage = this.#of(workspace, now);
+		usage.concurrent = Math.max(0, usage.concurrent - 1);
+	}
+
+	#of(workspace: string, now: number): Usage {
+		const usage = this.#usage.get(workspace) ?? this.#createUsage(workspace, now);
+		this.#usage.set(workspace, usage);
+		return usage;
+	}
+
+	#createUsage(name: string, now: number): Usage {
+		const workspace = this.#configuration.workspaces.find(candidate => candidate.name === name);
+		const share = workspace ? shareOf(workspace, this.pool, this.#configuration) : noShare;
+		const requestBurst = Math.max(1, share.requestsPerMs * REQUEST_BURST_MS);
+		const tokenBurst = Math.max(1, share.promptTokensPerMs * TOKEN_BURST_MS);
+		return {
+			share,
+			requests: new TokenBucket(requestBurst, share.requestsPerMs, this.fresh ? requestBurst : 0, now),
+			tokens: new TokenBucket(tokenBurst, share.promptTokensPerMs, this.fresh ? tokenBurst : 0, now),
+			concurrent: 0,
+		};
+	}
+}
+
+const noShare: WorkspaceShare = {concurrentRequests: 0, requestsPerMs: 0, promptTokensPerMs: 0};
+
+const sameShare = (a: WorkspaceShare, b: WorkspaceShare): boolean =>
+	a.concurrentRequests === b.concurrentRequests && a.requestsPerMs === b.requestsPerMs && a.promptTokensPerMs === b.promptTokensPerMs;
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -31,6 +31,10 @@
 	renewal: z.number().int(),
 	/** Predecessors that were replaced without a confirmed release. */
 	unconfirmed: z.array(z.object({owner: z.string(), incarnation: z.string(), peerAddress: z.string()}).readonly()).readonly(),
+	/** Daemons (`<id>/<incarnation>`) that may take over at once; their promises let the owner keep the full limit without renewals. */
+	candidates: z.array(z.string()).readonly().optional(),
+	/** After a release: every granted request had been acknowledged, so an engine's listing is complete. */
+	settled: z.boolean().optional(),
 }).readonly();
 
 export type PoolLease = z.infer<typeof poolLeaseSchema>;
--- /dev/null
+++ b/src/membership/pool-shards.ts
@@ -0,0 +1,34 @@
+/** Split of a service's backend servers in one failure domain into pools. */
+import type {Configuration, Service} from '../configuration/schema.js';
+import type {Host} from '../platform/host-list.js';
+import {chooseNode} from '../util/rendezvous.js';
+import {formatPool} from './directory.js';
+
+/** Shard of a host. A change of `shards` moves only the hosts that a new shard takes or a removed one leaves. */
+export function shardOf(hostId: string, shards: number): number {
+	const names = Array.from({length: shards}, (_, index) => String(index));
+	return Number(chooseNode(hostId, names));
+}
+
+/** Pools of `service` in `failureDomain`, in the order of their shards. */
+export const poolsOf = (service: Service, failureDomain: string): readonly string[] =>
+	Array.from({length: service.poolShards}, (_, shard) => formatPool({failureDomain, service: service.name, shard}));
+
+/** All pools of `service`, in a fixed order. */
+export const allPoolsOf = (service: Service): readonly string[] =>
+	[...service.failureDomains].sort().flatMap(failureDomain => poolsOf(service, failureDomain));
+
+/** Groups hosts by pool. Hosts of services or failure domains that the configuration does not name are left out. */
+export function groupByPool(hosts: readonly Host[], configuration: Configuration): ReadonlyMap<string, readonly Host[]> {
+	const services = new Map(configuration.services.map(service => [service.name, service]));
+	const groups = new Map<string, Host[]>();
+	for (const host of hosts) {
+		const service = services.get(host.service);
+		if (service?.failureDomains.includes(host.failureDomain)) {
+			const pool = formatPool({failureDomain: host.failureDomain, service: service.name, shard: shardOf(host.id, service.poolShards)});
+			groups.set(pool, [...groups.get(pool) ?? [], host]);
+		}
+	}
+
+	return groups;
+}
--- /dev/null
+++ b/src/peer/peer-client.ts
@@ -0,0 +1,143 @@
+/** Calls to one peer over kept-alive connections. */
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {withTimeLimit} from '../util/time-limit.js';
+import {PeerError} from './peer-error.js';
+import type {PeerRouter} from './peer-router.js';
+import {
+	type Acknowledge, type Claim, type ClaimAnswer, claimAnswerSchema, type ConfigurationPoll, type ConfigurationPollAnswer,
+	configurationPollAnswerSchema, type KeepAlive, type KeepAliveAnswer, keepAliveAnswerSchema, type PeerService,
+	type PromiseRequest, type Release, type Reserve, type ReserveAnswer, reserveAnswerSchema, type Settle, type StepDown,
+} from './protocol.js';
+
+/** Time-out of calls that a peer answers at once. */
+const SHORT_CALL_TIMEOUT_MS = 2000;
+
+/** Added to the time for which a peer may hold a long poll or a queued reservation. */
+const ANSWER_MARGIN_MS = 1000;
+
+/** Shorter than the server keeps idle connections. */
+const IDLE_CONNECTION_MS = 20_000;
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+const confirmedSchema = z.object({confirmed: z.boolean()}).readonly();
+const promisedSchema = z.object({promised: z.boolean()}).readonly();
+
+/**
+ * The messages of {@link PeerService} for one address. Each call has a time-out and rejects with a {@link PeerError}.
+ * A call that times out or is aborted closes its connection, so a stalled connection is not used again.
+ */
+export class PeerClient implements PeerService {
+	static create(address: string): PeerClient {
+		// Connections are not capped: a queued reservation holds one, and must not delay a keep-alive.
+		const agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true}});
+		return new PeerClient(address, agent);
+	}
+
+	readonly #trpc: TRPCClient<PeerRouter>;
+	#inFlight = 0;
+
+	private constructor(readonly address: string, private readonly agent: Agent) {
+		this.#trpc = createTRPCClient<PeerRouter>({
+			links: [httpLink({
+				url: `http://${address}`,
+				fetch: async (url, init) => this.#fetch(String(url), init as FetchInit),
+			})],
+		});
+	}
+
+	/** Number of calls that wait for their answer. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
+	async reserve(message: Reserve, signal?: AbortSignal): Promise<ReserveAnswer> {
+		return this.#call('reserve', {timeoutMs: message.remainingMs + ANSWER_MARGIN_MS, signal}, async options =>
+			reserveAnswerSchema.parse(await this.#trpc.reserve.mutate(message, options)));
+	}
+
+	async acknowledge(message: Acknowledge): Promise<void> {
+		return this.#call('acknowledge', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options => this.#trpc.acknowledge.mutate(message, options));
+	}
+
+	async release(message: Release): Promise<void> {
+		return this.#call('release', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options => this.#trpc.release.mutate(message, options));
+	}
+
+	async keepAlive(message: KeepAlive): Promise<KeepAliveAnswer> {
+		return this.#call('keepAlive', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options =>
+			keepAliveAnswerSchema.parse(await this.#trpc.keepAlive.mutate(message, options)));
+	}
+
+	async stepDown(message: StepDown): Promise<{readonly confirmed: boolean}> {
+		return this.#call('stepDown', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options =>
+			confirmedSchema.parse(await this.#trpc.stepDown.mutate(message, options)));
+	}
+
+	async promise(message: PromiseRequest): Promise<{readonly promised: boolean}> {
+		return this.#call('promise', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options =>
+			promisedSchema.parse(await this.#trpc.promise.mutate(message, options)));
+	}
+
+	async configuration(message: ConfigurationPoll, signal?: AbortSignal): Promise<ConfigurationPollAnswer> {
+		return this.#call('configuration', {timeoutMs: message.waitMs + ANSWER_MARGIN_MS, signal}, async options =>
+			configurationPollAnswerSchema.parse(await this.#trpc.configuration.mutate(message, options)));
+	}
+
+	async claim(message: Claim, signal?: AbortSignal): Promise<ClaimAnswer> {
+		return this.#call('claim', {timeoutMs: message.remainingMs, signal}, async options =>
+			claimAnswerSchema.parse(await this.#trpc.claim.mutate(message, options)));
+	}
+
+	async settle(message: Settle): Promise<void> {
+		return this.#call('settle', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options => this.#trpc.settle.mutate(message, options));
+	}
+
+	async levels(): Promise<unknown> {
+		return this.#call('levels', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options => this.#trpc.levels.mutate(undefined, options));
+	}
+
+	/** Closes all connections; waiting calls reject. */
+	async close(): Promise<void> {
+		await this.agent.destroy();
+	}
+
+	async #call<T>(
+		step: keyof PeerService,
+		limit: {readonly timeoutMs: number; readonly signal?: AbortSignal},
+		call: (options: {readonly signal: AbortSignal}) => Promise<T>,
+	): Promise<T> {
+		this.#inFlight++;
+		try {
+			return await withTimeLimit(limit, async signal => call({signal}));
+		} catch (err) {
+			throw new PeerError(step, this.address, err);
+		} finally {
+			this.#inFlight--;
+		}
+	}
+
+	/** `undici.request` in place of `fetch`, which costs more CPU for each call. */
+	async #fetch(url: string, init: FetchInit) {
+		const {statusCode, body} = await request(url, {
+			dispatcher: this.agent,
+			method: init.method ?? 'POST',
+			headers: init.headers,
+			body: init.body,
+			signal: init.signal,
+			// The time limit of the call bounds these.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+		});
+		return {ok: statusCode >= 200 && statusCode < 300, json: async () => body.json()};
+	}
+}
+
+type FetchInit = {
+	readonly method?: 'GET' | 'POST';
+	readonly headers?: Record<string, string>;
+	readonly body?: string;
+	readonly signal?: AbortSignal;
+};
--- /dev/null
+++ b/src/peer/peer-server.ts
@@ -0,0 +1,67 @@
+/** HTTP server on which a daemon answers its peers. */
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {once} from 'node:events';
+import type {AddressInfo} from 'node:net';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {createPeerRouter, type PeerContext} from './peer-router.js';
+import type {PeerService} from './protocol.js';
+
+/** Longer than peers keep idle connections, so that the server never closes a connection that a peer is about to use. */
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+
+/** Largest message: a configuration of 1 MB, escaped. */
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+/** Where to listen. Port 0 lets the system choose. */
+export type ListenOptions = {
+	readonly host: string;
+	readonly port: number;
+};
+
+export class PeerServer {
+	static async create(service: PeerService, listen: ListenOptions): Promise<PeerServer> {
+		const handler = createHTTPHandler({
+			router: createPeerRouter(service),
+			createContext: ({res}): PeerContext => ({signal: closedSignal(res)}),
+			maxBodySize: MAX_BODY_BYTES,
+		});
+		const server = createServer({keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true}, handler);
+		server.listen(listen.port, listen.host);
+		await once(server, 'listening');
+		return new PeerServer(server);
+	}
+
+	/** IP:PORT under which peers reach this server. */
+	readonly address: string;
+
+	private constructor(private readonly server: Server) {
+		const {address, port} = server.address() as AddressInfo;
+		this.address = `${address}:${port}`;
+	}
+
+	/** Stops listening and closes all connections; calls that are still waiting are aborted. */
+	async close(): Promise<void> {
+		if (!this.server.listening) {
+			return;
+		}
+
+		const closed = once(this.server, 'close');
+		this.server.close();
+		this.server.closeAllConnections();
+		await closed;
+	}
+}
+
+/** Serves `service` to peers on `listen`. */
+export const createPeerServer = async (service: PeerService, listen: ListenOptions): Promise<PeerServer> => PeerServer.create(service, listen);
+
+/** Aborts when the connection closes before the response is complete. The adapter's own signal misses this once the body was read. */
+function closedSignal(res: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	res.once('close', () => {
+		if (!res.writableFinished) {
+			controller.abort(new Error('the connection of the peer closed'));
+		}
+	});
+	return controller.signal;
+}
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -35,6 +35,8 @@
 	remainingMs: z.number(),
 	/** Backend server ids that already failed this request. */
 	exclude: z.array(z.string()).readonly(),
+	/** Backend server of an open split reservation of this id that the sender is about to use next. */
+	activate: z.string().optional(),
 }).readonly();
 
 /** One backend server of a grant. For a split prompt each holds `tokens` of it, the last one decodes. */
@@ -83,6 +85,8 @@
 	server: z.string(),
 	boot: z.string(),
 	warm: z.boolean(),
+	/** The first token arrived, so the prompt no longer counts as prefill. */
+	prefilled: z.boolean().optional(),
 }).readonly();
 
 /** How a reservation ended. `failed` and `silent` count against the backend server. */
@@ -108,12 +112,18 @@
 		lengthClass: z.enum(lengthClasses),
 		remainingMs: z.number(),
 		acknowledged: z.boolean(),
+		/** Tokens on each of `servers`, for a split prompt. */
+		serverTokens: z.array(tokens).readonly().optional(),
+		/** Progress at each of `servers`; `inactive` for members of a split prompt whose turn has not come. */
+		serverStates: z.array(z.enum(['inactive', 'unacknowledged', 'acknowledged', 'prefilled'])).readonly().optional(),
 	}).readonly()).readonly(),
 }).readonly();
 
 export const keepAliveAnswerSchema = z.object({
 	kind: z.enum(['accepted', 'not_coordinator']),
 	epoch: z.number().int(),
+	/** Listed reservations that the coordinator did not hold before. One that was not sent yet must not be sent. */
+	unknown: z.array(z.string()).readonly().optional(),
 }).readonly();
 
 /** Asks a replaced coordinator to confirm that it grants nothing under epochs below `epoch`. */
--- a/src/util/length-class.ts
+++ b/src/util/length-class.ts
@@ -28,3 +28,6 @@
 
 	return tokens < LONG_BELOW_TOKENS ? 'long' : 'huge';
 }
+
+/** Whether prompts of a class fall under the long-prompt quota. */
+export const isLong = (lengthClass: LengthClass): boolean => lengthClass === 'long' || lengthClass === 'huge';
--- /dev/null
+++ b/tests/pool-coordination.test.ts
@@ -0,0 +1,81 @@
+import {
+	afterEach, describe, expect, it, vi,
+} from 'vitest';
+import {monotonicMs} from '../src/util/clock.js';
+import {requestOf} from './support/capacity-fixtures.js';
+import {
+	coordinatorOf, type DaemonFixture, hostsOf, POOL, startDaemon,
+} from './support/daemon-fixture.js';
+import {MemoryObjects} from './support/memory-object-api.js';
+
+const daemons: DaemonFixture[] = [];
+
+const start = async (...ids: readonly string[]): Promise<readonly DaemonFixture[]> => {
+	const objects = new MemoryObjects();
+	const hosts = hostsOf('e1', 'e2');
+	daemons.push(...await Promise.all(ids.map(async id => startDaemon(id, objects, hosts))));
+	return daemons;
+};
+
+const call = () => ({signal: new AbortController().signal, now: monotonicMs()});
+
+const granted = async (daemon: DaemonFixture, id: string) => vi.waitFor(async () => {
+	const result = await daemon.client.reserve(requestOf(id), call());
+	if (result.kind !== 'granted') {
+		throw new Error(`${result.kind}: ${result.message}`);
+	}
+
+	return result.reservation;
+}, {timeout: 10_000, interval: 50});
+
+afterEach(async () => {
+	await Promise.all(daemons.splice(0).map(async daemon => daemon.close()));
+});
+
+describe('pool coordination between daemons', () => {
+	it('should grant over the peer protocol and count the reservation until it is released', async () => {
+		const all = await start('d1', 'd2');
+		const coordinator = await coordinatorOf(all);
+		const other = all.find(daemon => daemon !== coordinator)!;
+		const reservation = await granted(other, 'd2.i1.1');
+		expect(reservation.isValid(monotonicMs())).toBe(true);
+		expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({pool: POOL, running: 1});
+		reservation.acknowledge(reservation.servers[0]!.id, {boot: 'b1', warm: true});
+		reservation.release('finished', 12);
+		await vi.waitFor(() => {
+			expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({running: 0});
+		});
+	});
+
+	it('should take a waiting request out of the queue when the caller cancels it', async () => {
+		const all = await start('d1', 'd2');
+		const coordinator = await coordinatorOf(all);
+		const other = all.find(daemon => daemon !== coordinator)!;
+		await granted(other, 'd2.i1.1');
+		await Promise.all(['d2.i1.2', 'd2.i1.3', 'd2.i1.4'].map(async id => granted(other, id)));
+		const abort = new AbortController();
+		const waiting = other.client.reserve(requestOf('d2.i1.5'), {signal: abort.signal, now: monotonicMs()});
+		await vi.waitFor(() => {
+			expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({queued: 1});
+		});
+		abort.abort();
+		expect(await waiting).not.toMatchObject({kind: 'granted'});
+		await vi.waitFor(() => {
+			expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({queued: 0, running: 4});
+		});
+	});
+
+	it('should hand the pool over at a planned shutdown and register open reservations with the successor', async () => {
+		const all = await start('d1', 'd2');
+		const coordinator = await coordinatorOf(all);
+		const other = all.find(daemon => daemon !== coordinator)!;
+		const reservation = await granted(coordinator, 'd1.i1.1');
+		reservation.acknowledge(reservation.servers[0]!.id, {boot: 'b1', warm: true});
+		await coordinator.registry.setDraining(true);
+		await coordinator.coordinators.drain();
+		expect(await coordinatorOf([other])).toBe(other);
+		await vi.waitFor(() => {
+			expect(other.coordinators.summaries(monotonicMs())[0]).toMatchObject({epoch: 2, running: 1});
+		}, {timeout: 10_000});
+	});
+});
