Add faults that leave it open whether a request runs

Cause: cleanup of streams has to cope with requests whose answer is lost or that arrive after their cancellation. Ruled out: producing them by timing in tests; they have to be certain. Conclusion: none of the faults depends on timing of the test.

--- a/testing/stand-ins/engine/engine-stand-in.ts
+++ b/testing/stand-ins/engine/engine-stand-in.ts
@@ -8,7 +8,7 @@
 import {monotonicMs} from '../../../src/util/clock.js';
 import {History} from '../history.js';
 import {
-	controlRoutes, delay, readBytes, readJson, sendJson, StandInServer, type Exchange, type Route,
+	closeConnection, controlRoutes, delay, readBytes, readJson, sendJson, StandInServer, type Exchange, type Route,
 } from '../stand-in-server.js';
 import {
 	engineFaultsSchema, engineSettingsSchema, type EngineFaultsInput, type EngineSettings, type EngineSettingsInput,
@@ -134,6 +134,7 @@
 
 	async #postStream(exchange: Exchange): Promise<void> {
 		const {segments, ...fields} = await readJson(exchange.req, streamRequestSchema);
+		await delay(this.#engine.faults.acceptDelayMs);
 		const work = this.#accept(exchange.res, 'stream', {...fields, before: segments});
 		if (work) {
 			this.#engine.counts.streamsStarted++;
@@ -143,13 +144,14 @@
 
 	async #postSegment(exchange: Exchange): Promise<void> {
 		const {previous, ...fields} = await readJson(exchange.req, segmentRequestSchema);
+		await delay(this.#engine.faults.acceptDelayMs);
 		const work = this.#accept(exchange.res, 'segment', {...fields, before: previous, maxTokens: 0});
 		if (work) {
 			this.#engine.counts.segmentsStarted++;
 			const {boot} = this.#engine;
-			await delay(this.#engine.faults.headersDelayMs);
-			this.#writeHeaders(exchange.res, work.id, 'application/json');
-			boot.waitForSegment(work, exchange.res);
+			if (await this.#sendHeaders(exchange.res, work.id, 'application/json')) {
+				boot.waitForSegment(work, exchange.res);
+			}
 		}
 	}
 
@@ -175,21 +177,28 @@
 
 	async #openStream(res: ServerResponse, work: Work, from: number): Promise<void> {
 		const {boot} = this.#engine;
+		if (await this.#sendHeaders(res, work.id, 'text/event-stream')) {
+			boot.follow(work, res, from, this.#engine.faults.silentAfterTokens ?? Infinity);
+		}
+	}
+
+	/** Sends the headers of an accepted request; false when the connection is gone or a fault closes it. */
+	async #sendHeaders(res: ServerResponse, id: string, contentType: string): Promise<boolean> {
 		await delay(this.#engine.faults.headersDelayMs);
-		if (res.destroyed) {
-			return;
+		if (this.#engine.losesHeaders()) {
+			closeConnection(res);
 		}
 
-		this.#writeHeaders(res, work.id, 'text/event-stream');
-		boot.follow(work, res, from, this.#engine.faults.silentAfterTokens ?? Infinity);
-	}
+		if (res.destroyed || res.req.socket.destroyed) {
+			return false;
+		}
 
-	#writeHeaders(res: ServerResponse, id: string, contentType: string): void {
 		const {boot, warm} = this.#engine.temperature(monotonicMs());
 		res.writeHead(200, {
 			'content-type': contentType, 'x-engine-boot': boot, 'x-engine-warm': String(warm), 'x-stream-id': id,
 		});
 		res.flushHeaders();
+		return true;
 	}
 
 	#list({res}: Exchange): void {
--- a/testing/stand-ins/engine/settings.ts
+++ b/testing/stand-ins/engine/settings.ts
@@ -39,6 +39,10 @@
 	slowFactor: z.number().positive().default(1),
 	/** Time between accepting a request and its response headers. */
 	headersDelayMs: z.number().min(0).default(0),
+	/** Time between receiving a request and accepting it; it is accepted even when the client has left meanwhile. */
+	acceptDelayMs: z.number().min(0).default(0),
+	/** Number of accepted requests whose connection is closed without response headers. */
+	loseHeaders: z.number().int().min(0).default(0),
 	/** Each new connection goes silent after this many token events. */
 	silentAfterTokens: z.number().int().positive().optional(),
 	/** Number of token events that are delivered on the connection of another stream. */
--- a/testing/stand-ins/engine/simulated-engine.ts
+++ b/testing/stand-ins/engine/simulated-engine.ts
@@ -42,6 +42,7 @@
 	#faults: EngineFaults = engineFaultsSchema.parse({});
 	#boot: EngineBoot;
 	#sequence = 0;
+	#headersToLose = 0;
 
 	private constructor(settings: EngineSettings) {
 		this.#settings = settings;
@@ -62,6 +63,7 @@
 	setFaults(input: EngineFaultsInput): boolean {
 		const {act, ...standing} = engineFaultsSchema.parse(input);
 		this.#faults = standing;
+		this.#headersToLose = standing.loseHeaders;
 		this.#boot.outputs.swapTokens = standing.swapTokens;
 		switch (act) {
 			case 'crash': {
@@ -102,6 +104,12 @@
 		};
 	}
 
+	/** Whether the connection of a request that was accepted is to be closed without headers. */
+	losesHeaders(): boolean {
+		this.#headersToLose--;
+		return this.#headersToLose >= 0;
+	}
+
 	/** What holds memory at `now`. */
 	listing(now: number): EngineListing {
 		const {boot, warm} = this.temperature(now);
--- a/testing/stand-ins/history.ts
+++ b/testing/stand-ins/history.ts
@@ -1,4 +1,5 @@
 /** Snapshots of a value that a stand-in reports with a lag. */
+import {monotonicMs} from '../../src/util/clock.js';
 
 const SAMPLE_MS = 50;
 
@@ -19,7 +20,7 @@
 		this.#sample = sample;
 		this.#timer = lagMs > 0
 			? setInterval(() => {
-				this.#record(performance.now());
+				this.#record(monotonicMs());
 			}, SAMPLE_MS).unref()
 			: undefined;
 	}
--- a/testing/stand-ins/plain-service/plain-service-stand-in.ts
+++ b/testing/stand-ins/plain-service/plain-service-stand-in.ts
@@ -5,6 +5,7 @@
 import type {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {z} from 'zod';
+import {NOT_RUN_HEADER} from '../../../src/backend/plain-service-protocol.js';
 import {monotonicMs} from '../../../src/util/clock.js';
 import {ColdStart} from '../cold-start.js';
 import {History} from '../history.js';
@@ -32,7 +33,7 @@
 	silent: z.boolean().default(false),
 	/** Added to each execution. */
 	slowMs: z.number().min(0).default(0),
-	/** Status with which every request is refused before it executes. */
+	/** Status with which every request is refused before it executes, marked as not run. */
 	refuseStatus: z.number().int().min(400).max(599).optional(),
 });
 
@@ -150,7 +151,7 @@
 		const {req, res} = exchange;
 		const body = await readBytes(req);
 		if (this.#faults.refuseStatus !== undefined) {
-			sendJson(res, this.#faults.refuseStatus, {error: 'refused'}, this.#headers());
+			sendJson(res, this.#faults.refuseStatus, {error: 'refused'}, {...this.#headers(), [NOT_RUN_HEADER]: 'true'});
 			return;
 		}
 
--- a/tests/engine-stand-in.test.ts
+++ b/tests/engine-stand-in.test.ts
@@ -136,6 +136,20 @@
 		expect(engine.counts().maxKvTokensHeld).toBeLessThanOrEqual(12_000);
 	});
 
+	it('should run a request whose headers are lost, and one that is accepted after its cancellation', async () => {
+		const {engine, url} = await startEngine();
+		engine.setFaults({loseHeaders: 1});
+		await expect(start(url, 'a')).rejects.toThrow();
+		engine.setFaults({acceptDelayMs: 200});
+		const late = start(url, 'b');
+		await json('DELETE', `${url}/v1/streams/b`);
+		await late;
+		await until(async () => {
+			const {streams} = await read<EngineListing>(`${url}/v1/streams`);
+			return streams.map(({id, state}) => `${id} ${state}`).join(',') === 'a finished,b finished';
+		});
+	});
+
 	it('should free what has used up its time, and keep it for good when it leaks', async () => {
 		const plain = await startEngine();
 		const leaking = await startEngine({leak: true});
