Cut failure domains off the host list as well

Cause: a failure domain that is cut off the platform loses both the object API and the host list. Ruled out: an outage of the host list, which hits all failure domains. Change: held calls and cut callers are shared by both stand-ins; the deployment cuts and reconnects failure domains in one call. Conclusion: the links between daemons of different failure domains are not simulated; they connect to each other's addresses directly.

--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -124,6 +124,11 @@
 		return version;
 	}
 
+	/** Cuts the daemons of these failure domains off the platform and reconnects all others; replaces its other faults. */
+	async cutFromPlatform(failureDomains: readonly string[]): Promise<void> {
+		await Promise.all([this.objectApi, this.hostList].map(async standIn => this.setFaults(standIn, {cutCallers: failureDomains})));
+	}
+
 	/** Starts one more backend server of a service and lists it as live. */
 	async addBackend(service: Service, failureDomain: string): Promise<Backend> {
 		const backend = await this.#startBackend(service, failureDomain);
--- a/testing/stand-ins/host-list/host-list-stand-in.ts
+++ b/testing/stand-ins/host-list/host-list-stand-in.ts
@@ -2,6 +2,9 @@
 import {z} from 'zod';
 import {hostSchema, type Host, type HostList} from '../../../src/platform/host-list.js';
 import {monotonicMs} from '../../../src/util/clock.js';
+import {
+	callerOf, cutCallersSchema, HeldCalls, isCut,
+} from '../held-calls.js';
 import {portSetting} from '../run-stand-in.js';
 import {
 	controlRoutes, delay, readJson, sendJson, StandInServer, type Exchange, type Route,
@@ -15,6 +18,8 @@
 const faultsSchema = z.strictObject({
 	outage: z.enum(['none', 'refuse']).default('none'),
 	slowMs: z.number().min(0).default(0),
+	/** Callers that are never answered. */
+	cutCallers: cutCallersSchema,
 	/** Replaces the lag of the settings. */
 	lagMs: z.number().min(0).optional(),
 });
@@ -33,6 +38,7 @@
 
 	readonly #settings: z.infer<typeof hostListSettingsSchema>;
 	#snapshots: readonly Snapshot[] = [{since: -Infinity, list: {version: 0, hosts: []}}];
+	readonly #held = HeldCalls.create();
 	#faults = faultsSchema.parse({});
 	#reads = 0;
 	#server!: StandInServer;
@@ -68,6 +74,7 @@
 				faults: () => this.#faults,
 				setFaults: faults => {
 					this.#faults = faults;
+					this.#held.release();
 				},
 				counts: () => ({reads: this.#reads, version: this.#snapshots.at(-1)!.list.version}),
 			}),
@@ -82,9 +89,15 @@
 		];
 	}
 
-	async #read({res}: Exchange): Promise<void> {
+	async #read(exchange: Exchange): Promise<void> {
+		const {res} = exchange;
 		this.#reads++;
 		await delay(this.#faults.slowMs);
+		if (isCut(this.#faults.cutCallers, callerOf(exchange))) {
+			this.#held.hold(exchange);
+			return;
+		}
+
 		if (this.#faults.outage === 'refuse') {
 			sendJson(res, 503, {error: 'unavailable'});
 			return;
--- a/testing/stand-ins/object-api/faults.ts
+++ b/testing/stand-ins/object-api/faults.ts
@@ -1,5 +1,6 @@
 /** Faults and settings of the object API stand-in. */
 import {z} from 'zod';
+import {cutCallersSchema} from '../held-calls.js';
 import {portSetting} from '../run-stand-in.js';
 
 export const objectApiSettingsSchema = z.object({
@@ -30,8 +31,8 @@
 		keyPrefix: z.string().default(''),
 		lateMs: z.number().min(0).default(1000),
 	}).optional(),
-	/** Callers that are cut off (never answered): an `x-caller` value, or the part of it before `-<number>`, which is the failure domain. */
-	cutCallers: z.array(z.string().min(1)).default([]),
+	/** Callers that are never answered. */
+	cutCallers: cutCallersSchema,
 	/** Rate limits; the settings hold where absent. */
 	writesPerSecond: limit,
 	readsPerSecond: limit,
@@ -39,7 +40,3 @@
 
 export type ObjectApiSettings = z.infer<typeof objectApiSettingsSchema>;
 export type ObjectApiFaults = z.infer<typeof objectApiFaultsSchema>;
-
-/** Whether `caller` is one of the cut callers, or a daemon `<failure domain>-<number>` of a failure domain that is cut. */
-export const isCut = ({cutCallers}: ObjectApiFaults, caller: string): boolean => cutCallers.includes(caller)
-	|| cutCallers.includes(caller.replace(/-\d+$/v, ''));
--- a/testing/stand-ins/object-api/object-api-stand-in.ts
+++ b/testing/stand-ins/object-api/object-api-stand-in.ts
@@ -1,15 +1,15 @@
 /** Stand-in of the platform's object API. Protocol: `src/platform/object-api.ts`; control: `/faults`, `/counts`, `/dump`. */
-import type {ServerResponse} from 'node:http';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {z} from 'zod';
 import {monotonicMs} from '../../../src/util/clock.js';
+import {callerOf, HeldCalls, isCut} from '../held-calls.js';
 import {RateLimit} from '../rate-limit.js';
 import {
 	closeConnection, controlRoutes, delay, readBytes, sendJson, StandInServer, type Exchange, type Route,
 } from '../stand-in-server.js';
 import {
-	isCut, objectApiFaultsSchema, objectApiSettingsSchema, type ObjectApiFaults, type ObjectApiSettings,
+	objectApiFaultsSchema, objectApiSettingsSchema, type ObjectApiFaults, type ObjectApiSettings,
 } from './faults.js';
 import {ObjectStore, type WriteResult} from './object-store.js';
 
@@ -32,7 +32,7 @@
 	};
 
 	readonly #callers = new Map<string, number>();
-	readonly #held = new Set<ServerResponse>();
+	readonly #held = HeldCalls.create();
 	readonly #lateWrites = new Set<NodeJS.Timeout>();
 	readonly #random;
 	#faults: ObjectApiFaults = objectApiFaultsSchema.parse({});
@@ -56,11 +56,7 @@
 		this.#faults = objectApiFaultsSchema.parse(faults);
 		this.#lostLeft = this.#faults.lost?.count ?? Infinity;
 		this.#setLimits();
-		for (const res of this.#held) {
-			closeConnection(res);
-		}
-
-		this.#held.clear();
+		this.#held.release();
 	}
 
 	/** Counts of calls since the start. `callers` counts calls by `x-caller`. */
@@ -118,7 +114,7 @@
 	/** Wraps the handler of a call with counting, rate limits, outages and slowness. */
 	#call(kind: CallKind, handle: (exchange: Exchange) => void | Promise<void>): Route['handle'] {
 		return async exchange => {
-			const caller = String(exchange.req.headers['x-caller'] ?? '');
+			const caller = callerOf(exchange);
 			this.#counts[kind]++;
 			this.#callers.set(caller, (this.#callers.get(caller) ?? 0) + 1);
 			if (this.#isHeld(exchange)) {
@@ -138,17 +134,16 @@
 	}
 
 	/** Applies outage and cuts. Returns true when the call goes no further. */
-	#isHeld({req, res}: Exchange): boolean {
+	#isHeld(exchange: Exchange): boolean {
 		if (this.#faults.outage === 'refuse') {
 			this.#counts.refused++;
-			sendJson(res, 503, {error: 'unavailable'});
+			sendJson(exchange.res, 503, {error: 'unavailable'});
 			return true;
 		}
 
-		const isHeld = this.#faults.outage === 'hang' || isCut(this.#faults, String(req.headers['x-caller'] ?? ''));
+		const isHeld = this.#faults.outage === 'hang' || isCut(this.#faults.cutCallers, callerOf(exchange));
 		if (isHeld) {
-			this.#held.add(res);
-			res.on('close', () => this.#held.delete(res));
+			this.#held.hold(exchange);
 		}
 
 		return isHeld;
