Add service levels and the burn report

Cause: the operators' objectives need an error budget, its burn rate and what burned it. Change: each daemon keeps latency histograms by service, workspace and length class, merged exactly, and counts by time slice for 6 h; report burn merges all daemons, alerts on a long and a short window together, and states which daemons are missing; as text, JSON or one HTML file. Errors of the caller do not count. Ruled out: histograms for each time slice, whose memory grows with slices times workspaces.

--- /dev/null
+++ b/src/cli/burn-text.ts
@@ -0,0 +1,34 @@
+/** The burn report as text with bar charts. */
+import type {ObjectiveBurn} from '../service-levels/burn-rate.js';
+import {
+	burnedBy, describeCoverage, describeLatencies, describeObjective, describeWindow, formatPercent, formatWindow, titleOf, type BurnReport,
+} from './burn-report.js';
+
+/** Width of the longest bar in characters. */
+const BAR_WIDTH = 24;
+
+/** A bar reaches its full width at this burn rate. */
+const FULL_BURN_RATE = 15;
+
+export function burnAsText(report: BurnReport): string {
+	const sections = report.objectives.map(burn => objectiveAsText(burn));
+	return [`Service levels against version ${report.configurationVersion}`, ...describeCoverage(report), ...sections].join('\n');
+}
+
+function objectiveAsText(burn: ObjectiveBurn): string {
+	const alert = burn.alert === 'none' ? '' : `  [${burn.alert}]`;
+	return [
+		'',
+		`${titleOf(burn)}${alert}`,
+		`  objective: ${describeObjective(burn)}`,
+		...burn.windows.map(window => `  ${formatWindow(window.windowMs).padStart(6)} |${bar(window.burnRate)}| ${describeWindow(window)}`),
+		`  error budget left: ${formatPercent(burn.budgetLeft)}`,
+		...burnedBy(burn).map(([title, text]) => `  burned by ${title}: ${text}`),
+		...describeLatencies(burn).map(line => `  ${line}`),
+	].join('\n');
+}
+
+function bar(burnRate: number): string {
+	const length = Math.min(BAR_WIDTH, Math.ceil((burnRate / FULL_BURN_RATE) * BAR_WIDTH));
+	return '#'.repeat(length).padEnd(BAR_WIDTH);
+}
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -11,6 +11,7 @@
 	readonly environment: Readonly<Record<string, string | undefined>>;
 	/** Reads a file, or standard input for `-`. */
 	readonly readInput: (file: string) => Promise<string>;
+	readonly writeOutput: (file: string, text: string) => Promise<void>;
 	readonly openObjectApi: (url: string) => ObjectApi;
 };
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /** Program `fireflyport`. */
-import {readFile} from 'node:fs/promises';
+import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {text} from 'node:stream/consumers';
 import {HttpObjectApi} from '../platform/http-object-api.js';
@@ -17,6 +17,7 @@
 	isTerminal: process.stderr.isTTY,
 	environment: process.env,
 	readInput: async file => file === '-' ? text(process.stdin) : readFile(file, 'utf8'),
+	writeOutput: async (file, content) => writeFile(file, content),
 	openObjectApi: url => HttpObjectApi.create({baseUrl: url, caller: 'fireflyport'}),
 };
 
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -10,9 +10,10 @@
 import {configShow} from './config-show.js';
 import {domainIn, domainOut} from './domain.js';
 import {EXIT, EXIT_CODE_HELP, type ExitCode} from './exit-codes.js';
+import {reportBurn} from './report-burn.js';
 import {status} from './status.js';
 
-const COMMANDS: readonly Command[] = [configCheck, configApply, configShow, configDiff, domainOut, domainIn, status];
+const COMMANDS: readonly Command[] = [configCheck, configApply, configShow, configDiff, domainOut, domainIn, status, reportBurn];
 
 /** First words of commands of two words. */
 const GROUPS: ReadonlySet<string> = new Set(COMMANDS.map(command => command.usage.split(' ')).filter(words => /^[a-z]/v.test(words[1] ?? '')).map(words => words[0]!));
--- a/src/cli/stored-configuration.ts
+++ b/src/cli/stored-configuration.ts
@@ -1,7 +1,7 @@
 /** Reads the configuration in force and configuration files. */
 import {checkConfiguration, type CheckOptions} from '../configuration/check-configuration.js';
 import {formatFinding} from '../configuration/finding.js';
-import {CONFIGURATION_KEY, type Configuration} from '../configuration/schema.js';
+import {CONFIGURATION_KEY, type AcceptedConfiguration, type Configuration} from '../configuration/schema.js';
 import {CommandError, type Call} from './command.js';
 import {EXIT} from './exit-codes.js';
 
@@ -24,6 +24,16 @@
 	return outcome.kind === 'found' ? outcome.object : {version: 0, value: undefined};
 }
 
+/** Reads the configuration in force and checks it. Throws a CommandError when there is none or it is not valid. */
+export async function requireStored(call: Call): Promise<AcceptedConfiguration> {
+	const {version, value} = await readStored(call);
+	if (version === 0) {
+		throw new CommandError(EXIT.refused, `no configuration is stored at ${call.objectApiUrl}; apply one first`);
+	}
+
+	return {version, configuration: requireValid(value, `version ${version}`, {allowUnserved: true})};
+}
+
 /** Reads FILE as JSON; `-` is standard input. */
 export async function readFile(call: Call, file: string): Promise<unknown> {
 	const text = await readText(call, file);
--- /dev/null
+++ b/src/service-levels/latency-recorder.ts
@@ -0,0 +1,130 @@
+/** Latency histograms and outcome counters by service, workspace and length class. */
+import type {LengthClass} from '../util/length-class.js';
+import {LatencyHistogram, type Percentiles} from './latency-histogram.js';
+import type {Series} from './levels-report.js';
+import type {Observation, Outcome} from './observation.js';
+
+/** Series kept; at three histograms each, this bounds their memory to about 12 MB. */
+const MAX_SERIES = 2000;
+
+/** Stands for the workspaces that came after {@link MAX_SERIES} was reached. */
+export const OTHER_WORKSPACES = '*';
+
+type Entry = {
+	readonly service: string;
+	readonly workspace: string;
+	readonly lengthClass: LengthClass;
+	readonly outcomes: Record<Outcome, number>;
+	readonly firstToken: LatencyHistogram;
+	readonly betweenTokens: LatencyHistogram;
+	readonly total: LatencyHistogram;
+};
+
+/** Percentiles of one series or of several merged ones. */
+export type LatencySummary = Readonly<Record<'firstToken' | 'betweenTokens' | 'total', Percentiles>> & {
+	readonly outcomes: Readonly<Record<Outcome, number>>;
+};
+
+export class LatencyRecorder {
+	static create(): LatencyRecorder {
+		return new LatencyRecorder();
+	}
+
+	readonly #entries = new Map<string, Entry>();
+
+	record(observation: Observation): void {
+		const entry = this.#entry(observation);
+		entry.outcomes[observation.outcome]++;
+		entry.total.record(observation.totalMs);
+		if (observation.firstTokenMs !== undefined) {
+			entry.firstToken.record(observation.firstTokenMs);
+		}
+
+		if (observation.betweenTokensMs !== undefined) {
+			entry.betweenTokens.record(observation.betweenTokensMs);
+		}
+	}
+
+	/** Adds the series of another recorder exactly. Throws on a malformed histogram and then leaves that series out. */
+	merge(series: readonly Series[]): void {
+		for (const item of series) {
+			const [firstToken, betweenTokens, total] = [item.firstToken, item.betweenTokens, item.total].map(text => LatencyHistogram.parse(text));
+			const entry = this.#entry(item);
+			entry.firstToken.add(firstToken!);
+			entry.betweenTokens.add(betweenTokens!);
+			entry.total.add(total!);
+			for (const [outcome, count] of Object.entries(item.outcomes)) {
+				entry.outcomes[outcome as Outcome] += count;
+			}
+		}
+	}
+
+	serialize(): readonly Series[] {
+		return [...this.#entries.values()].map(({firstToken, betweenTokens, total, outcomes, ...key}) => ({
+			...key,
+			outcomes: {...outcomes},
+			firstToken: firstToken.serialize(),
+			betweenTokens: betweenTokens.serialize(),
+			total: total.serialize(),
+		}));
+	}
+
+	/** Percentiles and outcomes of all workspaces of a service and length class. */
+	summarize(service: string, lengthClass: LengthClass): LatencySummary {
+		const all = newEntry({service, lengthClass, workspace: OTHER_WORKSPACES});
+		for (const entry of this.#entries.values()) {
+			if (entry.service === service && entry.lengthClass === lengthClass) {
+				addEntry(all, entry);
+			}
+		}
+
+		return {
+			outcomes: all.outcomes,
+			firstToken: all.firstToken.percentiles(),
+			betweenTokens: all.betweenTokens.percentiles(),
+			total: all.total.percentiles(),
+		};
+	}
+
+	#entry(key: Pick<Observation, 'service' | 'workspace' | 'lengthClass'>): Entry {
+		return this.#find(key) ?? (this.#entries.size < MAX_SERIES ? this.#add(key) : this.#other(key));
+	}
+
+	#other({service, lengthClass}: Pick<Observation, 'service' | 'lengthClass'>): Entry {
+		const key = {service, lengthClass, workspace: OTHER_WORKSPACES};
+		return this.#find(key) ?? this.#add(key);
+	}
+
+	#find(key: Pick<Observation, 'service' | 'workspace' | 'lengthClass'>): Entry | undefined {
+		return this.#entries.get(formatKey(key));
+	}
+
+	#add(key: Pick<Observation, 'service' | 'workspace' | 'lengthClass'>): Entry {
+		const entry = newEntry(key);
+		this.#entries.set(formatKey(key), entry);
+		return entry;
+	}
+}
+
+const formatKey = ({service, workspace, lengthClass}: Pick<Observation, 'service' | 'workspace' | 'lengthClass'>): string => `${service}/${workspace}/${lengthClass}`;
+
+const newEntry = ({service, workspace, lengthClass}: Pick<Observation, 'service' | 'workspace' | 'lengthClass'>): Entry => ({
+	service,
+	workspace,
+	lengthClass,
+	outcomes: {
+		finished: 0, refused: 0, late: 0, failed: 0,
+	},
+	firstToken: LatencyHistogram.create(),
+	betweenTokens: LatencyHistogram.create(),
+	total: LatencyHistogram.create(),
+});
+
+function addEntry(sum: Entry, {firstToken, betweenTokens, total, outcomes}: Entry): void {
+	sum.firstToken.add(firstToken);
+	sum.betweenTokens.add(betweenTokens);
+	sum.total.add(total);
+	for (const [outcome, count] of Object.entries(outcomes)) {
+		sum.outcomes[outcome as Outcome] += count;
+	}
+}
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -4,6 +4,7 @@
 } from 'vitest';
 import {runProgram} from '../src/cli/program.js';
 import {CONFIGURATION_KEY, type Configuration} from '../src/configuration/schema.js';
+import {ServiceLevels} from '../src/service-levels/service-levels.js';
 import {sampleConfiguration, sampleWorkspace} from './fixtures/configurations.js';
 import {HttpStandIn} from './fixtures/http-stand-in.js';
 import {MemoryObjectApi} from './fixtures/memory-object-api.js';
@@ -16,6 +17,7 @@
 
 /** Runs a command line against `api`; `file` is what every FILE holds. */
 async function run(api: MemoryObjectApi, line: string, file: unknown = sampleConfiguration()) {
+	const written = new Map<string, string>();
 	const out: string[] = [];
 	const errors: string[] = [];
 	const exitCode = await runProgram(line.split(' '), {
@@ -24,9 +26,14 @@
 		isTerminal: false,
 		environment: {FIREFLYPORT_OBJECT_API: 'http://object-api.test'},
 		readInput: async () => typeof file === 'string' ? file : JSON.stringify(file),
+		async writeOutput(name, text) {
+			written.set(name, text);
+		},
 		openObjectApi: () => api,
 	}, new AbortController().signal);
-	return {exitCode, out: out.join('\n'), errors: errors.join('\n')};
+	return {
+		exitCode, out: out.join('\n'), errors: errors.join('\n'), written,
+	};
 }
 
 const jsonOf = (result: {readonly out: string}): unknown => JSON.parse(result.out);
@@ -168,24 +175,31 @@
 	});
 });
 
+/** Starts a daemon that answers `reports` by path, and one that is gone; registers both in `api`. */
+async function startDaemons(api: MemoryObjectApi, reports: Readonly<Record<string, unknown>>): Promise<void> {
+	const answer = (req: IncomingMessage, res: ServerResponse) => {
+		res.end(JSON.stringify(reports[req.url!]));
+	};
+
+	const [alive, gone] = [await HttpStandIn.start(answer), await HttpStandIn.start(answer)];
+	servers.push(alive);
+	await gone.close();
+	for (const [id, {url}] of Object.entries({a: alive, b: gone})) {
+		const address = url.replace('http://', '');
+		api.put(`members/pt-norte/braga/${id}`, {
+			id, incarnation: '1', peerAddress: address, address, region: 'pt-norte', failureDomain: 'braga', renewal: 1, draining: false,
+		});
+	}
+}
+
 describe('status', () => {
 	it('should show each daemon and say which did not answer', async () => {
 		const api = stored();
-		const server = await HttpStandIn.start((_req: IncomingMessage, res: ServerResponse) => {
-			res.end(JSON.stringify({
+		await startDaemons(api, {
+			'/status': {
 				configurationVersion: 1, draining: true, pools: ['braga/fio-lm/0'], openRequests: 3,
-			}));
+			},
 		});
-		const gone = await HttpStandIn.start(() => undefined);
-		servers.push(server);
-		await gone.close();
-		for (const [id, {url}] of Object.entries({a: server, b: gone})) {
-			const address = url.replace('http://', '');
-			api.put(`members/pt-norte/braga/${id}`, {
-				id, incarnation: '1', peerAddress: address, address, region: 'pt-norte', failureDomain: 'braga', renewal: 1, draining: false,
-			});
-		}
-
 		const result = await run(api, 'status');
 		expect(result.exitCode).toBe(6);
 		expect(result.out).toContain('version 1 is stored, 1 of 2 daemons answered');
@@ -193,3 +207,28 @@
 		expect(result.out).toMatch(/b .*did not answer: connect ECONNREFUSED/v);
 	});
 });
+
+describe('report burn', () => {
+	it('should show what burned the budget and which data is missing, as text and as one escaped HTML file', async () => {
+		const api = stored();
+		const [objective] = sampleConfiguration().objectives;
+		const levels = ServiceLevels.create({daemon: 'a', objectiveOf: () => objective, nowMs: 0});
+		for (const firstTokenMs of [100, 900]) {
+			levels.record({
+				service: 'fio-lm', workspace: '<mills>', lengthClass: 'short', outcome: 'finished', firstTokenMs, betweenTokensMs: 50, totalMs: 2000,
+			}, 1000);
+		}
+
+		await startDaemons(api, {'/levels': levels.report(2000)});
+		const result = await run(api, 'report burn');
+		expect(result.exitCode).toBe(6);
+		expect(result.out).toContain('1 of 2 daemons answered; the data of 50.0% of them is missing.');
+		expect(result.out).toContain('Did not answer: b (braga');
+		expect(result.out).toContain('fio-lm, short prompts  [ticket]');
+		expect(result.out).toContain('burn rate 10.00 (1 of 2 missed)');
+		expect(result.out).toContain('burned by cause: first_token 1');
+		const {written} = await run(api, 'report burn --html levels.html');
+		expect(written.get('levels.html')).toContain('Burned by workspace: &lt;mills&gt; 1');
+		expect(written.get('levels.html')).not.toMatch(/<mills>|src=|href=/v);
+	});
+});
--- /dev/null
+++ b/tests/service-levels.test.ts
@@ -0,0 +1,121 @@
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {BudgetSlices, RETENTION_MS} from '../src/service-levels/budget-slices.js';
+import {computeBurn} from '../src/service-levels/burn-rate.js';
+import {LatencyRecorder} from '../src/service-levels/latency-recorder.js';
+import {causeOf, outcomes, type Observation} from '../src/service-levels/observation.js';
+import {ServiceLevels} from '../src/service-levels/service-levels.js';
+import {sampleConfiguration} from './fixtures/configurations.js';
+
+const MINUTE_MS = 60_000;
+const configuration = sampleConfiguration();
+const objective = configuration.objectives[0]!;
+
+const observation = (changes: Partial<Observation> = {}): Observation => ({
+	service: 'fio-lm', workspace: 'mills', lengthClass: 'short', outcome: 'finished', firstTokenMs: 200, betweenTokensMs: 50, totalMs: 5000, ...changes,
+});
+
+const arbitraryObservation = fc.record({
+	workspace: fc.constantFrom('mills', 'agents'),
+	outcome: fc.constantFrom(...outcomes),
+	firstTokenMs: fc.option(fc.nat(500_000), {nil: undefined}),
+	totalMs: fc.nat(3_000_000),
+}).map(changes => observation(changes));
+
+describe('LatencyRecorder', () => {
+	it('should merge serialized recorders exactly, as if one had recorded everything', () => {
+		fc.assert(fc.property(fc.array(fc.tuple(arbitraryObservation, fc.nat(2))), recorded => {
+			const parts = [0, 1, 2].map(() => LatencyRecorder.create());
+			const whole = LatencyRecorder.create();
+			const merged = LatencyRecorder.create();
+			for (const [item, part] of recorded) {
+				parts[part]!.record(item);
+				whole.record(item);
+			}
+
+			for (const part of parts) {
+				merged.merge(part.serialize());
+			}
+
+			expect(merged.summarize('fio-lm', 'short')).toEqual(whole.summarize('fio-lm', 'short'));
+		}), {numRuns: 30});
+	});
+
+	it('should bound its series whatever the number of workspaces, and lose no request', () => {
+		const recorder = LatencyRecorder.create();
+		for (let index = 0; index < 2500; index++) {
+			recorder.record(observation({workspace: `w${index}`}));
+		}
+
+		expect(recorder.serialize().length).toBeLessThanOrEqual(2001);
+		expect(recorder.summarize('fio-lm', 'short').outcomes.finished).toBe(2500);
+	});
+});
+
+describe('BudgetSlices', () => {
+	it('should count each request of the last six hours once while slices grow coarse', () => {
+		const gaps = fc.array(fc.integer({min: 0, max: 40 * MINUTE_MS}), {maxLength: 30});
+		fc.assert(fc.property(gaps, gapsMs => {
+			const slices = BudgetSlices.create();
+			const times: number[] = [];
+			let nowMs = 0;
+			for (const gapMs of gapsMs) {
+				nowMs += gapMs;
+				times.push(nowMs);
+				slices.record(observation(), 'mills', 'late', nowMs);
+			}
+
+			const total = slices.report(nowMs).flatMap(({counts}) => counts).reduce((sum, count) => sum + count.causes.late, 0);
+			// A slice expires as a whole, by its start, so the oldest ten minutes may be gone.
+			const certain = times.filter(ms => ms > nowMs - RETENTION_MS + (10 * MINUTE_MS)).length;
+			expect(total).toBeGreaterThanOrEqual(certain);
+			expect(total).toBeLessThanOrEqual(times.filter(ms => ms >= nowMs - RETENTION_MS).length);
+		}));
+	});
+});
+
+describe('burn rate', () => {
+	/** Records `missed` of `total` requests as failed in each minute of a time span, and computes the burn at its end. */
+	const burnOf = (spans: ReadonlyArray<{readonly minutes: number; readonly missed: number}>) => {
+		const levels = ServiceLevels.create({daemon: 'a', objectiveOf: () => objective, nowMs: 0});
+		let nowMs = 0;
+		for (const {minutes, missed} of spans) {
+			for (let minute = 0; minute < minutes; minute++) {
+				nowMs += MINUTE_MS;
+				for (let index = 0; index < 20; index++) {
+					levels.record(observation({outcome: index < missed ? 'failed' : 'finished'}), nowMs);
+				}
+			}
+		}
+
+		const report = levels.report(nowMs + 1000);
+		return computeBurn(configuration, [{failureDomain: 'braga', report}, {failureDomain: 'famalicao', report}])[0]!;
+	};
+
+	it('should be 1 when exactly the share that may miss did miss', () => {
+		const burn = burnOf([{minutes: 70, missed: 1}]);
+		for (const {burnRate} of burn.windows) {
+			expect(burnRate).toBeCloseTo(1);
+		}
+
+		expect(burn).toMatchObject({alert: 'none', causes: [{name: 'failed', missed: 140}], failureDomains: [{missed: 70}, {missed: 70}]});
+		expect(burn.budgetLeft).toBeCloseTo(0);
+	});
+
+	it('should page only while both the long and the short window burn', () => {
+		expect(burnOf([{minutes: 60, missed: 20}]).alert).toBe('page');
+		expect(burnOf([{minutes: 60, missed: 0}, {minutes: 5, missed: 20}]).alert).toBe('none');
+		expect(burnOf([{minutes: 55, missed: 20}, {minutes: 8, missed: 0}]).alert).toBe('ticket');
+		expect(burnOf([{minutes: 55, missed: 20}, {minutes: 50, missed: 0}]).alert).toBe('none');
+	});
+
+	it('should name the first broken term of the objective as the cause', () => {
+		expect([
+			causeOf(observation(), objective),
+			causeOf(observation({outcome: 'refused'}), objective),
+			causeOf(observation({totalMs: 30_001, firstTokenMs: 9000}), objective),
+			causeOf(observation({firstTokenMs: 381}), objective),
+			causeOf(observation({betweenTokensMs: 78}), objective),
+		]).toEqual([undefined, 'refused', 'late', 'first_token', 'between_tokens']);
+	});
+});
