Wire the daemon to platform, peers, pools and operations

Cause: the parts were tested on their own only. Change: wiring in files for membership, operations, peer messages and grants; main starts, drains on SIGTERM and SIGINT, and exits with 0, 1 when it cannot start, or 2 for wrong settings.

--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -45,9 +45,9 @@
 	/** Report for `/levels`. */
 	levels(): unknown;
 	/** Announces that this daemon leaves, while it still serves. */
-	announceDrain(): void;
-	/** Hands over what other daemons depend on, such as leases, once no request is open. */
-	handOver(timeoutMs: number): Promise<void>;
+	announceDrain(): Promise<void>;
+	/** Hands over what other daemons depend on, such as leases, while requests finish. */
+	handOver(): Promise<void>;
 	close(): Promise<void>;
 };
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -108,17 +108,16 @@
 		const front = this.#front!;
 		const {drainLagMs, drainTimeoutMs} = this.settings;
 		this.#lifecycle.advance('leaving');
-		this.parts.announceDrain();
 		this.logger.info('draining', {open_requests: front.openRequests, lag_ms: drainLagMs});
-		await pause(drainLagMs);
+		await Promise.all([this.parts.announceDrain(), pause(drainLagMs)]);
 		this.#lifecycle.advance('refusing');
 		front.stopListening();
-		await front.idle(drainTimeoutMs);
+		const handedOver = Promise.race([this.parts.handOver(), pause(HAND_OVER_TIMEOUT_MS)]);
+		await Promise.all([front.idle(drainTimeoutMs), handedOver]);
 		if (front.openRequests > 0) {
 			this.logger.warn('drain_timeout', {open_requests: front.openRequests, timeout_ms: drainTimeoutMs});
 		}
 
-		await this.parts.handOver(HAND_OVER_TIMEOUT_MS);
 		await this.close();
 		this.logger.info('drained');
 	}
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,19 +1,58 @@
 #!/usr/bin/env node
 /** Entry point of the daemon: exit code 2 for wrong settings, 1 when it cannot start, 0 after a drain. */
 import process from 'node:process';
+import {createLogger} from '../util/logger.js';
+import {createMetrics} from '../util/metrics.js';
+import {Daemon} from './daemon.js';
 import {readSettings, SettingsError, type Settings} from './settings.js';
+import {createParts} from './wiring.js';
 
 const WRONG_SETTINGS_EXIT_CODE = 2;
+const START_FAILED_EXIT_CODE = 1;
 
 function settingsOrExit(): Settings {
 	try {
 		const settings = readSettings(process.argv.slice(2), process.env);
 		return settings === 'help' ? process.exit(0) : settings;
 	} catch (err) {
-		const message = err instanceof SettingsError ? err.message : String(err);
+		const message = err instanceof SettingsError || (err instanceof Error && err.name === 'CACError') ? err.message : String(err);
 		process.stderr.write(`fireflyportd: ${message}\n`);
 		process.exit(WRONG_SETTINGS_EXIT_CODE);
 	}
 }
 
-settingsOrExit();
+const settings = settingsOrExit();
+const logger = createLogger(settings.logLevel, {daemon: settings.id});
+const metrics = createMetrics(settings.statsd, {region: settings.region, failure_domain: settings.failureDomain});
+
+process.on('unhandledRejection', reason => {
+	// One request that goes wrong must not cut the others.
+	logger.error('unexpected_error', {message: reason instanceof Error ? reason.stack : String(reason)});
+});
+
+let daemon: Daemon;
+try {
+	daemon = await Daemon.create(settings, {createParts, logger, metrics});
+} catch (err) {
+	logger.error('start_failed', {message: err instanceof Error ? err.message : String(err)});
+	process.exit(START_FAILED_EXIT_CODE);
+}
+
+let isDraining = false;
+
+async function leave(): Promise<void> {
+	if (isDraining) {
+		return;
+	}
+
+	isDraining = true;
+	await daemon.drain();
+	await metrics.close();
+	process.exit(0);
+}
+
+for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+	process.on(signal, () => {
+		void leave();
+	});
+}
--- /dev/null
+++ b/src/daemon/operation-parts.ts
@@ -0,0 +1,80 @@
+/** Calls to plain services and the claims of non-idempotent operations. */
+import {UndiciPlainServiceClient} from '../backend/plain-service-client.js';
+import type {ConfigurationSource} from '../configuration/configuration-source.js';
+import type {Directory} from '../membership/directory.js';
+import {ClaimLayoutStore} from '../operations/claim-layout.js';
+import {ClaimRelay} from '../operations/claim-relay.js';
+import {ClaimRetention} from '../operations/claim-retention.js';
+import {OperationClaims, type ClaimPeer} from '../operations/operation-claims.js';
+import {OperationExecutor} from '../operations/operation-executor.js';
+import type {PlainReservations} from '../operations/plain-call.js';
+import {PlainRouter} from '../operations/plain-router.js';
+import type {ObjectApi} from '../platform/object-api.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+
+/** Longest wait for the record of operations that have ended. */
+const SETTLE_TIMEOUT_MS = 5000;
+
+export type OperationSources = {
+	readonly objectApi: ObjectApi;
+	readonly configuration: ConfigurationSource;
+	readonly directory: Directory;
+	readonly peer: (address: string) => ClaimPeer;
+	readonly clock: Clock;
+	readonly logger: Logger;
+};
+
+/** Everything that executes operations. */
+export class OperationParts {
+	static create(sources: OperationSources): OperationParts {
+		return new OperationParts(sources);
+	}
+
+	readonly relay: ClaimRelay;
+	readonly #layout: ClaimLayoutStore;
+	readonly #claims: OperationClaims;
+	readonly #client = UndiciPlainServiceClient.create();
+	#retention: ClaimRetention | undefined;
+
+	private constructor(private readonly sources: OperationSources) {
+		const {objectApi, configuration, directory, peer, clock, logger} = sources;
+		this.#layout = ClaimLayoutStore.create(objectApi, () => configuration.current()?.configuration.claims);
+		this.relay = ClaimRelay.create({objectApi, layout: this.#layout, clock});
+		this.#claims = OperationClaims.create({
+			directory,
+			peer,
+			relay: this.relay,
+			layout: this.#layout,
+			clock,
+			onAbandoned(settle, reason) {
+				logger.error('settlement_abandoned', {operation: settle.operation, attempt: settle.attempt, message: reason});
+			},
+		});
+	}
+
+	/** Creates the executor of calls to plain services. */
+	createRouter(reservations: PlainReservations): PlainRouter {
+		const {directory, clock} = this.sources;
+		const sender = {reservations, client: this.#client, clock};
+		const executor = OperationExecutor.create({...sender, directory, claims: this.#claims});
+		return PlainRouter.create({...sender, executor});
+	}
+
+	/** Takes part in deleting claims that are no longer kept. */
+	start(): void {
+		const {objectApi, directory, clock} = this.sources;
+		this.#retention = ClaimRetention.create({
+			objectApi, layout: this.#layout, directory, clock,
+		});
+	}
+
+	/** Records what has ended, and closes. */
+	async close(): Promise<void> {
+		await this.#claims.drain(SETTLE_TIMEOUT_MS);
+		this.#claims.close();
+		await this.#retention?.close();
+		this.relay.close();
+		await this.#client.close();
+	}
+}
--- /dev/null
+++ b/src/daemon/peer-service.ts
@@ -0,0 +1,28 @@
+/** Answers to other daemons: each message goes to the part that it concerns. */
+import type {PoolService} from '../capacity/pool-coordinators.js';
+import type {ConfigurationPolls} from '../configuration/configuration-polls.js';
+import type {ClaimRelay} from '../operations/claim-relay.js';
+import type {PeerService} from '../peer/protocol.js';
+
+export type PeerServiceParts = {
+	readonly pools: PoolService;
+	readonly polls: ConfigurationPolls;
+	readonly relay: ClaimRelay;
+	readonly levels: () => unknown;
+};
+
+/** Creates what the peer server routes to. */
+export const createPeerService = ({
+	pools, polls, relay, levels,
+}: PeerServiceParts): PeerService => ({
+	reserve: async (message, signal) => pools.reserve(message, signal),
+	acknowledge: async message => pools.acknowledge(message),
+	release: async message => pools.release(message),
+	keepAlive: async message => pools.keepAlive(message),
+	stepDown: async message => pools.stepDown(message),
+	promise: async message => pools.promise(message),
+	configuration: async (message, signal) => polls.answer(message, signal),
+	claim: async message => relay.claim(message),
+	settle: async message => relay.settle(message),
+	levels: async () => levels(),
+});
--- /dev/null
+++ b/src/daemon/wiring.ts
@@ -0,0 +1,169 @@
+/** Builds the parts of a daemon on the platform's object API and host list. */
+import {randomInt} from 'node:crypto';
+import {EngineClient} from '../backend/engine-client.js';
+import {HttpBackendProbe} from '../backend/http-backend-probe.js';
+import {PoolClient} from '../capacity/pool-client.js';
+import {PoolCoordinators} from '../capacity/pool-coordinators.js';
+import {ConfigurationDelivery} from '../configuration/configuration-delivery.js';
+import {ConfigurationPolls} from '../configuration/configuration-polls.js';
+import {ConfigurationStore} from '../configuration/configuration-store.js';
+import {formatFinding} from '../configuration/finding.js';
+import type {PeerClient} from '../peer/peer-client.js';
+import {PeerClients} from '../peer/peer-clients.js';
+import {createPeerServer, type PeerServer} from '../peer/peer-server.js';
+import {HttpHostList} from '../platform/http-host-list.js';
+import {HttpObjectApi} from '../platform/http-object-api.js';
+import type {Logger} from '../util/logger.js';
+import type {CreateParts, DaemonParts, PartSources} from './daemon-parts.js';
+import {MembershipParts} from './membership-parts.js';
+import {OperationParts} from './operation-parts.js';
+import {createPeerService} from './peer-service.js';
+import {createPoolClient} from './pool-grants.js';
+import {createMetricsObserver} from './request-observer.js';
+
+const MAX_SEED = 2 ** 31;
+const IDLE_PEERS_INTERVAL_MS = 30_000;
+
+/** Parts on the platform, built before any server listens. */
+function build(sources: PartSources) {
+	const {settings, identity, clock, logger} = sources;
+	const platform = {caller: identity.id};
+	const objectApi = HttpObjectApi.create({...platform, baseUrl: settings.objectApi});
+	const hostList = HttpHostList.create({...platform, baseUrl: settings.hostList});
+	const store = createStore(logger);
+	const peers = PeerClients.create();
+	const peer = (address: string): PeerClient => peers.for(address, clock());
+	const {region, failureDomain} = settings;
+	const membership = MembershipParts.create({
+		...identity, region, failureDomain, address: '', peerAddress: '',
+	}, {
+		objects: objectApi, hostList, configuration: store, clock, logger,
+	});
+	const {directory} = membership;
+	const engine = EngineClient.create();
+	const probe = HttpBackendProbe.create(engine);
+	const coordinators = PoolCoordinators.create({
+		configuration: store,
+		objects: objectApi,
+		directory,
+		peers: {
+			stepDown: async (address, message) => peer(address).stepDown(message),
+			promise: async (address, message) => peer(address).promise(message),
+		},
+		probe,
+		clock,
+		logger,
+	});
+	const pools = PoolClient.create({
+		directory, local: coordinators, peer, clock, logger,
+	});
+	const operations = OperationParts.create({
+		objectApi, configuration: store, directory, peer, clock, logger,
+	});
+	return {
+		objectApi, hostList, store, peers, peer, membership, directory, engine, probe, coordinators, pools, operations,
+	};
+}
+
+type Built = ReturnType<typeof build>;
+
+function createStore(logger: Logger): ConfigurationStore {
+	const store = ConfigurationStore.create({
+		onInvalid(version, findings) {
+			logger.error('configuration_invalid', {version, message: findings.map(finding => formatFinding(finding)).join('; ')});
+		},
+	});
+	store.onChange(({version}) => {
+		logger.info('configuration', {version});
+	});
+	return store;
+}
+
+/** Parts that run on their own. */
+function run(built: Built, sources: PartSources) {
+	const {objectApi, store, directory, peer, peers} = built;
+	const {clock, logger} = sources;
+	const delivery = ConfigurationDelivery.create({
+		directory,
+		objectApi,
+		peer,
+		store,
+		clock,
+		seed: randomInt(MAX_SEED),
+		log(event, fields) {
+			logger.debug(event, fields);
+		},
+	});
+	const timer = setInterval(() => {
+		void peers.closeIdle(clock());
+	}, IDLE_PEERS_INTERVAL_MS);
+	return {delivery, timer};
+}
+
+type Running = ReturnType<typeof run>;
+
+/** Builds the parts of a daemon. Rejects when the address for other daemons cannot be used. */
+export const createParts: CreateParts = async sources => {
+	const {settings, clock, metrics} = sources;
+	const built = build(sources);
+	const {store, coordinators, operations, membership} = built;
+	const running = run(built, sources);
+	const polls = ConfigurationPolls.create({store, sourceAgeMs: () => running.delivery.sourceAgeMs(clock())});
+	const levels = () => ({});
+	const service = createPeerService({
+		pools: coordinators, polls, relay: operations.relay, levels,
+	});
+	let server: PeerServer;
+	try {
+		server = await createPeerServer(service, settings.peerListen);
+	} catch (err) {
+		await closeAll(built, running);
+		throw err;
+	}
+
+	membership.setPeerAddress(server.address);
+	return {
+		configuration: store,
+		directory: built.directory,
+		pools: createPoolClient(built.pools),
+		engine: built.engine,
+		observer: createMetricsObserver(metrics, clock),
+		peerAddress: server.address,
+		createPlainCalls: reservations => operations.createRouter(reservations),
+		async start(address) {
+			await membership.start(address);
+			coordinators.start();
+			operations.start();
+		},
+		coordinated: () => coordinators.summaries(clock()).map(({pool}) => pool),
+		levels,
+		async announceDrain() {
+			await membership.announceDrain();
+		},
+		async handOver() {
+			await coordinators.drain();
+		},
+		async close() {
+			polls.close();
+			await closeAll(built, running);
+			await server.close();
+		},
+	} satisfies DaemonParts;
+};
+
+async function closeAll(built: Built, {delivery, timer}: Running): Promise<void> {
+	const {
+		operations, coordinators, pools, membership, peers, probe, engine, objectApi, hostList,
+	} = built;
+	clearInterval(timer);
+	await delivery.close();
+	await operations.close();
+	await coordinators.close();
+	await pools.close();
+	await membership.close();
+	await peers.close();
+	await probe.close();
+	await engine.close();
+	await objectApi.close();
+	await hostList.close();
+}
