--- a/src/operations/operation-claims.ts
+++ b/src/operations/operation-claims.ts
@@ -7,7 +7,7 @@
 	Claim, ClaimAnswer, PeerService, Settle,
 } from '../peer/protocol.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
-import {wait} from '../util/wait.js';
+import {pause} from '../util/pause.js';
 import {chooseNode} from '../util/rendezvous.js';
 import {claimObjectKey, type ClaimLayout, type ClaimLayoutStore} from './claim-layout.js';
 import type {ClaimRelay} from './claim-relay.js';
@@ -98,7 +98,7 @@
 		const timeout = new AbortController();
 		await Promise.race([
 			Promise.all(this.#pending),
-			wait(timeoutMs, timeout.signal),
+			pause(timeoutMs, timeout.signal),
 		]);
 		timeout.abort();
 	}
@@ -131,7 +131,7 @@
 			}
 
 			relayFirst = !relayFirst;
-			await wait(pauseMs, this.#closing.signal);
+			await pause(pauseMs, this.#closing.signal);
 			pauseMs = Math.min(MAX_SETTLE_PAUSE_MS, pauseMs * 2);
 		}
 
@@ -161,7 +161,7 @@
 		};
 
 		const limit = async () => {
-			await wait(SETTLE_TIMEOUT_MS, waiting.signal);
+			await pause(SETTLE_TIMEOUT_MS, waiting.signal);
 			return false;
 		};
 
--- a/tests/operations-model.test.ts
+++ b/tests/operations-model.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {createRandom} from '../testing/load/arrivals.js';
-import {MemoryObjectApi, type WriteFate} from './fixtures/memory-object-api.js';
+import {FaultyObjectApi, type WriteFate} from './fixtures/faulty-object-api.js';
 import {
 	CountingService, DaemonFleet, ranOf, summaryOf, uuidV7, type Moment, type ServiceFate,
 } from './fixtures/operation-daemons.js';
@@ -45,7 +45,7 @@
 async function runSteps(steps: readonly Step[], seed: number, checked: boolean) {
 	const random = createRandom(seed);
 	const latency = () => Math.floor(random() * 4);
-	const api = new MemoryObjectApi(latency);
+	const api = new FaultyObjectApi(latency);
 	const service = new CountingService(checked, latency);
 	const fleet = new DaemonFleet(api, service, DAEMONS);
 	const keys = Array.from({length: 4}, (_, index) => uuidV7(Date.now(), index));
@@ -72,7 +72,7 @@
 			}
 
 			case 'object-api': {
-				api.down = next.down;
+				api.isDown = next.down;
 				break;
 			}
 
@@ -106,7 +106,7 @@
 		await act(next);
 	}
 
-	api.down = false;
+	api.isDown = false;
 	const answers = await Promise.all(calls);
 	fleet.close();
 	return {answers, service};
--- a/tests/operations.test.ts
+++ b/tests/operations.test.ts
@@ -4,7 +4,7 @@
 } from 'vitest';
 import {parseOperationKey} from '../src/operations/operation-key.js';
 import type {PlainResult} from '../src/operations/plain-call.js';
-import {MemoryObjectApi, type WriteFate} from './fixtures/memory-object-api.js';
+import {FaultyObjectApi, type WriteFate} from './fixtures/faulty-object-api.js';
 import {
 	CountingService, DaemonFleet, ranOf, summaryOf, uuidV7, type Moment,
 } from './fixtures/operation-daemons.js';
@@ -12,7 +12,7 @@
 const fleets: DaemonFleet[] = [];
 
 function start(options: {readonly checked?: boolean; readonly latencyMs?: number} = {}) {
-	const api = new MemoryObjectApi();
+	const api = new FaultyObjectApi();
 	const service = new CountingService(options.checked ?? false, () => options.latencyMs ?? 0);
 	const fleet = new DaemonFleet(api, service, 3);
 	fleets.push(fleet);
@@ -154,10 +154,10 @@
 	it('should refuse with not_run while the object API is down, and run a repeat afterwards', async () => {
 		const {api, service, a, b, key} = start();
 		await a.claims.layout();
-		api.down = true;
+		api.isDown = true;
 		expect(await a.call(key, 'r1')).toMatchObject({code: 'claim_unavailable', ran: 'not_run'});
 		expect(total(service)).toBe(0);
-		api.down = false;
+		api.isDown = false;
 		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
 	});
 
@@ -166,7 +166,7 @@
 		await a.claims.layout();
 		api.fates.push('lost-then-down');
 		expect(ranOf(await a.call(key, 'r1'))).toBe('not_run');
-		api.down = false;
+		api.isDown = false;
 		await a.claims.drain(5000);
 		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
 		expect(total(service)).toBe(1);
