--- a/src/operations/claim-partition.ts
+++ b/src/operations/claim-partition.ts
@@ -3,8 +3,10 @@
  * into the next one. A message is answered only from a state that is known to be stored: after a lost answer the object
  * is read again and the batch is written conditional on the version read, which makes a delayed first write fail.
  */
+import {randomInt} from 'node:crypto';
 import type {ObjectApi} from '../platform/object-api.js';
 import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
+import {Backoff} from '../util/backoff.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
 import {pause} from '../util/pause.js';
 import {ClaimState, type ClaimMessage, type MessageAnswer} from './claim-state.js';
@@ -12,8 +14,9 @@
 const CALL_TIMEOUT_MS = 1000;
 const MAX_BATCH = 1000;
 const MAX_WAITING = 5000;
-const RETRY_PAUSE_MS = 25;
+const RETRY_PAUSE_MS = 50;
 const MAX_RETRY_PAUSE_MS = 400;
+const MAX_SEED = 2 ** 31;
 
 /** A claim held by another attempt is answered from a state at most this old, so that a release shows soon. */
 const HELD_FRESH_MS = 250;
@@ -50,13 +53,13 @@
 	readonly #clock: Clock;
 	readonly #wallClock: Clock;
 	readonly #closing = new AbortController();
+	readonly #backoff = Backoff.create({baseMs: RETRY_PAUSE_MS, maxMs: MAX_RETRY_PAUSE_MS, seed: randomInt(MAX_SEED)});
 	#waiting: Waiting[] = [];
 	#running = false;
 	#state: ClaimState | undefined;
 	/** Monotonic ms at which `#state` was known to be the stored one. */
 	#stateAt = 0;
 	#lastWriteAt = Number.NEGATIVE_INFINITY;
-	#pauseMs = RETRY_PAUSE_MS;
 	#messages = 0;
 	#writes = 0;
 
@@ -112,10 +115,10 @@
 	async #run(): Promise<void> {
 		this.#running = true;
 		while (this.#waiting.length > 0) {
-			const progress = await this.#round();
-			this.#pauseMs = progress ? RETRY_PAUSE_MS : Math.min(MAX_RETRY_PAUSE_MS, this.#pauseMs * 2);
-			if (!progress) {
-				await pause(this.#pauseMs * (0.5 + (Math.random() / 2)), this.#closing.signal);
+			if (await this.#round()) {
+				this.#backoff.reset();
+			} else {
+				await pause(this.#backoff.nextMs(), this.#closing.signal);
 			}
 
 			this.#expire();
--- a/src/operations/operation-claims.ts
+++ b/src/operations/operation-claims.ts
@@ -6,6 +6,7 @@
 import type {
 	Claim, ClaimAnswer, PeerService, Settle,
 } from '../peer/protocol.js';
+import {Backoff} from '../util/backoff.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
 import {pause} from '../util/pause.js';
 import {chooseNode} from '../util/rendezvous.js';
@@ -118,7 +119,7 @@
 	}
 
 	async #settleUntilRecorded(settle: Settle): Promise<void> {
-		let pauseMs = FIRST_SETTLE_PAUSE_MS;
+		const backoff = Backoff.create({baseMs: FIRST_SETTLE_PAUSE_MS, maxMs: MAX_SETTLE_PAUSE_MS, seed: settle.keyTimeMs});
 		let relayFirst = true;
 		while (!this.#closing.signal.aborted) {
 			if (await this.#settleOnce(settle, relayFirst)) {
@@ -131,8 +132,7 @@
 			}
 
 			relayFirst = !relayFirst;
-			await pause(pauseMs, this.#closing.signal);
-			pauseMs = Math.min(MAX_SETTLE_PAUSE_MS, pauseMs * 2);
+			await pause(backoff.nextMs(), this.#closing.signal);
 		}
 
 		this.#options.onAbandoned?.(settle, 'closing');
--- /dev/null
+++ b/tests/plain-services.test.ts
@@ -0,0 +1,167 @@
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingHttpHeaders} from 'node:http';
+import {text} from 'node:stream/consumers';
+import type {AddressInfo} from 'node:net';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {UndiciPlainServiceClient} from '../src/backend/plain-service-client.js';
+import type {PlainService} from '../src/configuration/schema.js';
+import type {OperationExecutor} from '../src/operations/operation-executor.js';
+import type {PlainCall, PlainReservations, PlainResult} from '../src/operations/plain-call.js';
+import {findRoute, PlainRouter} from '../src/operations/plain-router.js';
+import {PlainServiceStandIn} from '../testing/stand-ins/plain-service/plain-service-stand-in.js';
+import {plainService, workspace} from './fixtures/operation-daemons.js';
+
+const closers: Array<() => Promise<unknown>> = [];
+
+afterEach(async () => {
+	await Promise.all(closers.splice(0).map(async close => close()));
+});
+
+function createClient(): UndiciPlainServiceClient {
+	const client = UndiciPlainServiceClient.create();
+	closers.push(async () => client.close());
+	return client;
+}
+
+async function startService(): Promise<PlainServiceStandIn> {
+	const service = await PlainServiceStandIn.create({startsWarm: true});
+	closers.push(async () => service.close());
+	return service;
+}
+
+/** A server that records the headers of each request and closes the connection without an answer. */
+async function startSilentServer(): Promise<{readonly address: string; readonly seen: IncomingHttpHeaders[]}> {
+	const seen: IncomingHttpHeaders[] = [];
+	const server = createServer(req => {
+		seen.push(req.headers);
+		req.socket.destroy();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	closers.push(async () => new Promise(resolve => {
+		server.close(resolve);
+	}));
+	return {address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen};
+}
+
+const request = (address: string) => ({
+	address, method: 'POST', path: '/bookings', headers: {}, body: Buffer.from('ten sacks'), timeoutMs: 2000,
+});
+
+const allow = () => undefined;
+
+describe('UndiciPlainServiceClient', () => {
+	it('should prove that nothing was sent only while no connection was open', async () => {
+		const client = createClient();
+		const closed = await PlainServiceStandIn.create({});
+		const {address} = closed;
+		await closed.close();
+		expect(await client.sendOnce(request(address), allow)).toMatchObject({kind: 'not_sent'});
+		const silent = await startSilentServer();
+		expect(await client.sendOnce(request(silent.address), () => 'too late')).toEqual({kind: 'not_sent', message: 'too late'});
+		expect(silent.seen).toHaveLength(0);
+	});
+
+	it('should send a request once when the connection ends without an answer', async () => {
+		const client = createClient();
+		const silent = await startSilentServer();
+		expect(await client.sendOnce(request(silent.address), allow)).toMatchObject({kind: 'unknown'});
+		expect(silent.seen).toHaveLength(1);
+	});
+
+	it('should return the whole answer', async () => {
+		const client = createClient();
+		const service = await startService();
+		const outcome = await client.sendOnce(request(service.address), allow);
+		expect(outcome).toMatchObject({kind: 'answered', status: 200});
+		expect(JSON.parse(outcome.kind === 'answered' ? outcome.body.toString() : '')).toMatchObject({path: '/bookings', bytes: 9});
+	});
+});
+
+describe('routes of a plain service', () => {
+	const routes = (['/orders/quotes', '/orders'] as const).map((pathPrefix, index) => ({
+		method: 'POST' as const, pathPrefix, idempotent: index === 0, timeoutMs: 1000,
+	}));
+	const service: PlainService = {...plainService, routes};
+
+	it.each([
+		['/orders/quotes?x=1', true], ['/orders/quotes/7', true], ['/orders', false], ['/orders/quotes-old', false],
+	])('should match whole segments of %s', (path, idempotent) => {
+		expect(findRoute({service, method: 'POST', path})).toMatchObject({kind: 'route', route: {idempotent}});
+	});
+
+	it.each(['/orders/quotes/../x', '/orders/quotes/%2E%2e/x', '/orders//quotes', '/other', String.raw`/orders\quotes`])('should refuse %s, which a service could read as another path', path => {
+		expect(findRoute({service, method: 'POST', path})).toMatchObject({code: 'invalid_request', ran: 'not_run'});
+	});
+});
+
+describe('idempotent calls', () => {
+	const service: PlainService = {
+		...plainService,
+		routes: [{
+			method: 'GET', pathPrefix: '/stock', idempotent: true, timeoutMs: 2000,
+		}],
+	};
+
+	/** Grants the given servers in turn and records how each grant ended. */
+	function createRouter(addresses: readonly string[]) {
+		const ended: string[] = [];
+		const reservations: PlainReservations = {
+			async reserve({exclude}) {
+				const id = String(exclude.length);
+				return {
+					kind: 'granted',
+					servers: [{id, address: addresses[exclude.length]!}],
+					validUntil: performance.now() + 500,
+					acknowledge: () => undefined,
+					release(outcome) {
+						ended.push(`${id} ${outcome}`);
+					},
+				};
+			},
+		};
+		const executor = {
+			async execute() {
+				throw new Error('not idempotent');
+			},
+		} as unknown as OperationExecutor;
+		return {ended, router: PlainRouter.create({reservations, client: createClient(), executor})};
+	}
+
+	const call: PlainCall = {
+		requestId: 'r1',
+		workspace,
+		service,
+		method: 'GET',
+		path: '/stock/jute',
+		headers: {
+			authorization: 'Bearer secret', connection: 'x-drop', 'x-drop': '1', 'x-keep': '2',
+		},
+		body: Buffer.alloc(0),
+		deadline: performance.now() + 60_000,
+		signal: new AbortController().signal,
+	};
+
+	const bodyOf = async (result: PlainResult): Promise<unknown> => result.kind === 'answered' && !Buffer.isBuffer(result.body)
+		? JSON.parse(await text(result.body))
+		: result;
+
+	it('should try another backend server after an answer was lost, and release each reservation once', async () => {
+		const [silent, good] = [await startSilentServer(), await startService()];
+		const {ended, router} = createRouter([silent.address, good.address]);
+		expect(await bodyOf(await router.handle(call))).toMatchObject({path: '/stock/jute'});
+		await expect.poll(() => ended).toEqual(['0 failed', '1 finished']);
+	});
+
+	it('should pass neither credentials nor hop-by-hop fields to the service', async () => {
+		const silent = await startSilentServer();
+		const {router} = createRouter([silent.address, silent.address, silent.address]);
+		expect(await router.handle(call)).toMatchObject({code: 'backend_failed', ran: 'unknown'});
+		expect(silent.seen).toHaveLength(3);
+		const headers = silent.seen[0]!;
+		expect([headers.authorization, headers['x-drop'], headers['x-keep'], headers['x-request-id']]).toEqual([undefined, undefined, '2', 'r1']);
+	});
+});
