--- a/tests/operations.test.ts
+++ b/tests/operations.test.ts
@@ -154,10 +154,10 @@
 	it('should refuse with not_run while the object API is down, and run a repeat afterwards', async () => {
 		const {api, service, a, b, key} = start();
 		await a.claims.layout();
-		api.down = true;
+		api.isDown = true;
 		expect(await a.call(key, 'r1')).toMatchObject({code: 'claim_unavailable', ran: 'not_run'});
 		expect(total(service)).toBe(0);
-		api.down = false;
+		api.isDown = false;
 		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
 	});
 
@@ -166,7 +166,7 @@
 		await a.claims.layout();
 		api.fates.push('lost-then-down');
 		expect(ranOf(await a.call(key, 'r1'))).toBe('not_run');
-		api.down = false;
+		api.isDown = false;
 		await a.claims.drain(5000);
 		expect(summaryOf(await b.call(key, 'r2'))).toBe('201');
 		expect(total(service)).toBe(1);
