--- /dev/null
+++ b/testing/bench/model-fixture.ts
@@ -0,0 +1,125 @@
+/** A deployment for measures of model requests, and the policies that are compared on it. */
+import {configuration as frialia, exampleKeys as frialiaKeys} from '../../examples/frialia.js';
+import {configuration as sacaria, exampleKeys as sacariaKeys} from '../../examples/sacaria.js';
+import type {Configuration, ModelService} from '../../src/configuration/schema.js';
+import {BlindRouter, type BlindPolicy} from '../baselines/blind-router.js';
+import {Deployment} from '../deployment.js';
+import type {Arrival} from '../load/arrivals.js';
+import type {CompletionRecord} from '../load/completion-client.js';
+import {runLoad} from '../load/load-run.js';
+
+/** A policy under measurement: the daemons, or a blind baseline. */
+export type Policy = 'fireflyport' | BlindPolicy;
+
+export type Example = 'sacaria' | 'frialia';
+
+const examples = {
+	sacaria: {configuration: sacaria, keys: sacariaKeys},
+	frialia: {configuration: frialia, keys: frialiaKeys},
+};
+
+/** Tokens that an engine prefills in one step; the stand-in's default. */
+const CHUNK_TOKENS = 2048;
+
+/** Mean prompt of the mix in tokens: 0.98 × the log-uniform mean of 1 k to 100 k and 0.02 × that of 100 k to 1 M. */
+const MEAN_PROMPT_TOKENS = (0.98 * 99_000 / Math.log(100)) + (0.02 * 900_000 / Math.log(10));
+
+/** Limits of workspaces are not under measurement and must not refuse the load. */
+function withoutLimits(configuration: Configuration): Configuration {
+	const limits = {requestsPerSecond: 1e6, concurrentRequests: 1_000_000, promptTokensPerMinute: 1_000_000_000_000};
+	return {...configuration, workspaces: configuration.workspaces.map(workspace => ({...workspace, limits}))};
+}
+
+export type ModelFixtureOptions = {
+	readonly example: Example;
+	readonly enginesPerDomain: number;
+	readonly daemonsPerDomain: number;
+	readonly seed: number;
+	readonly change?: (configuration: Configuration) => Configuration;
+};
+
+/** A running deployment with warm engines. */
+export class ModelFixture {
+	static async create({example, enginesPerDomain, daemonsPerDomain, seed, change = configuration => configuration}: ModelFixtureOptions): Promise<ModelFixture> {
+		const {configuration: original, keys} = examples[example];
+		const configuration = change(withoutLimits(original));
+		const model = configuration.services.find(service => service.kind === 'model')!;
+		const deployment = await Deployment.create({
+			configuration,
+			backendsPerDomain: {[model.name]: enginesPerDomain},
+			daemonsPerDomain,
+			seed,
+			startsWarm: true,
+		});
+		const allowed = configuration.workspaces.filter(workspace => workspace.services.includes(model.name));
+		const apiKeys = allowed.map(workspace => (keys as Readonly<Record<string, string>>)[workspace.name]!);
+		return new ModelFixture(deployment, configuration, model, apiKeys);
+	}
+
+	private runs = 0;
+
+	private constructor(
+		readonly deployment: Deployment,
+		readonly configuration: Configuration,
+		readonly model: ModelService,
+		readonly apiKeys: readonly string[],
+	) {}
+
+	/** Prompt tokens per second of all engines while each also decodes. */
+	get prefillTokensPerSecond(): number {
+		const stepSeconds = (CHUNK_TOKENS / this.model.prefillTokensPerSecond) + (1 / this.model.decodeTokensPerSecond);
+		const engines = this.deployment.backends.filter(({kind}) => kind === 'model').length;
+		return engines * CHUNK_TOKENS / stepSeconds;
+	}
+
+	/** Requests per second of the stated mix that keep all engines prefilling and decoding all the time. */
+	get saturationPerSecond(): number {
+		return this.prefillTokensPerSecond / MEAN_PROMPT_TOKENS;
+	}
+
+	/** Base URLs of the running daemons. */
+	get daemonUrls(): readonly string[] {
+		return this.deployment.daemons.filter(({process}) => process.isRunning).map(({process}) => process.url);
+	}
+
+	/** Runs arrivals under a policy. Prompts of different runs share no prefix. */
+	async run(policy: Policy, arrivals: readonly Arrival[], onRecord?: (record: CompletionRecord) => void): Promise<readonly CompletionRecord[]> {
+		const router = policy === 'fireflyport'
+			? undefined
+			: await BlindRouter.create(policy, this.deployment.backends.map(({host}) => host.address));
+		try {
+			return await runLoad(arrivals, {
+				targets: router ? [router.url] : this.daemonUrls,
+				apiKeys: this.apiKeys,
+				model: this.model.models[0]!.name,
+				label: `run ${this.runs++} ${policy}`,
+				onRecord,
+			});
+		} finally {
+			await router?.close();
+		}
+	}
+
+	/** Share of requests that finished within the total time of their objective. */
+	goodput(records: readonly CompletionRecord[]): number {
+		const limits = new Map(this.configuration.objectives
+			.filter(objective => objective.service === this.model.name)
+			.map(objective => [objective.lengthClass, objective.totalMs]));
+		const good = records.filter(({end, totalMs, lengthClass}) => end.kind === 'finished' && totalMs <= (limits.get(lengthClass) ?? Number.POSITIVE_INFINITY));
+		return good.length / records.length;
+	}
+
+	async close(): Promise<void> {
+		await this.deployment.close();
+	}
+}
+
+/** Runs `body` on a new fixture and closes it. */
+export async function withModelFixture<T>(options: ModelFixtureOptions, body: (fixture: ModelFixture) => Promise<T>): Promise<T> {
+	const fixture = await ModelFixture.create(options);
+	try {
+		return await body(fixture);
+	} finally {
+		await fixture.close();
+	}
+}
