--- a/tests/operations-model.test.ts
+++ b/tests/operations-model.test.ts
@@ -72,7 +72,7 @@
 			}
 
 			case 'object-api': {
-				api.down = next.down;
+				api.isDown = next.down;
 				break;
 			}
 
@@ -106,7 +106,7 @@
 		await act(next);
 	}
 
-	api.down = false;
+	api.isDown = false;
 	const answers = await Promise.all(calls);
 	fleet.close();
 	return {answers, service};
