Record results of requests in the service levels

Cause: /levels answered with an empty object. Change: the observer turns each result into an observation; plain calls count as short requests.

--- a/src/daemon/completion-handler.ts
+++ b/src/daemon/completion-handler.ts
@@ -4,7 +4,7 @@
 import {parseTimeout, TIMEOUT_HEADER} from '../admission/request-deadline.js';
 import type {Finished, ModelRunner} from '../routing/model-runner.js';
 import type {TokenSink} from '../streams/token-relay.js';
-import {wallClockMs} from '../util/clock.js';
+import {wallClockMs, type Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
 import {
 	authenticate, headerOf, type Authenticated, type Call, type CallHandler,
@@ -23,6 +23,7 @@
 	readonly runner: ModelRunner;
 	readonly bodies: BodyReader;
 	readonly observer: RequestObserver;
+	readonly clock: Clock;
 };
 
 /** Creates the handler of one endpoint. */
@@ -90,8 +91,8 @@
 		workspace: request.workspace.name,
 		lengthClass: request.lengthClass,
 		arrivedAt: request.arrivedAt,
-		outcome: result,
-	});
+		outcome: result.kind === 'finished' ? {kind: 'finished', tokens: result.done.completionTokens, firstTokenAt: result.firstTokenAt} : result,
+	}, parts.clock());
 	return result;
 }
 
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -140,14 +140,18 @@
 		const indexes = this.#indexes;
 		const reservations = this.#reservations();
 		const completions = {
-			indexes, runner: this.#runner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.parts.observer,
+			indexes, runner: this.#runner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.parts.observer, clock: monotonicMs,
 		};
 		const router = this.parts.createPlainCalls(createPlainReservations(reservations, indexes));
 		return [
 			{method: 'POST', path: '/v1/chat/completions', handle: createCompletionHandler(chatFormat, completions)},
 			{method: 'POST', path: '/v1/completions', handle: createCompletionHandler(textFormat, completions)},
 			{method: 'GET', path: '/v1/models', handle: createModelsHandler(indexes)},
-			{path: PLAIN_PREFIX, handle: createPlainHandler({indexes, router})},
+			{
+				path: PLAIN_PREFIX, handle: createPlainHandler({
+					indexes, router, observer: this.parts.observer, clock: monotonicMs,
+				}),
+			},
 			{
 				method: 'GET', path: '/healthz', handle: handleHealth, isOperational: true,
 			},
--- a/src/daemon/plain-handler.ts
+++ b/src/daemon/plain-handler.ts
@@ -5,10 +5,12 @@
 import type {PlainService} from '../configuration/schema.js';
 import type {PlainCall, PlainResult} from '../operations/plain-call.js';
 import {readPlainBody, writePlainAnswer} from '../operations/plain-http.js';
+import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
 import {
 	authenticate, headerOf, type Authenticated, type Call, type CallHandler,
 } from './call.js';
+import type {RequestObserver} from './request-observer.js';
 
 /** First segment of the path of calls to plain services. */
 export const PLAIN_PREFIX = '/services/';
@@ -21,12 +23,14 @@
 type PlainParts = {
 	readonly indexes: ConfigurationIndexes;
 	readonly router: PlainCalls;
+	readonly observer: RequestObserver;
+	readonly clock: Clock;
 };
 
 /** Creates the handler of calls to plain services. */
-export function createPlainHandler({indexes, router}: PlainParts): CallHandler {
+export function createPlainHandler(parts: PlainParts): CallHandler {
 	return async call => {
-		const caller = authenticate(call, indexes);
+		const caller = authenticate(call, parts.indexes);
 		if (caller.kind === 'failure') {
 			return caller;
 		}
@@ -43,7 +47,7 @@
 			return timeoutMs;
 		}
 
-		return respond(call, router, {
+		return respond(call, parts, {
 			requestId: call.requestId,
 			workspace: caller.workspace,
 			service,
@@ -57,19 +61,25 @@
 	};
 }
 
-async function respond(call: Call, router: PlainCalls, plain: Omit<PlainCall, 'body'>): Promise<Failure | undefined> {
+async function respond(call: Call, {router, observer, clock}: PlainParts, plain: Omit<PlainCall, 'body'>): Promise<Failure | undefined> {
 	const body = await readBody(call.req);
 	if ('kind' in body) {
 		return body;
 	}
 
 	const result = await router.handle({...plain, body});
-	if (result.kind === 'failure') {
-		return result;
+	if (result.kind === 'answered') {
+		await writePlainAnswer(call.res, result, call.requestId);
 	}
 
-	await writePlainAnswer(call.res, result, call.requestId);
-	return undefined;
+	observer.observe({
+		service: plain.service.name,
+		workspace: plain.workspace.name,
+		lengthClass: 'short',
+		arrivedAt: call.arrivedAt,
+		outcome: result.kind === 'failure' ? result : {kind: 'finished', tokens: 0},
+	}, clock());
+	return result.kind === 'failure' ? result : undefined;
 }
 
 async function readBody(req: IncomingMessage): ReturnType<typeof readPlainBody> {
--- a/src/daemon/request-observer.ts
+++ b/src/daemon/request-observer.ts
@@ -1,33 +1,72 @@
-/** Receives the result of each model request, for metrics and service levels. */
-import type {Finished} from '../routing/model-runner.js';
-import type {Clock} from '../util/clock.js';
+/** Receives the result of each request, for metrics and service levels. */
+import {outcomeOfFailure, type Observation} from '../service-levels/observation.js';
+import type {ServiceLevels} from '../service-levels/service-levels.js';
 import type {Failure} from '../util/failure.js';
 import type {LengthClass} from '../util/length-class.js';
 import type {Metrics} from '../util/metrics.js';
 
+/** A complete response. Times are monotonic ms. */
+export type Completed = {
+	readonly kind: 'finished';
+	/** Generated tokens; 0 for plain services. */
+	readonly tokens: number;
+	readonly firstTokenAt?: number;
+};
+
 export type ObservedRequest = {
 	readonly service: string;
 	readonly workspace: string;
+	/** `short` for plain services. */
 	readonly lengthClass: LengthClass;
 	/** Monotonic ms. */
 	readonly arrivedAt: number;
-	readonly outcome: Finished | Failure;
+	readonly outcome: Completed | Failure;
 };
 
 export type RequestObserver = {
-	observe(request: ObservedRequest): void;
+	/** `now` is the time at which the request ended. */
+	observe(request: ObservedRequest, now: number): void;
 };
 
-/** Sends each result to the metrics. */
-export function createMetricsObserver(metrics: Metrics, clock: Clock): RequestObserver {
+/** Records each result in the metrics and the service levels. */
+export function createRequestObserver(metrics: Metrics, levels: Pick<ServiceLevels, 'record'>): RequestObserver {
 	return {
-		observe({service, lengthClass, arrivedAt, outcome}) {
-			const tags = {service, class: lengthClass, outcome: outcome.kind === 'finished' ? 'finished' : outcome.code};
-			metrics.increment('requests', tags);
-			metrics.timing('request_ms', clock() - arrivedAt, tags);
-			if (outcome.kind === 'finished' && outcome.firstTokenAt !== undefined) {
-				metrics.timing('first_token_ms', outcome.firstTokenAt - arrivedAt, tags);
+		observe(request, now) {
+			const observation = toObservation(request, now);
+			count(metrics, request, observation, now);
+			if (observation) {
+				levels.record(observation, now);
 			}
 		},
 	};
 }
+
+/** The result as it counts towards service levels, or undefined when it does not count. */
+function toObservation({service, workspace, lengthClass, arrivedAt, outcome}: ObservedRequest, now: number): Observation | undefined {
+	const common = {
+		service, workspace, lengthClass, totalMs: now - arrivedAt,
+	};
+	if (outcome.kind === 'failure') {
+		const counted = outcomeOfFailure(outcome.code);
+		return counted && {...common, outcome: counted};
+	}
+
+	const {firstTokenAt, tokens} = outcome;
+	return firstTokenAt === undefined
+		? {...common, outcome: 'finished'}
+		: {
+			...common,
+			outcome: 'finished',
+			firstTokenMs: firstTokenAt - arrivedAt,
+			...(tokens > 1 ? {betweenTokensMs: (now - firstTokenAt) / (tokens - 1)} : {}),
+		};
+}
+
+function count(metrics: Metrics, {service, lengthClass, arrivedAt, outcome}: ObservedRequest, observation: Observation | undefined, now: number): void {
+	const tags = {service, class: lengthClass, outcome: outcome.kind === 'finished' ? 'finished' : outcome.code};
+	metrics.increment('requests', tags);
+	metrics.timing('request_ms', now - arrivedAt, tags);
+	if (observation?.firstTokenMs !== undefined) {
+		metrics.timing('first_token_ms', observation.firstTokenMs, tags);
+	}
+}
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -1,5 +1,6 @@
 /** Builds the parts of a daemon on the platform's object API and host list. */
 import {randomInt} from 'node:crypto';
+import {ConfigurationIndexes} from '../admission/configuration-index.js';
 import {EngineClient} from '../backend/engine-client.js';
 import {HttpBackendProbe} from '../backend/http-backend-probe.js';
 import {PoolClient} from '../capacity/pool-client.js';
@@ -13,13 +14,14 @@
 import {createPeerServer, type PeerServer} from '../peer/peer-server.js';
 import {HttpHostList} from '../platform/http-host-list.js';
 import {HttpObjectApi} from '../platform/http-object-api.js';
+import {ServiceLevels} from '../service-levels/service-levels.js';
 import type {Logger} from '../util/logger.js';
 import type {CreateParts, DaemonParts, PartSources} from './daemon-parts.js';
 import {MembershipParts} from './membership-parts.js';
 import {OperationParts} from './operation-parts.js';
 import {createPeerService} from './peer-service.js';
 import {createPoolClient} from './pool-grants.js';
-import {createMetricsObserver} from './request-observer.js';
+import {createRequestObserver} from './request-observer.js';
 
 const MAX_SEED = 2 ** 31;
 const IDLE_PEERS_INTERVAL_MS = 30_000;
@@ -109,7 +111,13 @@
 	const {store, coordinators, operations, membership} = built;
 	const running = run(built, sources);
 	const polls = ConfigurationPolls.create({store, sourceAgeMs: () => running.delivery.sourceAgeMs(clock())});
-	const levels = () => ({});
+	const indexes = ConfigurationIndexes.create(store);
+	const serviceLevels = ServiceLevels.create({
+		daemon: sources.identity.id,
+		objectiveOf: (service, lengthClass) => indexes.current()?.objective(service, lengthClass),
+		nowMs: clock(),
+	});
+	const levels = () => serviceLevels.report(clock());
 	const service = createPeerService({
 		pools: coordinators, polls, relay: operations.relay, levels,
 	});
@@ -127,7 +135,7 @@
 		directory: built.directory,
 		pools: createPoolClient(built.pools),
 		engine: built.engine,
-		observer: createMetricsObserver(metrics, clock),
+		observer: createRequestObserver(metrics, serviceLevels),
 		peerAddress: server.address,
 		createPlainCalls: reservations => operations.createRouter(reservations),
 		async start(address) {
--- a/tests/http-front.test.ts
+++ b/tests/http-front.test.ts
@@ -31,6 +31,9 @@
 		const response = await front.openai.completions.create(completion);
 		expect(response.choices[0]).toMatchObject({text: expectedText(completion.prompt, 20), finish_reason: 'length'});
 		expect(response.usage).toMatchObject({completion_tokens: 20});
+		expect(front.observations).toEqual([expect.objectContaining({
+			service: 'fio-lm', workspace: 'mills', lengthClass: 'short', outcome: 'finished',
+		})]);
 	});
 
 	it('should receive a chat response, streamed with token counts at its end', async () => {
