Keep a failure domain out when a configuration file is applied

Cause: declarations print their failure domains as in, so applying one while a failure domain is out sent work there. Ruled out: refusing the file, since automated changes would stop for as long as a failure domain is out. Conclusion: covered by a test that applies a file while braga is out.

--- a/src/cli/config-apply.ts
+++ b/src/cli/config-apply.ts
@@ -7,7 +7,7 @@
 import {CommandError, type Call, type Command} from './command.js';
 import {EXIT, type ExitCode} from './exit-codes.js';
 import {
-	CALL_TIMEOUT_MS, nameOf, readFile, readStored, requireValid,
+	CALL_TIMEOUT_MS, describeKeptOut, nameOf, readFileOver, readStored, requireValid, TAKE_IN_FLAG,
 } from './stored-configuration.js';
 
 export const configApply: Command = {
@@ -16,16 +16,19 @@
 	flags: [
 		['--based-on <version>', 'Version that the file was made from (default: the version read when the command starts)'],
 		['--force', 'Accept services without a failure domain that is in'],
+		TAKE_IN_FLAG,
 	],
 	async run(call) {
 		const [file] = call.args as [string];
 		const requested = parseVersion(call.flags.basedOn);
 		const stored = await readStored(call);
-		const configuration = requireValid(await readFile(call, file), file, {allowUnserved: call.flags.force === true});
+		const read = await readFileOver(call, file, stored);
+		const configuration = requireValid(read.configuration, file, {allowUnserved: call.flags.force === true});
 		const basedOn = requested ?? stored.version;
 		const differences = listDifferences(stored.value, configuration);
 		if (differences.length === 0) {
-			call.output.result({kind: 'unchanged', version: stored.version}, `${nameOf(file)} equals version ${stored.version}, which stays in force`);
+			const {keptOut} = read;
+			call.output.result({kind: 'unchanged', version: stored.version, keptOut}, `${nameOf(file)} equals version ${stored.version}, which stays in force${describeKeptOut(keptOut)}`);
 			return EXIT.done;
 		}
 
@@ -37,7 +40,7 @@
 
 		call.output.progress(`writing ${CONFIGURATION_KEY} at ${call.objectApiUrl}, based on version ${basedOn}`);
 		const outcome = await applyConfiguration(call.objectApi(), configuration, basedOn, applyOptions(call));
-		return report(call, basedOn, outcome);
+		return report(call, {basedOn, keptOut: read.keptOut}, outcome);
 	},
 };
 
@@ -54,11 +57,13 @@
 	return flag === undefined ? undefined : Number(flag);
 }
 
-function report(call: Call, basedOn: number, outcome: ApplyOutcome): ExitCode {
+type Attempt = {readonly basedOn: number; readonly keptOut: readonly string[]};
+
+function report(call: Call, {basedOn, keptOut}: Attempt, outcome: ApplyOutcome): ExitCode {
 	switch (outcome.kind) {
 		case 'applied': {
 			const note = outcome.isResolved ? ' (an answer of the object API was lost; the stored configuration was compared)' : '';
-			call.output.result(outcome, `version ${outcome.version} is accepted${note}`);
+			call.output.result({...outcome, keptOut}, `version ${outcome.version} is accepted${note}${describeKeptOut(keptOut)}`);
 			return EXIT.done;
 		}
 
--- a/src/cli/config-diff.ts
+++ b/src/cli/config-diff.ts
@@ -2,20 +2,24 @@
 import {formatDifference, listDifferences} from '../configuration/configuration-differences.js';
 import type {Command} from './command.js';
 import {EXIT} from './exit-codes.js';
-import {nameOf, readFile, readStored} from './stored-configuration.js';
+import {
+	describeKeptOut, nameOf, readFileOver, readStored, TAKE_IN_FLAG,
+} from './stored-configuration.js';
 
 export const configDiff: Command = {
 	usage: 'config diff <file>',
 	description: 'Show what applying a file (- for standard input) would change',
-	flags: [],
+	flags: [TAKE_IN_FLAG],
 	async run(call) {
 		const [file] = call.args as [string];
-		const {version, value} = await readStored(call);
-		const differences = listDifferences(value, await readFile(call, file));
+		const stored = await readStored(call);
+		const {version} = stored;
+		const {configuration, keptOut} = await readFileOver(call, file, stored);
+		const differences = listDifferences(stored.value, configuration);
 		const text = differences.length === 0
 			? `${nameOf(file)} equals version ${version}`
 			: `from version ${version} to ${nameOf(file)}:\n${differences.map(difference => `  ${formatDifference(difference)}`).join('\n')}`;
-		call.output.result({version, differences}, text);
+		call.output.result({version, differences, keptOut}, `${text}${describeKeptOut(keptOut)}`);
 		return EXIT.done;
 	},
 };
--- a/src/cli/stored-configuration.ts
+++ b/src/cli/stored-configuration.ts
@@ -1,6 +1,7 @@
 /** Reads the configuration in force and configuration files. */
 import {checkConfiguration, type CheckOptions} from '../configuration/check-configuration.js';
 import {formatFinding} from '../configuration/finding.js';
+import {keepOut, type KeptOut} from '../configuration/keep-out.js';
 import {CONFIGURATION_KEY, type AcceptedConfiguration, type Configuration} from '../configuration/schema.js';
 import {CommandError, type Call} from './command.js';
 import {EXIT} from './exit-codes.js';
@@ -52,6 +53,20 @@
 	}
 }
 
+/** The flag of commands that apply a file: without it, failure domains that are out stay out. */
+export const TAKE_IN_FLAG = ['--take-in', 'Take failure domains in that are out in the version in force but in by the file'] as const;
+
+/** Reads FILE and keeps failure domains out that are out in `stored`, unless `--take-in` is given. */
+export async function readFileOver(call: Call, file: string, stored: StoredConfiguration): Promise<KeptOut> {
+	const configuration = await readFile(call, file);
+	return call.flags.takeIn === true ? {configuration, keptOut: []} : keepOut(configuration, stored.value);
+}
+
+/** Says which failure domains stay out. */
+export const describeKeptOut = (keptOut: readonly string[]): string => keptOut
+	.map(name => `\nfailure domain ${name} stays out; take it in with domain in ${name}`)
+	.join('');
+
 export const nameOf = (file: string): string => file === '-' ? 'standard input' : file;
 
 /** Checks a configuration that was read from FILE. Throws a CommandError with all findings when it is refused. */
--- a/tests/cli.test.ts
+++ b/tests/cli.test.ts
@@ -85,9 +85,9 @@
 		const api = new MemoryObjectApi();
 		expect(await run(api, 'config apply -')).toMatchObject({exitCode: 0});
 		expect(jsonOf(await run(api, 'config show'))).toEqual(sampleConfiguration());
-		expect(jsonOf(await run(api, 'config apply - --json'))).toEqual({kind: 'unchanged', version: 1});
+		expect(jsonOf(await run(api, 'config apply - --json'))).toEqual({kind: 'unchanged', version: 1, keptOut: []});
 		expect(jsonOf(await run(api, 'config diff - --json', heavier))).toEqual({
-			version: 1, differences: [{path: 'workspaces.mills.weight', from: 1, to: 5}],
+			version: 1, differences: [{path: 'workspaces.mills.weight', from: 1, to: 5}], keptOut: [],
 		});
 	});
 
@@ -116,14 +116,18 @@
 	it('should find out that a write with a lost answer took effect', async () => {
 		const api = stored();
 		api.writeFaults.push('lost_after');
-		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({kind: 'applied', version: 2, isResolved: true});
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({
+			kind: 'applied', version: 2, isResolved: true, keptOut: [],
+		});
 		expect(inForce(api)).toEqual(wider);
 	});
 
 	it('should write again when a write with a lost answer did not take effect', async () => {
 		const api = stored();
 		api.writeFaults.push('lost_before', 'rejected');
-		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({kind: 'applied', version: 2, isResolved: true});
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toEqual({
+			kind: 'applied', version: 2, isResolved: true, keptOut: [],
+		});
 		expect(inForce(api)).toEqual(wider);
 	});
 
@@ -164,6 +168,16 @@
 		expect(await run(api, 'domain in braga')).toMatchObject({out: expect.stringContaining('is in already') as string});
 	});
 
+	it('should keep a failure domain out when a file that has it in is applied, until it is taken in', async () => {
+		const api = stored();
+		await run(api, 'domain out braga');
+		expect(jsonOf(await run(api, 'config apply - --json', wider))).toMatchObject({kind: 'applied', keptOut: ['braga']});
+		expect(inForce(api)).toMatchObject({workspaces: wider.workspaces});
+		expect(states(api)).toEqual(['in', 'in', 'out']);
+		expect(await run(api, 'config apply - --take-in', wider)).toMatchObject({exitCode: 0});
+		expect(states(api)).toEqual(['in', 'in', 'in']);
+	});
+
 	it('should refuse to take out the last failure domain of a service unless forced', async () => {
 		const api = stored();
 		const refused = await run(api, 'domain out guimaraes');
