--- a/src/util/pause.ts
+++ b/src/util/pause.ts
@@ -4,7 +4,7 @@
 /** Resolves after `ms`, or as soon as `signal` is aborted. */
 export async function pause(ms: number, signal?: AbortSignal): Promise<void> {
 	try {
-		await delay(Math.max(0, ms), undefined, {signal});
+		await delay(ms, undefined, {signal});
 	} catch {
 		// The only rejection is the abort, which ends the pause.
 	}
