Take listings into account when a predecessor of a coordinator has ended

Cause: a disconnected predecessor may grant up to its share until it confirms that it stepped down; a successor that used the full limit at once would not count those requests.

Change: the successor keeps its reduced share until the predecessor's last grants are void and the backend servers have been listed again; servers without a new listing get no grants. A first listing after a takeover without a clean release is taken only after the predecessor's grants are void. PoolClient has the shape that routing expects.

--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -65,8 +65,11 @@
 	#backlog: PrefillBacklog;
 	/** Running requests of a plain service that no reservation explains. */
 	#untracked = 0;
-	/** Whether what ran before this coordinator came into office is known. */
+	/** Whether what other coordinators granted is known. */
 	#accounted = false;
+	/** Listings that were asked for earlier may miss what another coordinator granted. */
+	#listedFromMs = -Infinity;
+	#listed = false;
 	#warmProbeAtMs = -Infinity;
 	#failures = 0;
 	#retryAtMs = -Infinity;
@@ -89,7 +92,7 @@
 
 	/** Whether a listing (or load report of a plain service) is needed. */
 	get needsListing(): boolean {
-		return !this.#accounted || this.#totals.orphans > 0;
+		return !this.#listed || this.#totals.orphans > 0;
 	}
 
 	/** Whether grants are possible at all: accounted for, staying, and not backing off. */
@@ -111,6 +114,17 @@
 		return held?.state === 'inactive' ? held.demand : undefined;
 	}
 
+	/** Asks for a listing from `listedFromMs` on. Grants go on meanwhile if they were possible before. */
+	requireListing(listedFromMs: number): void {
+		this.#listedFromMs = listedFromMs;
+		this.#listed = false;
+	}
+
+	/** Stops grants until the listing that was last required. */
+	suspendUnlisted(): void {
+		this.#accounted &&= this.#listed;
+	}
+
 	setLimits(limits: ServerLimits): void {
 		if (limits.prefillTokensPerSecond !== this.#limits.prefillTokensPerSecond) {
 			this.#backlog = new PrefillBacklog(limits.prefillTokensPerSecond);
@@ -272,7 +286,7 @@
 			}
 		}
 
-		this.#accounted = true;
+		this.#noteListed(requestedAtMs);
 	}
 
 	/** Starts the slow start again when the failure domain returns. */
@@ -331,7 +345,14 @@
 		}
 
 		this.#untracked = Math.max(0, runningRequests - explained);
-		this.#accounted = true;
+		this.#noteListed(takenAtMs);
+	}
+
+	#noteListed(listedAtMs: number): void {
+		if (listedAtMs >= this.#listedFromMs) {
+			this.#listed = true;
+			this.#accounted = true;
+		}
 	}
 
 	/** Returns the id under which the listed item counts. */
--- a/src/capacity/lease-takeover.ts
+++ b/src/capacity/lease-takeover.ts
@@ -5,6 +5,9 @@
 /** Validity of a lease, counted by its holder from before the renewal was sent. */
 export const LEASE_TTL_MS = 6000;
 
+/** A grant is void this long after the daemon asked for it or had it confirmed. */
+export const GRANT_VALID_MS = 500;
+
 /** Added to the TTL before a takeover, for clocks that run at slightly different rates. */
 export const TAKEOVER_MARGIN_MS = 1000;
 
--- a/src/capacity/pool-admission.ts
+++ b/src/capacity/pool-admission.ts
@@ -10,6 +10,7 @@
 import type {BackendServerState} from './backend-server-state.js';
 import {couldEverHold, type GangMember} from './gang.js';
 import {GrantPlanner} from './grant-planner.js';
+import {GRANT_VALID_MS} from './lease-takeover.js';
 import type {PlacementContext} from './placement.js';
 import {PoolServers} from './pool-servers.js';
 import {PrefixIndex} from './prefix-index.js';
@@ -24,9 +25,6 @@
 /** Requests that wait in one pool at most. */
 export const QUEUE_CAPACITY = 256;
 
-/** A grant is void this long after the daemon asked for it or had it confirmed. */
-export const GRANT_VALID_MS = 500;
-
 /** Time after a takeover in which daemons register their reservations; limits stay cold meanwhile. */
 export const REGISTRATION_MS = 5000;
 
@@ -79,7 +77,8 @@
 		this.#service = options.service;
 		this.#longPromptQuota = options.longPromptQuota;
 		this.#recoveredAtMs = options.startedAtMs + (options.clean ? 0 : REGISTRATION_MS);
-		this.servers = new PoolServers(options.service);
+		// What a predecessor granted last may reach a backend server until its validity ends.
+		this.servers = new PoolServers(options.service, options.startedAtMs + (options.clean ? 0 : GRANT_VALID_MS));
 		this.#planner = GrantPlanner.create(this.servers);
 		this.#limits = WorkspaceLimits.create({pool: options.pool, configuration: options.configuration, fresh: options.clean});
 		this.#queue = WaitQueue.create({capacity: QUEUE_CAPACITY, ranks: options.configuration.priorities.map(priority => priority.rank)});
--- a/src/capacity/pool-client.ts
+++ b/src/capacity/pool-client.ts
@@ -30,10 +30,16 @@
 
 /** Outcome of a reservation. `unreachable`: no coordinator answered; nothing may be sent. */
 export type ReserveResult =
-	| {readonly kind: 'granted'; readonly reservation: PoolReservation}
+	| PoolReservation
 	| Extract<ReserveAnswer, {kind: 'refused'}>
 	| {readonly kind: 'unreachable'; readonly message: string; readonly peer?: string};
 
+export type ReserveOptions = {
+	readonly signal: AbortSignal;
+	/** Monotonic ms at which the reservation is asked for; its grant is void 500 ms later unless it was confirmed. */
+	readonly now: number;
+};
+
 type Target = {
 	readonly service: PoolService;
 	/** Address of the coordinator, or `local`. */
@@ -67,7 +73,7 @@
 	}
 
 	/** Waits until capacity is granted or refused. Aborting `signal` takes the request back. */
-	async reserve(request: ReservationRequest, {signal, now}: {readonly signal: AbortSignal; readonly now: number}): Promise<ReserveResult> {
+	async reserve(request: ReservationRequest, {signal, now}: ReserveOptions): Promise<ReserveResult> {
 		const target = this.#target(request.pool);
 		if (!target) {
 			this.options.directory.refresh();
@@ -108,8 +114,8 @@
 				return answer;
 			}
 
-			const validUntilMs = await this.#validUntil(reservation, answer, target, now);
-			return validUntilMs === undefined ? {kind: 'refused', message: `the grant of ${server} came too late`} : {kind: 'activated', validUntilMs};
+			const validUntil = await this.#validUntil(reservation, answer, target, now);
+			return validUntil === undefined ? {kind: 'refused', message: `the grant of ${server} came too late`} : {kind: 'activated', validUntil};
 		} catch (err) {
 			return {kind: 'refused', message: err instanceof Error ? err.message : String(err)};
 		}
@@ -150,18 +156,18 @@
 	}
 
 	async #accept(request: ReservationRequest, answer: Extract<ReserveAnswer, {kind: 'granted'}>, target: Target, askedAtMs: number): Promise<ReserveResult> {
-		const provisional = new PoolReservation(request, {...answer, validUntilMs: askedAtMs + answer.validForMs}, this, askedAtMs);
-		const validUntilMs = await this.#validUntil(provisional, answer, target, askedAtMs);
-		if (validUntilMs === undefined) {
+		const provisional = new PoolReservation(request, {...answer, validUntil: askedAtMs + answer.validForMs}, this, askedAtMs);
+		const validUntil = await this.#validUntil(provisional, answer, target, askedAtMs);
+		if (validUntil === undefined) {
 			provisional.release('not_sent');
 			return {
 				kind: 'refused', reason: 'not_coordinator', message: `the grant of pool ${request.pool} came too late`, retryAfterMs: 0,
 			};
 		}
 
-		const reservation = new PoolReservation(request, {...answer, validUntilMs}, this, askedAtMs);
+		const reservation = new PoolReservation(request, {...answer, validUntil}, this, askedAtMs);
 		this.#open.set(reservation.id, reservation);
-		return {kind: 'granted', reservation};
+		return reservation;
 	}
 
 	/**
--- a/src/capacity/pool-coordinator.ts
+++ b/src/capacity/pool-coordinator.ts
@@ -9,7 +9,8 @@
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {BackendProbe} from './backend-probe.js';
-import {GRANT_VALID_MS, PoolAdmission} from './pool-admission.js';
+import {GRANT_VALID_MS} from './lease-takeover.js';
+import {PoolAdmission} from './pool-admission.js';
 import {CoordinatorLease, type PoolLeaseOptions} from './pool-lease.js';
 import {LOAD_INTERVAL_MS, ServerPoller} from './server-poller.js';
 import {waitingId} from './waiting-request.js';
@@ -23,7 +24,7 @@
 const SETTLE_INTERVAL_MS = 10;
 
 export type PoolCoordinatorOptions = {
-	readonly lease: Omit<PoolLeaseOptions, 'onAcquired' | 'onLost'>;
+	readonly lease: Omit<PoolLeaseOptions, 'onAcquired' | 'onPredecessorEnded' | 'onShareReturned' | 'onLost'>;
 	readonly service: Service;
 	readonly configuration: Configuration;
 	readonly hosts: () => readonly Host[];
@@ -65,6 +66,12 @@
 			onAcquired: (lease, clean) => {
 				this.#begin(lease, clean);
 			},
+			onPredecessorEnded: listedFromMs => {
+				this.#term?.admission.servers.requireListing(listedFromMs);
+			},
+			onShareReturned: () => {
+				this.#term?.admission.servers.suspendUnlisted();
+			},
 			onLost: () => {
 				this.#end();
 			},
--- a/src/capacity/pool-lease.ts
+++ b/src/capacity/pool-lease.ts
@@ -14,7 +14,7 @@
 	askForPromises, askToStepDown, type LeaseDirectory, type LeasePeers, type Predecessor, predecessorName,
 } from './lease-peers.js';
 import {
-	chooseCandidates, DISCONNECTED_MAX_MS, LEASE_TTL_MS, mayTakeOver, TAKEOVER_MARGIN_MS, UNANIMITY_MAX_MS,
+	chooseCandidates, DISCONNECTED_MAX_MS, GRANT_VALID_MS, LEASE_TTL_MS, mayTakeOver, TAKEOVER_MARGIN_MS, UNANIMITY_MAX_MS,
 } from './lease-takeover.js';
 import type {GrantMode} from './usable-share.js';
 
@@ -25,6 +25,9 @@
 
 const CALL_TIMEOUT_MS = 1500;
 
+/** Time for new listings of the backend servers after a predecessor has ended. */
+const LISTING_MARGIN_MS = 1500;
+
 export type PoolLeaseOptions = {
 	readonly pool: string;
 	readonly failureDomain: string;
@@ -35,6 +38,10 @@
 	readonly logger: Logger;
 	/** Called after each acquisition with the new lease; `clean` when the predecessor released it with nothing unacknowledged. */
 	readonly onAcquired: (lease: PoolLease, clean: boolean) => void;
+	/** Called when a predecessor has ended: what it granted shows in listings taken from `listedFromMs` on. */
+	readonly onPredecessorEnded: (listedFromMs: number) => void;
+	/** Called when ended predecessors no longer reduce what may be granted. */
+	readonly onShareReturned: () => void;
 	/** Called when this daemon learns that it no longer holds the lease. */
 	readonly onLost: () => void;
 };
@@ -68,7 +75,8 @@
 	/** Epochs below this one were given up. */
 	#minEpoch = 0;
 	#absentSinceMs: number | undefined;
-	#confirmed = new Set<string>();
+	/** Predecessors that have ended, with the time at which this was learned. */
+	#ended = new Map<string, number>();
 	#releasing = false;
 	#draining = false;
 	#closed = false;
@@ -192,7 +200,7 @@
 		const lease: PoolLease = {
 			...held.lease,
 			renewal,
-			unconfirmed: held.lease.unconfirmed.filter(predecessor => !this.#confirmed.has(predecessorName(predecessor))),
+			unconfirmed: held.lease.unconfirmed.filter(predecessor => !this.#isSettled(predecessor)),
 			candidates: this.#candidates(),
 		};
 		await this.#attempt(lease, {kind: 'version', version: held.version});
@@ -214,6 +222,11 @@
 		}
 
 		const seen = directory.seenLease(pool);
+		if (seen && seen.lease.epoch >= (this.#unresolved?.epoch ?? Infinity) && !this.#isOwn(seen.lease)) {
+			// A takeover that is still under way was conditional on an older version and fails.
+			this.#unresolved = undefined;
+		}
+
 		this.#absentSinceMs = seen ? undefined : this.#absentSinceMs ?? now;
 		const sinceMs = seen?.firstSeenMs ?? this.#absentSinceMs ?? now;
 		const ownerSuperseded = seen !== undefined && this.#isSuperseded(seen.lease.owner, seen.lease.incarnation, sinceMs);
@@ -301,15 +314,20 @@
 			return;
 		}
 
+		const returned = this.#held !== undefined && lease.unconfirmed.length < this.#held.lease.unconfirmed.length;
 		this.#held = {lease, version, renewedAtMs};
 		this.#unresolved = undefined;
+		if (returned) {
+			this.options.onShareReturned();
+		}
+
 		this.options.directory.noteLease(this.options.pool, lease, version, this.options.clock());
 	}
 
 	#lose(reason: string): void {
 		const held = this.#held;
 		this.#held = undefined;
-		this.#confirmed = new Set();
+		this.#ended = new Map();
 		this.#promisedAtMs = -Infinity;
 		if (held) {
 			this.options.logger.info('pool_lease_lost', {pool: this.options.pool, epoch: held.lease.epoch, reason});
@@ -329,12 +347,21 @@
 	async #confirmPredecessors(): Promise<void> {
 		const held = this.#held;
 		await Promise.all((held?.lease.unconfirmed ?? []).map(async predecessor => {
-			if (await this.#hasEnded(predecessor, held!.lease.epoch)) {
-				this.#confirmed.add(predecessorName(predecessor));
+			const name = predecessorName(predecessor);
+			if (!this.#ended.has(name) && await this.#hasEnded(predecessor, held!.lease.epoch)) {
+				const now = this.options.clock();
+				this.#ended.set(name, now);
+				this.options.onPredecessorEnded(now + GRANT_VALID_MS);
 			}
 		}));
 	}
 
+	/** Whether a predecessor has ended long enough ago for its last grants to show in listings. */
+	#isSettled(predecessor: Predecessor): boolean {
+		const endedAtMs = this.#ended.get(predecessorName(predecessor)) ?? Infinity;
+		return this.options.clock() - endedAtMs >= GRANT_VALID_MS + LISTING_MARGIN_MS;
+	}
+
 	async #hasEnded(predecessor: Predecessor, epoch: number): Promise<boolean> {
 		const heldForMs = this.options.clock() - this.#acquiredAtMs;
 		return heldForMs >= DISCONNECTED_MAX_MS + TAKEOVER_MARGIN_MS
--- a/src/capacity/pool-reservation.ts
+++ b/src/capacity/pool-reservation.ts
@@ -1,6 +1,6 @@
 /** A granted reservation, as the daemon that received the request holds it. */
 import type {
-	GrantedServer, KeepAlive, PoolSummary, Release, Reserve,
+	Acknowledge, GrantedServer, KeepAlive, PoolSummary, Release, Reserve,
 } from '../peer/protocol.js';
 
 /** What a daemon asks for; the sender is added. */
@@ -8,7 +8,7 @@
 
 /** What becomes of the turn of a further member of a split prompt. */
 export type Activation =
-	| {readonly kind: 'activated'; readonly validUntilMs: number}
+	| {readonly kind: 'activated'; readonly validUntil: number}
 	| {readonly kind: 'refused'; readonly message: string};
 
 /** Messages of a reservation to its coordinator. None of them rejects. */
@@ -23,10 +23,10 @@
 	readonly epoch: number;
 	readonly enginePriority: number;
 	readonly summary: PoolSummary;
-	/** Monotonic ms until which the first server may be sent to. */
-	readonly validUntilMs: number;
+	readonly validUntil: number;
 };
 
+/** The grant of a request, until it is released. */
 export class PoolReservation {
 	readonly id: string;
 	readonly pool: string;
@@ -34,7 +34,8 @@
 	readonly epoch: number;
 	readonly enginePriority: number;
 	readonly summary: PoolSummary;
-	readonly validUntilMs: number;
+	/** Monotonic ms of this process from which on nothing may be sent to the first server. */
+	readonly validUntil: number;
 	readonly #deadlineMs: number;
 	readonly #answers = new Map<string, {readonly boot: string; readonly warm: boolean}>();
 	readonly #prefilled = new Set<string>();
@@ -48,17 +49,22 @@
 		this.epoch = grant.epoch;
 		this.enginePriority = grant.enginePriority;
 		this.summary = grant.summary;
-		this.validUntilMs = grant.validUntilMs;
+		this.validUntil = grant.validUntil;
 		this.#deadlineMs = askedAtMs + request.remainingMs;
 	}
 
+	get kind() {
+		return 'granted' as const;
+	}
+
 	/** The request may be sent to the first server only while this holds; afterwards release it as `not_sent`. */
 	isValid(now: number): boolean {
-		return !this.#released && now < this.validUntilMs;
+		return !this.#released && now < this.validUntil;
 	}
 
 	/** The backend server answered with headers. Call this as soon as they arrive. */
-	acknowledge(server: string, answer: {readonly boot: string; readonly warm: boolean}): void {
+	acknowledge({server, boot, warm}: Pick<Acknowledge, 'server' | 'boot' | 'warm'>): void {
+		const answer = {boot, warm};
 		this.#answers.set(server, answer);
 		this.link.acknowledge(this, server, answer);
 	}
--- a/src/capacity/pool-servers.ts
+++ b/src/capacity/pool-servers.ts
@@ -27,10 +27,26 @@
 	readonly #servers = new Map<string, BackendServerState>();
 	#service: Service;
 
-	constructor(service: Service) {
+	/** Listings count only when they were asked for from `listedFromMs` on. */
+	constructor(service: Service, private listedFromMs: number) {
 		this.#service = service;
 	}
 
+	/** Asks for new listings, without a stop of grants. */
+	requireListing(listedFromMs: number): void {
+		this.listedFromMs = listedFromMs;
+		for (const server of this.#servers.values()) {
+			server.requireListing(listedFromMs);
+		}
+	}
+
+	/** Stops grants on servers without the listing that was last required. */
+	suspendUnlisted(): void {
+		for (const server of this.#servers.values()) {
+			server.suspendUnlisted();
+		}
+	}
+
 	all(): readonly BackendServerState[] {
 		return [...this.#servers.values()];
 	}
@@ -49,6 +65,7 @@
 		const server = BackendServerState.create({
 			id, address: '', limits: limitsOf(this.#service), listable: this.#service.kind === 'model',
 		});
+		server.requireListing(this.listedFromMs);
 		server.leaving = true;
 		this.#servers.set(id, server);
 		return server;
--- a/tests/pool-coordination.test.ts
+++ b/tests/pool-coordination.test.ts
@@ -25,7 +25,7 @@
 		throw new Error(`${result.kind}: ${result.message}`);
 	}
 
-	return result.reservation;
+	return result;
 }, {timeout: 10_000, interval: 50});
 
 afterEach(async () => {
@@ -40,7 +40,7 @@
 		const reservation = await granted(other, 'd2.i1.1');
 		expect(reservation.isValid(monotonicMs())).toBe(true);
 		expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({pool: POOL, running: 1});
-		reservation.acknowledge(reservation.servers[0]!.id, {boot: 'b1', warm: true});
+		reservation.acknowledge({server: reservation.servers[0]!.id, boot: 'b1', warm: true});
 		reservation.release('finished', 12);
 		await vi.waitFor(() => {
 			expect(coordinator.coordinators.summaries(monotonicMs())[0]).toMatchObject({running: 0});
@@ -70,7 +70,7 @@
 		const coordinator = await coordinatorOf(all);
 		const other = all.find(daemon => daemon !== coordinator)!;
 		const reservation = await granted(coordinator, 'd1.i1.1');
-		reservation.acknowledge(reservation.servers[0]!.id, {boot: 'b1', warm: true});
+		reservation.acknowledge({server: reservation.servers[0]!.id, boot: 'b1', warm: true});
 		await coordinator.registry.setDraining(true);
 		await coordinator.coordinators.drain();
 		expect(await coordinatorOf([other])).toBe(other);
--- a/tests/support/daemon-fixture.ts
+++ b/tests/support/daemon-fixture.ts
@@ -7,6 +7,7 @@
 import {createPeerServer} from '../../src/peer/peer-server.js';
 import type {PeerService} from '../../src/peer/protocol.js';
 import type {Host} from '../../src/platform/host-list.js';
+import type {PoolClient as RoutingPoolClient} from '../../src/routing/reservation.js';
 import {monotonicMs} from '../../src/util/clock.js';
 import {configurationFixture, IdleEngines, silentLogger} from './capacity-fixtures.js';
 import type {MemoryObjects} from './memory-object-api.js';
@@ -75,7 +76,7 @@
 	coordinators.start();
 	const client = PoolClient.create({
 		directory, local: coordinators, peer, clock: monotonicMs, logger: silentLogger,
-	});
+	}) satisfies RoutingPoolClient;
 	return {
 		id,
 		objects,
