--- a/src/operations/plain-router.ts
+++ b/src/operations/plain-router.ts
@@ -20,9 +20,11 @@
 
 	readonly #executor: OperationExecutor;
 	readonly #sender: IdempotentSender;
+	readonly #clock: Clock;
 
 	private constructor({executor, reservations, client, clock = monotonicMs}: PlainRouterOptions) {
 		this.#executor = executor;
+		this.#clock = clock;
 		this.#sender = IdempotentSender.create({reservations, client, clock});
 	}
 
@@ -32,7 +34,8 @@
 			return route;
 		}
 
-		const routed = {...call, route: route.route};
+		const deadline = Math.min(call.deadline, this.#clock() + route.route.timeoutMs);
+		const routed = {...call, deadline, route: route.route};
 		return route.route.idempotent ? this.#sender.send(routed) : this.#executor.execute(routed);
 	}
 }
--- a/testing/stand-ins/engine/counts.ts
+++ b/testing/stand-ins/engine/counts.ts
@@ -1,5 +1,8 @@
 /** What an engine stand-in counts over all its boots. */
 
+/** Characters of a prompt by which its starts are counted. */
+export const PROMPT_HEAD_CHARACTERS = 48;
+
 export class EngineCounts {
 	static create(): EngineCounts {
 		return new EngineCounts();
@@ -32,8 +35,18 @@
 	staleOrdersApplied = 0;
 	highestFencing = 0;
 
+	/** Streams and segments started, by the first characters of their prompt. */
+	readonly startsByPrompt: Readonly<Record<string, number>> = {};
+
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
+	/** Records the start of a stream or segment. */
+	started(prompt: string): void {
+		const starts = this.startsByPrompt as Record<string, number>;
+		const head = prompt.slice(0, PROMPT_HEAD_CHARACTERS);
+		starts[head] = (starts[head] ?? 0) + 1;
+	}
+
 	/** Records the load that a cold engine bears. */
 	cold(requests: number, prefillTokens: number): void {
 		this.maxColdRequests = Math.max(this.maxColdRequests, requests);
--- a/testing/stand-ins/engine/simulated-engine.ts
+++ b/testing/stand-ins/engine/simulated-engine.ts
@@ -131,6 +131,7 @@
 		}
 
 		this.#cold.serve(now);
+		this.counts.started(work.prompt);
 		this.#boot.start(work);
 		return {kind: 'accepted', work};
 	}
