Reserve through the pool client without an adapter

Cause: the pool client and the request path had grown the same interface; the adapter no longer compiled after the merge. Ruled out: keeping the adapter; it only copied fields. Change: wiring passes the pool client.

--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -20,7 +20,6 @@
 import {MembershipParts} from './membership-parts.js';
 import {OperationParts} from './operation-parts.js';
 import {createPeerService} from './peer-service.js';
-import {createPoolClient} from './pool-grants.js';
 import {createRequestObserver} from './request-observer.js';
 
 const MAX_SEED = 2 ** 31;
@@ -133,7 +132,7 @@
 	return {
 		configuration: store,
 		directory: built.directory,
-		pools: createPoolClient(built.pools),
+		pools: built.pools,
 		engine: built.engine,
 		observer: createRequestObserver(metrics, serviceLevels),
 		peerAddress: server.address,
