Run the demo against the daemon and check freed memory

Ruled out: leaving the order of daemons to the order in which they listen; it changed from run to run. Change: daemons and backend servers are listed in the order of their ids; the demo also checks that engines freed all memory and did not fall over. A test serves a prompt across failure domains and ends every process.

--- a/testing/demo.ts
+++ b/testing/demo.ts
@@ -13,6 +13,7 @@
 import {expectedText} from './expected-token.js';
 import {CompletionClient} from './load/completion-client.js';
 import {buildPrompt} from './load/load-run.js';
+import {delay} from './stand-ins/stand-in-server.js';
 import {uuidV7} from './uuid-v7.js';
 
 const BACKENDS_PER_DOMAIN = 2;
@@ -24,6 +25,8 @@
 const LONG_TOKENS = 60_000;
 /** Share of one engine's memory that the very long prompt needs. */
 const VERY_LONG_SHARE = 1.25;
+const FREE_TIMEOUT_MS = 5000;
+const POLL_MS = 50;
 const TIME_LIMIT_MS = 55_000;
 
 const examples = {
@@ -146,6 +149,33 @@
 	return counts.reduce((sum, {paths}) => sum + (paths[path] ?? 0), 0);
 }
 
+const heldSchema = z.object({kvTokensHeld: z.number(), overloadCrashes: z.number()});
+
+/** Checks that engines freed all memory of the requests, and that none fell over. */
+async function checkEngines({deployment}: Scene): Promise<void> {
+	const engines = deployment.backends.filter(({kind}) => kind === 'model');
+	const end = performance.now() + FREE_TIMEOUT_MS;
+	for (;;) {
+		const counts = await Promise.all(engines.map(async ({process: engine}) => heldSchema.parse(await deployment.counts(engine))));
+		const held = counts.reduce((sum, {kvTokensHeld}) => sum + kvTokensHeld, 0);
+		const crashes = counts.reduce((sum, {overloadCrashes}) => sum + overloadCrashes, 0);
+		if (crashes > 0) {
+			throw new DemoError(`${crashes} engine crash(es) by overload, expected none`);
+		}
+
+		if (held === 0) {
+			console.log('engines hold no memory of finished requests');
+			return;
+		}
+
+		if (performance.now() > end) {
+			throw new DemoError(`engines still hold ${held} tokens ${FREE_TIMEOUT_MS} ms after the last response`);
+		}
+
+		await delay(POLL_MS);
+	}
+}
+
 async function play(scene: Scene): Promise<void> {
 	const veryLong = Math.ceil(scene.model.kvTokens * VERY_LONG_SHARE);
 	console.log(`one engine of ${scene.model.name} holds ${scene.model.kvTokens} tokens; engines run ${ENGINE_SPEED} times as fast as configured`);
@@ -154,6 +184,7 @@
 	}
 
 	await book(scene);
+	await checkEngines(scene);
 }
 
 function printKept({deployment, model, apiKey}: Scene): void {
@@ -162,7 +193,7 @@
 	}
 
 	const body = JSON.stringify({
-		model: model.models[0]!.name, prompt: 'Quote 2,000 jute sacks of 60 kg', max_tokens: 8, stream: true,
+		model: model.models[0]!.name, prompt: 'Summarise the last order', max_tokens: 8, stream: true,
 	});
 	console.log('Try, and end with Ctrl+C:');
 	console.log(`curl -sN ${deployment.daemons[0]!.process.url}/v1/completions -H 'authorization: Bearer ${apiKey}' -H 'content-type: application/json' -d '${body}'`);
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -64,6 +64,9 @@
 
 const flags = (values: Readonly<Record<string, string | number>>): readonly string[] => Object.entries(values).flatMap(([key, value]) => [`--${key}`, String(value)]);
 
+/** Orders identities with numbers at their end: `braga-2` before `braga-10`. */
+const compareIds = (a: string, b: string): number => a.localeCompare(b, 'en', {numeric: true});
+
 export class Deployment {
 	/** Starts everything and waits until each daemon is ready. Ends what was started when it fails. */
 	static async create(options: DeploymentOptions): Promise<Deployment> {
@@ -93,14 +96,14 @@
 		this.#options = options;
 	}
 
-	/** Backend servers in the order of their start, those that ended included. */
+	/** Backend servers in the order of their ids, those that ended included. */
 	get backends(): readonly Backend[] {
-		return this.#backends;
+		return this.#backends.toSorted((a, b) => compareIds(a.host.id, b.host.id));
 	}
 
-	/** Daemons in the order of their start, those that ended included. */
+	/** Daemons in the order of their ids, those that ended included. */
 	get daemons(): readonly Daemon[] {
-		return this.#daemons;
+		return this.#daemons.toSorted((a, b) => compareIds(a.id, b.id));
 	}
 
 	/** Replaces the faults of a stand-in. */
--- /dev/null
+++ b/tests/deployment.test.ts
@@ -0,0 +1,42 @@
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {Deployment} from '../testing/deployment.js';
+import {expectedText} from '../testing/expected-token.js';
+import {CompletionClient} from '../testing/load/completion-client.js';
+import {sampleConfiguration} from './fixtures/configurations.js';
+
+const open: Array<{close(): Promise<void>}> = [];
+
+afterEach(async () => {
+	await Promise.all(open.splice(0).map(async item => item.close()));
+});
+
+describe('deployment', () => {
+	it('should serve a prompt through a daemon of a failure domain without engines, and end every process at its close', async () => {
+		const {services, ...rest} = sampleConfiguration();
+		const configuration = {...rest, services: services.map(service => ({...service, failureDomains: ['braga']}))};
+		const deployment = await Deployment.create({
+			configuration, backendsPerDomain: {'fio-lm': 1}, daemonsPerDomain: 1, speed: 10,
+		});
+		open.push(deployment);
+		const client = CompletionClient.create();
+		open.push(client);
+		const record = await client.send({
+			target: deployment.daemons.find(({failureDomain}) => failureDomain === 'guimaraes')!.process.url,
+			apiKey: 'key-mills',
+			model: 'fio-lm',
+			prompt: 'How many sacks are left?',
+			promptTokens: 6,
+			lengthClass: 'short',
+			maxTokens: 10,
+		});
+		expect(record.end).toEqual({kind: 'finished'});
+		expect(record.tokens.join('')).toBe(expectedText('How many sacks are left?', 10));
+
+		await deployment.close();
+		const processes = [...deployment.daemons, ...deployment.backends].map(({process}) => process);
+		expect(processes.map(({isRunning}) => isRunning)).toEqual([false, false, false, false]);
+		await expect(Promise.all(processes.map(async ({exited}) => exited))).resolves.toEqual(processes.map(() => ({code: 0, signal: null})));
+	});
+});
