--- a/tests/service-levels.test.ts
+++ b/tests/service-levels.test.ts
@@ -1,5 +1,12 @@
 import fc from 'fast-check';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
+import {ConfigurationStore} from '../src/configuration/configuration-store.js';
+import {createServiceLevelObserver} from '../src/daemon/service-level-observer.js';
+import type {Finished} from '../src/routing/model-runner.js';
+import {createObjectiveLookup} from '../src/service-levels/objective-lookup.js';
+import {failure, type Failure} from '../src/util/failure.js';
 import {BudgetSlices, RETENTION_MS} from '../src/service-levels/budget-slices.js';
 import {computeBurn} from '../src/service-levels/burn-rate.js';
 import {LatencyRecorder} from '../src/service-levels/latency-recorder.js';
@@ -74,6 +81,43 @@
 	});
 });
 
+describe('service level observer', () => {
+	it('should follow the objective in force and leave out failures of the caller', () => {
+		const store = ConfigurationStore.create({onInvalid: vi.fn()});
+		const levels = ServiceLevels.create({daemon: 'a', objectiveOf: createObjectiveLookup(store), nowMs: 0});
+		const observer = createServiceLevelObserver(levels, () => 1000);
+		const finished: Finished = {
+			kind: 'finished',
+			done: {
+				id: '1', finishReason: 'stop', promptTokens: 5, completionTokens: 9, cachedTokens: 0,
+			},
+			attempts: 1,
+			firstTokenAt: 600,
+		};
+		const observe = (outcome: Finished | Failure) => {
+			observer.observe({
+				service: 'fio-lm', workspace: 'mills', lengthClass: 'short', arrivedAt: 100, outcome,
+			});
+		};
+
+		store.offer({version: 1, configuration});
+		observe(finished);
+		store.offer({version: 2, configuration: {...configuration, objectives: [{...objective, firstTokenMs: 500}]}});
+		observe(finished);
+		for (const code of ['caller_left', 'limit_exceeded', 'overloaded'] as const) {
+			observe(failure({
+				code, message: '', ran: 'not_run', step: 'reserve',
+			}));
+		}
+
+		const report = levels.report(2000);
+		expect(report.slices[0]?.counts).toMatchObject([{total: 3, causes: {first_token: 1, refused: 1}, workspaces: {mills: 2}}]);
+		const merged = LatencyRecorder.create();
+		merged.merge(report.series);
+		expect(merged.summarize('fio-lm', 'short').betweenTokens).toMatchObject({count: 2, p50: 50});
+	});
+});
+
 describe('burn rate', () => {
 	/** Records `missed` of `total` requests as failed in each minute of a time span, and computes the burn at its end. */
 	const burnOf = (spans: ReadonlyArray<{readonly minutes: number; readonly missed: number}>) => {
