Bound the delay of a change when no watcher answers

Cause: direct reads were made only at the end of a round, so two rounds of stalled polls lay between them. Ruled out: a task for direct reads alone, since the first one after the watchers fail has to come at once. Change: polls of a daemon that depends on direct reads end when the next read is due; shorter waits.

--- a/src/configuration/configuration-delivery.ts
+++ b/src/configuration/configuration-delivery.ts
@@ -21,7 +21,7 @@
 	readonly waitMs: number;
 	/** Time limit of a call beyond its wait. */
 	readonly callMs: number;
-	/** Least time between two direct reads of a daemon that does not watch. */
+	/** Time between two direct reads of a daemon to which no watcher answers. */
 	readonly directReadMs: number;
 	/** A watcher that has not heard from the object API for longer counts as not answering. */
 	readonly staleSourceMs: number;
@@ -29,14 +29,17 @@
 	readonly backoffMaxMs: number;
 };
 
-/** Chosen so that a change is in force within 12 s with one watcher blind and the connection to the other stalled. */
+/**
+ * Chosen so that a change is in force within 12 s with one watcher blind and the connection to the other stalled: with
+ * a poll that outlasts its time and a backoff, direct reads are at most 10 s apart.
+ */
 export const DELIVERY_TIMES: DeliveryTimes = {
-	waitMs: 3000,
+	waitMs: 2500,
 	callMs: 1000,
-	directReadMs: 10_000,
-	staleSourceMs: 6000,
+	directReadMs: 8000,
+	staleSourceMs: 5000,
 	backoffBaseMs: 100,
-	backoffMaxMs: 2000,
+	backoffMaxMs: 1000,
 };
 
 /** Peers asked at once by a daemon that has no configuration. */
@@ -68,6 +71,8 @@
 	/** When the object API last answered, on the clock of this daemon. */
 	#sourceHeardMs = -Infinity;
 	#directReadAtMs = -Infinity;
+	/** Whether no watcher answered in the last round. */
+	#isCutOff = false;
 	#turn = 0;
 
 	private constructor(private readonly options: DeliveryOptions) {
@@ -125,33 +130,38 @@
 
 		this.#turn++;
 		const first = watchers[this.#turn % watchers.length]!;
-		if (await this.#poll(first, this.#times.waitMs)) {
-			return true;
-		}
-
-		const others = watchers.filter(member => member.id !== first.id);
-		for (const member of others) {
-			if (await this.#poll(member, this.#times.waitMs)) {
+		for (const member of [first, ...watchers.filter(other => other.id !== first.id)]) {
+			if (await this.#poll(member, this.#pollWaitMs(this.options.clock()))) {
+				this.#isCutOff = false;
 				return true;
 			}
+
+			if (this.#isCutOff) {
+				await this.#readWhenDue(this.options.clock());
+			}
 		}
 
-		return this.#readDirectly(this.options.clock());
+		this.#isCutOff = true;
+		await this.#readWhenDue(this.options.clock());
+		return false;
+	}
+
+	/** Polls of a daemon that depends on direct reads end when the next one is due. */
+	#pollWaitMs(nowMs: number): number {
+		const {waitMs, directReadMs} = this.#times;
+		const dueInMs = Math.max(0, this.#directReadAtMs + directReadMs - nowMs);
+		return this.#isCutOff ? Math.min(waitMs, Math.ceil(dueInMs)) : waitMs;
 	}
 
-	async #readDirectly(nowMs: number): Promise<boolean> {
+	async #readWhenDue(nowMs: number): Promise<void> {
 		if (nowMs - this.#directReadAtMs < this.#times.directReadMs) {
-			return false;
+			return;
 		}
 
 		this.#directReadAtMs = nowMs;
-		const isRead = await this.#read();
-		if (!isRead) {
+		if (!await this.#read()) {
 			await this.#askAnyPeer();
 		}
-
-		// The watchers still do not answer, so the pace stays that of failures.
-		return false;
 	}
 
 	/** Always returns false, since a peer's answer does not replace that of the object API. */
