--- a/tests/configuration-delivery.test.ts
+++ b/tests/configuration-delivery.test.ts
@@ -13,7 +13,7 @@
 import {MemoryObjectApi} from './fixtures/memory-object-api.js';
 
 const TIMES = {
-	waitMs: 100, callMs: 50, directReadMs: 200, staleSourceMs: 400, backoffBaseMs: 5, backoffMaxMs: 20,
+	waitMs: 100, callMs: 50, directReadMs: 330, staleSourceMs: 400, backoffBaseMs: 5, backoffMaxMs: 20,
 };
 
 const member = (id: string): Member => ({
@@ -145,6 +145,26 @@
 		await domain.waitForVersion(domain.followers, version);
 	});
 
+	it('should not leave more than the stated time between direct reads while polls stall', async () => {
+		const own = new MemoryObjectApi();
+		own.put(CONFIGURATION_KEY, sampleConfiguration());
+		const domain = startDomain(3, prepared => {
+			prepared.objectApis.set(prepared.followers[0]!, own);
+			for (const id of prepared.watchers) {
+				prepared.stalled.add(id);
+			}
+		});
+		const READS = 9;
+		await vi.waitFor(() => {
+			expect(own.readTimesMs.length).toBeGreaterThan(READS);
+		}, {timeout: 10_000});
+		await domain.close();
+		// The first two reads are those of the start and of the first round.
+		const gapsMs = own.readTimesMs.slice(2, READS).map((ms, index) => ms - own.readTimesMs[index + 1]!).toSorted((a, b) => a - b);
+		// The median leaves out single delays of the machine.
+		expect(gapsMs[Math.floor(gapsMs.length / 2)]).toBeLessThan(TIMES.directReadMs + TIMES.callMs + TIMES.backoffMaxMs + 40);
+	});
+
 	it('should read directly when both watchers answer but do not hear the object API', async () => {
 		const domain = startDomain(4, prepared => {
 			for (const id of prepared.watchers) {
