Check the validity of a grant on the open connection, and ask further pools after a limit

Cause: a process that is paused between the check of a grant and the write could send under an expired grant. Limits of workspaces are divided between pools, so one pool's refusal says nothing about the others. Change: the connector that calls to plain services use is shared; engine calls ask maySend when the connection is open. At most six pools are asked in one round.

--- /dev/null
+++ b/src/backend/checked-connector.ts
@@ -0,0 +1,29 @@
+/** Connections whose failures prove that nothing was sent. */
+import {buildConnector} from 'undici';
+
+const CONNECT_TIMEOUT_MS = 1000;
+
+/** No connection was opened: no byte of the request left this host. */
+export class NotConnectedError extends Error {
+	override readonly name = 'NotConnectedError';
+}
+
+/** Returns why an open connection may not be used, or undefined. */
+export type ConnectionCheck = () => string | undefined;
+
+/** A connector whose failures are {@link NotConnectedError}; `check` can refuse an open connection before its use. */
+export function createConnector(check: ConnectionCheck): buildConnector.connector {
+	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+	return (options, callback) => {
+		connect(options, (...[err, socket]) => {
+			const refusal = err ? err.message : check();
+			if (err === null && refusal === undefined) {
+				callback(null, socket);
+				return;
+			}
+
+			socket?.destroy();
+			callback(new NotConnectedError(refusal), null);
+		});
+	};
+}
--- a/src/backend/engine-connection.ts
+++ b/src/backend/engine-connection.ts
@@ -1,8 +1,8 @@
 /** One connection to a backend server for one request, so that a stalled connection disturbs no other request. */
 import {Client, type Dispatcher} from 'undici';
+import type {EngineCallOptions} from '../streams/engine-streams.js';
 import {LimitedSignal} from '../util/limited-signal.js';
-
-const CONNECT_TIMEOUT_MS = 1000;
+import {createConnector} from './checked-connector.js';
 
 /** A request to send. `body` is sent as JSON. */
 export type ConnectionRequest = {
@@ -11,10 +11,14 @@
 	readonly body?: unknown;
 };
 
-/** `not_sent`: no connection was established. `unknown`: the request may have arrived. */
+/**
+ * `not_sent`: no connection was established. `withheld`: `maySend` refused, so nothing was sent.
+ * `unknown`: the request may have arrived.
+ */
 export type Opened =
 	| {readonly kind: 'response'; readonly response: Dispatcher.ResponseData; close(): void}
 	| {readonly kind: 'not_sent'; readonly message: string}
+	| {readonly kind: 'withheld'; readonly message: string}
 	| {readonly kind: 'unknown'; readonly message: string};
 
 /** Text of an error, with its code where the message alone is empty. */
@@ -34,13 +38,15 @@
 export async function openConnection(
 	address: string,
 	request: ConnectionRequest,
-	{timeoutMs, signal}: {readonly timeoutMs: number; readonly signal?: AbortSignal},
+	{timeoutMs, signal, maySend}: EngineCallOptions,
 ): Promise<Opened> {
-	const client = new Client(`http://${address}`, {connect: {timeout: CONNECT_TIMEOUT_MS}, headersTimeout: 0, bodyTimeout: 0});
-	let connected = false;
-	client.once('connect', () => {
-		connected = true;
+	const attempt: {connected: boolean; withheld?: string} = {connected: false};
+	const connect = createConnector(() => {
+		attempt.withheld = maySend?.();
+		attempt.connected ||= attempt.withheld === undefined;
+		return attempt.withheld;
 	});
+	const client = new Client(`http://${address}`, {connect, headersTimeout: 0, bodyTimeout: 0});
 	const limit = LimitedSignal.create(timeoutMs, signal);
 	try {
 		const response = await client.request({
@@ -63,7 +69,11 @@
 	} catch (err) {
 		limit.close();
 		void client.destroy();
-		return {kind: connected ? 'unknown' : 'not_sent', message: messageOf(err)};
+		if (attempt.connected) {
+			return {kind: 'unknown', message: messageOf(err)};
+		}
+
+		return attempt.withheld === undefined ? {kind: 'not_sent', message: messageOf(err)} : {kind: 'withheld', message: attempt.withheld};
 	} finally {
 		limit.stopTimer();
 	}
--- a/src/backend/plain-service-client.ts
+++ b/src/backend/plain-service-client.ts
@@ -1,41 +1,17 @@
 /** HTTP client of plain services, with outcomes that say whether a request can have run. */
 import {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
-import {Agent, buildConnector, Client} from 'undici';
+import {Agent, Client} from 'undici';
+import {createConnector, NotConnectedError, type ConnectionCheck} from './checked-connector.js';
 import type {
 	PlainHead, PlainOutcome, PlainServiceClient, PlainServiceRequest, SentOnceOutcome,
 } from './plain-service-protocol.js';
 
-const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 10_000;
 
 /** Largest answer to a non-idempotent call, which is held in memory until it is complete. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
-/** No connection was opened: no byte of the request left this host. */
-class NotConnectedError extends Error {
-	override readonly name = 'NotConnectedError';
-}
-
-type ConnectionCheck = () => string | undefined;
-
-/** A connector whose failures are {@link NotConnectedError}; `check` can refuse an open connection before its use. */
-function createConnector(check: ConnectionCheck): buildConnector.connector {
-	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
-	return (options, callback) => {
-		connect(options, (...[err, socket]) => {
-			const refusal = err ? err.message : check();
-			if (err === null && refusal === undefined) {
-				callback(null, socket);
-				return;
-			}
-
-			socket?.destroy();
-			callback(new NotConnectedError(refusal), null);
-		});
-	};
-}
-
 /** Client over undici. Idempotent requests share connections; others have a connection of their own. */
 export class UndiciPlainServiceClient implements PlainServiceClient {
 	static create(): UndiciPlainServiceClient {
--- a/src/daemon/http-front.ts
+++ b/src/daemon/http-front.ts
@@ -9,7 +9,7 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {openCall, type Call, type CallHandler} from './call.js';
-import {errorBody, sendFailure} from './error-response.js';
+import {errorBody, sendFailure, statusOf} from './error-response.js';
 import type {Lifecycle} from './lifecycle.js';
 import {formatEndpoint, type Endpoint} from './settings.js';
 
@@ -126,7 +126,7 @@
 				request: call.requestId,
 				method: call.method,
 				path: call.path,
-				status: res.statusCode,
+				status: failed ? statusOf(failed.code) : res.statusCode,
 				...call.notes,
 				code: failed?.code ?? call.notes.code,
 				ran: failed?.ran,
--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '../util/logger.js';
 import type {Grant, ReleaseOutcome} from './reservation.js';
 import {
-	activateServer, prefillSegments, splitPrompt, type SegmentFailure,
+	awaitTurn, prefillSegments, splitPrompt, type SegmentFailure,
 } from './split-prompt.js';
 
 const START_TIMEOUT_MS = 2000;
@@ -96,11 +96,6 @@
 async function execute(parts: AttemptParts, attempt: Attempt, held: Held[]): Promise<Ended> {
 	const {grant, request, signal} = attempt;
 	const {clock} = parts;
-	// A process that was paused since the reservation must not send under an expired grant.
-	if (clock() >= grant.validUntil) {
-		return {outcome: {kind: 'not_run', message: 'the grant expired before the request could be sent'}, release: 'not_sent'};
-	}
-
 	if (signal.aborted) {
 		return {outcome: {kind: 'stopped', ran: 'not_run', tokens: 0}, release: 'not_sent'};
 	}
@@ -130,14 +125,15 @@
 		return {outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
 	}
 
-	const isAtFault = cause.kind !== 'not_activated';
+	const isAtFault = cause.kind !== 'not_activated' && cause.kind !== 'withheld';
 	const fault = {message: `sending to ${server.id}: ${cause.message}`, ...(isAtFault ? {blamed: server} : {})};
 	const outcome: AttemptOutcome = anyRan
 		? {
 			kind: 'broken', ran: 'ran', tokens: 0, expired: false, ...fault,
 		}
 		: {kind: 'not_run', ...fault};
-	return {outcome, release: isAtFault ? 'failed' : 'cancelled'};
+	const unused = anyRan ? 'cancelled' : 'not_sent';
+	return {outcome, release: isAtFault ? 'failed' : unused};
 }
 
 /** Starts the stream on the last server of the grant and acknowledges it. */
@@ -154,17 +150,17 @@
 		return {kind: 'ended', outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
 	}
 
-	const refused = await activateServer(grant, grant.servers.length - 1, signal, clock);
-	if (refused) {
-		return {kind: 'ended', ...notStarted(server, refused, anyRan, signal)};
+	const turn = await awaitTurn(grant, grant.servers.length - 1, signal, clock);
+	if (turn.kind !== 'turn') {
+		return {kind: 'ended', ...notStarted(server, turn, anyRan, signal)};
 	}
 
 	const {address} = server;
 	const timeoutMs = Math.min(START_TIMEOUT_MS, remainingMs);
 	const outcome = await engine.start(address, {
 		id: grant.id, model: request.model, prompt, maxTokens: request.maxTokens, priority: grant.enginePriority, remainingMs, segments,
-	}, {timeoutMs, signal});
-	if (outcome.kind === 'not_sent' || outcome.kind === 'not_accepted') {
+	}, {timeoutMs, signal, maySend: turn.maySend});
+	if (outcome.kind !== 'accepted' && outcome.kind !== 'unknown') {
 		return {kind: 'ended', ...notStarted(server, outcome, anyRan, signal)};
 	}
 
--- a/src/routing/refusals.ts
+++ b/src/routing/refusals.ts
@@ -11,7 +11,7 @@
 	outcome.kind === 'unreachable' || outcome.reason === 'not_coordinator' || outcome.reason === 'draining';
 
 /** Most useful to the caller first; each other reason says less about what to do next. */
-const precedence: readonly RefusalReason[] = ['limit', 'overloaded', 'deadline', 'too_large', 'no_servers', 'domain_out', 'draining', 'not_coordinator'];
+const precedence: readonly RefusalReason[] = ['overloaded', 'deadline', 'limit', 'too_large', 'no_servers', 'domain_out', 'draining', 'not_coordinator'];
 
 const codes = {
 	limit: 'limit_exceeded',
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -12,6 +12,8 @@
 
 /** How long a request waits for a coordinator to appear, for example while a failed one is replaced. */
 const COORDINATOR_PATIENCE_MS = 10_000;
+/** Pools asked in one round, so that an overload does not multiply reservations. */
+const MAX_POOLS_ASKED = 6;
 const FIRST_ROUND_DELAY_MS = 50;
 const LAST_ROUND_DELAY_MS = 500;
 
@@ -82,9 +84,6 @@
 			}
 
 			outcomes.push(outcome);
-			if (outcome.kind === 'refused' && outcome.reason === 'limit') {
-				return refusalFailure(service.name, [outcome]);
-			}
 		}
 
 		return endedBefore(request.deadline, this.parts.clock(), signal) ?? {kind: 'refusals', outcomes};
@@ -117,7 +116,7 @@
 			coordinated: Boolean(directory.poolLease(pool)?.owner),
 			waitMs: this.#summaries.waitMs(pool, lengthClass, now),
 		}));
-		return orderPools(candidates, ownDomain, this.#sequence);
+		return orderPools(candidates, ownDomain, this.#sequence).slice(0, MAX_POOLS_ASKED);
 	}
 
 	#nextId(): string {
--- a/src/routing/split-prompt.ts
+++ b/src/routing/split-prompt.ts
@@ -62,18 +62,24 @@
 	| {readonly kind: 'lost'; readonly message: string}
 	| {readonly kind: 'not_activated'; readonly message: string};
 
-/** Waits for the turn of server `index` of a grant. The first one needs none. */
-export async function activateServer(grant: Grant, index: number, signal: AbortSignal, clock: Clock): Promise<SegmentFailure | undefined> {
-	if (index === 0) {
-		return undefined;
-	}
+/** The right to send to one server of a grant. `maySend` as in {@link EngineCallOptions}. */
+export type Turn = {
+	readonly kind: 'turn';
+	maySend(): string | undefined;
+};
 
-	const activation = await grant.activate(grant.servers[index]!.id, signal);
+/** Waits for the turn of server `index` of a grant. The first one has it with the grant. */
+export async function awaitTurn(grant: Grant, index: number, signal: AbortSignal, clock: Clock): Promise<Turn | SegmentFailure> {
+	const activation = index === 0 ? {kind: 'activated', validUntil: grant.validUntil} as const : await grant.activate(grant.servers[index]!.id, signal);
 	if (activation.kind === 'refused') {
 		return {kind: 'not_activated', message: activation.message};
 	}
 
-	return clock() >= activation.validUntil ? {kind: 'not_activated', message: 'its turn passed before it could be used'} : undefined;
+	return {
+		kind: 'turn',
+		// A process that was paused since the grant must not send under it.
+		maySend: () => clock() >= activation.validUntil ? 'the grant expired before the request could be sent' : undefined,
+	};
 }
 
 /** A prefill may take this many times its estimate, and a fixed time for what the engine has queued, before it counts as lost. */
@@ -85,14 +91,14 @@
 	const references: SegmentReference[] = [];
 	for (const [index, prompt] of split.parts.entries()) {
 		const server = split.grant.servers[index]!;
-		const refused = await activateServer(split.grant, index, split.signal, clock);
-		if (refused) {
-			return {kind: 'failed', server, cause: refused};
+		const turn = await awaitTurn(split.grant, index, split.signal, clock);
+		if (turn.kind !== 'turn') {
+			return {kind: 'failed', server, cause: turn};
 		}
 
 		const id = `${split.grant.id}.segment${index}`;
 		const cause = await prefillSegment(engine, split, {
-			server, id, prompt, previous: [...references],
+			server, id, prompt, turn, previous: [...references],
 		}, clock);
 		if (cause.kind !== 'kept') {
 			return {kind: 'failed', server, cause};
@@ -108,11 +114,12 @@
 	readonly server: GrantedServer;
 	readonly id: string;
 	readonly prompt: string;
+	readonly turn: Turn;
 	readonly previous: readonly SegmentReference[];
 };
 
 async function prefillSegment(engine: EngineStreams, split: SplitPrompt, segment: Segment, clock: Clock) {
-	const {server, id, prompt, previous} = segment;
+	const {server, id, prompt, turn, previous} = segment;
 	const remainingMs = split.deadline - clock();
 	if (remainingMs <= 0) {
 		return {kind: 'lost', message: 'the deadline passed'} as const;
@@ -120,8 +127,8 @@
 
 	const outcome = await engine.prefillSegment(server.address, {
 		id, model: split.model, prompt, previous, remainingMs, priority: split.grant.enginePriority,
-	}, {timeoutMs: Math.min(SEGMENT_START_TIMEOUT_MS, remainingMs), signal: split.signal});
-	if (outcome.kind === 'not_sent' || outcome.kind === 'not_accepted') {
+	}, {timeoutMs: Math.min(SEGMENT_START_TIMEOUT_MS, remainingMs), signal: split.signal, maySend: turn.maySend});
+	if (outcome.kind !== 'accepted' && outcome.kind !== 'unknown') {
 		return outcome;
 	}
 
--- a/src/streams/engine-streams.ts
+++ b/src/streams/engine-streams.ts
@@ -8,6 +8,8 @@
 	/** Limit for the response headers, or for the whole answer where it is not a stream. */
 	readonly timeoutMs: number;
 	readonly signal?: AbortSignal;
+	/** Asked when the connection is open, right before the first byte is sent; a text says why it may not be sent. */
+	readonly maySend?: () => string | undefined;
 };
 
 /** One event of a stream. `silent`: none arrived within the limit. `closed`: the connection ended or broke the protocol. */
@@ -30,11 +32,12 @@
 export type EngineFacts = {readonly boot: string; readonly warm: boolean};
 
 /**
- * Outcome of sending work. `not_sent`: nothing reached the engine. `not_accepted`: the engine refused, it did not run.
+ * Outcome of sending work. `not_sent`: nothing reached the engine. `withheld`: `maySend` refused. `not_accepted`: the engine refused, it did not run.
  * `unknown`: the engine may run it, now or later.
  */
 export type NotStarted =
 	| {readonly kind: 'not_sent'; readonly message: string}
+	| {readonly kind: 'withheld'; readonly message: string}
 	| {readonly kind: 'not_accepted'; readonly message: string}
 	| {readonly kind: 'unknown'; readonly message: string};
 
