--- /dev/null
+++ b/testing/scenario/plain-caller.ts
@@ -0,0 +1,81 @@
+/** Sends bookings and lookups as callers do and records how they ended. */
+import {Agent, request} from 'undici';
+import {z} from 'zod';
+import {parseOperationKey} from '../../src/operations/operation-key.js';
+import type {Daemon} from '../deployment.js';
+import type {PlainEnd} from '../invariants.js';
+import {uuidV7} from '../uuid-v7.js';
+
+const errorSchema = z.object({error: z.object({code: z.string(), ran: z.enum(['not_run', 'ran', 'unknown']), message: z.string()})});
+
+/** A booking of one workspace. `operation` is its identity at the service. */
+export type Booking = {readonly key: string; readonly operation: string; readonly body: string};
+
+/** Creates a booking of a workspace at a service. `wallNow` is Unix time in ms. */
+export function createBooking(workspace: string, service: string, number: number, wallNow: number): Booking {
+	const key = uuidV7(wallNow);
+	const identity = parseOperationKey(key, {workspace, service, retentionMs: Number.POSITIVE_INFINITY}, wallNow);
+	if (identity.kind === 'failure') {
+		throw new Error(identity.message);
+	}
+
+	return {key, operation: identity.operation, body: JSON.stringify({order: number, sacks: 100})};
+}
+
+/** A call to a plain service. */
+export type PlainCallPlan = {
+	readonly daemon: Daemon;
+	readonly method: 'GET' | 'POST';
+	/** Path below the daemon. */
+	readonly path: string;
+	readonly apiKey: string;
+	readonly booking?: Booking;
+};
+
+/** HTTP connections of the callers. */
+export class PlainCaller {
+	static create(): PlainCaller {
+		return new PlainCaller();
+	}
+
+	readonly #agent = new Agent({connections: 256, headersTimeout: 0, bodyTimeout: 0});
+
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	/** Sends a call and resolves when it ended in any way; never rejects. */
+	async send({daemon, method, path, apiKey, booking}: PlainCallPlan, signal: AbortSignal): Promise<PlainEnd> {
+		try {
+			const res = await request(`${daemon.process.url}${path}`, {
+				method,
+				dispatcher: this.#agent,
+				headers: {authorization: `Bearer ${apiKey}`, 'content-type': 'application/json', ...(booking ? {'idempotency-key': booking.key} : {})},
+				body: booking?.body,
+				signal,
+			});
+			return endOf(res.statusCode, res.headers['x-fireflyport-repeated'] === 'true', await res.body.text());
+		} catch (err) {
+			return {kind: 'cut', message: String(err)};
+		}
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+}
+
+function endOf(status: number, repeated: boolean, body: string): PlainEnd {
+	const failed = status >= 400 ? errorSchema.safeParse(parseJson(body)).data : undefined;
+	return failed
+		? {kind: 'refused', ...failed.error}
+		: {
+			kind: 'answered', status, repeated, body,
+		};
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
