--- /dev/null
+++ b/testing/scenario/observer.ts
@@ -0,0 +1,117 @@
+/** Reads counts of stand-ins and configuration versions of daemons during and after a run. */
+import {request} from 'undici';
+import {z} from 'zod';
+import type {ModelService, PlainService} from '../../src/configuration/schema.js';
+import type {Backend, Deployment} from '../deployment.js';
+import type {ObservedEngine, ObservedService} from '../invariants.js';
+import {delay} from '../stand-ins/stand-in-server.js';
+import type {Scenario} from './parse-scenario.js';
+
+const POLL_MS = 250;
+const STATUS_TIMEOUT_MS = 1000;
+
+/** Time after the last call in which engines have to be free of streams and segments. */
+const FREE_TIMEOUT_MS = 10_000;
+
+const statusSchema = z.object({incarnation: z.string(), configurationVersion: z.number().optional()});
+const countsOfBackend = {maxColdRequests: z.number(), overloadCrashes: z.number()};
+const engineCountsSchema = z.object({
+	...countsOfBackend,
+	maxColdPrefillTokens: z.number(),
+	held: z.number(),
+	startsByPrompt: z.record(z.string(), z.number()),
+	streamsStarted: z.number(),
+	segmentsStarted: z.number(),
+});
+const serviceCountsSchema = z.object({...countsOfBackend, executions: z.number(), operations: z.record(z.string(), z.number())});
+
+/** Requests that each backend server has been sent so far, by its id. */
+export type WorkSnapshot = Readonly<Record<string, number>>;
+
+export class Observer {
+	static create(deployment: Deployment, scenario: Scenario): Observer {
+		return new Observer(deployment, scenario);
+	}
+
+	readonly #versions: Record<string, number[]> = {};
+	readonly #model: ModelService;
+	readonly #plain: PlainService;
+
+	private constructor(private readonly deployment: Deployment, scenario: Scenario) {
+		const {services} = scenario.configuration;
+		this.#model = services.find(service => service.kind === 'model')!;
+		this.#plain = services.find(service => service.kind === 'plain')!;
+	}
+
+	/** Configuration versions in the order in which they were read, by daemon and incarnation. */
+	get configurationVersions(): Readonly<Record<string, readonly number[]>> {
+		return this.#versions;
+	}
+
+	/** Reads versions until `signal` is aborted. */
+	async follow(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			await Promise.all(this.deployment.daemons.filter(({process}) => process.isRunning).map(async ({id, process}) => this.#readVersion(id, process.url)));
+			await delay(POLL_MS);
+		}
+	}
+
+	/** Work sent to each backend server of a failure domain until now. */
+	async work(domain: string): Promise<WorkSnapshot> {
+		const backends = this.deployment.backends.filter(({host}) => host.failureDomain === domain);
+		return Object.fromEntries(await Promise.all(backends.map(async backend => [backend.host.id, await this.#workOf(backend)] as const)));
+	}
+
+	/** Waits until no engine holds anything, for at most 10 s, and reads the engines. */
+	async engines(): Promise<readonly ObservedEngine[]> {
+		const end = performance.now() + FREE_TIMEOUT_MS;
+		for (;;) {
+			const engines = await this.#readEngines();
+			if (engines.every(({held}) => held === 0) || performance.now() > end) {
+				return engines;
+			}
+
+			await delay(POLL_MS);
+		}
+	}
+
+	async services(): Promise<readonly ObservedService[]> {
+		return Promise.all(this.#backends('plain').map(async ({host, process}) => ({
+			id: host.id, coldRequests: this.#plain.cold.requests, ...serviceCountsSchema.parse(await this.deployment.counts(process)),
+		})));
+	}
+
+	async #readEngines(): Promise<readonly ObservedEngine[]> {
+		const {requests, prefillTokens} = this.#model.cold;
+		return Promise.all(this.#backends('model').map(async ({host, process}) => ({
+			id: host.id, coldRequests: requests, coldPrefillTokens: prefillTokens, ...engineCountsSchema.parse(await this.deployment.counts(process)),
+		})));
+	}
+
+	#backends(kind: Backend['kind']): readonly Backend[] {
+		return this.deployment.backends.filter(backend => backend.kind === kind);
+	}
+
+	async #workOf({kind, process}: Backend): Promise<number> {
+		const counts = await this.deployment.counts(process);
+		if (kind === 'plain') {
+			return serviceCountsSchema.parse(counts).executions;
+		}
+
+		const {streamsStarted, segmentsStarted} = engineCountsSchema.parse(counts);
+		return streamsStarted + segmentsStarted;
+	}
+
+	/** A daemon that does not answer, for example while it is frozen, is left out. */
+	async #readVersion(id: string, url: string): Promise<void> {
+		try {
+			const {body} = await request(`${url}/status`, {signal: AbortSignal.timeout(STATUS_TIMEOUT_MS)});
+			const {incarnation, configurationVersion} = statusSchema.parse(await body.json());
+			if (configurationVersion !== undefined) {
+				(this.#versions[`${id}.${incarnation}`] ??= []).push(configurationVersion);
+			}
+		} catch {
+			// The next round asks again.
+		}
+	}
+}
