Find coordinators that do not answer, and predecessors that have ended

Cause: a reservation at a paused coordinator waited until its deadline (30 s for a short prompt), and after a crash the successor left half of each limit free for 10 minutes, since the ended process cannot confirm that it stepped down. Ruled out: shorter reservations polled by the client (one more message for each second of waiting, and a place in the queue that moves); treating a time-out as proof of an end (a paused process wakes up). Change: a keep-alive each second also covers coordinators at which reservations wait; one that does not answer within 1 s gets no reservations until it answers or is replaced. A refused connection counts as the end of a predecessor.

--- a/src/capacity/lease-peers.ts
+++ b/src/capacity/lease-peers.ts
@@ -2,6 +2,7 @@
 import type {Member, PoolLease} from '../membership/directory.js';
 import type {IncarnationState} from '../membership/member-view.js';
 import type {SeenLease} from '../membership/region-directory.js';
+import {PeerError} from '../peer/peer-error.js';
 import type {PromiseRequest, StepDown} from '../peer/protocol.js';
 import {candidateName, LEASE_TTL_MS} from './lease-takeover.js';
 
@@ -57,12 +58,15 @@
 	return answers.every(Boolean);
 }
 
-/** Asks a predecessor to confirm that it grants nothing below the epoch of `message`. False when it does not answer. */
+/**
+ * Asks a predecessor to confirm that it grants nothing below the epoch of `message`. False when it does not answer.
+ * A daemon listens for peers until its coordinators have closed, so a refused connection proves that it has ended.
+ */
 export async function askToStepDown({peers}: LeaseContext, predecessor: Predecessor, message: StepDown): Promise<boolean> {
 	try {
 		const {confirmed} = await peers.stepDown(predecessor.peerAddress, message);
 		return confirmed;
-	} catch {
-		return false;
+	} catch (err) {
+		return err instanceof PeerError && err.isRefused;
 	}
 }
--- a/src/capacity/pool-client.ts
+++ b/src/capacity/pool-client.ts
@@ -5,6 +5,7 @@
 } from '../peer/protocol.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {CoordinatorLiveness} from './coordinator-liveness.js';
 import type {PoolService} from './pool-coordinators.js';
 import {
 	type Activation, PoolReservation, type ReservationLink, type ReservationRequest,
@@ -58,6 +59,9 @@
 
 	readonly #open = new Map<string, PoolReservation>();
 	readonly #keepingAlive = new Set<string>();
+	readonly #liveness = CoordinatorLiveness.create();
+	/** Pools at whose coordinators reservations wait, with how many. */
+	readonly #waiting = new Map<string, number>();
 	#pendingReleases: PendingRelease[] = [];
 	readonly #timer: NodeJS.Timeout;
 
@@ -80,9 +84,13 @@
 			return {kind: 'unreachable', message: `no coordinator is known for pool ${request.pool}`};
 		}
 
+		if (this.#liveness.isSilent(target.peer)) {
+			return {kind: 'unreachable', message: `the coordinator of pool ${request.pool} does not answer`, peer: target.peer};
+		}
+
 		const message: Reserve = {...request, sender: this.#sender};
 		try {
-			const answer = await withOwnSignal(signal, async own => target.service.reserve(message, own));
+			const answer = await this.#wait(request.pool, target.peer, signal, async own => target.service.reserve(message, own));
 			return answer.kind === 'granted' ? await this.#accept(request, answer, target, now) : this.#refused(answer);
 		} catch (err) {
 			this.#giveBack(message);
@@ -109,7 +117,7 @@
 
 		const message: Reserve = {...reservation.activation(server, now), sender: this.#sender};
 		try {
-			const answer = await withOwnSignal(signal, async own => target.service.reserve(message, own));
+			const answer = await this.#wait(reservation.pool, target.peer, signal, async own => target.service.reserve(message, own));
 			if (answer.kind === 'refused') {
 				return answer;
 			}
@@ -194,6 +202,30 @@
 		return answer;
 	}
 
+	/** Waits for an answer of a coordinator until it stops answering keep-alives. */
+	async #wait<T>(pool: string, peer: string, signal: AbortSignal, call: (own: AbortSignal) => Promise<T>): Promise<T> {
+		const silence = new AbortController();
+		const unwatch = this.#liveness.watch(peer, reason => {
+			silence.abort(reason);
+		});
+		this.#waiting.set(pool, (this.#waiting.get(pool) ?? 0) + 1);
+		try {
+			return await withOwnSignal([signal, silence.signal], call);
+		} finally {
+			unwatch();
+			this.#stopWaiting(pool);
+		}
+	}
+
+	#stopWaiting(pool: string): void {
+		const left = this.#waiting.get(pool)! - 1;
+		if (left === 0) {
+			this.#waiting.delete(pool);
+		} else {
+			this.#waiting.set(pool, left);
+		}
+	}
+
 	/** The answer was lost or cancelled: a grant that may have been given is not used. */
 	#giveBack({sender, pool, id}: Reserve): void {
 		void this.#release({
@@ -234,9 +266,21 @@
 		}
 
 		const open = [...this.#open.values()];
-		for (const pool of new Set(open.map(reservation => reservation.pool))) {
+		const pools = new Set([...open.map(reservation => reservation.pool), ...this.#waiting.keys(), ...this.#liveness.silent().values()]);
+		for (const pool of pools) {
 			void this.#keepAlive(pool, open.filter(reservation => reservation.pool === pool));
 		}
+
+		this.#forgetReplaced();
+	}
+
+	/** A silent peer that coordinates its pool no longer needs no further question. */
+	#forgetReplaced(): void {
+		for (const [peer, pool] of this.#liveness.silent()) {
+			if (this.#target(pool)?.peer !== peer) {
+				this.#liveness.forget(peer);
+			}
+		}
 	}
 
 	async #keepAlive(pool: string, reservations: readonly PoolReservation[]): Promise<void> {
@@ -250,10 +294,12 @@
 		const message: KeepAlive = {sender: this.#sender, pool, open: reservations.map(reservation => reservation.open(now))};
 		try {
 			const answer = await target.service.keepAlive(message);
+			this.#liveness.answered(target.peer);
 			if (answer.kind === 'not_coordinator') {
 				this.options.directory.refresh();
 			}
 		} catch (err) {
+			this.#liveness.unanswered(target.peer, pool);
 			this.options.logger.warn('keep_alive_failed', {pool, peer: target.peer, message: String(err)});
 			this.options.directory.refresh();
 		} finally {
@@ -263,20 +309,26 @@
 }
 
 /** Passes cancellation on only until the call has ended, so that a later abort does not cancel what was granted. */
-async function withOwnSignal<T>(signal: AbortSignal, call: (own: AbortSignal) => Promise<T>): Promise<T> {
+async function withOwnSignal<T>(signals: readonly AbortSignal[], call: (own: AbortSignal) => Promise<T>): Promise<T> {
 	const controller = new AbortController();
-	const cancel = () => {
-		controller.abort(signal.reason);
+	const cancel = (event: Event) => {
+		controller.abort((event.target as AbortSignal).reason);
 	};
 
-	signal.addEventListener('abort', cancel);
-	if (signal.aborted) {
-		cancel();
+	for (const signal of signals) {
+		signal.addEventListener('abort', cancel);
+	}
+
+	const aborted = signals.find(signal => signal.aborted);
+	if (aborted) {
+		controller.abort(aborted.reason);
 	}
 
 	try {
 		return await call(controller.signal);
 	} finally {
-		signal.removeEventListener('abort', cancel);
+		for (const signal of signals) {
+			signal.removeEventListener('abort', cancel);
+		}
 	}
 }
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -14,6 +14,9 @@
 /** Time-out of calls that a peer answers at once. */
 const SHORT_CALL_TIMEOUT_MS = 2000;
 
+/** A keep-alive is also the test of whether the coordinator answers at all; waiting reservations depend on it. */
+const KEEP_ALIVE_TIMEOUT_MS = 1000;
+
 /** Added to the time for which a peer may hold a long poll or a queued reservation. */
 const ANSWER_MARGIN_MS = 1000;
 
@@ -67,7 +70,7 @@
 	}
 
 	async keepAlive(message: KeepAlive): Promise<KeepAliveAnswer> {
-		return this.#call('keepAlive', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options =>
+		return this.#call('keepAlive', {timeoutMs: KEEP_ALIVE_TIMEOUT_MS}, async options =>
 			keepAliveAnswerSchema.parse(await this.#trpc.keepAlive.mutate(message, options)));
 	}
 
--- a/src/peer/peer-error.ts
+++ b/src/peer/peer-error.ts
@@ -14,4 +14,20 @@
 	) {
 		super(`${step} at peer ${peer}: ${cause instanceof Error ? cause.message : String(cause)}`, {cause});
 	}
+
+	/** Whether the host refused the connection, which proves that no process listens at the address. */
+	get isRefused(): boolean {
+		return isRefusal(this.cause, 0);
+	}
+}
+
+/** Libraries wrap the error of the socket. */
+const MAX_WRAPS = 4;
+
+function isRefusal(err: unknown, depth: number): boolean {
+	if (!(err instanceof Error) || depth > MAX_WRAPS) {
+		return false;
+	}
+
+	return ('code' in err && err.code === 'ECONNREFUSED') || isRefusal(err.cause, depth + 1);
 }
