Remove the second observer for service levels

Change: the observer and the lookup of objectives are removed; their test runs against the front's observer.

--- a/tests/service-levels.test.ts
+++ b/tests/service-levels.test.ts
@@ -3,10 +3,10 @@
 	describe, expect, it, vi,
 } from 'vitest';
 import {ConfigurationStore} from '../src/configuration/configuration-store.js';
-import {createServiceLevelObserver} from '../src/daemon/service-level-observer.js';
-import type {Finished} from '../src/routing/model-runner.js';
-import {createObjectiveLookup} from '../src/service-levels/objective-lookup.js';
+import {ConfigurationIndexes} from '../src/admission/configuration-index.js';
+import {createRequestObserver, type Completed} from '../src/daemon/request-observer.js';
 import {failure, type Failure} from '../src/util/failure.js';
+import {createMetrics} from '../src/util/metrics.js';
 import {BudgetSlices, RETENTION_MS} from '../src/service-levels/budget-slices.js';
 import {computeBurn} from '../src/service-levels/burn-rate.js';
 import {LatencyRecorder} from '../src/service-levels/latency-recorder.js';
@@ -81,23 +81,19 @@
 	});
 });
 
-describe('service level observer', () => {
+describe('recording of requests', () => {
 	it('should follow the objective in force and leave out failures of the caller', () => {
 		const store = ConfigurationStore.create({onInvalid: vi.fn()});
-		const levels = ServiceLevels.create({daemon: 'a', objectiveOf: createObjectiveLookup(store), nowMs: 0});
-		const observer = createServiceLevelObserver(levels, () => 1000);
-		const finished: Finished = {
-			kind: 'finished',
-			done: {
-				id: '1', finishReason: 'stop', promptTokens: 5, completionTokens: 9, cachedTokens: 0,
-			},
-			attempts: 1,
-			firstTokenAt: 600,
-		};
-		const observe = (outcome: Finished | Failure) => {
+		const indexes = ConfigurationIndexes.create(store);
+		const levels = ServiceLevels.create({
+			daemon: 'a', nowMs: 0, objectiveOf: (service, lengthClass) => indexes.current()?.objective(service, lengthClass),
+		});
+		const observer = createRequestObserver(createMetrics(undefined), levels);
+		const finished: Completed = {kind: 'finished', tokens: 9, firstTokenAt: 600};
+		const observe = (outcome: Completed | Failure) => {
 			observer.observe({
 				service: 'fio-lm', workspace: 'mills', lengthClass: 'short', arrivedAt: 100, outcome,
-			});
+			}, 1000);
 		};
 
 		store.offer({version: 1, configuration});
