--- /dev/null
+++ b/testing/scenario/fault-board.ts
@@ -0,0 +1,38 @@
+/** Standing faults of stand-ins. A stand-in replaces all its faults at once, so faults that overlap are joined here. */
+import type {Deployment} from '../deployment.js';
+import type {RunningProcess} from '../processes.js';
+
+type FaultFields = Readonly<Record<string, unknown>>;
+
+export class FaultBoard {
+	static create(deployment: Deployment): FaultBoard {
+		return new FaultBoard(deployment);
+	}
+
+	readonly #standing = new Map<RunningProcess, Map<symbol, FaultFields>>();
+
+	private constructor(private readonly deployment: Deployment) {}
+
+	/** Adds a fault; returns what ends it. */
+	async add(standIn: RunningProcess, fields: FaultFields): Promise<() => Promise<void>> {
+		const faults = this.#standing.get(standIn) ?? new Map<symbol, FaultFields>();
+		this.#standing.set(standIn, faults);
+		const id = Symbol('fault');
+		faults.set(id, fields);
+		await this.#send(standIn);
+		return async () => {
+			faults.delete(id);
+			await this.#send(standIn);
+		};
+	}
+
+	/** Does something once, without ending the standing faults. */
+	async act(standIn: RunningProcess, act: string): Promise<void> {
+		await this.#send(standIn, {act});
+	}
+
+	async #send(standIn: RunningProcess, more: FaultFields = {}): Promise<void> {
+		const standing = [...this.#standing.get(standIn)?.values() ?? []];
+		await this.deployment.setFaults(standIn, Object.assign({}, ...standing, more));
+	}
+}
--- /dev/null
+++ b/testing/scenario/run-scenario.ts
@@ -0,0 +1,156 @@
+/** Runs a scenario on a deployment of its own and checks its expectations and the invariants. */
+import {Deployment} from '../deployment.js';
+import {checkInvariants, type Observations, type Violation} from '../invariants.js';
+import {countEnds} from '../load/summary.js';
+import {Callers} from './callers.js';
+import {checkExpectation, type Verdict} from './check-expectation.js';
+import {DaemonRoster} from './daemon-roster.js';
+import {FaultBoard} from './fault-board.js';
+import {Observer, type WorkSnapshot} from './observer.js';
+import type {Scenario} from './parse-scenario.js';
+import {performFault, type Stage} from './perform-fault.js';
+import type {Expectation, Written} from './statement.js';
+import {Timeline} from './timeline.js';
+
+/** Time that calls have after the end of a scenario. */
+const REST_LIMIT_MS = 60_000;
+
+/** Longer than the balancer's lag of a scenario, which sends to a leaving daemon for 200 ms. */
+const DRAIN_LAG_MS = 600;
+
+export type ScenarioOptions = {
+	readonly seed: number;
+	/** Called with one line for each event. */
+	readonly log?: (line: string) => void;
+};
+
+/** What came of a scenario. It passed when each expectation is met and no invariant is violated. */
+export type ScenarioReport = {
+	readonly passed: boolean;
+	readonly expectations: ReadonlyArray<Verdict & {readonly text: string; readonly line: number}>;
+	readonly violations: readonly Violation[];
+	/** Counts of ends, for the reader. */
+	readonly summary: string;
+	/** Last log lines of the daemons, by id. */
+	readonly logs: Readonly<Record<string, readonly string[]>>;
+};
+
+/** Runs a scenario. Rejects when the deployment does not start or a fault cannot be performed. */
+export async function runScenario(scenario: Scenario, options: ScenarioOptions): Promise<ScenarioReport> {
+	const {configuration, deployment: {daemons, engines}, speed, startsWarm} = scenario;
+	const backendsPerDomain = Object.fromEntries(configuration.services.map(({name, kind}) => [name, kind === 'model' ? engines : 1]));
+	const deployment = await Deployment.create({
+		configuration, backendsPerDomain, daemonsPerDomain: daemons, seed: options.seed, speed, startsWarm, drainLagMs: DRAIN_LAG_MS,
+	});
+	try {
+		return await new Run(scenario, options, deployment).play();
+	} finally {
+		await deployment.close();
+	}
+}
+
+type AfterExpectation = Extract<Expectation, {readonly afterMs: number}>;
+type WrittenExpectation = Scenario['expectations'][number];
+
+class Run {
+	readonly #timeline = Timeline.start();
+	readonly #ending = new AbortController();
+	readonly #stage: Stage;
+	readonly #observer: Observer;
+	readonly #callers: Callers;
+	/** Work before the stated time, by expectation. */
+	readonly #before = new Map<WrittenExpectation, WorkSnapshot>();
+
+	constructor(private readonly scenario: Scenario, private readonly options: ScenarioOptions, private readonly deployment: Deployment) {
+		const roster = DaemonRoster.create(deployment);
+		this.#stage = {
+			deployment, roster, board: FaultBoard.create(deployment), timeline: this.#timeline, configuration: scenario.configuration,
+		};
+		this.#observer = Observer.create(deployment, scenario);
+		this.#callers = Callers.create({
+			scenario, roster, timeline: this.#timeline, seed: options.seed, signal: AbortSignal.timeout(scenario.durationMs + REST_LIMIT_MS),
+		});
+	}
+
+	async play(): Promise<ScenarioReport> {
+		const following = this.#observer.follow(this.#ending.signal);
+		await Promise.all([this.#callers.run(), this.#performFaults(), this.#takeSnapshots(), this.#timeline.until(this.scenario.durationMs)]);
+		const observed = await this.#observe();
+		const expectations = await Promise.all(this.scenario.expectations.map(async expected => this.#check(expected, observed)));
+		this.#ending.abort();
+		await following;
+		await this.#callers.close();
+		return this.#report(observed, expectations);
+	}
+
+	async #performFaults(): Promise<void> {
+		await Promise.all(this.scenario.faults.map(async ({atMs, fault}) => {
+			await this.#timeline.until(atMs);
+			this.#log(`fault ${JSON.stringify(fault)}`);
+			await performFault(fault, this.#stage);
+			this.#log(`end of fault ${fault.kind}`);
+		}));
+	}
+
+	async #takeSnapshots(): Promise<void> {
+		await Promise.all(this.scenario.expectations.map(async expected => {
+			const after = afterOf(expected);
+			if (after) {
+				await this.#timeline.until(after.afterMs);
+				this.#before.set(expected, await this.#observer.work(domainOf(after)));
+			}
+		}));
+	}
+
+	async #observe(): Promise<Observations> {
+		const engines = await this.#observer.engines();
+		return {
+			completions: this.#callers.completions,
+			plainCalls: this.#callers.plainCalls,
+			engines,
+			services: await this.#observer.services(),
+			configurationVersions: this.#observer.configurationVersions,
+		};
+	}
+
+	async #check(expected: WrittenExpectation, observed: Observations): Promise<ScenarioReport['expectations'][number]> {
+		const after = afterOf(expected);
+		const workBetween = after ? await this.#workSince(expected, domainOf(after)) : {};
+		return {
+			text: expected.text, line: expected.place.line, ...checkExpectation(expected.statement.expectation, {observed, workBetween}),
+		};
+	}
+
+	async #workSince(expected: WrittenExpectation, domain: string): Promise<WorkSnapshot> {
+		const before = this.#before.get(expected) ?? {};
+		const now = await this.#observer.work(domain);
+		return Object.fromEntries(Object.entries(now).map(([id, count]) => [id, count - (before[id] ?? 0)]));
+	}
+
+	#report(observed: Observations, expectations: ScenarioReport['expectations']): ScenarioReport {
+		const violations = checkInvariants(observed);
+		const plainEnds: Record<string, number> = {};
+		for (const {end} of observed.plainCalls) {
+			const label = end.kind === 'refused' ? `refused ${end.code} ${end.ran}` : end.kind;
+			plainEnds[label] = (plainEnds[label] ?? 0) + 1;
+		}
+
+		return {
+			passed: violations.length === 0 && expectations.every(({ok}) => ok),
+			expectations,
+			violations,
+			summary: `prompts ${JSON.stringify(countEnds(observed.completions.map(({record}) => record)))}, plain calls ${JSON.stringify(plainEnds)}`,
+			logs: Object.fromEntries(this.deployment.daemons.map(({id, process}) => [id, process.log])),
+		};
+	}
+
+	#log(line: string): void {
+		this.options.log?.(`${Math.round(this.#timeline.now())} ms: ${line}`);
+	}
+}
+
+function afterOf({statement}: Pick<Written<WrittenExpectation['statement']>, 'statement'>): AfterExpectation | undefined {
+	return 'afterMs' in statement.expectation ? statement.expectation : undefined;
+}
+
+const domainOf = (expectation: AfterExpectation): string => expectation.kind === 'no-work-to-domain' ? expectation.domain : expectation.engine.domain;
