--- a/src/cli/burn-report.ts
+++ b/src/cli/burn-report.ts
@@ -27,7 +27,14 @@
 
 export const formatPercent = (share: number): string => `${(share * 100).toFixed(1)}%`;
 
-export const formatWindow = (ms: number): string => ms < 60 * MINUTE_MS ? `${Math.round(ms / MINUTE_MS)} min` : `${Math.round(ms / (60 * MINUTE_MS))} h`;
+/** A time span in the largest unit of which it holds at least one. */
+export function formatWindow(ms: number): string {
+	if (ms < MINUTE_MS) {
+		return `${Math.round(ms / 1000)} s`;
+	}
+
+	return ms < 60 * MINUTE_MS ? `${Math.round(ms / MINUTE_MS)} min` : `${Math.round(ms / (60 * MINUTE_MS))} h`;
+}
 
 export const titleOf = ({objective}: ObjectiveBurn): string => `${objective.service}, ${objective.lengthClass} prompts`;
 
