Leave a coordinator that falls silent while reservations wait

Cause: in a trial with a coordinator stopped by SIGSTOP for 9 s, callers of every daemon that had asked its pool waited for 9 s (no request began in 8 of these seconds). Ruled out: a short time limit of a reservation, since a queue may be long and a request would lose its place. Change: while reservations wait, their coordinator is asked for a sign of life; a silent one is left within about 1 s and asked last for 5 s. After 4 s one more pool is asked beside the first, since the connection may have stalled.

--- a/src/capacity/pool-client.ts
+++ b/src/capacity/pool-client.ts
@@ -5,6 +5,7 @@
 } from '../peer/protocol.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {withTimeLimit} from '../util/time-limit.js';
 import type {PoolService} from './pool-coordinators.js';
 import {
 	type Activation, PoolReservation, type ReservationLink, type ReservationRequest,
@@ -91,6 +92,22 @@
 		}
 	}
 
+	/** Whether the coordinator of `pool` answers within `timeoutMs`. Does not reject. */
+	async isAlive(pool: string, timeoutMs: number): Promise<boolean> {
+		const target = this.#target(pool);
+		if (!target) {
+			return false;
+		}
+
+		try {
+			const message: KeepAlive = {sender: this.#sender, pool, open: []};
+			const answer = await withTimeLimit({timeoutMs}, async () => target.service.keepAlive(message));
+			return answer.kind === 'accepted';
+		} catch {
+			return false;
+		}
+	}
+
 	acknowledge(reservation: PoolReservation, server: string, answer: {readonly boot: string; readonly warm: boolean; readonly prefilled?: boolean}): void {
 		const {id, pool} = reservation;
 		const message: Acknowledge = {
--- a/src/routing/pool-choice.ts
+++ b/src/routing/pool-choice.ts
@@ -33,11 +33,15 @@
 	}
 }
 
+/** `known`: its lease has been seen. `silent`: it did not answer shortly before. */
+export type CoordinatorState = 'known' | 'unknown' | 'silent';
+
+const preference: Readonly<Record<CoordinatorState, number>> = {known: 0, unknown: 1, silent: 2};
+
 export type PoolCandidate = {
 	readonly pool: string;
 	readonly failureDomain: string;
-	/** Whether a coordinator has been seen. */
-	readonly coordinated: boolean;
+	readonly coordinator: CoordinatorState;
 	/** Estimated wait of this request in ms. */
 	readonly waitMs: number;
 };
@@ -52,7 +56,7 @@
 }
 
 /**
- * Orders candidates: coordinated ones first, then those of the own failure domain without a wait, then by estimated
+ * Orders candidates: those with a known coordinator first, then those of the own failure domain without a wait, then by estimated
  * wait. `turn` rotates equal ones, so that successive requests spread over them.
  */
 export function orderPools(candidates: readonly PoolCandidate[], ownDomain: string, turn: number): readonly string[] {
@@ -60,7 +64,7 @@
 	const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
 	const isNear = (candidate: PoolCandidate): boolean => candidate.failureDomain === ownDomain && candidate.waitMs <= NO_WAIT_MS;
 	const ordered = rotated.toSorted((a, b) =>
-		Number(b.coordinated) - Number(a.coordinated)
+		preference[a.coordinator] - preference[b.coordinator]
 		|| Number(isNear(b)) - Number(isNear(a))
 		|| a.waitMs - b.waitMs
 		|| Number(b.failureDomain === ownDomain) - Number(a.failureDomain === ownDomain));
--- a/src/routing/reservation.ts
+++ b/src/routing/reservation.ts
@@ -69,4 +69,6 @@
 /** Asks coordinators for capacity. `reserve` does not throw; after an abort it resolves with `unreachable`. */
 export type PoolClient = {
 	reserve(request: ReservationRequest, options: ReserveOptions): Promise<ReservationOutcome>;
+	/** Whether the coordinator of `pool` answers within `timeoutMs`. Does not reject. */
+	isAlive(pool: string, timeoutMs: number): Promise<boolean>;
 };
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -6,9 +6,15 @@
 import {failure, type Failure} from '../util/failure.js';
 import {pause} from '../util/pause.js';
 import {TimeLimitError} from '../util/time-limit.js';
-import {orderPools, poolsOf, PoolSummaries} from './pool-choice.js';
-import {isTransient, refusalFailure, type NotGranted} from './refusals.js';
-import type {Grant, PoolClient, ReservationRequest} from './reservation.js';
+import {askPools, type Refusals} from './ask-race.js';
+import {CoordinatorWatch} from './coordinator-watch.js';
+import {
+	orderPools, poolsOf, PoolSummaries, type CoordinatorState,
+} from './pool-choice.js';
+import {isTransient, refusalFailure} from './refusals.js';
+import type {
+	Grant, PoolClient, ReservationOutcome, ReservationRequest,
+} from './reservation.js';
 
 /** How long a request waits for a coordinator to appear, for example while a failed one is replaced. */
 const COORDINATOR_PATIENCE_MS = 10_000;
@@ -23,9 +29,6 @@
 	readonly deadline: number;
 };
 
-/** Answers of all pools, none of which granted. */
-type Refusals = {readonly kind: 'refusals'; readonly outcomes: readonly NotGranted[]};
-
 export type ReservationParts = {
 	readonly client: PoolClient;
 	readonly directory: Directory;
@@ -40,9 +43,12 @@
 	}
 
 	readonly #summaries = PoolSummaries.create();
+	readonly #watch: CoordinatorWatch;
 	#sequence = 0;
 
-	private constructor(private readonly parts: ReservationParts) {}
+	private constructor(private readonly parts: ReservationParts) {
+		this.#watch = CoordinatorWatch.create(async (pool, timeoutMs) => parts.client.isAlive(pool, timeoutMs), parts.clock);
+	}
 
 	/** Reserves in the best pool of `service` that grants, or says why none does. `signal` cancels waiting. */
 	async reserve(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure> {
@@ -70,31 +76,31 @@
 
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
 	async #round(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure | Refusals> {
-		const outcomes: NotGranted[] = [];
-		for (const pool of this.#pools(service, request)) {
-			const now = this.parts.clock();
-			const ended = endedBefore(request.deadline, now, signal);
-			if (ended) {
-				return ended;
-			}
-
-			const outcome = await this.#ask(pool, request, signal, now);
-			if (outcome.kind === 'granted') {
-				return outcome;
-			}
-
-			outcomes.push(outcome);
+		const before = endedBefore(request.deadline, this.parts.clock(), signal);
+		if (before) {
+			return before;
 		}
 
-		return endedBefore(request.deadline, this.parts.clock(), signal) ?? {kind: 'refusals', outcomes};
+		const asked = await askPools(this.#pools(service, request), async (pool, own) => this.#ask(pool, request, own), signal);
+		return asked.kind === 'granted' ? asked : endedBefore(request.deadline, this.parts.clock(), signal) ?? asked;
 	}
 
-	async #ask(pool: string, request: CapacityRequest, signal: AbortSignal, now: number) {
+	async #ask(pool: string, request: CapacityRequest, signal: AbortSignal): Promise<ReservationOutcome> {
 		const {deadline, ...rest} = request;
 		const {client, directory, clock} = this.parts;
+		const now = clock();
+		const silent = new AbortController();
+		const giveUp = (): void => {
+			silent.abort(new Error(`the coordinator of pool ${pool} does not answer`));
+		};
+
+		signal.addEventListener('abort', giveUp);
+		const unwatch = this.#watch.watch(pool, giveUp);
 		const outcome = await client.reserve({
-			...rest, id: this.#nextId(), pool, remainingMs: deadline - now,
-		}, {signal, now});
+			...rest, id: this.#nextId(), pool, remainingMs: Math.max(1, deadline - now),
+		}, {signal: silent.signal, now});
+		unwatch();
+		signal.removeEventListener('abort', giveUp);
 		if (outcome.kind !== 'unreachable' && outcome.summary) {
 			this.#summaries.record(outcome.summary, clock());
 		}
@@ -113,12 +119,20 @@
 		const candidates = poolsOf(service, configuration.current()?.configuration.failureDomains ?? [], region).map(({pool, failureDomain}) => ({
 			pool,
 			failureDomain,
-			coordinated: Boolean(directory.poolLease(pool)?.owner),
+			coordinator: this.#coordinatorOf(pool, now),
 			waitMs: this.#summaries.waitMs(pool, lengthClass, now),
 		}));
 		return orderPools(candidates, ownDomain, this.#sequence).slice(0, MAX_POOLS_ASKED);
 	}
 
+	#coordinatorOf(pool: string, now: number): CoordinatorState {
+		if (this.#watch.isSuspect(pool, now)) {
+			return 'silent';
+		}
+
+		return this.parts.directory.poolLease(pool)?.owner ? 'known' : 'unknown';
+	}
+
 	#nextId(): string {
 		const {id, incarnation} = this.parts.directory.self;
 		return `${id}.${incarnation}.${++this.#sequence}`;
--- a/tests/pool-choice.test.ts
+++ b/tests/pool-choice.test.ts
@@ -5,7 +5,7 @@
 import {sampleModelService} from './fixtures/configurations.js';
 
 const candidate = fc.record({
-	failureDomain: fc.constantFrom('a', 'b', 'c'), coordinated: fc.boolean(), waitMs: fc.constantFrom(0, 20, 100, 500),
+	failureDomain: fc.constantFrom('a', 'b', 'c'), coordinator: fc.constantFrom('known', 'unknown', 'silent'), waitMs: fc.constantFrom(0, 20, 100, 500),
 });
 
 describe('choice of pools', () => {
@@ -14,7 +14,9 @@
 			const candidates: readonly PoolCandidate[] = drafts.map((draft, index) => ({...draft, pool: String(index)}));
 			const ordered = orderPools(candidates, 'a', turn).map(pool => candidates[Number(pool)]!);
 			expect(ordered.map(({pool}) => pool).toSorted()).toEqual(candidates.map(({pool}) => pool).toSorted());
-			const usable = candidates.some(({coordinated}) => coordinated) ? candidates.filter(({coordinated}) => coordinated) : candidates;
+			const states = new Set(candidates.map(({coordinator}) => coordinator));
+			const state = (['known', 'unknown', 'silent'] as const).find(value => states.has(value));
+			const usable = candidates.filter(({coordinator}) => coordinator === state);
 			const near = usable.filter(({failureDomain, waitMs}) => failureDomain === 'a' && waitMs <= 50);
 			const best = near.length > 0 ? near : usable;
 			expect(best).toContain(ordered[0]);
