--- /dev/null
+++ b/testing/scenario/check-expectation.ts
@@ -0,0 +1,89 @@
+/** Checks the expectations that a scenario states. */
+import type {Observations, ObservedCompletion, ObservedPlainCall} from '../invariants.js';
+import {firstTokenOf} from '../load/summary.js';
+import type {WorkSnapshot} from './observer.js';
+import type {Expectation} from './statement.js';
+
+/** What a check reads besides the observations. `workBetween` is the work after the stated time, by backend server id. */
+export type Evidence = {
+	readonly observed: Observations;
+	readonly workBetween: WorkSnapshot;
+};
+
+/** Result of one check with the figure that decided it. */
+export type Verdict = {readonly ok: boolean; readonly detail: string};
+
+const isAnswered = ({record}: ObservedCompletion): boolean => record.end.kind === 'finished';
+const isPlainAnswered = ({end}: ObservedPlainCall): boolean => end.kind === 'answered' && end.status < 300;
+
+export function checkExpectation(expectation: Expectation, {observed, workBetween}: Evidence): Verdict {
+	const {completions, plainCalls, services} = observed;
+	switch (expectation.kind) {
+		case 'executed-at-most-once': {
+			return atMostOnce(services.flatMap(({operations}) => Object.entries(operations)));
+		}
+
+		case 'no-request-cut': {
+			const cut = [...completions.map(({record}) => record.end), ...plainCalls.map(({end}) => end)].filter(({kind}) => kind === 'cut' || kind === 'failed');
+			return {ok: cut.length === 0, detail: `${cut.length} of ${completions.length + plainCalls.length} requests were cut${cut[0] ? `, the first: ${JSON.stringify(cut[0])}` : ''}`};
+		}
+
+		case 'first-token': {
+			const {p95, count} = firstTokenOf(completions.filter(({lengthClass}) => lengthClass === expectation.lengthClass).map(({record}) => record));
+			return {ok: count > 0 && p95 < expectation.belowMs, detail: `p95 is ${p95} ms over ${count} requests`};
+		}
+
+		case 'answered-share': {
+			return expectation.of === 'bookings'
+				? shareOf(bookings(plainCalls), expectation.share)
+				: shareOf([...completions.map(call => isAnswered(call)), ...plainCalls.map(call => isPlainAnswered(call))], expectation.share);
+		}
+
+		case 'answered-from': {
+			const prompts = completions.filter(({record}) => record.startedAt >= expectation.fromMs).map(call => isAnswered(call));
+			const calls = plainCalls.filter(({startedAt}) => startedAt >= expectation.fromMs).map(call => isPlainAnswered(call));
+			return shareOf([...prompts, ...calls], expectation.share);
+		}
+
+		case 'no-work-to-domain': {
+			return noWork(Object.entries(workBetween));
+		}
+
+		case 'no-work-to-engine': {
+			const {domain, number} = expectation.engine;
+			return noWork(Object.entries(workBetween).filter(([id]) => id.endsWith(`-${domain}-${number}`)));
+		}
+	}
+}
+
+function atMostOnce(executions: ReadonlyArray<readonly [string, number]>): Verdict {
+	const operations = new Set(executions.map(([operation]) => operation));
+	let total = 0;
+	for (const [, count] of executions) {
+		total += count;
+	}
+
+	return {ok: total === operations.size, detail: `${total} executions of ${operations.size} operations`};
+}
+
+/** Whether each booking was answered by at least one of its calls. */
+function bookings(calls: readonly ObservedPlainCall[]): readonly boolean[] {
+	const answered = new Map<string, boolean>();
+	for (const call of calls) {
+		if (call.operation !== undefined) {
+			answered.set(call.operation, (answered.get(call.operation) ?? false) || isPlainAnswered(call));
+		}
+	}
+
+	return [...answered.values()];
+}
+
+function shareOf(results: readonly boolean[], wanted: number): Verdict {
+	const good = results.filter(Boolean).length;
+	return {ok: results.length > 0 && good / results.length >= wanted, detail: `${good} of ${results.length} were answered`};
+}
+
+function noWork(work: ReadonlyArray<readonly [string, number]>): Verdict {
+	const busy = work.filter(([, count]) => count > 0).map(([id, count]) => `${id} received ${count}`);
+	return {ok: work.length > 0 && busy.length === 0, detail: busy.length === 0 ? `${work.length} backend servers received none` : busy.join(', ')};
+}
