--- /dev/null
+++ b/tests/lease-predecessors.test.ts
@@ -0,0 +1,35 @@
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
+import {describe, expect, it} from 'vitest';
+import {askToStepDown, type LeaseDirectory} from '../src/capacity/lease-peers.js';
+import type {Member} from '../src/membership/directory.js';
+import {PeerClient} from '../src/peer/peer-client.js';
+import {POOL} from './support/daemon-fixture.js';
+
+const self: Member = {
+	id: 'd1', incarnation: 'i1', peerAddress: '127.0.0.1:1', address: '127.0.0.1:2', region: 'r', failureDomain: 'braga', renewal: 1, draining: false,
+};
+
+describe('predecessors of a coordinator', () => {
+	it('should count as ended when their address refuses connections, and not when it only stays silent', async () => {
+		const server = createServer(socket => {
+			socket.resume();
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+		const peer = PeerClient.create(address);
+		const directory = {self, members: () => [self]} as unknown as LeaseDirectory;
+		const ask = async () => askToStepDown({
+			directory,
+			peers: {stepDown: async (_, message) => peer.stepDown(message), promise: async () => ({promised: false})},
+		}, {owner: 'd2', incarnation: 'i', peerAddress: address}, {pool: POOL, epoch: 2});
+		expect(await ask()).toBe(false);
+		await peer.close();
+		server.close();
+		await once(server, 'close');
+		const after = PeerClient.create(address);
+		await expect(after.stepDown({pool: POOL, epoch: 2})).rejects.toMatchObject({isRefused: true});
+		await after.close();
+	});
+});
