Warm engines up before each measure

Cause: the first window of domain-loss held the slow start (552 ms against 260 ms later) and raised the steady value that the other windows are compared with. Ruled out: leaving out the first window only where it is compared. Change: 10 s of short requests before each measure of model requests, discarded.

--- a/testing/bench/model-fixture.ts
+++ b/testing/bench/model-fixture.ts
@@ -4,7 +4,7 @@
 import type {Configuration, ModelService} from '../../src/configuration/schema.js';
 import {BlindRouter, type BlindPolicy} from '../baselines/blind-router.js';
 import {Deployment} from '../deployment.js';
-import type {Arrival} from '../load/arrivals.js';
+import {drawArrivals, shortMix, type Arrival} from '../load/arrivals.js';
 import type {CompletionRecord} from '../load/completion-client.js';
 import {runLoad} from '../load/load-run.js';
 
@@ -24,6 +24,10 @@
 /** Mean prompt of the mix in tokens: 0.98 × the log-uniform mean of 1 k to 100 k and 0.02 × that of 100 k to 1 M. */
 const MEAN_PROMPT_TOKENS = (0.98 * 99_000 / Math.log(100)) + (0.02 * 900_000 / Math.log(10));
 
+/** Longer than the slow start of an engine, which doubles its limit each second. */
+const WARM_UP_MS = 10_000;
+const WARM_UP_PER_SECOND = 10;
+
 /** Limits of workspaces are not under measurement and must not refuse the load. */
 function withoutLimits(configuration: Configuration): Configuration {
 	const limits = {requestsPerSecond: 1e6, concurrentRequests: 1_000_000, promptTokensPerMinute: 1_000_000_000_000};
@@ -53,7 +57,9 @@
 		});
 		const allowed = configuration.workspaces.filter(workspace => workspace.services.includes(model.name));
 		const apiKeys = allowed.map(workspace => (keys as Readonly<Record<string, string>>)[workspace.name]!);
-		return new ModelFixture(deployment, configuration, model, apiKeys);
+		const fixture = new ModelFixture(deployment, configuration, model, apiKeys);
+		await fixture.#warmUp(seed);
+		return fixture;
 	}
 
 	private runs = 0;
@@ -109,6 +115,13 @@
 		return good.length / records.length;
 	}
 
+	/** Sends short requests until the slow start of all engines is over, so that no measure includes it. */
+	async #warmUp(seed: number): Promise<void> {
+		await this.run('fireflyport', drawArrivals({
+			seed, durationMs: WARM_UP_MS, requestsPerSecond: WARM_UP_PER_SECOND, mix: shortMix, maxTokens: 2,
+		}));
+	}
+
 	async close(): Promise<void> {
 		await this.deployment.close();
 	}
