--- a/src/routing/pool-choice.ts
+++ b/src/routing/pool-choice.ts
@@ -33,15 +33,11 @@
 	}
 }
 
-/** `known`: its lease has been seen. `silent`: it did not answer shortly before. */
-export type CoordinatorState = 'known' | 'unknown' | 'silent';
-
-const preference: Readonly<Record<CoordinatorState, number>> = {known: 0, unknown: 1, silent: 2};
-
 export type PoolCandidate = {
 	readonly pool: string;
 	readonly failureDomain: string;
-	readonly coordinator: CoordinatorState;
+	/** Whether a coordinator has been seen. */
+	readonly coordinated: boolean;
 	/** Estimated wait of this request in ms. */
 	readonly waitMs: number;
 };
@@ -64,7 +60,7 @@
 	const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
 	const isNear = (candidate: PoolCandidate): boolean => candidate.failureDomain === ownDomain && candidate.waitMs <= NO_WAIT_MS;
 	const ordered = rotated.toSorted((a, b) =>
-		preference[a.coordinator] - preference[b.coordinator]
+		Number(b.coordinated) - Number(a.coordinated)
 		|| Number(isNear(b)) - Number(isNear(a))
 		|| a.waitMs - b.waitMs
 		|| Number(b.failureDomain === ownDomain) - Number(a.failureDomain === ownDomain));
