Answer requests that arrive too slowly, and unknown paths with 404

Cause: a body that was too slow had its connection cut without an answer. Change: the time limit of a body answers with a typed error; limits can be set for tests; an unknown path is 404.

--- a/src/daemon/http-front.ts
+++ b/src/daemon/http-front.ts
@@ -37,6 +37,8 @@
 	readonly lifecycle: Lifecycle;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	/** Time for the headers of a request. */
+	readonly headersTimeoutMs?: number;
 };
 
 /** Serves callers at one address. */
@@ -44,7 +46,7 @@
 	/** Starts to listen. Rejects when the address cannot be used. */
 	static async listen(endpoint: Endpoint, parts: FrontParts): Promise<HttpFront> {
 		const server = createServer({
-			headersTimeout: HEADERS_TIMEOUT_MS,
+			headersTimeout: parts.headersTimeoutMs ?? HEADERS_TIMEOUT_MS,
 			requestTimeout: REQUEST_TIMEOUT_MS,
 			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
 			connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -137,8 +139,9 @@
 
 	async #respond(call: Call, route: Route | undefined): Promise<Failure | undefined> {
 		if (!route) {
+			const isPath = this.parts.routes.some(candidate => matches({...candidate, method: undefined}, call));
 			return failure({
-				code: 'invalid_request', message: `there is no ${call.method} ${call.path}`, ran: 'not_run', step: 'parse',
+				code: isPath ? 'invalid_request' : 'unknown_service', message: `there is no ${call.method} ${call.path}`, ran: 'not_run', step: 'parse',
 			});
 		}
 
--- a/src/daemon/request-body.ts
+++ b/src/daemon/request-body.ts
@@ -3,6 +3,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {z} from 'zod';
 import {failure, type Failure} from '../util/failure.js';
+import {pause} from '../util/pause.js';
 
 /** A body that arrives slower holds memory for too long. */
 const BODY_TIMEOUT_MS = 30_000;
@@ -23,13 +24,13 @@
 
 /** Reads bodies for one daemon. */
 export class BodyReader {
-	static create(maxBodyBytes: number): BodyReader {
-		return new BodyReader(maxBodyBytes);
+	static create(maxBodyBytes: number, timeoutMs = BODY_TIMEOUT_MS): BodyReader {
+		return new BodyReader(maxBodyBytes, timeoutMs);
 	}
 
 	#buffered = 0;
 
-	private constructor(private readonly maxBodyBytes: number) {}
+	private constructor(private readonly maxBodyBytes: number, private readonly timeoutMs: number) {}
 
 	/** Reads a whole body. Returns a failure when it is too large, too slow, or cut off. */
 	async read(req: IncomingMessage): Promise<Body | Failure> {
@@ -37,6 +38,28 @@
 			return this.#tooLarge();
 		}
 
+		const timeout = new AbortController();
+		const stop = new AbortController();
+		const late = async (): Promise<Failure> => {
+			await pause(this.timeoutMs, timeout.signal);
+			if (!timeout.signal.aborted) {
+				stop.abort();
+			}
+
+			return failure({
+				code: 'deadline_exceeded', message: `the body did not arrive within ${this.timeoutMs} ms`, ran: 'not_run', step: 'parse',
+			});
+		};
+
+		try {
+			return await Promise.race([this.#readAll(req, stop.signal), late()]);
+		} finally {
+			timeout.abort();
+		}
+	}
+
+	/** Reads until the end, or until `stop`, after which nobody uses the result. */
+	async #readAll(req: IncomingMessage, stop: AbortSignal): Promise<Body | Failure> {
 		const chunks: Buffer[] = [];
 		let size = 0;
 		const release = (): void => {
@@ -44,13 +67,13 @@
 			size = 0;
 		};
 
-		let timedOut = false;
-		const timer = setTimeout(() => {
-			timedOut = true;
-			req.destroy();
-		}, BODY_TIMEOUT_MS);
+		stop.addEventListener('abort', release);
 		try {
-			for await (const chunk of req as AsyncIterable<Buffer>) {
+			for await (const chunk of req.iterator({destroyOnReturn: false}) as AsyncIterable<Buffer>) {
+				if (stop.aborted) {
+					break;
+				}
+
 				size += chunk.length;
 				this.#buffered += chunk.length;
 				const refusal = this.#refusal(size);
@@ -66,13 +89,8 @@
 		} catch {
 			release();
 			return failure({
-				code: timedOut ? 'deadline_exceeded' : 'caller_left',
-				message: timedOut ? `the body did not arrive within ${BODY_TIMEOUT_MS} ms` : 'the caller closed the connection before the body was complete',
-				ran: 'not_run',
-				step: 'parse',
+				code: 'caller_left', message: 'the caller closed the connection before the body was complete', ran: 'not_run', step: 'parse',
 			});
-		} finally {
-			clearTimeout(timer);
 		}
 	}
 
