--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -7,7 +7,10 @@
 import {pause} from '../util/pause.js';
 import {TimeLimitError} from '../util/time-limit.js';
 import {askPools, type Refusals} from './ask-race.js';
-import {orderPools, poolsOf, PoolSummaries} from './pool-choice.js';
+import {CoordinatorWatch} from './coordinator-watch.js';
+import {
+	orderPools, poolsOf, PoolSummaries, type CoordinatorState,
+} from './pool-choice.js';
 import {isTransient, refusalFailure} from './refusals.js';
 import type {
 	Grant, PoolClient, ReservationOutcome, ReservationRequest,
@@ -40,9 +43,12 @@
 	}
 
 	readonly #summaries = PoolSummaries.create();
+	readonly #watch: CoordinatorWatch;
 	#sequence = 0;
 
-	private constructor(private readonly parts: ReservationParts) {}
+	private constructor(private readonly parts: ReservationParts) {
+		this.#watch = CoordinatorWatch.create(async (pool, timeoutMs) => parts.client.isAlive(pool, timeoutMs), parts.clock);
+	}
 
 	/** Reserves in the best pool of `service` that grants, or says why none does. `signal` cancels waiting. */
 	async reserve(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure> {
@@ -83,9 +89,18 @@
 		const {deadline, ...rest} = request;
 		const {client, directory, clock} = this.parts;
 		const now = clock();
+		const silent = new AbortController();
+		const giveUp = (): void => {
+			silent.abort(new Error(`the coordinator of pool ${pool} does not answer`));
+		};
+
+		signal.addEventListener('abort', giveUp);
+		const unwatch = this.#watch.watch(pool, giveUp);
 		const outcome = await client.reserve({
 			...rest, id: this.#nextId(), pool, remainingMs: Math.max(1, deadline - now),
-		}, {signal, now});
+		}, {signal: silent.signal, now});
+		unwatch();
+		signal.removeEventListener('abort', giveUp);
 		if (outcome.kind !== 'unreachable' && outcome.summary) {
 			this.#summaries.record(outcome.summary, clock());
 		}
@@ -104,12 +119,20 @@
 		const candidates = poolsOf(service, configuration.current()?.configuration.failureDomains ?? [], region).map(({pool, failureDomain}) => ({
 			pool,
 			failureDomain,
-			coordinated: Boolean(directory.poolLease(pool)?.owner),
+			coordinator: this.#coordinatorOf(pool, now),
 			waitMs: this.#summaries.waitMs(pool, lengthClass, now),
 		}));
 		return orderPools(candidates, ownDomain, this.#sequence).slice(0, MAX_POOLS_ASKED);
 	}
 
+	#coordinatorOf(pool: string, now: number): CoordinatorState {
+		if (this.#watch.isSuspect(pool, now)) {
+			return 'silent';
+		}
+
+		return this.parts.directory.poolLease(pool)?.owner ? 'known' : 'unknown';
+	}
+
 	#nextId(): string {
 		const {id, incarnation} = this.parts.directory.self;
 		return `${id}.${incarnation}.${++this.#sequence}`;
