--- a/testing/scenario/main.ts
+++ b/testing/scenario/main.ts
@@ -29,6 +29,7 @@
 	console.log(`scenario ${file}, seed ${seed}`);
 	const report = await runScenario(parseScenario(readFileSync(file, 'utf8')), {
 		seed,
+		logLevel: logs ? 'debug' : 'info',
 		log(line) {
 			console.log(line);
 		},
@@ -40,7 +41,7 @@
 const cli = cac('npm run scenario --');
 cli.usage('FILE... [--seed N] [--logs]');
 cli.option('--seed <number>', 'Seed of the load and the stand-ins (default: 1)');
-cli.option('--logs', 'Print the logs of the daemons at the end');
+cli.option('--logs', 'Print the logs of the daemons at the end, debug lines included');
 cli.help();
 const {args, options} = cli.parse();
 if (options.help) {
--- a/testing/scenario/run-scenario.ts
+++ b/testing/scenario/run-scenario.ts
@@ -1,5 +1,6 @@
 /** Runs a scenario on a deployment of its own and checks its expectations and the invariants. */
 import {setMaxListeners} from 'node:events';
+import type {LogLevel} from '../../src/util/logger.js';
 import {Deployment} from '../deployment.js';
 import {checkInvariants, type Observations, type Violation} from '../invariants.js';
 import {countEnds} from '../load/summary.js';
@@ -21,6 +22,8 @@
 
 export type ScenarioOptions = {
 	readonly seed: number;
+	/** Least severe level that the daemons log. */
+	readonly logLevel?: LogLevel;
 	/** Called with one line for each event. */
 	readonly log?: (line: string) => void;
 };
@@ -41,7 +44,7 @@
 	const {configuration, deployment: {daemons, engines}, speed, startsWarm} = scenario;
 	const backendsPerDomain = Object.fromEntries(configuration.services.map(({name, kind}) => [name, kind === 'model' ? engines : 1]));
 	const deployment = await Deployment.create({
-		configuration, backendsPerDomain, daemonsPerDomain: daemons, seed: options.seed, speed, startsWarm, drainLagMs: DRAIN_LAG_MS,
+		configuration, backendsPerDomain, daemonsPerDomain: daemons, seed: options.seed, speed, startsWarm, drainLagMs: DRAIN_LAG_MS, daemonArgs: ['--log-level', options.logLevel ?? 'info'],
 	});
 	try {
 		return await new Run(scenario, options, deployment).play();
