Send orders to engines from the coordinators of model pools

Engines without the configured models stayed without them, since nothing sent orders. CoordinatorLease.prove() renews the lease right before an order; after a takeover without a release orders wait for the lease TTL and the order timeout. Orders under way end before the lease is released. Placement leaves out engines that do not report the model of the request. A load without a permit is withheld before the lease is renewed for it, since each proof is a write to the object API. Load reports may state versions (modelVersions, optional), so that a changed version is loaded.

--- a/src/backend/engine-protocol.ts
+++ b/src/backend/engine-protocol.ts
@@ -92,6 +92,8 @@
 	kvTokensUsed: tokens,
 	kvTokensTotal: tokens,
 	models: z.array(z.string()).readonly(),
+	/** Version by model. Engines that do not report versions leave it out. */
+	modelVersions: z.record(z.string(), z.string()).readonly().optional(),
 	role: z.enum(['mixed', 'prefill', 'decode']),
 }).readonly();
 
--- a/src/backend/http-backend-probe.ts
+++ b/src/backend/http-backend-probe.ts
@@ -16,6 +16,8 @@
 	readonly ageMs: number;
 	readonly runningRequests: number;
 	readonly pendingPrefillTokens?: number;
+	readonly models?: readonly string[];
+	readonly modelVersions?: Readonly<Record<string, string>>;
 };
 
 function valueOf<T>(target: Target, answer: QueryAnswer<T>): T {
--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -6,6 +6,7 @@
 import {
 	count, type Demand, emptyTotals, type Held, type HeldState, type LoadTotals,
 } from './server-load.js';
+import {type ModelReport, ServerModels} from './server-models.js';
 import {type ServerLimits, ServerWarmth} from './server-warmth.js';
 import {type GrantMode, usableShare} from './usable-share.js';
 
@@ -27,8 +28,7 @@
 export type Fit = 'yes' | 'no' | 'probe' | 'exclusive';
 
 /** A load report of an engine or a plain service. */
-export type LoadReport = {
-	readonly boot: string;
+export type LoadReport = ModelReport & {
 	readonly warm: boolean;
 	readonly ageMs: number;
 	readonly runningRequests: number;
@@ -56,6 +56,7 @@
 	hold: Demand | undefined;
 	/** Reservation that waits until nothing else is unacknowledged here; others are not granted meanwhile. */
 	exclusiveFor: string | undefined;
+	readonly models = new ServerModels();
 	readonly #listable: boolean;
 	readonly #held = new Map<string, Held>();
 	readonly #released = new Map<string, number>();
@@ -190,6 +191,7 @@
 	/** The backend server accepted the request: its headers state boot id and warmth. */
 	acknowledge(id: string, answer: {readonly boot: string; readonly warm: boolean}, now: number): void {
 		this.#warmth.observe(answer.boot, answer.warm, now);
+		this.models.noteBoot(answer.boot);
 		this.#failures = 0;
 		this.#retryAtMs = -Infinity;
 		this.markAcknowledged(id, now);
@@ -253,6 +255,7 @@
 		}
 
 		this.#warmth.observe(report.boot, report.warm, now);
+		this.models.observe(report, takenAtMs);
 		if (report.pendingPrefillTokens !== undefined) {
 			this.#applyPending(report.pendingPrefillTokens, takenAtMs, now);
 		}
--- a/src/capacity/grant-planner.ts
+++ b/src/capacity/grant-planner.ts
@@ -60,8 +60,8 @@
 	}
 
 	#planNew(item: WaitingRequest, context: PlacementContext): GrantPlan {
-		const {exclude, prefixHashes} = item.message;
-		const placement = place({demand: item.demand, prefixHashes, exclude}, this.servers.all(), context);
+		const {exclude, prefixHashes, model} = item.message;
+		const placement = place({demand: item.demand, prefixHashes, exclude}, this.servers.holding(model), context);
 		if (placement.kind === 'placed') {
 			return {kind: 'grant', members: [{server: placement.server, demand: item.demand}]};
 		}
@@ -76,7 +76,7 @@
 	}
 
 	#planGang(item: WaitingRequest, context: PlacementContext): GrantPlan {
-		const servers = this.servers.all();
+		const servers = this.servers.holding(item.message.model);
 		const permitted = servers.filter(server => !item.gang.exclude.includes(server.id));
 		if (item.demand.long && !isWithinQuota(permitted, context)) {
 			return WAIT;
@@ -134,7 +134,7 @@
 			return;
 		}
 
-		const members = planWithTotalMemory(item.gang, this.servers.all(), mode, now);
+		const members = planWithTotalMemory(item.gang, this.servers.holding(item.message.model), mode, now);
 		if (members) {
 			this.#accumulating = {id: item.id, members};
 			for (const {server, demand} of members) {
--- a/src/capacity/pool-admission.ts
+++ b/src/capacity/pool-admission.ts
@@ -248,11 +248,11 @@
 		}
 
 		const staying = this.servers.all().filter(server => !server.leaving && !message.exclude.includes(server.id));
-		if (staying.every(server => server.isBackingOff(now))) {
-			return this.refuse('no_servers', `no backend server of pool ${pool} takes work`, now, RETRY_AFTER_OVERLOAD_MS);
+		if (staying.every(server => server.isBackingOff(now) || !server.models.mayServe(message.model))) {
+			return this.refuse('no_servers', `no backend server of pool ${pool} takes ${message.model ?? 'work'} now`, now, RETRY_AFTER_OVERLOAD_MS);
 		}
 
-		if (!couldEverHold(item.gang, this.servers.all())) {
+		if (!couldEverHold(item.gang, this.servers.holding(message.model))) {
 			return this.refuse('too_large', `${message.kvTokens} tokens do not fit into pool ${pool}`, now);
 		}
 
--- a/src/capacity/pool-coordinator.ts
+++ b/src/capacity/pool-coordinator.ts
@@ -4,6 +4,7 @@
 import type {
 	Acknowledge, KeepAlive, KeepAliveAnswer, Release, Reserve, ReserveAnswer,
 } from '../peer/protocol.js';
+import type {OrderedPool} from '../orders/order-rounds.js';
 import type {IncarnationState} from '../membership/member-view.js';
 import type {PoolLease} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
@@ -88,6 +89,25 @@
 		return this.#term?.admission.summary(now);
 	}
 
+	/** What orders to its engines need, while the lease is held and the full limits apply. */
+	get ordered(): OrderedPool | undefined {
+		const now = this.options.clock();
+		const term = this.#term;
+		const service = this.#service;
+		if (!term || service.kind !== 'model' || this.#draining || this.lease.mode(now).kind !== 'full') {
+			return undefined;
+		}
+
+		const staying = term.admission.servers.all().filter(server => !server.leaving && server.address !== '');
+		return {
+			pool: this.pool,
+			epoch: term.admission.epoch,
+			service,
+			engines: staying.map(({id, address, models}) => ({id, address, load: models.reported(now)})),
+			prove: async () => this.lease.prove(),
+		};
+	}
+
 	start(): void {
 		this.lease.start();
 	}
--- a/src/capacity/pool-coordinators.ts
+++ b/src/capacity/pool-coordinators.ts
@@ -2,6 +2,7 @@
 import type {ConfigurationSource} from '../configuration/configuration-source.js';
 import type {AcceptedConfiguration, Service} from '../configuration/schema.js';
 import type {Directory} from '../membership/directory.js';
+import type {OrderedPool} from '../orders/order-rounds.js';
 import {poolsOf} from '../membership/pool-shards.js';
 import type {
 	Acknowledge, KeepAlive, KeepAliveAnswer, PeerService, PoolSummary, PromiseRequest, Release, Reserve, ReserveAnswer, StepDown,
@@ -64,6 +65,11 @@
 		return [...this.#coordinators.values()].map(coordinator => coordinator.summary(now)).filter(summary => summary !== undefined);
 	}
 
+	/** Pools of model services whose engines this daemon may send orders to now. */
+	ordered(): readonly OrderedPool[] {
+		return [...this.#coordinators.values()].map(coordinator => coordinator.ordered).filter(pool => pool !== undefined);
+	}
+
 	async reserve(message: Reserve, signal?: AbortSignal): Promise<ReserveAnswer> {
 		const coordinator = this.#coordinators.get(message.pool);
 		return coordinator
--- a/src/capacity/pool-lease.ts
+++ b/src/capacity/pool-lease.ts
@@ -46,6 +46,14 @@
 	readonly onLost: () => void;
 };
 
+/** The lease as proven by a conditional update. Times are monotonic ms. */
+export type HeldLease = {
+	readonly epoch: number;
+	readonly validUntil: number;
+	/** Time of the acquisition when the predecessor neither released the lease nor is known to have ended; undefined otherwise. */
+	readonly tookOverAt: number | undefined;
+};
+
 type Held = {
 	readonly lease: PoolLease;
 	readonly version: number;
@@ -72,6 +80,7 @@
 	/** Time before the last promises were asked for that all candidates gave. */
 	#promisedAtMs = -Infinity;
 	#acquiredAtMs = -Infinity;
+	#tookOverAt: number | undefined;
 	/** Epochs below this one were given up. */
 	#minEpoch = 0;
 	#absentSinceMs: number | undefined;
@@ -145,6 +154,21 @@
 		this.#draining = false;
 	}
 
+	/** Renews the lease now. Undefined when it is not held, or when the renewal is not known to have succeeded. */
+	async prove(): Promise<HeldLease | undefined> {
+		const askedAtMs = this.options.clock();
+		this.#enqueue(async () => {
+			if (this.#held) {
+				await this.#renew(this.#held);
+			}
+		});
+		await this.#step;
+		const held = this.#held;
+		return held && !this.#releasing && held.renewedAtMs >= askedAtMs
+			? {epoch: held.lease.epoch, validUntil: held.renewedAtMs + LEASE_TTL_MS, tookOverAt: this.#tookOverAt}
+			: undefined;
+	}
+
 	/** Gives the lease up at once. `settled` says that every granted request was acknowledged. */
 	async release(settled: boolean): Promise<void> {
 		this.#releasing = true;
@@ -173,11 +197,22 @@
 		clearTimeout(this.#timer);
 		if (!this.#closed) {
 			this.#timer = setTimeout(() => {
-				this.#step = this.#run();
+				this.#enqueue(async () => this.#run());
 			}, delayMs);
 		}
 	}
 
+	/** Writes of the lease follow one another, since each is conditional on the version before it. */
+	#enqueue(next: () => Promise<void>): void {
+		const previous = this.#step;
+		const run = async (): Promise<void> => {
+			await previous;
+			await next();
+		};
+
+		this.#step = run();
+	}
+
 	async #run(): Promise<void> {
 		const startedAtMs = this.options.clock();
 		if (this.#held) {
@@ -258,6 +293,7 @@
 		await this.#attempt(lease, seen ? {kind: 'version', version: seen.version} : {kind: 'absent'});
 		if (this.#held) {
 			this.#acquiredAtMs = this.options.clock();
+			this.#tookOverAt = ended ? undefined : this.#acquiredAtMs;
 			const clean = previous === undefined || (previous.owner === '' && previous.settled === true);
 			this.options.logger.info('pool_lease_acquired', {
 				pool, epoch: lease.epoch, unconfirmed: lease.unconfirmed.length, clean,
--- a/src/capacity/pool-servers.ts
+++ b/src/capacity/pool-servers.ts
@@ -51,6 +51,11 @@
 		return [...this.#servers.values()];
 	}
 
+	/** Servers that may hold `model`. */
+	holding(model: string | undefined): readonly BackendServerState[] {
+		return this.all().filter(server => server.models.mayServe(model));
+	}
+
 	get(id: string): BackendServerState | undefined {
 		return this.#servers.get(id);
 	}
--- a/src/capacity/server-poller.ts
+++ b/src/capacity/server-poller.ts
@@ -114,16 +114,17 @@
 	async #ask(server: BackendServerState, polled: Polled): Promise<void> {
 		const {probe, clock, kind} = this.options;
 		const target = this.#target(server);
+		// Reports name the models, which have to be known before the listing opens the server for grants.
+		const report = await probe.load(target, this.#call);
+		if (!this.#abort.signal.aborted) {
+			server.applyLoad(report, clock());
+		}
+
 		const sweep = clock() - polled.sweptAtMs >= SWEEP_INTERVAL_MS;
 		if (kind === 'model' && (server.needsListing || sweep)) {
 			polled.sweptAtMs = clock();
 			await this.#list(server, target);
 		}
-
-		const report = await probe.load(target, this.#call);
-		if (!this.#abort.signal.aborted) {
-			server.applyLoad(report, clock());
-		}
 	}
 
 	async #list(server: BackendServerState, target: ProbeTarget): Promise<void> {
--- a/src/capacity/waiting-request.ts
+++ b/src/capacity/waiting-request.ts
@@ -19,7 +19,7 @@
 
 export function toWaiting(message: Reserve, service: Service, now: number): WaitingRequest {
 	const {
-		id, workspace, weight, lengthClass, promptTokens, kvTokens, remainingMs, exclude,
+		id, workspace, model, weight, lengthClass, promptTokens, kvTokens, remainingMs, exclude,
 	} = message;
 	const demand: Demand = {
 		id, rank: message.priority, long: isLong(lengthClass), prefillTokens: promptTokens, kvTokens,
@@ -31,8 +31,8 @@
 		weight,
 		rank: message.priority,
 		lengthClass,
-		// A request that excludes servers may be stuck while others of its class fit.
-		lane: exclude.length > 0 ? `retry@${id}` : lengthClass,
+		// A request that excludes servers, or names a model that few hold, may be stuck while others of its class fit.
+		lane: exclude.length > 0 ? `retry@${id}` : `${lengthClass} ${model}`,
 		cost: Math.max(1, kvTokens),
 		promptTokens,
 		arrivedAtMs: now,
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -9,6 +9,7 @@
 import {ConfigurationPolls} from '../configuration/configuration-polls.js';
 import {ConfigurationStore} from '../configuration/configuration-store.js';
 import {formatFinding} from '../configuration/finding.js';
+import {OrderRounds} from '../orders/order-rounds.js';
 import type {PeerClient} from '../peer/peer-client.js';
 import {PeerClients} from '../peer/peer-clients.js';
 import {createPeerServer, type PeerServer} from '../peer/peer-server.js';
@@ -19,6 +20,7 @@
 import type {CreateParts, DaemonParts, PartSources} from './daemon-parts.js';
 import {MembershipParts} from './membership-parts.js';
 import {OperationParts} from './operation-parts.js';
+import {createOrderSender} from './order-sender.js';
 import {createPeerService} from './peer-service.js';
 import {createRequestObserver} from './request-observer.js';
 
@@ -68,6 +70,18 @@
 
 type Built = ReturnType<typeof build>;
 
+/** Orders to the engines of the pools that this daemon coordinates. */
+function createOrders({coordinators, store, engine}: Built, {clock, logger, metrics}: PartSources): OrderRounds {
+	return OrderRounds.create({
+		pools: () => coordinators.ordered(),
+		configuration: () => store.current()?.configuration,
+		send: createOrderSender(engine),
+		clock,
+		logger,
+		metrics,
+	});
+}
+
 function createStore(logger: Logger): ConfigurationStore {
 	const store = ConfigurationStore.create({
 		onInvalid(version, findings) {
@@ -98,7 +112,7 @@
 	const timer = setInterval(() => {
 		void peers.closeIdle(clock());
 	}, IDLE_PEERS_INTERVAL_MS);
-	return {delivery, timer};
+	return {delivery, timer, orders: createOrders(built, sources)};
 }
 
 type Running = ReturnType<typeof run>;
@@ -140,6 +154,7 @@
 		async start(address) {
 			await membership.start(address);
 			coordinators.start();
+			running.orders.start();
 			operations.start();
 		},
 		coordinated: () => coordinators.summaries(clock()).map(({pool}) => pool),
@@ -148,6 +163,8 @@
 			await membership.announceDrain();
 		},
 		async handOver() {
+			// An order under way ends before the lease that fences it is released.
+			await running.orders.close();
 			await coordinators.drain();
 		},
 		async close() {
@@ -158,11 +175,12 @@
 	} satisfies DaemonParts;
 };
 
-async function closeAll(built: Built, {delivery, timer}: Running): Promise<void> {
+async function closeAll(built: Built, {delivery, timer, orders}: Running): Promise<void> {
 	const {
 		operations, coordinators, pools, membership, peers, probe, engine, objectApi, hostList,
 	} = built;
 	clearInterval(timer);
+	await orders.close();
 	await delivery.close();
 	await operations.close();
 	await coordinators.close();
--- a/src/orders/engine-orders.ts
+++ b/src/orders/engine-orders.ts
@@ -9,7 +9,7 @@
 import type {ModelService} from '../configuration/schema.js';
 import type {LoadPermits} from './load-permits.js';
 import {
-	orderKey, planOrders, toEngineOrder, type DueOrder, type ReportedEngine,
+	ORDER_REPEAT_MS, orderKey, planOrders, toEngineOrder, type DueOrder, type ReportedEngine,
 } from './order-plan.js';
 
 /** Time limit of one order, from the renewal of the lease to the answer. */
@@ -68,6 +68,7 @@
 	/** Sends the orders that are due, one after another, and stops at the first sign that the lease is lost. */
 	async reconcile(service: ModelService, engines: readonly ReportedEngine[], now: number): Promise<readonly OrderReport[]> {
 		const reports: OrderReport[] = [];
+		this.forget(now);
 		for (const order of planOrders(service, engines, this.sentAt, now)) {
 			const report = await this.issue(order);
 			reports.push(report);
@@ -81,13 +82,19 @@
 
 	private async issue(order: DueOrder): Promise<OrderReport> {
 		const {lease, permits, send, clock} = this.options;
+		const needsPermit = order.kind === 'load-model';
+		if (needsPermit && !permits.available(clock())) {
+			// Each proof costs a write to the object API.
+			return {kind: 'withheld', order, reason: 'no_permit'};
+		}
+
 		const decision = decide(await lease.prove(), clock());
 		if (decision.kind === 'withhold') {
 			return {kind: 'withheld', order, reason: decision.reason};
 		}
 
 		const now = clock();
-		if (order.kind === 'load-model' && !permits.take(now)) {
+		if (needsPermit && !permits.take(now)) {
 			return {kind: 'withheld', order, reason: 'no_permit'};
 		}
 
@@ -98,6 +105,14 @@
 			kind: 'sent', order, epoch, outcome,
 		};
 	}
+
+	private forget(now: number): void {
+		for (const [key, at] of this.sentAt) {
+			if (now - at >= ORDER_REPEAT_MS) {
+				this.sentAt.delete(key);
+			}
+		}
+	}
 }
 
 type Decision =
--- a/src/orders/load-permits.ts
+++ b/src/orders/load-permits.ts
@@ -21,16 +21,22 @@
 		private refilledAt: number,
 	) {}
 
+	/** Whether there is a permit. */
+	available(now: number): boolean {
+		this.#refill(now);
+		return this.permits >= 1;
+	}
+
 	/** Takes one permit when there is one. */
 	take(now: number): boolean {
+		const available = this.available(now);
+		this.permits -= available ? 1 : 0;
+		return available;
+	}
+
+	#refill(now: number): void {
 		const elapsed = Math.max(0, now - this.refilledAt);
 		this.permits = Math.min(1, this.permits + (elapsed * this.permitsPerMs));
 		this.refilledAt = Math.max(now, this.refilledAt);
-		if (this.permits < 1) {
-			return false;
-		}
-
-		this.permits -= 1;
-		return true;
 	}
 }
--- a/src/orders/order-plan.ts
+++ b/src/orders/order-plan.ts
@@ -1,12 +1,20 @@
 /** Compares what engines report with what the configuration wants and decides which orders are due. */
-import type {EngineLoad, EngineOrder} from '../backend/engine-protocol.js';
+import type {EngineOrder} from '../backend/engine-protocol.js';
 import type {ModelService} from '../configuration/schema.js';
 
+/** What an engine reports to hold. */
+export type ReportedModels = {
+	readonly boot: string;
+	readonly models: readonly string[];
+	/** Version by model; an engine that does not report versions is taken to hold the right ones. */
+	readonly modelVersions?: Readonly<Record<string, string>>;
+};
+
 /** An engine with its last load report. */
 export type ReportedEngine = {
 	readonly id: string;
 	readonly address: string;
-	readonly load: EngineLoad | undefined;
+	readonly load: ReportedModels | undefined;
 };
 
 /** An order that is due, without its fencing token. */
@@ -20,8 +28,8 @@
 /** Time after which an order that has not shown in the reports is repeated. Covers loading and the lag of reports. */
 export const ORDER_REPEAT_MS = 60_000;
 
-/** Identity of an order, for the repeat interval. */
-export const orderKey = (order: DueOrder): string => `${order.engine.id} ${order.kind} ${order.model} ${order.version}`;
+/** Identity of an order, for the repeat interval. A new boot of the engine has lost what was loaded before. */
+export const orderKey = ({engine, kind, model, version}: DueOrder): string => `${engine.id} ${engine.load?.boot} ${kind} ${model} ${version}`;
 
 /** Adds the fencing token. */
 export function toEngineOrder(order: DueOrder, fencing: number): EngineOrder {
@@ -45,7 +53,9 @@
 	}
 
 	const wanted = new Set(service.models.map(model => model.name));
-	const missing = service.models.filter(model => !load.models.includes(model.name));
+	const isHeld = ({name, version}: ModelService['models'][number]): boolean =>
+		load.models.includes(name) && (load.modelVersions?.[name] ?? version) === version;
+	const missing = service.models.filter(model => !isHeld(model));
 	const surplus = load.models.filter(model => !wanted.has(model));
 	return [
 		...missing.map(({name, version}) => ({
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -21,6 +21,8 @@
 	sender: senderSchema,
 	pool: z.string(),
 	workspace: z.string(),
+	/** Model that the request names; absent for plain services. */
+	model: z.string().optional(),
 	/** Rank of the priority class, 0 first. */
 	priority: z.number().int(),
 	weight: z.number().positive(),
--- a/src/routing/model-runner.ts
+++ b/src/routing/model-runner.ts
@@ -86,6 +86,7 @@
 	async #reserve(request: AdmittedRequest, hashes: readonly string[], {exclude}: History, signal: AbortSignal): Promise<Grant | Failure> {
 		return this.parts.reservations.reserve(request.service, {
 			workspace: request.workspace.name,
+			model: request.model,
 			priority: request.priority,
 			weight: request.workspace.weight,
 			lengthClass: request.lengthClass,
--- a/testing/stand-ins/engine/simulated-engine.ts
+++ b/testing/stand-ins/engine/simulated-engine.ts
@@ -100,6 +100,7 @@
 			kvTokensUsed: this.#boot.memory.heldTokens,
 			kvTokensTotal: this.#settings.kvTokens,
 			models: Object.keys(this.#boot.models.versions),
+			modelVersions: this.#boot.models.versions,
 			role: this.#boot.models.role,
 		};
 	}
