--- a/testing/bench/model-fixture.ts
+++ b/testing/bench/model-fixture.ts
@@ -115,16 +115,16 @@
 		return good.length / records.length;
 	}
 
+	async close(): Promise<void> {
+		await this.deployment.close();
+	}
+
 	/** Sends short requests until the slow start of all engines is over, so that no measure includes it. */
 	async #warmUp(seed: number): Promise<void> {
 		await this.run('fireflyport', drawArrivals({
 			seed, durationMs: WARM_UP_MS, requestsPerSecond: WARM_UP_PER_SECOND, mix: shortMix, maxTokens: 2,
 		}));
 	}
-
-	async close(): Promise<void> {
-		await this.deployment.close();
-	}
 }
 
 /** Runs `body` on a new fixture and closes it. */
