Leave the turn of a split prompt when its coordinator falls silent

Cause: a further member of a gang waited for its turn until the deadline when its coordinator was paused. Change: the watch of reservations also covers turns; it is ended also when a call throws.

--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -11,7 +11,7 @@
 import type {Logger} from '../util/logger.js';
 import type {Grant, ReleaseOutcome} from './reservation.js';
 import {
-	awaitTurn, prefillSegments, splitPrompt, type SegmentFailure,
+	awaitTurn, prefillSegments, splitPrompt, type SegmentFailure, type SegmentParts,
 } from './split-prompt.js';
 
 const START_TIMEOUT_MS = 2000;
@@ -40,10 +40,8 @@
 	}
 	| {readonly kind: 'stopped'; readonly ran: 'not_run' | 'ran' | 'unknown'; readonly tokens: number};
 
-export type AttemptParts = {
-	readonly engine: EngineStreams;
+export type AttemptParts = SegmentParts & {
 	readonly cleanup: StreamCleanup;
-	readonly clock: Clock;
 	readonly logger: Logger;
 };
 
@@ -101,7 +99,7 @@
 	}
 
 	const prompts = splitPrompt(request.prompt, grant.servers.map(server => server.tokens));
-	const segments = await prefillSegments(parts.engine, {
+	const segments = await prefillSegments(parts, {
 		grant,
 		model: request.model,
 		parts: prompts.slice(0, -1),
@@ -109,7 +107,7 @@
 		deadline: request.deadline,
 		signal,
 		held,
-	}, clock);
+	});
 	if (segments.kind === 'failed') {
 		return notStarted(segments.server, segments.cause, held.length > 0, signal);
 	}
@@ -138,11 +136,12 @@
 
 /** Starts the stream on the last server of the grant and acknowledges it. */
 async function start(
-	{engine, clock}: AttemptParts,
+	parts: AttemptParts,
 	{grant, request, signal}: Attempt,
 	held: Held[],
 	{prompt, segments}: {readonly prompt: string; readonly segments: readonly SegmentReference[]},
 ): Promise<Started> {
+	const {engine, clock} = parts;
 	const server = grant.servers.at(-1)!;
 	const anyRan = held.length > 0;
 	const remainingMs = request.deadline - clock();
@@ -150,7 +149,7 @@
 		return {kind: 'ended', outcome: {kind: 'stopped', ran: anyRan ? 'ran' : 'not_run', tokens: 0}, release: 'cancelled'};
 	}
 
-	const turn = await awaitTurn(grant, grant.servers.length - 1, signal, clock);
+	const turn = await awaitTurn(parts, grant, grant.servers.length - 1, signal);
 	if (turn.kind !== 'turn') {
 		return {kind: 'ended', ...notStarted(server, turn, anyRan, signal)};
 	}
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -13,7 +13,7 @@
 } from './pool-choice.js';
 import {isTransient, refusalFailure} from './refusals.js';
 import type {
-	Grant, PoolClient, ReservationOutcome, ReservationRequest,
+	Activation, Grant, PoolClient, ReservationOutcome, ReservationRequest,
 } from './reservation.js';
 
 /** How long a request waits for a coordinator to appear, for example while a failed one is replaced. */
@@ -74,6 +74,11 @@
 		}
 	}
 
+	/** Waits for the turn of a further server of a split prompt, as long as the coordinator shows signs of life. */
+	async activate(grant: Grant, server: string, signal: AbortSignal): Promise<Activation> {
+		return this.#whileAlive(grant.pool, signal, async own => grant.activate(server, own));
+	}
+
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
 	async #round(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure | Refusals> {
 		const before = endedBefore(request.deadline, this.parts.clock(), signal);
@@ -89,18 +94,9 @@
 		const {deadline, ...rest} = request;
 		const {client, directory, clock} = this.parts;
 		const now = clock();
-		const silent = new AbortController();
-		const giveUp = (): void => {
-			silent.abort(new Error(`the coordinator of pool ${pool} does not answer`));
-		};
-
-		signal.addEventListener('abort', giveUp);
-		const unwatch = this.#watch.watch(pool, giveUp);
-		const outcome = await client.reserve({
+		const outcome = await this.#whileAlive(pool, signal, async own => client.reserve({
 			...rest, id: this.#nextId(), pool, remainingMs: Math.max(1, deadline - now),
-		}, {signal: silent.signal, now});
-		unwatch();
-		signal.removeEventListener('abort', giveUp);
+		}, {signal: own, now}));
 		if (outcome.kind !== 'unreachable' && outcome.summary) {
 			this.#summaries.record(outcome.summary, clock());
 		}
@@ -112,6 +108,23 @@
 		return outcome;
 	}
 
+	/** Makes a call that waits at the coordinator of `pool`. Its signal is aborted when the coordinator falls silent. */
+	async #whileAlive<T>(pool: string, signal: AbortSignal, call: (own: AbortSignal) => Promise<T>): Promise<T> {
+		const silent = new AbortController();
+		const giveUp = (): void => {
+			silent.abort(new Error(`the coordinator of pool ${pool} does not answer`));
+		};
+
+		signal.addEventListener('abort', giveUp);
+		const unwatch = this.#watch.watch(pool, giveUp);
+		try {
+			return await call(silent.signal);
+		} finally {
+			unwatch();
+			signal.removeEventListener('abort', giveUp);
+		}
+	}
+
 	#pools(service: Service, {lengthClass}: CapacityRequest): readonly string[] {
 		const {directory, configuration, clock} = this.parts;
 		const {region, failureDomain: ownDomain} = directory.self;
--- a/src/routing/split-prompt.ts
+++ b/src/routing/split-prompt.ts
@@ -7,6 +7,7 @@
 import {BYTES_PER_TOKEN} from '../util/length-class.js';
 import type {Clock} from '../util/clock.js';
 import type {Grant} from './reservation.js';
+import type {Reservations} from './reservations.js';
 
 const SEGMENT_START_TIMEOUT_MS = 2000;
 
@@ -68,9 +69,17 @@
 	maySend(): string | undefined;
 };
 
+/** What waiting for a turn needs. */
+export type TurnSource = {
+	readonly reservations: Pick<Reservations, 'activate'>;
+	readonly clock: Clock;
+};
+
 /** Waits for the turn of server `index` of a grant. The first one has it with the grant. */
-export async function awaitTurn(grant: Grant, index: number, signal: AbortSignal, clock: Clock): Promise<Turn | SegmentFailure> {
-	const activation = index === 0 ? {kind: 'activated', validUntil: grant.validUntil} as const : await grant.activate(grant.servers[index]!.id, signal);
+export async function awaitTurn({reservations, clock}: TurnSource, grant: Grant, index: number, signal: AbortSignal): Promise<Turn | SegmentFailure> {
+	const activation = index === 0
+		? {kind: 'activated', validUntil: grant.validUntil} as const
+		: await reservations.activate(grant, grant.servers[index]!.id, signal);
 	if (activation.kind === 'refused') {
 		return {kind: 'not_activated', message: activation.message};
 	}
@@ -86,20 +95,22 @@
 const PREFILL_FACTOR = 4;
 const PREFILL_MARGIN_MS = 10_000;
 
+export type SegmentParts = TurnSource & {readonly engine: EngineStreams};
+
 /** Prefills all segments in order. */
-export async function prefillSegments(engine: EngineStreams, split: SplitPrompt, clock: Clock): Promise<SegmentsOutcome> {
+export async function prefillSegments(parts: SegmentParts, split: SplitPrompt): Promise<SegmentsOutcome> {
 	const references: SegmentReference[] = [];
 	for (const [index, prompt] of split.parts.entries()) {
 		const server = split.grant.servers[index]!;
-		const turn = await awaitTurn(split.grant, index, split.signal, clock);
+		const turn = await awaitTurn(parts, split.grant, index, split.signal);
 		if (turn.kind !== 'turn') {
 			return {kind: 'failed', server, cause: turn};
 		}
 
 		const id = `${split.grant.id}.segment${index}`;
-		const cause = await prefillSegment(engine, split, {
+		const cause = await prefillSegment(parts, split, {
 			server, id, prompt, turn, previous: [...references],
-		}, clock);
+		});
 		if (cause.kind !== 'kept') {
 			return {kind: 'failed', server, cause};
 		}
@@ -118,7 +129,7 @@
 	readonly previous: readonly SegmentReference[];
 };
 
-async function prefillSegment(engine: EngineStreams, split: SplitPrompt, segment: Segment, clock: Clock) {
+async function prefillSegment({engine, clock}: SegmentParts, split: SplitPrompt, segment: Segment) {
 	const {server, id, prompt, turn, previous} = segment;
 	const remainingMs = split.deadline - clock();
 	if (remainingMs <= 0) {
--- a/tests/reservations.test.ts
+++ b/tests/reservations.test.ts
@@ -1,7 +1,9 @@
 import {
 	describe, expect, it, vi,
 } from 'vitest';
-import type {ReservationOutcome, ReservationRequest, ReserveOptions} from '../src/routing/reservation.js';
+import type {
+	Grant, ReservationOutcome, ReservationRequest, ReserveOptions,
+} from '../src/routing/reservation.js';
 import {Reservations} from '../src/routing/reservations.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {sampleConfiguration, sampleModelService} from './fixtures/configurations.js';
@@ -36,14 +38,18 @@
 	}
 }
 
-function reserveFrom(pools: SilentPool, failureDomains = sampleModelService.failureDomains) {
+function createReservations(pools: SilentPool): Reservations {
 	const configuration = sampleConfiguration();
-	const reservations = Reservations.create({
+	return Reservations.create({
 		client: pools,
 		directory: soloDirectory('d1', 'i1'),
 		configuration: {current: () => ({version: 1, configuration}), onChange: () => () => undefined},
 		clock: monotonicMs,
 	});
+}
+
+function reserveFrom(pools: SilentPool, failureDomains = sampleModelService.failureDomains) {
+	const reservations = createReservations(pools);
 	return async (signal = new AbortController().signal) => reservations.reserve({...sampleModelService, failureDomains}, {
 		workspace: 'mills', priority: 0, weight: 1, lengthClass: 'short', promptTokens: 10, kvTokens: 20, prefixHashes: [], exclude: [], deadline: monotonicMs() + 20_000,
 	}, signal);
@@ -67,6 +73,22 @@
 		expect(pools.tried).toHaveLength(2);
 	});
 
+	it('should give up the turn of a split prompt at a coordinator that falls silent', async () => {
+		const pools = new SilentPool('braga/fio-lm/0', false);
+		const grant = await reserveFrom(pools)();
+		expect(grant).toMatchObject({kind: 'granted'});
+		const waiting: Grant = {
+			...grant as Grant,
+			pool: 'braga/fio-lm/0',
+			activate: async (_server, signal) => new Promise(resolve => {
+				signal.addEventListener('abort', () => {
+					resolve({kind: 'refused', message: 'cancelled'});
+				});
+			}),
+		};
+		expect(await createReservations(pools).activate(waiting, 's2', new AbortController().signal)).toMatchObject({kind: 'refused'});
+	});
+
 	it('should cancel what it asked when the caller leaves', async () => {
 		const pools = new SilentPool('braga/fio-lm/0', true);
 		const left = new AbortController();
