--- a/tests/support/memory-object-api.ts
+++ b/tests/support/memory-object-api.ts
@@ -48,6 +48,10 @@
 				return this.fault === 'lost' ? {kind: 'unknown', message: 'answer lost'} : {kind: 'written', version};
 			},
 			async remove(key: string): Promise<WriteOutcome> {
+				if (this.fault === 'down') {
+					return {kind: 'rejected', message: 'down'};
+				}
+
 				objects.delete(key);
 				return {kind: 'written', version: 0};
 			},
