--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -108,17 +108,16 @@
 		const front = this.#front!;
 		const {drainLagMs, drainTimeoutMs} = this.settings;
 		this.#lifecycle.advance('leaving');
-		this.parts.announceDrain();
 		this.logger.info('draining', {open_requests: front.openRequests, lag_ms: drainLagMs});
-		await pause(drainLagMs);
+		await Promise.all([this.parts.announceDrain(), pause(drainLagMs)]);
 		this.#lifecycle.advance('refusing');
 		front.stopListening();
-		await front.idle(drainTimeoutMs);
+		const handedOver = Promise.race([this.parts.handOver(), pause(HAND_OVER_TIMEOUT_MS)]);
+		await Promise.all([front.idle(drainTimeoutMs), handedOver]);
 		if (front.openRequests > 0) {
 			this.logger.warn('drain_timeout', {open_requests: front.openRequests, timeout_ms: drainTimeoutMs});
 		}
 
-		await this.parts.handOver(HAND_OVER_TIMEOUT_MS);
 		await this.close();
 		this.logger.info('drained');
 	}
@@ -141,14 +140,18 @@
 		const indexes = this.#indexes;
 		const reservations = this.#reservations();
 		const completions = {
-			indexes, runner: this.#runner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.parts.observer,
+			indexes, runner: this.#runner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.parts.observer, clock: monotonicMs,
 		};
 		const router = this.parts.createPlainCalls(createPlainReservations(reservations, indexes));
 		return [
 			{method: 'POST', path: '/v1/chat/completions', handle: createCompletionHandler(chatFormat, completions)},
 			{method: 'POST', path: '/v1/completions', handle: createCompletionHandler(textFormat, completions)},
 			{method: 'GET', path: '/v1/models', handle: createModelsHandler(indexes)},
-			{path: PLAIN_PREFIX, handle: createPlainHandler({indexes, router})},
+			{
+				path: PLAIN_PREFIX, handle: createPlainHandler({
+					indexes, router, observer: this.parts.observer, clock: monotonicMs,
+				}),
+			},
 			{
 				method: 'GET', path: '/healthz', handle: handleHealth, isOperational: true,
 			},
--- a/tests/service-levels.test.ts
+++ b/tests/service-levels.test.ts
@@ -1,5 +1,12 @@
 import fc from 'fast-check';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
+import {ConfigurationStore} from '../src/configuration/configuration-store.js';
+import {ConfigurationIndexes} from '../src/admission/configuration-index.js';
+import {createRequestObserver, type Completed} from '../src/daemon/request-observer.js';
+import {failure, type Failure} from '../src/util/failure.js';
+import {createMetrics} from '../src/util/metrics.js';
 import {BudgetSlices, RETENTION_MS} from '../src/service-levels/budget-slices.js';
 import {computeBurn} from '../src/service-levels/burn-rate.js';
 import {LatencyRecorder} from '../src/service-levels/latency-recorder.js';
@@ -74,6 +81,39 @@
 	});
 });
 
+describe('recording of requests', () => {
+	it('should follow the objective in force and leave out failures of the caller', () => {
+		const store = ConfigurationStore.create({onInvalid: vi.fn()});
+		const indexes = ConfigurationIndexes.create(store);
+		const levels = ServiceLevels.create({
+			daemon: 'a', nowMs: 0, objectiveOf: (service, lengthClass) => indexes.current()?.objective(service, lengthClass),
+		});
+		const observer = createRequestObserver(createMetrics(undefined), levels);
+		const finished: Completed = {kind: 'finished', tokens: 9, firstTokenAt: 600};
+		const observe = (outcome: Completed | Failure) => {
+			observer.observe({
+				service: 'fio-lm', workspace: 'mills', lengthClass: 'short', arrivedAt: 100, outcome,
+			}, 1000);
+		};
+
+		store.offer({version: 1, configuration});
+		observe(finished);
+		store.offer({version: 2, configuration: {...configuration, objectives: [{...objective, firstTokenMs: 500}]}});
+		observe(finished);
+		for (const code of ['caller_left', 'limit_exceeded', 'overloaded'] as const) {
+			observe(failure({
+				code, message: '', ran: 'not_run', step: 'reserve',
+			}));
+		}
+
+		const report = levels.report(2000);
+		expect(report.slices[0]?.counts).toMatchObject([{total: 3, causes: {first_token: 1, refused: 1}, workspaces: {mills: 2}}]);
+		const merged = LatencyRecorder.create();
+		merged.merge(report.series);
+		expect(merged.summarize('fio-lm', 'short').betweenTokens).toMatchObject({count: 2, p50: 50});
+	});
+});
+
 describe('burn rate', () => {
 	/** Records `missed` of `total` requests as failed in each minute of a time span, and computes the burn at its end. */
 	const burnOf = (spans: ReadonlyArray<{readonly minutes: number; readonly missed: number}>) => {
