--- a/src/membership/member-view.ts
+++ b/src/membership/member-view.ts
@@ -32,7 +32,7 @@
 	/** Live members, ordered by id. */
 	members(): readonly Member[] {
 		return [...this.#entries.values()]
-			.filter(entry => entry.unchangedMs < MEMBER_TIMEOUT_MS)
+			.filter(entry => this.#isLive(entry))
 			.map(entry => entry.member)
 			.sort((a, b) => (a.id < b.id ? -1 : 1));
 	}
@@ -60,12 +60,11 @@
 	incarnationState(id: string, incarnation: string): IncarnationState {
 		const entry = this.#entries.get(id);
 		if (entry) {
-			const {member, unchangedMs} = entry;
-			if (member.incarnation !== incarnation) {
+			if (entry.member.incarnation !== incarnation) {
 				return 'replaced';
 			}
 
-			return unchangedMs < MEMBER_TIMEOUT_MS ? 'live' : 'gone';
+			return this.#isLive(entry) ? 'live' : 'gone';
 		}
 
 		const absentMs = this.#absentMs.get(id) ?? 0;
@@ -73,6 +72,11 @@
 		return absentMs >= MEMBER_TIMEOUT_MS ? 'gone' : 'unknown';
 	}
 
+	/** This daemon lives, however old its registration is. */
+	#isLive({member, unchangedMs}: Entry): boolean {
+		return member.id === this.selfId || unchangedMs < MEMBER_TIMEOUT_MS;
+	}
+
 	#refresh(listed: readonly Member[]): void {
 		const ids = new Set(listed.map(member => member.id));
 		for (const member of listed) {
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -1,9 +1,9 @@
 /** HTTP server on which a daemon answers its peers. */
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {createServer, type Server} from 'node:http';
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
-import {createPeerRouter, type PeerContext} from './peer-router.js';
+import {createPeerRouter} from './peer-router.js';
 import type {PeerService} from './protocol.js';
 
 /** Longer than peers keep idle connections, so that the server never closes a connection that a peer is about to use. */
@@ -22,7 +22,6 @@
 	static async create(service: PeerService, listen: ListenOptions): Promise<PeerServer> {
 		const handler = createHTTPHandler({
 			router: createPeerRouter(service),
-			createContext: ({res}): PeerContext => ({signal: closedSignal(res)}),
 			maxBodySize: MAX_BODY_BYTES,
 		});
 		const server = createServer({keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true}, handler);
@@ -54,14 +53,3 @@
 
 /** Serves `service` to peers on `listen`. */
 export const createPeerServer = async (service: PeerService, listen: ListenOptions): Promise<PeerServer> => PeerServer.create(service, listen);
-
-/** Aborts when the connection closes before the response is complete. The adapter's own signal misses this once the body was read. */
-function closedSignal(res: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	res.once('close', () => {
-		if (!res.writableFinished) {
-			controller.abort(new Error('the connection of the peer closed'));
-		}
-	});
-	return controller.signal;
-}
