Test orders with paused coordinators and the rate of the weight store

A deployment starts engines without models on request. Pools that start at one time take their first load permits one after another, since equal phases would load in a burst of one per pool.

--- a/src/orders/load-permits.ts
+++ b/src/orders/load-permits.ts
@@ -9,16 +9,19 @@
 
 /** Token bucket of one pool with room for one permit. */
 export class LoadPermits {
-	/** `loadsPerMinute` is the rate of the whole system, divided by the number of model pools. */
-	static create(loadsPerMinute: number, pools: number, now: number): LoadPermits {
-		return new LoadPermits(loadsPerMinute / Math.max(1, pools) / MS_PER_MINUTE, now);
+	/**
+	 * `loadsPerMinute` is the rate of the whole system, divided by the number of model pools. Pools that start at one
+	 * time get their first permits one after another in the order of `index`, so that they do not load in a burst.
+	 */
+	static create(loadsPerMinute: number, pools: number, now: number, index = 0): LoadPermits {
+		const count = Math.max(1, pools);
+		return new LoadPermits(loadsPerMinute / count / MS_PER_MINUTE, now, -index / count);
 	}
 
-	private permits = 0;
-
 	private constructor(
 		private readonly permitsPerMs: number,
 		private refilledAt: number,
+		private permits: number,
 	) {}
 
 	/** Whether there is a permit. */
--- a/src/orders/order-rounds.ts
+++ b/src/orders/order-rounds.ts
@@ -114,8 +114,8 @@
 	/** A new epoch, or a changed rate, starts without permits. */
 	#termOf(pool: OrderedPool, configuration: Configuration): Term {
 		const {loadsPerMinute} = configuration.weightStore;
-		const pools = countModelPools(configuration);
-		const rate = `${loadsPerMinute}/${pools}`;
+		const pools = modelPools(configuration);
+		const rate = `${loadsPerMinute}/${pools.length}`;
 		const known = this.#terms.get(pool.pool);
 		if (known?.epoch === pool.epoch && known.rate === rate) {
 			known.current = pool;
@@ -130,7 +130,7 @@
 			busy: false,
 			orders: EngineOrders.create({
 				lease: {prove: async () => toProof(await term.current.prove())},
-				permits: LoadPermits.create(loadsPerMinute, pools, clock()),
+				permits: LoadPermits.create(loadsPerMinute, pools.length, clock(), pools.indexOf(pool.pool)),
 				send,
 				clock,
 			}),
@@ -162,8 +162,8 @@
 	}
 }
 
-const countModelPools = ({services}: Configuration): number =>
-	services.filter(service => service.kind === 'model').reduce((sum, service) => sum + allPoolsOf(service).length, 0);
+const modelPools = ({services}: Configuration): readonly string[] =>
+	services.filter(service => service.kind === 'model').flatMap(service => allPoolsOf(service));
 
 /** Orders of a predecessor that may still run have ended one TTL and one order timeout after the takeover. */
 function toProof(lease: HeldLease | undefined): LeaseProof {
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -20,6 +20,8 @@
 	readonly seed?: number;
 	/** Factor by which engines are faster than the configuration states. */
 	readonly speed?: number;
+	/** Whether engines have loaded the models of their service at boot. Default true. */
+	readonly startsLoaded?: boolean;
 	/** Whether backend servers are warm at their first boot. */
 	readonly startsWarm?: boolean;
 	readonly hostListLagMs?: number;
@@ -197,7 +199,8 @@
 	}
 
 	async #startEngine(id: string, service: ModelService): Promise<RunningProcess> {
-		const {seed = 1, speed = 1, engineArgs = []} = this.#options;
+		const {seed = 1, speed = 1, startsLoaded = true, engineArgs = []} = this.#options;
+		const models = service.models.map(({name, version}) => `${name}@${version}`).join(',');
 		return this.#start('engine', {
 			seed,
 			speed,
@@ -207,7 +210,7 @@
 			'cold-requests': service.cold.requests,
 			'cold-prefill-tokens': service.cold.prefillTokens,
 			fencing: service.fencing,
-			models: service.models.map(({name, version}) => `${name}@${version}`).join(','),
+			...(startsLoaded ? {models} : {}),
 			'weight-store': this.weightStore.url,
 		}, [...this.#warmth(), ...engineArgs], id);
 	}
--- a/tests/engine-orders.test.ts
+++ b/tests/engine-orders.test.ts
@@ -1,10 +1,15 @@
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import fc from 'fast-check';
+import {EngineClient} from '../src/backend/engine-client.js';
 import type {EngineLoad, EngineOrder} from '../src/backend/engine-protocol.js';
 import type {ModelService} from '../src/configuration/schema.js';
+import {createOrderSender} from '../src/daemon/order-sender.js';
 import {EngineOrders, type LeaseProof} from '../src/orders/engine-orders.js';
 import {LoadPermits} from '../src/orders/load-permits.js';
 import {ORDER_REPEAT_MS} from '../src/orders/order-plan.js';
+import {EngineStandIn} from '../testing/stand-ins/engine/engine-stand-in.js';
 
 const service: ModelService = {
 	kind: 'model',
@@ -85,6 +90,60 @@
 	});
 });
 
+describe('an order that a paused coordinator sends after its successor', () => {
+	it.each([['checked', 'stale', ['new']], ['ignored', 'accepted', []]] as const)('should be refused, or corrected, by an engine whose fencing is %s', async (fencing, outcome, modelsAfter) => {
+		const engine = await EngineStandIn.create({fencing, loadMs: 0});
+		const client = EngineClient.create();
+		const send = createOrderSender(client);
+		let resume: (() => void) | undefined;
+		const paused = new Promise<void>(resolve => {
+			resume = resolve;
+		});
+		let now = 0;
+		const coordinator = (epoch: number, beforeWrite?: Promise<void>) => EngineOrders.create({
+			lease: {
+				prove: async () => ({
+					kind: 'held', epoch, validUntil: 1e9, ordersAllowedFrom: 0,
+				}),
+			},
+			permits: LoadPermits.create(6000, 1, -1000),
+			async send(...order) {
+				await beforeWrite;
+				return send(...order);
+			},
+			clock: () => now,
+		});
+		const reconcile = async (orders: EngineOrders, model: string, models: readonly string[]) =>
+			orders.reconcile({...service, fencing, models: [{name: model, version: '1'}]}, [{id: 'e1', address: engine.address, load: load(models)}], now);
+		const reported = async () => {
+			const answer = await client.load(engine.address, {timeoutMs: 1000});
+			return answer.kind === 'answered' ? answer.value.models : undefined;
+		};
+
+		try {
+			const late = reconcile(coordinator(1, paused), 'old', ['old', 'new']);
+			const successor = coordinator(2);
+			await reconcile(successor, 'new', []);
+			await vi.waitFor(async () => {
+				expect(await reported()).toEqual(['new']);
+			});
+			resume!();
+			expect(await late).toMatchObject([{kind: 'sent', outcome: {kind: outcome}}]);
+			await vi.waitFor(async () => {
+				expect(await reported()).toEqual(modelsAfter);
+			});
+			now = ORDER_REPEAT_MS;
+			await reconcile(successor, 'new', modelsAfter);
+			await vi.waitFor(async () => {
+				expect(await reported()).toEqual(['new']);
+			});
+		} finally {
+			await client.close();
+			await engine.close();
+		}
+	});
+});
+
 describe('load permits', () => {
 	it('should keep the rate of the weight store over all pools and takeovers', () => {
 		fc.assert(fc.property(
