--- a/src/daemon/daemon-parts.ts
+++ b/src/daemon/daemon-parts.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {Metrics} from '../util/metrics.js';
+import type {Traffic} from '../util/traffic-meter.js';
 import type {PlainCalls} from './plain-handler.js';
 import type {RequestObserver} from './request-observer.js';
 import type {Settings} from './settings.js';
@@ -44,6 +45,8 @@
 	coordinated(): readonly string[];
 	/** Report for `/levels`. */
 	levels(): unknown;
+	/** Bytes exchanged with peers, the object API and the host list. */
+	controlTraffic(): Traffic;
 	/** Announces that this daemon leaves, while it still serves. */
 	announceDrain(): Promise<void>;
 	/** Hands over what other daemons depend on, such as leases, while requests finish. */
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -84,6 +84,7 @@
 			draining: this.#lifecycle.phase !== 'serving',
 			pools: this.parts.coordinated(),
 			openRequests: this.#front?.openRequests ?? 0,
+			controlTraffic: this.parts.controlTraffic(),
 		};
 	}
 
--- a/src/daemon/operator-handlers.ts
+++ b/src/daemon/operator-handlers.ts
@@ -1,5 +1,6 @@
 /** `/healthz`, `/readyz`, `/status` and `/levels`, for the balancer and for operators. They need no API key. */
 import type {ConfigurationIndexes} from '../admission/configuration-index.js';
+import type {Traffic} from '../util/traffic-meter.js';
 import type {CallHandler} from './call.js';
 import {sendJson} from './error-response.js';
 import type {Lifecycle} from './lifecycle.js';
@@ -14,6 +15,8 @@
 	/** Pools that this daemon coordinates. */
 	readonly pools: readonly string[];
 	readonly openRequests: number;
+	/** Bytes exchanged with peers, the object API and the host list. */
+	readonly controlTraffic: Traffic;
 };
 
 /** Answers whether the process runs. */
--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -16,6 +16,7 @@
 import {HttpObjectApi} from '../platform/http-object-api.js';
 import {ServiceLevels} from '../service-levels/service-levels.js';
 import type {Logger} from '../util/logger.js';
+import {TrafficMeter} from '../util/traffic-meter.js';
 import type {CreateParts, DaemonParts, PartSources} from './daemon-parts.js';
 import {MembershipParts} from './membership-parts.js';
 import {OperationParts} from './operation-parts.js';
@@ -28,11 +29,12 @@
 /** Parts on the platform, built before any server listens. */
 function build(sources: PartSources) {
 	const {settings, identity, clock, logger} = sources;
-	const platform = {caller: identity.id};
+	const meter = TrafficMeter.create();
+	const platform = {caller: identity.id, meter};
 	const objectApi = HttpObjectApi.create({...platform, baseUrl: settings.objectApi});
 	const hostList = HttpHostList.create({...platform, baseUrl: settings.hostList});
 	const store = createStore(logger);
-	const peers = PeerClients.create();
+	const peers = PeerClients.create(meter);
 	const peer = (address: string): PeerClient => peers.for(address, clock());
 	const {region, failureDomain} = settings;
 	const membership = MembershipParts.create({
@@ -62,7 +64,7 @@
 		objectApi, configuration: store, directory, peer, clock, logger,
 	});
 	return {
-		objectApi, hostList, store, peers, peer, membership, directory, engine, probe, coordinators, pools, operations,
+		objectApi, hostList, store, peers, peer, membership, directory, engine, probe, coordinators, pools, operations, meter,
 	};
 }
 
@@ -122,7 +124,7 @@
 	});
 	let server: PeerServer;
 	try {
-		server = await createPeerServer(service, settings.peerListen);
+		server = await createPeerServer(service, settings.peerListen, built.meter);
 	} catch (err) {
 		await closeAll(built, running);
 		throw err;
@@ -144,6 +146,7 @@
 		},
 		coordinated: () => coordinators.summaries(clock()).map(({pool}) => pool),
 		levels,
+		controlTraffic: () => built.meter.total(),
 		async announceDrain() {
 			await membership.announceDrain();
 		},
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -3,6 +3,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {withTimeLimit} from '../util/time-limit.js';
+import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
 import {PeerError} from './peer-error.js';
 import type {PeerRouter} from './peer-router.js';
 import {
@@ -33,9 +34,10 @@
  * A call that times out or is aborted closes its connection, so a stalled connection is not used again.
  */
 export class PeerClient implements PeerService {
-	static create(address: string): PeerClient {
+	static create(address: string, meter?: TrafficMeter): PeerClient {
 		// Connections are not capped: a queued reservation holds one, and must not delay a keep-alive.
-		const agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true}});
+		const connect = createMeteredConnector({timeout: CONNECT_TIMEOUT_MS, noDelay: true}, meter);
+		const agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, connect});
 		return new PeerClient(address, agent);
 	}
 
--- a/src/peer/peer-clients.ts
+++ b/src/peer/peer-clients.ts
@@ -1,4 +1,5 @@
 /** One client for each peer address in use. */
+import type {TrafficMeter} from '../util/traffic-meter.js';
 import {PeerClient} from './peer-client.js';
 
 /** A client that was not asked for this long, and has no call in flight, is closed. */
@@ -6,15 +7,14 @@
 
 /** Connections to peers, by address. Opens them when they are first used, so there is no full mesh. */
 export class PeerClients {
-	static create(): PeerClients {
-		return new PeerClients();
+	/** `meter` counts the bytes of all connections. */
+	static create(meter?: TrafficMeter): PeerClients {
+		return new PeerClients(meter);
 	}
 
 	readonly #clients = new Map<string, {readonly client: PeerClient; usedAtMs: number}>();
 
-	private constructor() {
-		// Created by `create`.
-	}
+	private constructor(private readonly meter: TrafficMeter | undefined) {}
 
 	get size(): number {
 		return this.#clients.size;
@@ -22,7 +22,7 @@
 
 	/** Returns the client for `address` (IP:PORT). */
 	for(address: string, now: number): PeerClient {
-		const entry = this.#clients.get(address) ?? {client: PeerClient.create(address), usedAtMs: now};
+		const entry = this.#clients.get(address) ?? {client: PeerClient.create(address, this.meter), usedAtMs: now};
 		entry.usedAtMs = now;
 		this.#clients.set(address, entry);
 		return entry.client;
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {TrafficMeter} from '../util/traffic-meter.js';
 import {createPeerRouter, type PeerContext} from './peer-router.js';
 import type {PeerService} from './protocol.js';
 
@@ -19,13 +20,14 @@
 };
 
 export class PeerServer {
-	static async create(service: PeerService, listen: ListenOptions): Promise<PeerServer> {
+	static async create(service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> {
 		const handler = createHTTPHandler({
 			router: createPeerRouter(service),
 			createContext: ({res}): PeerContext => ({signal: closedSignal(res)}),
 			maxBodySize: MAX_BODY_BYTES,
 		});
 		const server = createServer({keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true}, handler);
+		server.on('connection', socket => meter?.watch(socket));
 		server.listen(listen.port, listen.host);
 		await once(server, 'listening');
 		return new PeerServer(server);
@@ -52,8 +54,9 @@
 	}
 }
 
-/** Serves `service` to peers on `listen`. */
-export const createPeerServer = async (service: PeerService, listen: ListenOptions): Promise<PeerServer> => PeerServer.create(service, listen);
+/** Serves `service` to peers on `listen`. `meter` counts the bytes of all connections. */
+export const createPeerServer = async (service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> =>
+	PeerServer.create(service, listen, meter);
 
 /** Aborts when the connection closes before the response is complete. The adapter's own signal misses this once the body was read. */
 function closedSignal(res: ServerResponse): AbortSignal {
--- a/src/platform/http-host-list.ts
+++ b/src/platform/http-host-list.ts
@@ -1,4 +1,5 @@
 /** Client of the platform's host list, by the protocol in `host-list.ts`. */
+import type {TrafficMeter} from '../util/traffic-meter.js';
 import {describeError, JsonClient} from './json-client.js';
 import {hostListSchema, type HostList} from './host-list.js';
 import type {CallOptions} from './object-api.js';
@@ -10,8 +11,8 @@
 
 export class HttpHostList {
 	/** `caller` is the id of this daemon, sent as `x-caller`. */
-	static create(options: {readonly baseUrl: string; readonly caller: string}): HttpHostList {
-		return new HttpHostList(JsonClient.create(options.baseUrl, options.caller));
+	static create(options: {readonly baseUrl: string; readonly caller: string; readonly meter?: TrafficMeter}): HttpHostList {
+		return new HttpHostList(JsonClient.create(options.baseUrl, options.caller, options.meter));
 	}
 
 	private constructor(private readonly client: JsonClient) {}
--- a/src/platform/http-object-api.ts
+++ b/src/platform/http-object-api.ts
@@ -5,6 +5,7 @@
  * object API refused the request with a status. Every other error is `unknown`, since bytes may have left this host.
  */
 import {z} from 'zod';
+import type {TrafficMeter} from '../util/traffic-meter.js';
 import {
 	describeError, isUnsent, JsonClient, type JsonAnswer, type JsonRequest,
 } from './json-client.js';
@@ -21,8 +22,8 @@
 
 export class HttpObjectApi implements ObjectApi {
 	/** `caller` is the id of this daemon, sent as `x-caller`. */
-	static create(options: {readonly baseUrl: string; readonly caller: string}): HttpObjectApi {
-		return new HttpObjectApi(JsonClient.create(options.baseUrl, options.caller));
+	static create(options: {readonly baseUrl: string; readonly caller: string; readonly meter?: TrafficMeter}): HttpObjectApi {
+		return new HttpObjectApi(JsonClient.create(options.baseUrl, options.caller, options.meter));
 	}
 
 	private constructor(private readonly client: JsonClient) {}
--- a/src/platform/json-client.ts
+++ b/src/platform/json-client.ts
@@ -1,6 +1,7 @@
 /** JSON over HTTP towards the platform's services, with a time limit on each call. */
 import {Agent, type Dispatcher} from 'undici';
 import {withTimeLimit, type TimeLimit} from '../util/time-limit.js';
+import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
 
 /** Time limit of opening a connection. A connection that was never open carried no bytes of a request. */
 const CONNECT_TIMEOUT_MS = 1000;
@@ -48,14 +49,17 @@
 
 /** Client of one base URL. Calls reject on transport errors, on time-out and on a body that is not JSON. */
 export class JsonClient {
-	/** `caller` is sent as `x-caller`, by which the platform accounts for calls. */
-	static create(baseUrl: string, caller: string): JsonClient {
-		return new JsonClient(new URL(baseUrl).origin, caller);
+	/** `caller` is sent as `x-caller`, by which the platform accounts for calls. `meter` counts the bytes of the connections. */
+	static create(baseUrl: string, caller: string, meter?: TrafficMeter): JsonClient {
+		return new JsonClient(new URL(baseUrl).origin, caller, meter);
 	}
 
-	readonly #agent = new Agent({connect: {timeout: CONNECT_TIMEOUT_MS}, keepAliveTimeout: KEEP_ALIVE_MS, pipelining: 1});
+	readonly #agent: Agent;
 
-	private constructor(readonly origin: string, private readonly caller: string) {}
+	private constructor(readonly origin: string, private readonly caller: string, meter: TrafficMeter | undefined) {
+		const connect = createMeteredConnector({timeout: CONNECT_TIMEOUT_MS}, meter);
+		this.#agent = new Agent({connect, keepAliveTimeout: KEEP_ALIVE_MS, pipelining: 1});
+	}
 
 	async call(req: JsonRequest, limit: TimeLimit): Promise<JsonAnswer> {
 		return withTimeLimit(limit, async signal => {
