--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import type {TrafficMeter} from '../util/traffic-meter.js';
 import {createPeerRouter} from './peer-router.js';
 import type {PeerService} from './protocol.js';
 
@@ -19,12 +20,13 @@
 };
 
 export class PeerServer {
-	static async create(service: PeerService, listen: ListenOptions): Promise<PeerServer> {
+	static async create(service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> {
 		const handler = createHTTPHandler({
 			router: createPeerRouter(service),
 			maxBodySize: MAX_BODY_BYTES,
 		});
 		const server = createServer({keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true}, handler);
+		server.on('connection', socket => meter?.watch(socket));
 		server.listen(listen.port, listen.host);
 		await once(server, 'listening');
 		return new PeerServer(server);
@@ -51,5 +53,6 @@
 	}
 }
 
-/** Serves `service` to peers on `listen`. */
-export const createPeerServer = async (service: PeerService, listen: ListenOptions): Promise<PeerServer> => PeerServer.create(service, listen);
+/** Serves `service` to peers on `listen`. `meter` counts the bytes of all connections. */
+export const createPeerServer = async (service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> =>
+	PeerServer.create(service, listen, meter);
