Resume silent streams early and fail over only after the longer bound

A connection that went silent before its first token was noticed after the whole warm prefill limit of the engine. The first check now comes after three times the estimated time to the first token (the coordinator's estimate goes with the grant), the next ones at doubled times up to 4 s. An engine that answers resumes but produces nothing is given up after the former bound, or after half of the remaining time. Between tokens the limit follows the gaps that the engine shows, so that a slow engine is not asked at each token.

--- a/src/capacity/pool-admission.ts
+++ b/src/capacity/pool-admission.ts
@@ -282,6 +282,8 @@
 	#grant(item: WaitingRequest, members: readonly GangMember[], now: number): Granted {
 		this.#queue.take(item.id);
 		this.#planner.forget(item);
+		const last = members.at(-1)!;
+		const firstTokenMs = last.server.estimateMs(item.rank, last.demand.prefillTokens, now);
 		for (const [index, {server, demand}] of members.entries()) {
 			server.reserve(demand, index === 0 ? 'unacknowledged' : 'inactive', now);
 		}
@@ -297,6 +299,7 @@
 			validForMs: GRANT_VALID_MS,
 			// Chunks of short prompts go before those of long ones; the priority class decides within a length class.
 			enginePriority: (lengthClasses.indexOf(item.lengthClass) * 10) + item.rank,
+			firstTokenMs,
 			summary: this.summary(now),
 		};
 	}
--- a/src/capacity/pool-reservation.ts
+++ b/src/capacity/pool-reservation.ts
@@ -22,6 +22,7 @@
 	readonly servers: readonly GrantedServer[];
 	readonly epoch: number;
 	readonly enginePriority: number;
+	readonly firstTokenMs?: number | undefined;
 	readonly summary: PoolSummary;
 	readonly validUntil: number;
 };
@@ -33,6 +34,8 @@
 	readonly servers: readonly GrantedServer[];
 	readonly epoch: number;
 	readonly enginePriority: number;
+	/** Estimated time in ms from the grant to the first token; undefined when the coordinator gave none. */
+	readonly firstTokenMs: number | undefined;
 	readonly summary: PoolSummary;
 	/** Monotonic ms of this process from which on nothing may be sent to the first server. */
 	readonly validUntil: number;
@@ -49,6 +52,7 @@
 		this.epoch = grant.epoch;
 		this.enginePriority = grant.enginePriority;
 		this.summary = grant.summary;
+		this.firstTokenMs = grant.firstTokenMs;
 		this.validUntil = grant.validUntil;
 		this.#deadlineMs = askedAtMs + request.remainingMs;
 	}
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -68,6 +68,8 @@
 		/** The grant is void this long after the reservation was asked for or last confirmed queued. */
 		validForMs: z.number(),
 		enginePriority: z.number().int(),
+		/** Estimated time from the grant to the first token. */
+		firstTokenMs: z.number().optional(),
 		summary: poolSummarySchema,
 	}),
 	z.object({
--- a/src/routing/model-attempt.ts
+++ b/src/routing/model-attempt.ts
@@ -4,23 +4,16 @@
 import type {GrantedServer} from '../peer/protocol.js';
 import type {EngineEvents, EngineFacts, EngineStreams} from '../streams/engine-streams.js';
 import type {Held, StreamCleanup} from '../streams/stream-cleanup.js';
-import {
-	relayTokens, type RelayOutcome, type SilenceLimits, type TokenSink,
-} from '../streams/token-relay.js';
+import {relayTokens, type RelayOutcome, type TokenSink} from '../streams/token-relay.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {Grant, ReleaseOutcome} from './reservation.js';
+import {silenceLimits} from './silence-limits.js';
 import {
 	awaitTurn, prefillSegments, splitPrompt, type SegmentFailure,
 } from './split-prompt.js';
 
 const START_TIMEOUT_MS = 2000;
-/** Silence before the first token, over the prefill of the request and of what the engine may have queued before it. */
-const FIRST_TOKEN_FACTOR = 2;
-const FIRST_TOKEN_MARGIN_MS = 1000;
-/** Silence between tokens, as a multiple of the expected gap. */
-const GAP_FACTOR = 8;
-const MIN_GAP_LIMIT_MS = 500;
 
 /**
  * `finished`: complete. `not_run`: known not to have run; `blamed` is the backend server at fault, if any.
@@ -63,15 +56,6 @@
 	| ({readonly kind: 'accepted'; readonly events: EngineEvents} & EngineFacts)
 	| Ended & {readonly kind: 'ended'};
 
-/** Silence that a stream may show before its connection is given up. */
-function silenceLimits({service, promptTokens}: AdmittedRequest): SilenceLimits {
-	const expectedMs = (promptTokens + service.warm.prefillTokens) / service.prefillTokensPerSecond * 1000;
-	return {
-		firstTokenMs: FIRST_TOKEN_MARGIN_MS + (expectedMs * FIRST_TOKEN_FACTOR),
-		betweenTokensMs: Math.max(MIN_GAP_LIMIT_MS, GAP_FACTOR * 1000 / service.decodeTokensPerSecond),
-	};
-}
-
 /** Runs one attempt and releases its grant once the engines hold nothing of it any more. */
 export async function runAttempt(parts: AttemptParts, attempt: Attempt): Promise<AttemptOutcome> {
 	const {grant, request} = attempt;
@@ -192,7 +176,7 @@
 	const outcome = await relayTokens({id: grant.id, address: server.address, events}, {
 		engine,
 		sink,
-		limits: silenceLimits(request),
+		limits: silenceLimits(request, grant.firstTokenMs, clock()),
 		signal,
 		clock,
 		onFirstToken() {
--- a/src/routing/reservation.ts
+++ b/src/routing/reservation.ts
@@ -26,6 +26,8 @@
 	/** More than one for a split prompt; the last one decodes. */
 	readonly servers: readonly GrantedServer[];
 	readonly enginePriority: number;
+	/** Estimated time in ms from the grant to the first token; undefined when it is not known. */
+	readonly firstTokenMs?: number | undefined;
 	/** Monotonic ms of this process from which on nothing may be sent under this grant. */
 	readonly validUntil: number;
 	readonly summary: PoolSummary;
--- a/src/streams/token-relay.ts
+++ b/src/streams/token-relay.ts
@@ -3,6 +3,9 @@
 import type {Clock} from '../util/clock.js';
 import {pause} from '../util/pause.js';
 import type {EngineEvent, EngineEvents, EngineStreams} from './engine-streams.js';
+import {type SilenceLimits, SilenceWatch} from './silence-watch.js';
+
+export type {SilenceLimits} from './silence-watch.js';
 
 /** Faults in a row, without a token in between, after which the stream counts as lost. */
 const MAX_FAULTS_IN_A_ROW = 4;
@@ -14,12 +17,6 @@
 	write(text: string, signal: AbortSignal): Promise<void>;
 };
 
-/** How long a connection may be silent before a new one is tried. */
-export type SilenceLimits = {
-	readonly firstTokenMs: number;
-	readonly betweenTokensMs: number;
-};
-
 export type RelayedStream = {
 	readonly id: string;
 	/** Engine as IP:PORT. */
@@ -80,13 +77,13 @@
 	#next = 0;
 	#firstTokenAt: number | undefined;
 	#faults = 0;
-	/** Silences in a row; each doubles the limit, since an engine may be slower than estimated. */
-	#silences = 0;
+	readonly #silence: SilenceWatch;
 
 	constructor(stream: RelayedStream, options: RelayOptions) {
 		this.#stream = stream;
 		this.#options = options;
 		this.#events = stream.events;
+		this.#silence = SilenceWatch.create(options.limits, options.clock());
 	}
 
 	async run(): Promise<RelayOutcome> {
@@ -105,9 +102,9 @@
 	}
 
 	async #relay() {
-		const {signal} = this.#options;
+		const {signal, clock} = this.#options;
 		for (;;) {
-			const event = await this.#events.next(this.#silenceLimit());
+			const event = await this.#events.next(this.#silence.limitMs(clock()));
 			if (signal.aborted) {
 				return {kind: 'stopped'} as const;
 			}
@@ -138,15 +135,10 @@
 		}
 	}
 
-	#silenceLimit(): number {
-		const {firstTokenMs, betweenTokensMs} = this.#options.limits;
-		return (this.#next === 0 ? firstTokenMs : betweenTokensMs) * (2 ** this.#silences);
-	}
-
 	async #take(event: EngineEvent): Promise<Step> {
 		switch (event.kind) {
 			case 'silent': {
-				this.#silences++;
+				this.#silence.silent();
 				return fault('no event within the expected time', true);
 			}
 
@@ -183,9 +175,10 @@
 
 		this.#next++;
 		this.#faults = 0;
-		this.#silences = 0;
+		const now = this.#options.clock();
+		this.#silence.token(now);
 		if (this.#firstTokenAt === undefined) {
-			this.#firstTokenAt = this.#options.clock();
+			this.#firstTokenAt = now;
 			this.#options.onFirstToken?.();
 		}
 
@@ -203,7 +196,7 @@
 
 	/** Continues on a new connection at the next index. Returns an outcome when the stream is lost or stopped. */
 	async #reconnect(message: string, silent: boolean) {
-		const {engine, signal, onFault} = this.#options;
+		const {engine, signal, clock, onFault} = this.#options;
 		const {address, id} = this.#stream;
 		this.#events.close();
 		let cause = message;
@@ -212,7 +205,7 @@
 		this.#faults += silent ? 0 : 1;
 		for (;;) {
 			onFault?.(cause, this.#next);
-			if (this.#faults >= MAX_FAULTS_IN_A_ROW) {
+			if (this.#faults >= MAX_FAULTS_IN_A_ROW || (silent && this.#silence.isLost(clock()))) {
 				return {kind: 'lost', message: cause, silent: timedOut} as const;
 			}
 
@@ -229,6 +222,7 @@
 
 			if (resumed.kind === 'accepted') {
 				this.#events = resumed.events;
+				this.#silence.connected(clock());
 				return undefined;
 			}
 
--- a/tests/model-execution.test.ts
+++ b/tests/model-execution.test.ts
@@ -40,6 +40,30 @@
 		await freed(front);
 	});
 
+	it('should resume a short request soon when its connection goes silent before the first token', async () => {
+		front = await FrontFixture.start({engines: [{prefillTokensPerSecond: 2000}]});
+		const [engine] = front.engines;
+		const prompt = 'abcd'.repeat(400);
+		const startedAt = performance.now();
+		const text = textOf(front, prompt, 4);
+		await vi.waitFor(() => {
+			expect(engine!.counts().streamsStarted).toBe(1);
+		}, {interval: 5});
+		engine!.setFaults({act: 'silence'});
+		expect(await text).toBe(expectedText(prompt, 4));
+		expect(performance.now() - startedAt).toBeLessThan(2000);
+		expect(engine!.counts()).toMatchObject({streamsStarted: 1, streamsResumed: 1});
+	});
+
+	it('should fail over within the deadline from an engine that answers resumes but makes no progress', async () => {
+		front = await FrontFixture.start({engines: [{}, {}]});
+		front.engines[0]!.setFaults({slowFactor: 1_000_000});
+		const response = await front.post('/v1/completions', request('x', 4), {'x-fireflyport-timeout-ms': '6000'});
+		expect(await response.json()).toMatchObject({choices: [{text: expectedText('x', 4)}]});
+		expect(Number(front.engines[0]!.counts().streamsResumed)).toBeGreaterThan(0);
+		expect(front.pools.released).toContain('silent');
+	});
+
 	it('should free the stream and the reservation when the caller leaves', async () => {
 		front = await FrontFixture.start({engines: [{decodeTokensPerSecond: 20}]});
 		const stream = await front.openai.completions.create({...request('long answer', 10_000), stream: true});
--- a/tests/token-relay.test.ts
+++ b/tests/token-relay.test.ts
@@ -99,7 +99,7 @@
 				text += part;
 			},
 		},
-		limits: {firstTokenMs: 1, betweenTokensMs: 1},
+		limits: {firstCheckMs: 1, giveUpMs: 60_000, betweenTokensMs: 1},
 		signal: new AbortController().signal,
 		clock: monotonicMs,
 	});
