--- a/src/operations/operation-executor.ts
+++ b/src/operations/operation-executor.ts
@@ -7,6 +7,7 @@
 import type {ClaimAnswer, StoredResponse} from '../peer/protocol.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
+import {pause} from '../util/pause.js';
 import {
 	digestRequest, IDEMPOTENCY_KEY_HEADER, isKeyRetained, parseOperationKey, type OperationIdentity,
 } from './operation-key.js';
@@ -23,6 +24,10 @@
 /** Longest wait for a claim. */
 const CLAIM_TIMEOUT_MS = 3000;
 
+/** A repeat looks again this often, after this pause, before it is told that the operation is in progress. */
+const RECHECKS = 2;
+const RECHECK_PAUSE_MS = 250;
+
 /** Added to the route's time limit and the send window before a held claim counts as in doubt. */
 const HOLDER_MARGIN_MS = 1000;
 
@@ -30,6 +35,8 @@
 export type OperationExecutorOptions = Omit<SenderOptions, 'clock'> & {
 	readonly directory: Directory;
 	readonly claims: OperationClaims;
+	/** Pause before a repeat looks again whether the operation has ended; default 250 ms. */
+	readonly recheckPauseMs?: number;
 	readonly clock?: Clock;
 	readonly wallClock?: Clock;
 };
@@ -81,7 +88,7 @@
 		return this.#claimAndSend(call, attempt);
 	}
 
-	async #claimAndSend(call: RoutedCall, attempt: Attempt): Promise<PlainResult> {
+	async #claimAndSend(call: RoutedCall, attempt: Attempt, rechecks = RECHECKS): Promise<PlainResult> {
 		const {operation, keyTimeMs, id} = attempt;
 		const answer = await this.#options.claims.claim({
 			operation,
@@ -96,7 +103,7 @@
 			}
 
 			case 'held': {
-				return this.#answerHeld(call, attempt, answer);
+				return this.#answerHeld(call, attempt, answer, rechecks);
 			}
 
 			case 'done': {
@@ -158,26 +165,23 @@
 	}
 
 	/** A claim that another attempt holds. A service that checks identities may receive the operation again once the holder is gone. */
-	async #answerHeld(call: RoutedCall, attempt: Attempt, held: ClaimAnswer & {readonly kind: 'held'}): Promise<PlainResult> {
+	async #answerHeld(call: RoutedCall, attempt: Attempt, held: ClaimAnswer & {readonly kind: 'held'}, rechecks: number): Promise<PlainResult> {
 		const isOld = held.ageMs > call.route.timeoutMs + SEND_WINDOW_MS + HOLDER_MARGIN_MS;
 		if (call.service.operationIdentity === 'checked' && (isOld || this.#isHolderGone(held.attempt))) {
 			return this.#send(call, {...attempt, again: true});
 		}
 
-		return isOld
-			? failure({
-				code: 'operation_in_doubt',
-				message: 'an earlier request with this Idempotency-Key did not finish, so it is not known whether the operation ran; ask the service for its state',
-				ran: 'unknown',
-				step: 'claim',
-			})
-			: failure({
-				code: 'operation_in_progress',
-				message: 'an earlier request with this Idempotency-Key is being executed; repeat later to receive its answer',
-				ran: 'unknown',
-				step: 'claim',
-				retryAfterMs: 1000,
-			});
+		if (isOld) {
+			return operationInDoubt;
+		}
+
+		const {recheckPauseMs = RECHECK_PAUSE_MS} = this.#options;
+		if (rechecks === 0 || call.signal.aborted || this.#clock() + recheckPauseMs >= call.deadline) {
+			return operationInProgress;
+		}
+
+		await pause(recheckPauseMs, call.signal);
+		return this.#claimAndSend(call, attempt, rechecks - 1);
 	}
 
 	#isHolderGone(holder: string): boolean {
@@ -198,6 +202,21 @@
 
 const attemptPrefix = (member: {readonly id: string; readonly incarnation: string}): string => `${member.id}.${member.incarnation}.`;
 
+const operationInDoubt = failure({
+	code: 'operation_in_doubt',
+	message: 'an earlier request with this Idempotency-Key did not finish, so it is not known whether the operation ran; ask the service for its state',
+	ran: 'unknown',
+	step: 'claim',
+});
+
+const operationInProgress = failure({
+	code: 'operation_in_progress',
+	message: 'an earlier request with this Idempotency-Key is being executed; repeat later to receive its answer',
+	ran: 'unknown',
+	step: 'claim',
+	retryAfterMs: 1000,
+});
+
 const claimUnavailable = (message: string): Failure => failure({
 	code: 'claim_unavailable',
 	message: `this request was not sent, because its claim could not be recorded: ${message}`,
--- a/tests/operations.test.ts
+++ b/tests/operations.test.ts
@@ -71,6 +71,15 @@
 		expect(total(service)).toBe(1);
 	});
 
+	it('should answer a repeat that comes while the operation runs with its answer', async () => {
+		const {service, a, b, key} = start({latencyMs: 15});
+		const first = a.call(key, 'r1');
+		await expect.poll(() => total(service), {interval: 1}).toBe(1);
+		expect(summaryOf(await b.call(key, 'r2'))).toBe('repeated 201');
+		expect(summaryOf(await first)).toBe('201');
+		expect(total(service)).toBe(1);
+	});
+
 	it('should run once when two daemons receive it at the same instant', async () => {
 		const {service, a, b, c, key} = start();
 		const results = await Promise.all([a, b, c].map(async (daemon, index) => daemon.call(key, `r${index}`)));
