--- a/src/daemon/wiring.ts
+++ b/src/daemon/wiring.ts
@@ -9,6 +9,7 @@
 import {ConfigurationPolls} from '../configuration/configuration-polls.js';
 import {ConfigurationStore} from '../configuration/configuration-store.js';
 import {formatFinding} from '../configuration/finding.js';
+import {OrderRounds} from '../orders/order-rounds.js';
 import type {PeerClient} from '../peer/peer-client.js';
 import {PeerClients} from '../peer/peer-clients.js';
 import {createPeerServer, type PeerServer} from '../peer/peer-server.js';
@@ -16,9 +17,11 @@
 import {HttpObjectApi} from '../platform/http-object-api.js';
 import {ServiceLevels} from '../service-levels/service-levels.js';
 import type {Logger} from '../util/logger.js';
+import {TrafficMeter} from '../util/traffic-meter.js';
 import type {CreateParts, DaemonParts, PartSources} from './daemon-parts.js';
 import {MembershipParts} from './membership-parts.js';
 import {OperationParts} from './operation-parts.js';
+import {createOrderSender} from './order-sender.js';
 import {createPeerService} from './peer-service.js';
 import {createRequestObserver} from './request-observer.js';
 
@@ -28,11 +31,12 @@
 /** Parts on the platform, built before any server listens. */
 function build(sources: PartSources) {
 	const {settings, identity, clock, logger} = sources;
-	const platform = {caller: identity.id};
+	const meter = TrafficMeter.create();
+	const platform = {caller: identity.id, meter};
 	const objectApi = HttpObjectApi.create({...platform, baseUrl: settings.objectApi});
 	const hostList = HttpHostList.create({...platform, baseUrl: settings.hostList});
 	const store = createStore(logger);
-	const peers = PeerClients.create();
+	const peers = PeerClients.create(meter);
 	const peer = (address: string): PeerClient => peers.for(address, clock());
 	const {region, failureDomain} = settings;
 	const membership = MembershipParts.create({
@@ -62,12 +66,24 @@
 		objectApi, configuration: store, directory, peer, clock, logger,
 	});
 	return {
-		objectApi, hostList, store, peers, peer, membership, directory, engine, probe, coordinators, pools, operations,
+		objectApi, hostList, store, peers, peer, membership, directory, engine, probe, coordinators, pools, operations, meter,
 	};
 }
 
 type Built = ReturnType<typeof build>;
 
+/** Orders to the engines of the pools that this daemon coordinates. */
+function createOrders({coordinators, store, engine}: Built, {clock, logger, metrics}: PartSources): OrderRounds {
+	return OrderRounds.create({
+		pools: () => coordinators.ordered(),
+		configuration: () => store.current()?.configuration,
+		send: createOrderSender(engine),
+		clock,
+		logger,
+		metrics,
+	});
+}
+
 function createStore(logger: Logger): ConfigurationStore {
 	const store = ConfigurationStore.create({
 		onInvalid(version, findings) {
@@ -98,7 +114,7 @@
 	const timer = setInterval(() => {
 		void peers.closeIdle(clock());
 	}, IDLE_PEERS_INTERVAL_MS);
-	return {delivery, timer};
+	return {delivery, timer, orders: createOrders(built, sources)};
 }
 
 type Running = ReturnType<typeof run>;
@@ -122,7 +138,7 @@
 	});
 	let server: PeerServer;
 	try {
-		server = await createPeerServer(service, settings.peerListen);
+		server = await createPeerServer(service, settings.peerListen, built.meter);
 	} catch (err) {
 		await closeAll(built, running);
 		throw err;
@@ -140,14 +156,18 @@
 		async start(address) {
 			await membership.start(address);
 			coordinators.start();
+			running.orders.start();
 			operations.start();
 		},
 		coordinated: () => coordinators.summaries(clock()).map(({pool}) => pool),
 		levels,
+		controlTraffic: () => built.meter.total(),
 		async announceDrain() {
 			await membership.announceDrain();
 		},
 		async handOver() {
+			// An order under way ends before the lease that fences it is released.
+			await running.orders.close();
 			await coordinators.drain();
 		},
 		async close() {
@@ -158,11 +178,12 @@
 	} satisfies DaemonParts;
 };
 
-async function closeAll(built: Built, {delivery, timer}: Running): Promise<void> {
+async function closeAll(built: Built, {delivery, timer, orders}: Running): Promise<void> {
 	const {
 		operations, coordinators, pools, membership, peers, probe, engine, objectApi, hostList,
 	} = built;
 	clearInterval(timer);
+	await orders.close();
 	await delivery.close();
 	await operations.close();
 	await coordinators.close();
--- a/tests/daemon-process.test.ts
+++ b/tests/daemon-process.test.ts
@@ -1,4 +1,6 @@
 import {execFile} from 'node:child_process';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import process from 'node:process';
 import OpenAI from 'openai';
 import {
@@ -56,6 +58,16 @@
 		}
 	});
 
+	it('should exit with code 1 when its address is taken', async () => {
+		const taken = createServer().listen(0, '127.0.0.1');
+		await once(taken, 'listening');
+		const {port} = taken.address() as AddressInfo;
+		const ended = await runDaemon([...completeFlags.slice(2), '--listen', `127.0.0.1:${port}`]);
+		taken.close();
+		expect(ended.code).toBe(1);
+		expect(ended.stdout).toMatch(/event=start_failed .*EADDRINUSE/v);
+	});
+
 	it('should cut no request when each daemon in turn is asked to end under load', async () => {
 		deployment = await Deployment.create({
 			configuration: smallConfiguration, backendsPerDomain: 2, daemonsPerDomain: 3, startsWarm: true, drainLagMs: 300,
