Measure a flood of one workspace and shares for long prefill

Cause: fairness between workspaces and the share of engines open to long prefill had no figures. Ruled out: a bound for the flood, since no target is stated. Change: measures flood and long-prompt-share.

--- a/testing/bench/blocking.ts
+++ b/testing/bench/blocking.ts
@@ -23,7 +23,7 @@
 const MEASURE = 'blocking';
 const policies: readonly Policy[] = ['fireflyport', 'least-in-flight', 'round-robin'];
 
-type Outcome = {readonly shortP95: number; readonly alone: number; readonly slowdown: number; readonly longRate: number; readonly note: string};
+export type Outcome = {readonly shortP95: number; readonly alone: number; readonly slowdown: number; readonly longRate: number; readonly longP95: number; readonly note: string};
 
 /** Long prompt tokens finished for each second from the first arrival to the last end. */
 function longTokensPerSecond(records: readonly CompletionRecord[]): number {
@@ -37,7 +37,7 @@
 	return lists.flat().toSorted((a, b) => a.atMs - b.atMs).map((arrival, index) => ({...arrival, index}));
 }
 
-async function measurePolicy(fixture: ModelFixture, policy: Policy, {seed, log}: MeasureOptions): Promise<Outcome> {
+export async function measurePolicy(fixture: ModelFixture, policy: Policy, {seed, log}: MeasureOptions): Promise<Outcome> {
 	const short = drawArrivals({
 		seed, durationMs: DURATION_MS, requestsPerSecond: SHORT_PER_SECOND, mix: shortMix, maxTokens: ANSWER_TOKENS,
 	});
@@ -55,6 +55,7 @@
 		alone,
 		shortP95,
 		slowdown: shortP95 / alone,
+		longP95: firstTokenOf(ofClass(both, 'long')).p95,
 		longRate: longTokensPerSecond(both) / longTokensPerSecond(longAlone),
 		note: JSON.stringify(countEnds([...shortAlone, ...longAlone, ...both])),
 	};
@@ -77,6 +78,7 @@
 		row('short p95 first token without long', outcome => outcome.alone, {kind: 'none'}),
 		row('short p95 first token with long', outcome => outcome.shortP95, {kind: 'none'}, own.note),
 		row('slowdown of short requests', outcome => outcome.slowdown, {kind: 'at_most', limit: SLOWDOWN_LIMIT}),
+		row('long p95 first token with short', outcome => outcome.longP95, {kind: 'none'}),
 		row('long rate with short ÷ alone', outcome => outcome.longRate, {kind: 'at_least', limit: LONG_RATE_LIMIT}),
 	];
 }
--- a/testing/bench/domain-change.ts
+++ b/testing/bench/domain-change.ts
@@ -21,6 +21,8 @@
 	{share: 0.08, fromTokens: 32_000, toTokens: 100_000},
 ];
 
+const DEPLOYMENT = {example: 'frialia', enginesPerDomain: 6, daemonsPerDomain: 3} as const;
+
 /** Stated target: p95 of short requests in each 5-second window against the steady value. */
 const WINDOW_RATIO_LIMIT = 1.5;
 
@@ -94,10 +96,7 @@
 	name: 'domain-leave',
 	title: 'A failure domain leaves and returns under load',
 	async run(options) {
-		const fixtureOptions = {
-			example: 'frialia', enginesPerDomain: 6, daemonsPerDomain: 3, seed: options.seed,
-		} as const;
-		return withModelFixture(fixtureOptions, async fixture => {
+		return withModelFixture({...DEPLOYMENT, seed: options.seed}, async fixture => {
 			const domain = fixture.configuration.failureDomains[1]!.name;
 			const run = await runWith(fixture, options, async log => {
 				await delay(OUT_AT_MS);
@@ -135,10 +134,7 @@
 	name: 'domain-loss',
 	title: 'A failure domain is lost without warning under load',
 	async run(options) {
-		const fixtureOptions = {
-			example: 'frialia', enginesPerDomain: 6, daemonsPerDomain: 3, seed: options.seed,
-		} as const;
-		return withModelFixture(fixtureOptions, async fixture => {
+		return withModelFixture({...DEPLOYMENT, seed: options.seed}, async fixture => {
 			const domain = fixture.configuration.failureDomains[1]!.name;
 			const {deployment} = fixture;
 			const lost = new Set(deployment.daemons.filter(daemon => daemon.failureDomain === domain).map(({process}) => process.url));
--- a/testing/bench/model-fixture.ts
+++ b/testing/bench/model-fixture.ts
@@ -89,17 +89,16 @@
 	}
 
 	/** Runs arrivals under a policy. Prompts of different runs share no prefix. */
-	async run(policy: Policy, arrivals: readonly Arrival[], onRecord?: (record: CompletionRecord) => void): Promise<readonly CompletionRecord[]> {
+	async run(policy: Policy, arrivals: readonly Arrival[], {apiKeys = this.apiKeys}: {readonly apiKeys?: readonly string[]} = {}): Promise<readonly CompletionRecord[]> {
 		const router = policy === 'fireflyport'
 			? undefined
 			: await BlindRouter.create(policy, this.deployment.backends.map(({host}) => host.address));
 		try {
 			return await runLoad(arrivals, {
 				targets: router ? [router.url] : this.daemonUrls,
-				apiKeys: this.apiKeys,
+				apiKeys,
 				model: this.model.models[0]!.name,
 				label: `run ${this.runs++} ${policy}`,
-				onRecord,
 			});
 		} finally {
 			await router?.close();
