Keep a quarter of the request slots for short prompts

Cause: a flood of medium prompts occupied all request slots of all engines, so a short prompt waited until one finished, although its engine priority and its place in the queue were first. Ruled out: the queue order (short requests were first there) and the engine priority (they were prefilled first). Change: prompts above the short class may use at most three quarters of the slots of a backend server.

--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -13,6 +13,9 @@
 /** Oldest `/health` answer on which a request above the cold limit may be sent. */
 export const PROBE_MAX_AGE_MS = 50;
 
+/** Share of the request slots that only short prompts may use; others would keep them out until one finishes. */
+const SHORT_SLOT_SHARE = 0.25;
+
 const BACK_OFF_MIN_MS = 250;
 const BACK_OFF_MAX_MS = 30_000;
 
@@ -158,7 +161,7 @@
 		const requests = totals.requests + this.#untracked + (inactive ? 0 : 1) + (hold ? 1 : 0);
 		const prefillTokens = totals.prefillTokens + demand.prefillTokens + (hold?.prefillTokens ?? 0);
 		const kvTokens = totals.kvTokens + (inactive ? 0 : demand.kvTokens) + (hold?.kvTokens ?? 0);
-		const fits = requests <= usableShare(limit.requests, mode)
+		const fits = requests <= slotsFor(demand, usableShare(limit.requests, mode))
 			&& prefillTokens <= usableShare(limit.prefillTokens, mode)
 			&& kvTokens <= usableShare(this.#limits.kvTokens, mode);
 		return fits ? this.#fitsUnacknowledged(demand, mode, now) : 'no';
@@ -403,3 +406,8 @@
 		}
 	}
 }
+
+/** Request slots that `demand` may use, of `slots` in all. */
+function slotsFor(demand: Demand, slots: number): number {
+	return lengthClassOf(demand.prefillTokens) === 'short' ? slots : Math.min(slots, Math.max(1, Math.floor(slots * (1 - SHORT_SLOT_SHARE))));
+}
