Test placement by prefix, leaving engines and the rest after a failure

Cause: prefix hints had no test that fails without them.

Change: directed tests for prefix hints, for an engine that leaves and is forgotten once empty, and for the rest of an engine that failed.

--- a/tests/pool-admission.test.ts
+++ b/tests/pool-admission.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {PoolAdmission} from '../src/capacity/pool-admission.js';
+import type {ReservationRequest} from '../src/capacity/pool-reservation.js';
 import type {ModelService} from '../src/configuration/schema.js';
 import type {ReserveAnswer} from '../src/peer/protocol.js';
 import {configurationOf, modelService, requestOf} from './support/capacity-fixtures.js';
@@ -30,7 +31,7 @@
 		this.now = 10_000;
 	}
 
-	ask(id: string, promptTokens: number, fields: {kvTokens?: number; remainingMs?: number; exclude?: string[]} = {}): void {
+	ask(id: string, promptTokens: number, fields: Partial<ReservationRequest> = {}): void {
 		const message = {...requestOf(id, {promptTokens, remainingMs: 100_000, ...fields}), sender};
 		const refused = this.admission.admit(message, FULL, this.now);
 		if (refused) {
@@ -206,6 +207,50 @@
 	});
 });
 
+describe('placement', () => {
+	it('should prefer the engine that has the prefix, until its queue costs more than the prefix saves', () => {
+		const pool = new Pool(2);
+		const prefixHashes = ['p1', 'p2', 'p3', 'p4'];
+		pool.ask('first', 5000, {prefixHashes});
+		const [cached] = pool.servers('first');
+		pool.run(2000);
+		pool.ask('same prefix', 5000, {prefixHashes});
+		expect(pool.servers('same prefix')).toEqual([cached]);
+		pool.ask('same prefix again', 5000, {prefixHashes});
+		expect(pool.servers('same prefix again')).not.toEqual([cached]);
+	});
+
+	it('should send nothing to an engine that is leaving, and forget it once it is empty', () => {
+		const pool = new Pool(2);
+		pool.ask('running', 1000);
+		const [leaving] = pool.servers('running');
+		pool.admission.servers.applyHosts(hostsOf('e0', 'e1').map(host => host.id === leaving ? {...host, state: 'leaving' as const} : host));
+		for (let index = 0; index < 8; index++) {
+			pool.ask(`next${index}`, 1000);
+			expect(pool.servers(`next${index}`)).not.toContain(leaving);
+		}
+
+		pool.admission.servers.applyHosts(hostsOf('e0', 'e1').filter(host => host.id !== leaving));
+		expect(pool.admission.servers.get(leaving!)?.totals.requests).toBe(1);
+		pool.release('running');
+		pool.admission.servers.applyHosts(hostsOf('e0', 'e1').filter(host => host.id !== leaving));
+		expect(pool.admission.servers.get(leaving!)).toBeUndefined();
+	});
+
+	it('should rest an engine that failed, and send the first request after the rest', () => {
+		const pool = new Pool(1);
+		pool.ask('failed', 1000);
+		pool.admission.release({
+			sender, pool: 'braga/fio-lm/0', id: 'failed', outcome: 'silent',
+		}, pool.now);
+		pool.ask('too early', 1000);
+		expect(pool.answers.get('too early')).toMatchObject({kind: 'refused', reason: 'no_servers'});
+		pool.run(300);
+		pool.ask('later', 1000);
+		expect(pool.servers('later')).toEqual(['e0']);
+	});
+});
+
 describe('requests that cannot be served in time', () => {
 	it('should be refused before they wait', () => {
 		const pool = new Pool(1);
