Move a waiting reservation to the next pool after a bounded time

Long prompts queued in one pool behind a stalled prefill while other failure domains were free. A run showed why: the other daemons kept an estimated wait of 0 for that pool, since a reservation that waits brings no summary and a summary older than 5 s counts as no wait, while idle pools showed 1,250 ms, the prefill of the next prompt itself; and nothing took a waiting reservation out of its queue. A request now waits 1 s (huge prompts 10 s, since a move gives up collected memory) in the queue of one pool when another one has a coordinator; the time doubles in each round. The waited time is kept as the pool's wait, and summaries leave out the prefill of the next request.

--- a/src/capacity/wait-estimate.ts
+++ b/src/capacity/wait-estimate.ts
@@ -5,10 +5,6 @@
 import type {BackendServerState} from './backend-server-state.js';
 import type {Waiting} from './wait-queue.js';
 
-/** Prompt sizes for which the summary estimates the wait. */
-const SHORT_PROMPT_TOKENS = 2000;
-const LONG_PROMPT_TOKENS = 50_000;
-
 /** Generated tokens that a request needs at least to be worth starting. */
 const LEAST_GENERATED_TOKENS = 16;
 
@@ -41,11 +37,11 @@
 	return firstTokenMs + (Math.min(request.generatedTokens, LEAST_GENERATED_TOKENS) * 1000 / decodeRate);
 }
 
-/** Summary that goes with each answer to a reservation. */
+/** Summary that goes with each answer to a reservation. The prefill of the next request itself is no wait: it is the same in each pool. */
 export function summarize(view: PoolView, now: number): PoolSummary {
-	const wait = (long: boolean, tokens: number): number => {
+	const wait = (long: boolean): number => {
 		const waitingMs = view.waiting.filter(item => isLong(item.lengthClass) === long).map(item => now - item.arrivedAtMs);
-		return Math.round(Math.max(estimateFirstTokenMs(view, 0, tokens, now), ...waitingMs));
+		return Math.round(Math.max(estimateFirstTokenMs(view, 0, 0, now), ...waitingMs));
 	};
 
 	return {
@@ -53,7 +49,7 @@
 		epoch: view.epoch,
 		queued: view.waiting.length,
 		running: view.running,
-		shortWaitMs: wait(false, SHORT_PROMPT_TOKENS),
-		longWaitMs: wait(true, LONG_PROMPT_TOKENS),
+		shortWaitMs: wait(false),
+		longWaitMs: wait(true),
 	};
 }
--- a/src/routing/pool-choice.ts
+++ b/src/routing/pool-choice.ts
@@ -2,7 +2,7 @@
 import type {FailureDomain, Service} from '../configuration/schema.js';
 import {formatPool} from '../membership/directory.js';
 import type {PoolSummary} from '../peer/protocol.js';
-import type {LengthClass} from '../util/length-class.js';
+import {isLong, type LengthClass} from '../util/length-class.js';
 
 /** A pool of the own failure domain is preferred up to this estimated wait. */
 const NO_WAIT_MS = 50;
@@ -21,6 +21,15 @@
 		this.#newest.set(summary.pool, {summary, at: now});
 	}
 
+	/** Records that a request waited `waitedMs` in a pool without an answer. */
+	recordWait(pool: string, lengthClass: LengthClass, waitedMs: number, now: number): void {
+		const known = this.#newest.get(pool)?.summary ?? {
+			pool, epoch: 0, queued: 1, running: 0, shortWaitMs: 0, longWaitMs: 0,
+		};
+		const waited = isLong(lengthClass) ? {longWaitMs: waitedMs} : {shortWaitMs: waitedMs};
+		this.#newest.set(pool, {summary: {...known, ...waited}, at: now});
+	}
+
 	/** Estimated wait in ms; 0 where nothing recent is known, so that such a pool is tried. */
 	waitMs(pool: string, lengthClass: LengthClass, now: number): number {
 		const entry = this.#newest.get(pool);
@@ -29,7 +38,7 @@
 		}
 
 		const {shortWaitMs, longWaitMs} = entry.summary;
-		return lengthClass === 'short' || lengthClass === 'medium' ? shortWaitMs : longWaitMs;
+		return isLong(lengthClass) ? longWaitMs : shortWaitMs;
 	}
 }
 
--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -4,6 +4,7 @@
 import type {Directory} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
+import {LimitedSignal} from '../util/limited-signal.js';
 import {pause} from '../util/pause.js';
 import {TimeLimitError} from '../util/time-limit.js';
 import {orderPools, poolsOf, PoolSummaries} from './pool-choice.js';
@@ -14,6 +15,10 @@
 const COORDINATOR_PATIENCE_MS = 10_000;
 /** Pools asked in one round, so that an overload does not multiply reservations. */
 const MAX_POOLS_ASKED = 6;
+/** Time in one pool's queue after which the next pool is asked. Doubles in each round, so that a general overload does not cause moves. */
+const FIRST_QUEUE_LIMIT_MS = 1000;
+/** Huge prompts collect memory while they wait at the head of a queue, which a move gives up. */
+const FIRST_HUGE_QUEUE_LIMIT_MS = 10_000;
 const FIRST_ROUND_DELAY_MS = 50;
 const LAST_ROUND_DELAY_MS = 500;
 
@@ -23,8 +28,14 @@
 	readonly deadline: number;
 };
 
-/** Answers of all pools, none of which granted. */
-type Refusals = {readonly kind: 'refusals'; readonly outcomes: readonly NotGranted[]};
+/** Answers of all pools, none of which granted. `moved`: in some queue the time limit passed. */
+type Refusals = {readonly kind: 'refusals'; readonly outcomes: readonly NotGranted[]; readonly moved: boolean};
+
+type RoundOptions = {
+	readonly signal: AbortSignal;
+	/** Longest time in the queue of one pool. */
+	readonly queueLimitMs: number;
+};
 
 export type ReservationParts = {
 	readonly client: PoolClient;
@@ -50,13 +61,19 @@
 		const startedAt = clock();
 		const patientUntil = startedAt + Math.min(COORDINATOR_PATIENCE_MS, (request.deadline - startedAt) / 2);
 		let delayMs = FIRST_ROUND_DELAY_MS;
+		let queueLimitMs = request.lengthClass === 'huge' ? FIRST_HUGE_QUEUE_LIMIT_MS : FIRST_QUEUE_LIMIT_MS;
 		for (;;) {
-			const round = await this.#round(service, request, signal);
+			const round = await this.#round(service, request, {signal, queueLimitMs});
 			if (round.kind !== 'refusals') {
 				return round;
 			}
 
 			const {outcomes} = round;
+			queueLimitMs *= 2;
+			if (round.moved) {
+				continue;
+			}
+
 			const worthWaiting = outcomes.length > 0 && outcomes.every(outcome => isTransient(outcome));
 			if (!worthWaiting || clock() + delayMs > patientUntil) {
 				return refusalFailure(service.name, outcomes);
@@ -69,24 +86,38 @@
 	}
 
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
-	async #round(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure | Refusals> {
+	async #round(service: Service, request: CapacityRequest, {signal, queueLimitMs}: RoundOptions): Promise<Grant | Failure | Refusals> {
 		const outcomes: NotGranted[] = [];
-		for (const pool of this.#pools(service, request)) {
+		let moved = false;
+		const pools = this.#pools(service, request);
+		const mayMove = pools.filter(pool => this.parts.directory.poolLease(pool)?.owner).length > 1;
+		for (const pool of pools) {
 			const now = this.parts.clock();
 			const ended = endedBefore(request.deadline, now, signal);
 			if (ended) {
 				return ended;
 			}
 
-			const outcome = await this.#ask(pool, request, signal, now);
-			if (outcome.kind === 'granted') {
-				return outcome;
+			const limit = LimitedSignal.create(mayMove ? queueLimitMs : request.deadline - now, signal);
+			try {
+				const outcome = await this.#ask(pool, request, limit.signal, now);
+				if (outcome.kind === 'granted') {
+					return outcome;
+				}
+
+				const waitedMs = this.parts.clock() - now;
+				if (limit.signal.aborted && !signal.aborted) {
+					this.#summaries.recordWait(pool, request.lengthClass, waitedMs, this.parts.clock());
+					moved = true;
+				} else {
+					outcomes.push(outcome);
+				}
+			} finally {
+				limit.close();
 			}
-
-			outcomes.push(outcome);
 		}
 
-		return endedBefore(request.deadline, this.parts.clock(), signal) ?? {kind: 'refusals', outcomes};
+		return endedBefore(request.deadline, this.parts.clock(), signal) ?? {kind: 'refusals', outcomes, moved};
 	}
 
 	async #ask(pool: string, request: CapacityRequest, signal: AbortSignal, now: number) {
