--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -4,6 +4,7 @@
 import type {Directory} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
+import {LimitedSignal} from '../util/limited-signal.js';
 import {pause} from '../util/pause.js';
 import {TimeLimitError} from '../util/time-limit.js';
 import {askPools, type Refusals} from './ask-race.js';
@@ -20,6 +21,10 @@
 const COORDINATOR_PATIENCE_MS = 10_000;
 /** Pools asked in one round, so that an overload does not multiply reservations. */
 const MAX_POOLS_ASKED = 6;
+/** Time in one pool's queue after which the next pool is asked. Doubles in each round, so that a general overload does not cause moves. */
+const FIRST_QUEUE_LIMIT_MS = 1000;
+/** Huge prompts collect memory while they wait at the head of a queue, which a move gives up. */
+const FIRST_HUGE_QUEUE_LIMIT_MS = 10_000;
 const FIRST_ROUND_DELAY_MS = 50;
 const LAST_ROUND_DELAY_MS = 500;
 
@@ -29,6 +34,15 @@
 	readonly deadline: number;
 };
 
+type RoundOptions = {
+	readonly signal: AbortSignal;
+	/** Longest time in the queue of one pool. */
+	readonly queueLimitMs: number;
+};
+
+/** What a round found; `moved`: in some queue the time limit passed. */
+type Round = Grant | Failure | (Refusals & {readonly moved: boolean});
+
 export type ReservationParts = {
 	readonly client: PoolClient;
 	readonly directory: Directory;
@@ -56,13 +70,19 @@
 		const startedAt = clock();
 		const patientUntil = startedAt + Math.min(COORDINATOR_PATIENCE_MS, (request.deadline - startedAt) / 2);
 		let delayMs = FIRST_ROUND_DELAY_MS;
+		let queueLimitMs = request.lengthClass === 'huge' ? FIRST_HUGE_QUEUE_LIMIT_MS : FIRST_QUEUE_LIMIT_MS;
 		for (;;) {
-			const round = await this.#round(service, request, signal);
+			const round = await this.#round(service, request, {signal, queueLimitMs});
 			if (round.kind !== 'refusals') {
 				return round;
 			}
 
 			const {outcomes} = round;
+			queueLimitMs *= 2;
+			if (round.moved) {
+				continue;
+			}
+
 			const worthWaiting = outcomes.length > 0 && outcomes.every(outcome => isTransient(outcome));
 			if (!worthWaiting || clock() + delayMs > patientUntil) {
 				return refusalFailure(service.name, outcomes);
@@ -80,14 +100,41 @@
 	}
 
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
-	async #round(service: Service, request: CapacityRequest, signal: AbortSignal): Promise<Grant | Failure | Refusals> {
-		const before = endedBefore(request.deadline, this.parts.clock(), signal);
+	async #round(service: Service, request: CapacityRequest, {signal, queueLimitMs}: RoundOptions): Promise<Round> {
+		const now = this.parts.clock();
+		const before = endedBefore(request.deadline, now, signal);
 		if (before) {
 			return before;
 		}
 
-		const asked = await askPools(this.#pools(service, request), async (pool, own) => this.#ask(pool, request, own), signal);
-		return asked.kind === 'granted' ? asked : endedBefore(request.deadline, this.parts.clock(), signal) ?? asked;
+		const pools = this.#pools(service, request);
+		const mayMove = pools.filter(pool => this.parts.directory.poolLease(pool)?.owner).length > 1;
+		const limitMs = mayMove ? queueLimitMs : request.deadline - now;
+		let moved = false;
+		const asked = await askPools(pools, async (pool, own) => {
+			const {outcome, isLate} = await this.#askWithin(pool, request, own, limitMs);
+			moved ||= isLate;
+			return outcome;
+		}, signal);
+		return asked.kind === 'granted' ? asked : endedBefore(request.deadline, this.parts.clock(), signal) ?? {...asked, moved};
+	}
+
+	/** Asks one pool. `isLate`: the request was taken back because it waited for `limitMs` in the queue. */
+	async #askWithin(pool: string, request: CapacityRequest, signal: AbortSignal, limitMs: number) {
+		const {clock} = this.parts;
+		const startedAt = clock();
+		const limit = LimitedSignal.create(limitMs, signal);
+		try {
+			const outcome = await this.#ask(pool, request, limit.signal);
+			const isLate = outcome.kind !== 'granted' && limit.signal.aborted && !signal.aborted;
+			if (isLate) {
+				this.#summaries.recordWait(pool, request.lengthClass, clock() - startedAt, clock());
+			}
+
+			return {outcome, isLate};
+		} finally {
+			limit.close();
+		}
 	}
 
 	async #ask(pool: string, request: CapacityRequest, signal: AbortSignal): Promise<ReservationOutcome> {
