Bound the wait for the turn of a split prompt

Change: a turn that does not come within 10 s ends the attempt, and the request is reserved again. Conclusion: whether the coordinator should refuse such a turn earlier is open.

--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -4,6 +4,7 @@
 import type {Directory} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
+import {LimitedSignal} from '../util/limited-signal.js';
 import {pause} from '../util/pause.js';
 import {TimeLimitError} from '../util/time-limit.js';
 import {askPools, type Refusals} from './ask-race.js';
@@ -20,6 +21,8 @@
 const COORDINATOR_PATIENCE_MS = 10_000;
 /** Pools asked in one round, so that an overload does not multiply reservations. */
 const MAX_POOLS_ASKED = 6;
+/** The other members of a split prompt hold memory meanwhile, and a member that crashed may stay cold for long. */
+const TURN_LIMIT_MS = 10_000;
 const FIRST_ROUND_DELAY_MS = 50;
 const LAST_ROUND_DELAY_MS = 500;
 
@@ -74,9 +77,17 @@
 		}
 	}
 
-	/** Waits for the turn of a further server of a split prompt, as long as the coordinator shows signs of life. */
+	/**
+	 * Waits for the turn of a further server of a split prompt, for a limited time and as long as the coordinator shows
+	 * signs of life.
+	 */
 	async activate(grant: Grant, server: string, signal: AbortSignal): Promise<Activation> {
-		return this.#whileAlive(grant.pool, signal, async own => grant.activate(server, own));
+		const limit = LimitedSignal.create(TURN_LIMIT_MS, signal);
+		try {
+			return await this.#whileAlive(grant.pool, limit.signal, async own => grant.activate(server, own));
+		} finally {
+			limit.close();
+		}
 	}
 
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
