--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -25,6 +25,8 @@
 const FIRST_QUEUE_LIMIT_MS = 1000;
 /** Huge prompts collect memory while they wait at the head of a queue, which a move gives up. */
 const FIRST_HUGE_QUEUE_LIMIT_MS = 10_000;
+/** The other members of a split prompt hold memory meanwhile, and a member that crashed may stay cold for long. */
+const TURN_LIMIT_MS = 10_000;
 const FIRST_ROUND_DELAY_MS = 50;
 const LAST_ROUND_DELAY_MS = 500;
 
@@ -94,9 +96,17 @@
 		}
 	}
 
-	/** Waits for the turn of a further server of a split prompt, as long as the coordinator shows signs of life. */
+	/**
+	 * Waits for the turn of a further server of a split prompt, for a limited time and as long as the coordinator shows
+	 * signs of life.
+	 */
 	async activate(grant: Grant, server: string, signal: AbortSignal): Promise<Activation> {
-		return this.#whileAlive(grant.pool, signal, async own => grant.activate(server, own));
+		const limit = LimitedSignal.create(TURN_LIMIT_MS, signal);
+		try {
+			return await this.#whileAlive(grant.pool, limit.signal, async own => grant.activate(server, own));
+		} finally {
+			limit.close();
+		}
 	}
 
 	/** Asks each pool once. Returns a grant, a failure that ends the request, or the refusals of all pools. */
