--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -6,12 +6,16 @@
 import {
 	count, type Demand, emptyTotals, type Held, type HeldState, type LoadTotals,
 } from './server-load.js';
+import {type ModelReport, ServerModels} from './server-models.js';
 import {type ServerLimits, ServerWarmth} from './server-warmth.js';
 import {type GrantMode, usableShare} from './usable-share.js';
 
 /** Oldest `/health` answer on which a request above the cold limit may be sent. */
 export const PROBE_MAX_AGE_MS = 50;
 
+/** Share of the request slots that only short prompts may use; others would keep them out until one finishes. */
+const SHORT_SLOT_SHARE = 0.25;
+
 const BACK_OFF_MIN_MS = 250;
 const BACK_OFF_MAX_MS = 30_000;
 
@@ -27,8 +31,7 @@
 export type Fit = 'yes' | 'no' | 'probe' | 'exclusive';
 
 /** A load report of an engine or a plain service. */
-export type LoadReport = {
-	readonly boot: string;
+export type LoadReport = ModelReport & {
 	readonly warm: boolean;
 	readonly ageMs: number;
 	readonly runningRequests: number;
@@ -56,6 +59,7 @@
 	hold: Demand | undefined;
 	/** Reservation that waits until nothing else is unacknowledged here; others are not granted meanwhile. */
 	exclusiveFor: string | undefined;
+	readonly models = new ServerModels();
 	readonly #listable: boolean;
 	readonly #held = new Map<string, Held>();
 	readonly #released = new Map<string, number>();
@@ -157,7 +161,7 @@
 		const requests = totals.requests + this.#untracked + (inactive ? 0 : 1) + (hold ? 1 : 0);
 		const prefillTokens = totals.prefillTokens + demand.prefillTokens + (hold?.prefillTokens ?? 0);
 		const kvTokens = totals.kvTokens + (inactive ? 0 : demand.kvTokens) + (hold?.kvTokens ?? 0);
-		const fits = requests <= usableShare(limit.requests, mode)
+		const fits = requests <= slotsFor(demand, usableShare(limit.requests, mode))
 			&& prefillTokens <= usableShare(limit.prefillTokens, mode)
 			&& kvTokens <= usableShare(this.#limits.kvTokens, mode);
 		return fits ? this.#fitsUnacknowledged(demand, mode, now) : 'no';
@@ -190,6 +194,7 @@
 	/** The backend server accepted the request: its headers state boot id and warmth. */
 	acknowledge(id: string, answer: {readonly boot: string; readonly warm: boolean}, now: number): void {
 		this.#warmth.observe(answer.boot, answer.warm, now);
+		this.models.noteBoot(answer.boot);
 		this.#failures = 0;
 		this.#retryAtMs = -Infinity;
 		this.markAcknowledged(id, now);
@@ -253,6 +258,7 @@
 		}
 
 		this.#warmth.observe(report.boot, report.warm, now);
+		this.models.observe(report, takenAtMs);
 		if (report.pendingPrefillTokens !== undefined) {
 			this.#applyPending(report.pendingPrefillTokens, takenAtMs, now);
 		}
@@ -400,3 +406,8 @@
 		}
 	}
 }
+
+/** Request slots that `demand` may use, of `slots` in all. */
+function slotsFor(demand: Demand, slots: number): number {
+	return lengthClassOf(demand.prefillTokens) === 'short' ? slots : Math.min(slots, Math.max(1, Math.floor(slots * (1 - SHORT_SLOT_SHARE))));
+}
--- a/src/capacity/pool-admission.ts
+++ b/src/capacity/pool-admission.ts
@@ -248,11 +248,11 @@
 		}
 
 		const staying = this.servers.all().filter(server => !server.leaving && !message.exclude.includes(server.id));
-		if (staying.every(server => server.isBackingOff(now))) {
-			return this.refuse('no_servers', `no backend server of pool ${pool} takes work`, now, RETRY_AFTER_OVERLOAD_MS);
+		if (staying.every(server => server.isBackingOff(now) || !server.models.mayServe(message.model))) {
+			return this.refuse('no_servers', `no backend server of pool ${pool} takes ${message.model ?? 'work'} now`, now, RETRY_AFTER_OVERLOAD_MS);
 		}
 
-		if (!couldEverHold(item.gang, this.servers.all())) {
+		if (!couldEverHold(item.gang, this.servers.holding(message.model))) {
 			return this.refuse('too_large', `${message.kvTokens} tokens do not fit into pool ${pool}`, now);
 		}
 
@@ -282,6 +282,8 @@
 	#grant(item: WaitingRequest, members: readonly GangMember[], now: number): Granted {
 		this.#queue.take(item.id);
 		this.#planner.forget(item);
+		const last = members.at(-1)!;
+		const firstTokenMs = last.server.estimateMs(item.rank, last.demand.prefillTokens, now);
 		for (const [index, {server, demand}] of members.entries()) {
 			server.reserve(demand, index === 0 ? 'unacknowledged' : 'inactive', now);
 		}
@@ -297,6 +299,7 @@
 			validForMs: GRANT_VALID_MS,
 			// Chunks of short prompts go before those of long ones; the priority class decides within a length class.
 			enginePriority: (lengthClasses.indexOf(item.lengthClass) * 10) + item.rank,
+			firstTokenMs,
 			summary: this.summary(now),
 		};
 	}
--- a/src/peer/protocol.ts
+++ b/src/peer/protocol.ts
@@ -21,6 +21,8 @@
 	sender: senderSchema,
 	pool: z.string(),
 	workspace: z.string(),
+	/** Model that the request names; absent for plain services. */
+	model: z.string().optional(),
 	/** Rank of the priority class, 0 first. */
 	priority: z.number().int(),
 	weight: z.number().positive(),
@@ -66,6 +68,8 @@
 		/** The grant is void this long after the reservation was asked for or last confirmed queued. */
 		validForMs: z.number(),
 		enginePriority: z.number().int(),
+		/** Estimated time from the grant to the first token. */
+		firstTokenMs: z.number().optional(),
 		summary: poolSummarySchema,
 	}),
 	z.object({
--- a/src/routing/reservation.ts
+++ b/src/routing/reservation.ts
@@ -26,6 +26,8 @@
 	/** More than one for a split prompt; the last one decodes. */
 	readonly servers: readonly GrantedServer[];
 	readonly enginePriority: number;
+	/** Estimated time in ms from the grant to the first token; undefined when it is not known. */
+	readonly firstTokenMs?: number | undefined;
 	/** Monotonic ms of this process from which on nothing may be sent under this grant. */
 	readonly validUntil: number;
 	readonly summary: PoolSummary;
@@ -69,4 +71,6 @@
 /** Asks coordinators for capacity. `reserve` does not throw; after an abort it resolves with `unreachable`. */
 export type PoolClient = {
 	reserve(request: ReservationRequest, options: ReserveOptions): Promise<ReservationOutcome>;
+	/** Whether the coordinator of `pool` answers within `timeoutMs`. Does not reject. */
+	isAlive(pool: string, timeoutMs: number): Promise<boolean>;
 };
--- a/testing/scenario/run-scenario.ts
+++ b/testing/scenario/run-scenario.ts
@@ -1,4 +1,6 @@
 /** Runs a scenario on a deployment of its own and checks its expectations and the invariants. */
+import {setMaxListeners} from 'node:events';
+import type {LogLevel} from '../../src/util/logger.js';
 import {Deployment} from '../deployment.js';
 import {checkInvariants, type Observations, type Violation} from '../invariants.js';
 import {countEnds} from '../load/summary.js';
@@ -20,6 +22,8 @@
 
 export type ScenarioOptions = {
 	readonly seed: number;
+	/** Least severe level that the daemons log. */
+	readonly logLevel?: LogLevel;
 	/** Called with one line for each event. */
 	readonly log?: (line: string) => void;
 };
@@ -40,7 +44,7 @@
 	const {configuration, deployment: {daemons, engines}, speed, startsWarm} = scenario;
 	const backendsPerDomain = Object.fromEntries(configuration.services.map(({name, kind}) => [name, kind === 'model' ? engines : 1]));
 	const deployment = await Deployment.create({
-		configuration, backendsPerDomain, daemonsPerDomain: daemons, seed: options.seed, speed, startsWarm, drainLagMs: DRAIN_LAG_MS,
+		configuration, backendsPerDomain, daemonsPerDomain: daemons, seed: options.seed, speed, startsWarm, drainLagMs: DRAIN_LAG_MS, daemonArgs: ['--log-level', options.logLevel ?? 'info'],
 	});
 	try {
 		return await new Run(scenario, options, deployment).play();
@@ -66,9 +70,12 @@
 		this.#stage = {
 			deployment, roster, board: FaultBoard.create(deployment), timeline: this.#timeline, configuration: scenario.configuration,
 		};
+		const signal = AbortSignal.timeout(scenario.durationMs + REST_LIMIT_MS);
+		// Each open call listens to it.
+		setMaxListeners(0, signal);
 		this.#observer = Observer.create(deployment, scenario);
 		this.#callers = Callers.create({
-			scenario, roster, timeline: this.#timeline, seed: options.seed, signal: AbortSignal.timeout(scenario.durationMs + REST_LIMIT_MS),
+			scenario, roster, timeline: this.#timeline, seed: options.seed, signal,
 		});
 	}
 
@@ -104,6 +111,7 @@
 
 	async #observe(): Promise<Observations> {
 		const engines = await this.#observer.engines();
+		this.#log('engines read');
 		return {
 			completions: this.#callers.completions,
 			plainCalls: this.#callers.plainCalls,
--- a/tests/service-levels.test.ts
+++ b/tests/service-levels.test.ts
@@ -3,9 +3,10 @@
 	describe, expect, it, vi,
 } from 'vitest';
 import {ConfigurationStore} from '../src/configuration/configuration-store.js';
+import {ConfigurationIndexes} from '../src/admission/configuration-index.js';
 import {createRequestObserver, type Completed} from '../src/daemon/request-observer.js';
-import {createObjectiveLookup} from '../src/service-levels/objective-lookup.js';
 import {failure, type Failure} from '../src/util/failure.js';
+import {createMetrics} from '../src/util/metrics.js';
 import {BudgetSlices, RETENTION_MS} from '../src/service-levels/budget-slices.js';
 import {computeBurn} from '../src/service-levels/burn-rate.js';
 import {LatencyRecorder} from '../src/service-levels/latency-recorder.js';
@@ -80,13 +81,14 @@
 	});
 });
 
-describe('service level observer', () => {
+describe('recording of requests', () => {
 	it('should follow the objective in force and leave out failures of the caller', () => {
 		const store = ConfigurationStore.create({onInvalid: vi.fn()});
-		const levels = ServiceLevels.create({daemon: 'a', objectiveOf: createObjectiveLookup(store), nowMs: 0});
-		const observer = createRequestObserver({
-			increment: vi.fn(), timing: vi.fn(), gauge: vi.fn(), close: vi.fn(),
-		}, levels);
+		const indexes = ConfigurationIndexes.create(store);
+		const levels = ServiceLevels.create({
+			daemon: 'a', nowMs: 0, objectiveOf: (service, lengthClass) => indexes.current()?.objective(service, lengthClass),
+		});
+		const observer = createRequestObserver(createMetrics(undefined), levels);
 		const finished: Completed = {kind: 'finished', tokens: 9, firstTokenAt: 600};
 		const observe = (outcome: Completed | Failure) => {
 			observer.observe({
