--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -140,6 +140,19 @@
 /** Name of the environment variable of a flag. */
 const variableOf = (flag: string): string => `FIREFLYPORT_${flag.replaceAll('-', '_').toUpperCase()}`;
 
+/** One setting as the operators' page lists it. `standard` is the default; undefined for a setting that has to be given. */
+export type SettingRow = {readonly flag: string; readonly variable: string; readonly standard: string | undefined};
+
+/** All settings, in the order of the help text. */
+export function listSettings(): readonly SettingRow[] {
+	return fieldNames.map(field => {
+		const {flag} = flags[field];
+		const absent = fields[field].safeParse(undefined);
+		const standard = absent.success ? String((absent.data as string | number | undefined) ?? 'none') : undefined;
+		return {flag: `--${flag}`, variable: variableOf(flag), standard: field === 'id' ? 'random' : standard};
+	});
+}
+
 /** Reads flags. Throws a {@link SettingsError} for one that is unknown, repeated or without a value. */
 function readFlags(argv: readonly string[]): Partial<Record<Field, string>> | 'help' {
 	const cli = cac('fireflyportd');
--- /dev/null
+++ b/tests/operator-page.test.ts
@@ -0,0 +1,22 @@
+import {readdirSync, readFileSync} from 'node:fs';
+import path from 'node:path';
+import {describe, expect, it} from 'vitest';
+import {listSettings} from '../src/daemon/settings.js';
+
+const root = path.resolve(import.meta.dirname, '..');
+const page = readFileSync(path.join(root, 'docs/operators.md'), 'utf8');
+
+describe('page for operators', () => {
+	it('should list each setting with its variable and default', () => {
+		const rows = [...page.matchAll(/^\| `(?<flag>--[a-z\-]+)` \| `(?<variable>[A-Z_]+)` \| (?<standard>\S+) \|/gmv)].map(({groups}) => ({...groups}));
+		expect(rows).toEqual(listSettings().map(row => ({...row, standard: row.standard ?? 'required'})));
+	});
+
+	it('should explain each event that is logged by name', () => {
+		const files = readdirSync(path.join(root, 'src'), {recursive: true, encoding: 'utf8'}).filter(file => file.endsWith('.ts'));
+		const texts = files.map(file => readFileSync(path.join(root, 'src', file), 'utf8'));
+		const events = texts.flatMap(text => [...text.matchAll(/(?:logger\??\.(?:error|warn|info|debug)|\blog)\('(?<event>[a-z_]+)'/gv)].map(({groups}) => groups!.event!));
+		expect(events.length).toBeGreaterThan(20);
+		expect([...new Set(events)].filter(event => !page.includes(`\`${event}\``))).toEqual([]);
+	});
+});
--- a/tests/pool-choice.test.ts
+++ b/tests/pool-choice.test.ts
@@ -2,7 +2,13 @@
 import {describe, expect, it} from 'vitest';
 import {orderPools, poolsOf, type PoolCandidate} from '../src/routing/pool-choice.js';
 import {splitPrompt} from '../src/routing/split-prompt.js';
-import {sampleModelService} from './fixtures/configurations.js';
+import type {Directory, PoolLease} from '../src/membership/directory.js';
+import {Reservations} from '../src/routing/reservations.js';
+import type {ReservationOutcome} from '../src/routing/reservation.js';
+import {monotonicMs} from '../src/util/clock.js';
+import {sampleConfiguration, sampleModelService} from './fixtures/configurations.js';
+import {GrantingPools} from './fixtures/pools.js';
+import {requestOf} from './support/capacity-fixtures.js';
 
 const candidate = fc.record({
 	failureDomain: fc.constantFrom('a', 'b', 'c'), coordinated: fc.boolean(), waitMs: fc.constantFrom(0, 20, 100, 500),
@@ -34,6 +40,45 @@
 	});
 });
 
+describe('reservations', () => {
+	it('should leave the queue of a pool that grants nothing for another one, and avoid it afterwards', async () => {
+		const self = {
+			id: 'd1', incarnation: 'i1', peerAddress: '', address: '', region: 'pt-norte', failureDomain: 'braga', renewal: 1, draining: false,
+		};
+		const lease: PoolLease = {
+			pool: '', owner: 'd1', incarnation: 'i1', peerAddress: '', epoch: 1, renewal: 1, unconfirmed: [],
+		};
+		const directory: Directory = {
+			self, members: () => [self], poolLease: () => lease, hosts: () => [], refresh: () => undefined,
+		};
+		const granting = new GrantingPools(['127.0.0.1:1']);
+		const asked: string[] = [];
+		const reservations = Reservations.create({
+			directory,
+			clock: monotonicMs,
+			configuration: {current: () => ({version: 1, configuration: sampleConfiguration()}), onChange: () => () => undefined},
+			client: {
+				async reserve(request, {signal}): Promise<ReservationOutcome> {
+					asked.push(request.pool.split('/')[0]!);
+					return request.pool.startsWith('braga')
+						? new Promise(resolve => {
+							signal.addEventListener('abort', () => {
+								resolve({kind: 'unreachable', message: 'cancelled'});
+							});
+						})
+						: granting.reserve(request);
+				},
+			},
+		});
+		const {id, pool, remainingMs, ...rest} = requestOf('x', {promptTokens: 50_000});
+		const reserve = async () => reservations.reserve(sampleModelService, {...rest, deadline: monotonicMs() + 20_000}, new AbortController().signal);
+		expect(await reserve()).toMatchObject({kind: 'granted'});
+		expect(await reserve()).toMatchObject({kind: 'granted'});
+		expect(asked).toHaveLength(3);
+		expect(asked.filter(domain => domain === 'braga')).toHaveLength(1);
+	});
+});
+
 describe('split prompts', () => {
 	it('should be whole again when their parts are joined', () => {
 		const text = fc.string({unit: 'grapheme', maxLength: 200});
