--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -30,22 +30,16 @@
 	logger.error('unexpected_error', {message: reason instanceof Error ? reason.stack : String(reason)});
 });
 
-let daemon: Daemon;
-try {
-	daemon = await Daemon.create(settings, {createParts, logger, metrics});
-} catch (err) {
-	logger.error('start_failed', {message: err instanceof Error ? err.message : String(err)});
-	process.exit(START_FAILED_EXIT_CODE);
-}
-
-let isDraining = false;
+const starting = Daemon.create(settings, {createParts, logger, metrics});
+let isLeaving = false;
 
 async function leave(): Promise<void> {
-	if (isDraining) {
+	if (isLeaving) {
 		return;
 	}
 
-	isDraining = true;
+	isLeaving = true;
+	const daemon = await starting;
 	await daemon.drain();
 	await metrics.close();
 	process.exit(0);
@@ -56,3 +50,10 @@
 		void leave();
 	});
 }
+
+try {
+	await starting;
+} catch (err) {
+	logger.error('start_failed', {message: err instanceof Error ? err.message : String(err)});
+	process.exit(START_FAILED_EXIT_CODE);
+}
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -3,6 +3,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import {withTimeLimit} from '../util/time-limit.js';
+import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
 import {PeerError} from './peer-error.js';
 import type {PeerRouter} from './peer-router.js';
 import {
@@ -14,9 +15,6 @@
 /** Time-out of calls that a peer answers at once. */
 const SHORT_CALL_TIMEOUT_MS = 2000;
 
-/** A keep-alive is also the test of whether the coordinator answers at all; waiting reservations depend on it. */
-const KEEP_ALIVE_TIMEOUT_MS = 1000;
-
 /** Added to the time for which a peer may hold a long poll or a queued reservation. */
 const ANSWER_MARGIN_MS = 1000;
 
@@ -33,9 +31,10 @@
  * A call that times out or is aborted closes its connection, so a stalled connection is not used again.
  */
 export class PeerClient implements PeerService {
-	static create(address: string): PeerClient {
+	static create(address: string, meter?: TrafficMeter): PeerClient {
 		// Connections are not capped: a queued reservation holds one, and must not delay a keep-alive.
-		const agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, connect: {timeout: CONNECT_TIMEOUT_MS, noDelay: true}});
+		const connect = createMeteredConnector({timeout: CONNECT_TIMEOUT_MS, noDelay: true}, meter);
+		const agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, connect});
 		return new PeerClient(address, agent);
 	}
 
@@ -70,7 +69,7 @@
 	}
 
 	async keepAlive(message: KeepAlive): Promise<KeepAliveAnswer> {
-		return this.#call('keepAlive', {timeoutMs: KEEP_ALIVE_TIMEOUT_MS}, async options =>
+		return this.#call('keepAlive', {timeoutMs: SHORT_CALL_TIMEOUT_MS}, async options =>
 			keepAliveAnswerSchema.parse(await this.#trpc.keepAlive.mutate(message, options)));
 	}
 
