Ask for changed host lists only, and give token shares to model pools only

Cause: the whole host list every 3 s is 56 kB/s for a daemon at 1,400 hosts (docs/CAPACITY.md); pools of plain services held half of a workspace's prompt tokens without a use, so workspaces were refused below their limit; a split prompt waited for a cold engine that no other request warmed. Ruled out: a longer interval between host lists, which delays the notice of a leaving host. Change: entity tags on the host list; prompt tokens divided by model pools; a cold engine first among equal ones. Before/after: an unchanged list is answered with 304 (test); share of the test workspace 0.5 before, 1 token/ms after.

--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -94,6 +94,11 @@
 		return this.#limits;
 	}
 
+	/** Whether the backend server is in cold start, as far as is known. */
+	get isCold(): boolean {
+		return this.#warmth.isCold;
+	}
+
 	/** Whether a listing (or load report of a plain service) is needed. */
 	get needsListing(): boolean {
 		return !this.#listed || this.#totals.orphans > 0;
--- a/src/capacity/placement.ts
+++ b/src/capacity/placement.ts
@@ -71,8 +71,15 @@
 	return {kind: best.fit === 'yes' ? 'placed' : best.fit, server: best.server};
 }
 
+/**
+ * A cold server comes first among equal ones: it becomes warm only by work, and split prompts wait for it without
+ * being able to warm it.
+ */
 const compare = (a: Candidate, b: Candidate): number =>
-	(order.indexOf(a.fit) - order.indexOf(b.fit)) || (a.estimateMs - b.estimateMs) || (a.server.totals.requests - b.server.totals.requests);
+	(order.indexOf(a.fit) - order.indexOf(b.fit))
+	|| (a.estimateMs - b.estimateMs)
+	|| (Number(b.server.isCold) - Number(a.server.isCold))
+	|| (a.server.totals.requests - b.server.totals.requests);
 
 /** Long prefill runs on a part of the pool only, so that short prompts find other servers. */
 export function isWithinQuota(servers: readonly BackendServerState[], context: PlacementContext): boolean {
--- a/src/capacity/server-warmth.ts
+++ b/src/capacity/server-warmth.ts
@@ -37,6 +37,10 @@
 		return this.#changedAtMs;
 	}
 
+	get isCold(): boolean {
+		return this.#state.kind === 'cold';
+	}
+
 	get boot(): string | undefined {
 		return this.#boot;
 	}
--- a/src/capacity/workspace-limits.ts
+++ b/src/capacity/workspace-limits.ts
@@ -31,9 +31,12 @@
 /**
  * Share of `workspace` in `pool`. The limits are divided by the pools of all services that the workspace uses, since
  * they hold for the whole system; the remainder of a division goes to pools in the order of their rendezvous hash.
+ * Prompt tokens are divided by the pools of model services only, since plain services use none.
  */
 export function shareOf(workspace: Workspace, pool: string, configuration: Configuration): WorkspaceShare {
-	const pools = configuration.services.filter(service => workspace.services.includes(service.name)).flatMap(service => allPoolsOf(service));
+	const services = configuration.services.filter(service => workspace.services.includes(service.name));
+	const pools = services.flatMap(service => allPoolsOf(service));
+	const modelPools = services.filter(service => service.kind === 'model').flatMap(service => allPoolsOf(service));
 	const {limits} = workspace;
 	const position = rankNodes(workspace.name, pools).indexOf(pool);
 	const whole = Math.floor(limits.concurrentRequests / pools.length);
@@ -41,7 +44,7 @@
 	return {
 		concurrentRequests: position < 0 ? 0 : whole + extra,
 		requestsPerMs: limits.requestsPerSecond / 1000 / pools.length,
-		promptTokensPerMs: limits.promptTokensPerMinute / MINUTE_MS / pools.length,
+		promptTokensPerMs: limits.promptTokensPerMinute / MINUTE_MS / Math.max(1, modelPools.length),
 	};
 }
 
--- a/src/platform/host-list.ts
+++ b/src/platform/host-list.ts
@@ -1,7 +1,8 @@
 /**
  * Interface to the platform's lagging list of backend server hosts.
  *
- * Protocol: `GET /v1/hosts` answers 200 `{version, hosts: [Host]}`.
+ * Protocol: `GET /v1/hosts` answers 200 `{version, hosts: [Host]}`. With `ETag` in the answer and `If-None-Match` in the
+ * next request, an unchanged list is answered with 304 (RFC 9110, section 13.1.2); servers may leave this out.
  */
 import {z} from 'zod';
 
--- a/src/platform/http-host-list.ts
+++ b/src/platform/http-host-list.ts
@@ -15,17 +15,28 @@
 		return new HttpHostList(JsonClient.create(options.baseUrl, options.caller, options.meter));
 	}
 
+	/** The last list that came with an entity tag. */
+	#known: {readonly etag: string; readonly list: HostList} | undefined;
+
 	private constructor(private readonly client: JsonClient) {}
 
-	/** Fetches the list once. Never throws. */
+	/** Fetches the list once. An unchanged list is not sent again where the server supports entity tags. Never throws. */
 	async fetchHosts(options: CallOptions): Promise<HostListOutcome> {
 		try {
-			const answer = await this.client.call({method: 'GET', path: '/v1/hosts'}, options);
+			const known = this.#known;
+			const headers = known ? {'if-none-match': known.etag} : undefined;
+			const answer = await this.client.call({method: 'GET', path: '/v1/hosts', headers}, options);
+			if (answer.status === 304 && known) {
+				return {kind: 'listed', list: known.list};
+			}
+
 			if (answer.status !== 200) {
 				throw new Error(`status ${answer.status}`);
 			}
 
-			return {kind: 'listed', list: hostListSchema.parse(answer.body)};
+			const list = hostListSchema.parse(answer.body);
+			this.#known = answer.etag === undefined ? undefined : {etag: answer.etag, list};
+			return {kind: 'listed', list};
 		} catch (err) {
 			return {kind: 'unavailable', message: `GET ${this.client.origin}/v1/hosts: ${describeError(err)}`};
 		}
--- a/src/platform/json-client.ts
+++ b/src/platform/json-client.ts
@@ -11,6 +11,8 @@
 export type JsonAnswer = {
 	readonly status: number;
 	readonly body: unknown;
+	/** Entity tag of the representation, where the server sends one (RFC 9110, section 8.8.3). */
+	readonly etag?: string;
 };
 
 /** One request. `path` includes the query. */
@@ -71,7 +73,8 @@
 				body: req.body === undefined ? undefined : JSON.stringify(req.body),
 				signal,
 			});
-			return {status: res.statusCode, body: await parseBody(res)};
+			const {etag} = res.headers;
+			return {status: res.statusCode, body: await parseBody(res), ...(typeof etag === 'string' ? {etag} : {})};
 		});
 	}
 
--- a/testing/stand-ins/host-list/host-list-stand-in.ts
+++ b/testing/stand-ins/host-list/host-list-stand-in.ts
@@ -90,7 +90,7 @@
 	}
 
 	async #read(exchange: Exchange): Promise<void> {
-		const {res} = exchange;
+		const {req, res} = exchange;
 		this.#reads++;
 		await delay(this.#faults.slowMs);
 		if (isCut(this.#faults.cutCallers, callerOf(exchange))) {
@@ -103,7 +103,14 @@
 			return;
 		}
 
-		sendJson(res, 200, this.#visible(monotonicMs()));
+		const list = this.#visible(monotonicMs());
+		const etag = `"${list.version}"`;
+		if (req.headers['if-none-match'] === etag) {
+			res.writeHead(304, {etag}).end();
+			return;
+		}
+
+		sendJson(res, 200, list, {etag});
 	}
 
 	async #patch({req, res, groups}: Exchange): Promise<void> {
--- a/tests/http-object-api.test.ts
+++ b/tests/http-object-api.test.ts
@@ -94,4 +94,26 @@
 		expect(await client.fetchHosts({timeoutMs: 1000})).toEqual({kind: 'listed', list: {version: 1, hosts: [host]}});
 		expect(await client.fetchHosts({timeoutMs: 1000})).toMatchObject({kind: 'unavailable'});
 	});
+
+	// Guards against 56 kB/s of host lists for each daemon at 1,400 hosts.
+	it('should not have an unchanged list sent again, and take the next changed one', async () => {
+		let version = 1;
+		const statuses: number[] = [];
+		const server = await HttpStandIn.start((req, res) => {
+			const etag = `"${version}"`;
+			const status = req.headers['if-none-match'] === etag ? 304 : 200;
+			statuses.push(status);
+			res.writeHead(status, {etag}).end(status === 304 ? undefined : JSON.stringify({version, hosts: []}));
+		});
+		const client = HttpHostList.create({baseUrl: server.url, caller: 'daemon-1'});
+		closers.push(async () => client.close(), async () => server.close());
+		const versions: unknown[] = [];
+		for (const next of [1, 1, 2]) {
+			version = next;
+			versions.push(await client.fetchHosts({timeoutMs: 1000}));
+		}
+
+		expect(versions).toMatchObject([1, 1, 2].map(expected => ({kind: 'listed', list: {version: expected}})));
+		expect(statuses).toEqual([200, 304, 200]);
+	});
 });
--- a/tests/workspace-limits.test.ts
+++ b/tests/workspace-limits.test.ts
@@ -34,4 +34,23 @@
 			expect(checks).toEqual([...Array.from({length: share}, () => 'within'), 'exceeded']);
 		}));
 	});
+
+	// Guards against prompt tokens given to pools of plain services, which cannot use them.
+	it('should divide prompt tokens between the pools of model services only', () => {
+		const plain = {
+			kind: 'plain' as const,
+			name: 'balcao',
+			failureDomains: ['braga'],
+			warm: {requests: 8},
+			cold: {requests: 2},
+			operationIdentity: 'unchecked' as const,
+			routes: [{
+				method: 'GET' as const, pathPrefix: '/', idempotent: true, timeoutMs: 1000,
+			}],
+			poolShards: 1,
+		};
+		const workspace = {...workspaceOf('orders', 1, {requestsPerSecond: 10, promptTokensPerMinute: 60_000, concurrentRequests: 4}), services: ['fio-lm', 'balcao']};
+		const configuration = configurationOf({services: [modelService, plain], workspaces: [workspace]});
+		expect(shareOf(workspace, POOL, configuration)).toMatchObject({promptTokensPerMs: 1, concurrentRequests: 2});
+	});
 });
