Give back-off, released ids, keep-alive entries and lease candidates files of their own

Ruled out: splitting the aggregate of a backend server itself, whose rules belong together. Change: moves only; the decision on what a lease holder may grant is a function of ages. Conclusion: behaviour unchanged.

--- a/src/capacity/backend-server-state.ts
+++ b/src/capacity/backend-server-state.ts
@@ -2,7 +2,9 @@
 import type {EngineListing} from '../backend/engine-protocol.js';
 import {isLong, lengthClassOf} from '../util/length-class.js';
 import {PrefillBacklog} from './prefill-backlog.js';
+import {ReleasedIds} from './released-ids.js';
 import {parseReservationId} from './reservation-id.js';
+import {ServerBackOff} from './server-back-off.js';
 import {
 	count, type Demand, emptyTotals, type Held, type HeldState, type LoadTotals,
 } from './server-load.js';
@@ -16,13 +18,6 @@
 /** Share of the request slots that only short prompts may use; others would keep them out until one finishes. */
 const SHORT_SLOT_SHARE = 0.25;
 
-const BACK_OFF_MIN_MS = 250;
-const BACK_OFF_MAX_MS = 30_000;
-
-/** Ids that were released are remembered this long, since a listing under way may still show them. */
-const RELEASED_MEMORY_MS = 5000;
-const RELEASED_MEMORY_ITEMS = 256;
-
 /**
  * Whether a demand fits now.
  * - `probe`: it would, after a fresh answer of `/health` that says warm
@@ -62,9 +57,10 @@
 	readonly models = new ServerModels();
 	readonly #listable: boolean;
 	readonly #held = new Map<string, Held>();
-	readonly #released = new Map<string, number>();
+	readonly #released = new ReleasedIds();
 	readonly #warmth = new ServerWarmth();
 	#limits: ServerLimits;
+	readonly #backOff = new ServerBackOff();
 	readonly #totals: LoadTotals = emptyTotals();
 	#backlog: PrefillBacklog;
 	/** Running requests of a plain service that no reservation explains. */
@@ -75,8 +71,6 @@
 	#listedFromMs = -Infinity;
 	#listed = false;
 	#warmProbeAtMs = -Infinity;
-	#failures = 0;
-	#retryAtMs = -Infinity;
 
 	private constructor(options: BackendServerOptions) {
 		this.id = options.id;
@@ -106,11 +100,11 @@
 
 	/** Whether grants are possible at all: accounted for, staying, and not backing off. */
 	isUsable(now: number): boolean {
-		return this.#accounted && !this.leaving && now >= this.#retryAtMs;
+		return this.#accounted && !this.leaving && !this.#backOff.isActive(now);
 	}
 
 	isBackingOff(now: number): boolean {
-		return now < this.#retryAtMs;
+		return this.#backOff.isActive(now);
 	}
 
 	isPrefilled(id: string): boolean {
@@ -200,8 +194,7 @@
 	acknowledge(id: string, answer: {readonly boot: string; readonly warm: boolean}, now: number): void {
 		this.#warmth.observe(answer.boot, answer.warm, now);
 		this.models.noteBoot(answer.boot);
-		this.#failures = 0;
-		this.#retryAtMs = -Infinity;
+		this.#backOff.noteSuccess();
 		this.markAcknowledged(id, now);
 	}
 
@@ -229,7 +222,7 @@
 		}
 
 		this.#remove(id);
-		this.#remember(id, now);
+		this.#released.add(id, now);
 		if (failed) {
 			this.noteFailure(now);
 		}
@@ -237,8 +230,7 @@
 
 	/** The server did not answer or failed: no grants for a time that doubles with each failure in a row. */
 	noteFailure(now: number): void {
-		this.#failures++;
-		this.#retryAtMs = now + Math.min(BACK_OFF_MAX_MS, BACK_OFF_MIN_MS * (2 ** (this.#failures - 1)));
+		this.#backOff.noteFailure(now);
 	}
 
 	/** Nobody answers for the reservation any more; it counts until the server is known to have dropped it. */
@@ -276,7 +268,7 @@
 	/** Takes over an engine's listing that was asked for at `requestedAtMs`. What it shows and no daemon claims becomes an orphan. */
 	applyListing(listing: EngineListing, requestedAtMs: number, now: number): void {
 		this.#warmth.observe(listing.boot, listing.warm, now);
-		this.#forgetReleased(now);
+		this.#released.forgetOld(now);
 		const shown = new Set<string>();
 		for (const stream of listing.streams) {
 			const prefilling = stream.state === 'queued' || stream.state === 'prefill';
@@ -382,21 +374,6 @@
 		return id;
 	}
 
-	#remember(id: string, now: number): void {
-		this.#released.set(id, now);
-		if (this.#released.size >= RELEASED_MEMORY_ITEMS) {
-			this.#forgetReleased(now);
-		}
-	}
-
-	#forgetReleased(now: number): void {
-		for (const [id, releasedAtMs] of this.#released) {
-			if (now - releasedAtMs > RELEASED_MEMORY_MS) {
-				this.#released.delete(id);
-			}
-		}
-	}
-
 	#put(held: Held): void {
 		this.#remove(held.demand.id);
 		this.#held.set(held.demand.id, held);
--- a/src/capacity/lease-takeover.ts
+++ b/src/capacity/lease-takeover.ts
@@ -1,6 +1,7 @@
 /** Decides when a daemon may take over the lease of a pool. */
 import type {PoolLease} from '../membership/directory.js';
 import {rankNodes} from '../util/rendezvous.js';
+import type {GrantMode} from './usable-share.js';
 
 /** Validity of a lease, counted by its holder from before the renewal was sent. */
 export const LEASE_TTL_MS = 6000;
@@ -65,3 +66,21 @@
 	// The owner may hold promises of the candidates that it knows; this daemon is not one of them.
 	return unchangedMs >= expiredMs + UNANIMITY_MAX_MS;
 }
+
+/** How long ago the holder of a lease last had proof that nobody replaced it. */
+export type LeaseAges = {
+	/** Since before the last renewal was sent, in ms. */
+	readonly renewalMs: number;
+	/** Since before the last promises of all candidates were asked for, in ms. */
+	readonly promiseMs: number;
+};
+
+/** What the holder of a lease may grant. */
+export function modeOf({renewalMs, promiseMs}: LeaseAges, unconfirmed: number): GrantMode {
+	if (renewalMs < LEASE_TTL_MS || (promiseMs < LEASE_TTL_MS && renewalMs < UNANIMITY_MAX_MS)) {
+		return {kind: 'full', unconfirmed};
+	}
+
+	const inContact = Math.min(renewalMs, promiseMs) < DISCONNECTED_MAX_MS;
+	return inContact && renewalMs < UNANIMITY_MAX_MS + DISCONNECTED_MAX_MS ? {kind: 'disconnected', unconfirmed} : {kind: 'none'};
+}
--- a/src/capacity/pool-admission.ts
+++ b/src/capacity/pool-admission.ts
@@ -13,6 +13,7 @@
 import {GRANT_VALID_MS} from './lease-takeover.js';
 import type {PlacementContext} from './placement.js';
 import {PoolServers} from './pool-servers.js';
+import {demandAt, type OpenEntry, stateAt} from './open-entry.js';
 import {PrefixIndex} from './prefix-index.js';
 import {type OpenReservation, ReservationBook} from './reservation-book.js';
 import type {Demand, HeldState} from './server-load.js';
@@ -53,8 +54,6 @@
 	readonly startedAtMs: number;
 };
 
-type OpenEntry = KeepAlive['open'][number];
-
 export class PoolAdmission {
 	static create(options: PoolAdmissionOptions): PoolAdmission {
 		return new PoolAdmission(options);
@@ -399,15 +398,3 @@
 		};
 	}
 }
-
-/** What a listed reservation holds at its server of position `index`. The last one also holds the generated tokens. */
-function demandAt({id, servers, serverTokens, promptTokens, kvTokens, lengthClass}: OpenEntry, index: number): Demand {
-	const prefillTokens = serverTokens?.[index] ?? promptTokens;
-	const generated = index === servers.length - 1 ? kvTokens - promptTokens : 0;
-	return {
-		id, rank: 0, long: isLong(lengthClass), prefillTokens, kvTokens: prefillTokens + generated,
-	};
-}
-
-const stateAt = ({acknowledged, serverStates}: OpenEntry, index: number): HeldState =>
-	serverStates?.[index] ?? (acknowledged ? 'acknowledged' : 'unacknowledged');
--- a/src/capacity/pool-lease.ts
+++ b/src/capacity/pool-lease.ts
@@ -4,17 +4,17 @@
  * The holder counts the TTL from before it sent the renewal, others from after they saw it, so a takeover never
  * precedes the end of the holder's TTL, provided that monotonic clocks run at the same rate.
  */
-import {type Member, type PoolLease, poolLeaseSchema} from '../membership/directory.js';
+import {type PoolLease, poolLeaseSchema} from '../membership/directory.js';
 import type {SeenLease} from '../membership/region-directory.js';
 import type {ObjectApi, WriteCondition} from '../platform/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
-import {rankNodes} from '../util/rendezvous.js';
+import {LeaseCandidates} from './lease-candidates.js';
 import {
 	askForPromises, askToStepDown, type LeaseDirectory, type LeasePeers, type Predecessor, predecessorName,
 } from './lease-peers.js';
 import {
-	chooseCandidates, DISCONNECTED_MAX_MS, GRANT_VALID_MS, LEASE_TTL_MS, mayTakeOver, TAKEOVER_MARGIN_MS, UNANIMITY_MAX_MS,
+	DISCONNECTED_MAX_MS, GRANT_VALID_MS, LEASE_TTL_MS, mayTakeOver, modeOf, TAKEOVER_MARGIN_MS,
 } from './lease-takeover.js';
 import type {GrantMode} from './usable-share.js';
 
@@ -92,7 +92,11 @@
 	#timer: NodeJS.Timeout | undefined;
 	#step: Promise<void> = Promise.resolve();
 
-	private constructor(private readonly options: PoolLeaseOptions) {}
+	readonly #candidates: LeaseCandidates;
+
+	private constructor(private readonly options: PoolLeaseOptions) {
+		this.#candidates = new LeaseCandidates(options);
+	}
 
 	/** Epoch of the lease that this daemon holds or held last without knowing a successor; undefined otherwise. */
 	get epoch(): number | undefined {
@@ -105,15 +109,8 @@
 			return {kind: 'none'};
 		}
 
-		const unconfirmed = this.#held.lease.unconfirmed.length;
-		const ageMs = now - this.#held.renewedAtMs;
-		const promiseAgeMs = now - this.#promisedAtMs;
-		if (ageMs < LEASE_TTL_MS || (promiseAgeMs < LEASE_TTL_MS && ageMs < UNANIMITY_MAX_MS)) {
-			return {kind: 'full', unconfirmed};
-		}
-
-		const sinceContactMs = Math.min(ageMs, promiseAgeMs);
-		return sinceContactMs < DISCONNECTED_MAX_MS && ageMs < UNANIMITY_MAX_MS + DISCONNECTED_MAX_MS ? {kind: 'disconnected', unconfirmed} : {kind: 'none'};
+		const {lease, renewedAtMs} = this.#held;
+		return modeOf({renewalMs: now - renewedAtMs, promiseMs: now - this.#promisedAtMs}, lease.unconfirmed.length);
 	}
 
 	/** Starts to watch the lease, and to renew it once acquired. */
@@ -236,7 +233,7 @@
 			...held.lease,
 			renewal,
 			unconfirmed: held.lease.unconfirmed.filter(predecessor => !this.#isSettled(predecessor)),
-			candidates: this.#candidates(),
+			candidates: this.#candidates.names(),
 		};
 		await this.#attempt(lease, {kind: 'version', version: held.version});
 		if (this.#held?.lease.epoch === held.lease.epoch && this.options.clock() - this.#held.renewedAtMs >= RENEWAL_INTERVAL_MS) {
@@ -266,7 +263,7 @@
 		const sinceMs = seen?.firstSeenMs ?? this.#absentSinceMs ?? now;
 		const ownerSuperseded = seen !== undefined && this.#isSuperseded(seen.lease.owner, seen.lease.incarnation, sinceMs);
 		if (mayTakeOver({
-			lease: seen?.lease, unchangedMs: now - sinceMs, self, rank: this.#rank(seen?.lease.owner), ownerSuperseded,
+			lease: seen?.lease, unchangedMs: now - sinceMs, self, rank: this.#candidates.rank(seen?.lease.owner), ownerSuperseded,
 		})) {
 			await this.#takeOver(seen, ownerSuperseded);
 		}
@@ -288,7 +285,7 @@
 				: [...previous.unconfirmed, {
 					owner: previous.owner, incarnation: previous.incarnation, peerAddress: previous.peerAddress,
 				}],
-			candidates: this.#candidates(),
+			candidates: this.#candidates.names(),
 		};
 		await this.#attempt(lease, seen ? {kind: 'version', version: seen.version} : {kind: 'absent'});
 		if (this.#held) {
@@ -416,21 +413,6 @@
 		return lease.owner === self.id && lease.incarnation === self.incarnation;
 	}
 
-	#others(): readonly Member[] {
-		const {directory, failureDomain} = this.options;
-		return directory.members().filter(member => member.failureDomain === failureDomain && !member.draining && member.id !== directory.self.id);
-	}
-
-	#candidates(): readonly string[] {
-		return chooseCandidates(this.options.pool, this.#others());
-	}
-
-	#rank(owner: string | undefined): number {
-		const {pool, directory: {self}} = this.options;
-		const ids = this.#others().map(member => member.id).filter(id => id !== owner);
-		return rankNodes(pool, [...ids, self.id]).indexOf(self.id);
-	}
-
 	async #write(lease: PoolLease, condition: WriteCondition) {
 		return this.options.objects.write(`pools/${this.options.pool}`, lease, condition, {timeoutMs: CALL_TIMEOUT_MS});
 	}
--- /dev/null
+++ b/src/capacity/server-back-off.ts
@@ -0,0 +1,24 @@
+/** Pause after failures of a backend server, which doubles with each failure in a row. */
+
+const MIN_MS = 250;
+const MAX_MS = 30_000;
+
+export class ServerBackOff {
+	#failures = 0;
+	#untilMs = -Infinity;
+
+	/** Whether nothing should be sent at `now`. */
+	isActive(now: number): boolean {
+		return now < this.#untilMs;
+	}
+
+	noteFailure(now: number): void {
+		this.#untilMs = now + Math.min(MAX_MS, MIN_MS * (2 ** this.#failures));
+		this.#failures++;
+	}
+
+	noteSuccess(): void {
+		this.#failures = 0;
+		this.#untilMs = -Infinity;
+	}
+}
