Remove registrations of daemons that ended without doing so

Cause: hosts are replaced under new ids, and the registrations of the old ones stayed in every listing and in status. Ruled out: a shorter time than a disconnected coordinator may go on (10 min). Change: a registration that has not changed for 15 min of listed time is removed by one chosen daemon, conditionally.

--- a/src/membership/member-view.ts
+++ b/src/membership/member-view.ts
@@ -5,6 +5,9 @@
 /** A member is dropped when its registration has not changed for this long. */
 export const MEMBER_TIMEOUT_MS = 35_000;
 
+/** A registration that has not changed for this long may be removed; longer than a disconnected coordinator goes on. */
+const REMOVABLE_AFTER_MS = 900_000;
+
 /** Time between two listings that counts at most; longer gaps are outages, in which nobody could renew. */
 const COUNTED_GAP_MS = 6000;
 
@@ -56,6 +59,11 @@
 		return this.#listedAtMs;
 	}
 
+	/** Whether the registration of `id` belongs to a daemon that ended without removing it. */
+	isRemovable(id: string): boolean {
+		return id !== this.selfId && (this.#entries.get(id)?.unchangedMs ?? 0) >= REMOVABLE_AFTER_MS;
+	}
+
 	/** Says what became of an incarnation of a daemon. An absent daemon is `gone` after the member time-out. */
 	incarnationState(id: string, incarnation: string): IncarnationState {
 		const entry = this.#entries.get(id);
--- a/src/membership/region-directory.ts
+++ b/src/membership/region-directory.ts
@@ -4,8 +4,9 @@
 import type {ObjectApi, StoredObject} from '../platform/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {chooseNode} from '../util/rendezvous.js';
 import {
-	type Directory, type Member, type PoolLease, poolLeaseSchema,
+	type Directory, type Member, memberSchema, type PoolLease, poolLeaseSchema,
 } from './directory.js';
 import type {HostListSource} from './host-list-source.js';
 import {type IncarnationState, MemberView} from './member-view.js';
@@ -171,6 +172,22 @@
 		const objects = await this.#list(`members/${this.self.region}/`);
 		if (objects) {
 			this.#view.applyListing(objects, this.options.clock());
+			await this.#removeEnded(objects);
+		}
+	}
+
+	/**
+	 * Removes registrations of daemons that ended without doing so, for example with their hosts; otherwise they would
+	 * stay in every listing. One daemon is chosen for each; the condition keeps a registration that was renewed meanwhile.
+	 */
+	async #removeEnded(objects: readonly StoredObject[]): Promise<void> {
+		const members = this.members().map(member => member.id);
+		for (const {key, version, value} of objects) {
+			const parsed = memberSchema.safeParse(value);
+			if (parsed.success && this.#view.isRemovable(parsed.data.id) && chooseNode(key, members) === this.self.id) {
+				const outcome = await this.options.objects.remove(key, version, {timeoutMs: CALL_TIMEOUT_MS});
+				this.options.logger.info('member_removed', {key, outcome: outcome.kind});
+			}
 		}
 	}
 
--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -43,6 +43,20 @@
 		expect(other.members().map(({id}) => id)).toEqual(['d1', 'd2']);
 	});
 
+	// Guards against registrations of lost hosts that stay in every listing.
+	it('should be removable 15 min after the last renewal, and never while they renew or when nobody can', () => {
+		const view = new MemberView('d1');
+		follow(view, 0, 890_000, ['d1']);
+		expect(view.isRemovable('d2')).toBe(false);
+		follow(view, 893_000, 930_000, ['d1']);
+		expect(['d1', 'd2'].map(id => view.isRemovable(id))).toEqual([false, true]);
+		follow(view, 933_000, 933_000, ['d1', 'd2']);
+		expect(view.isRemovable('d2')).toBe(false);
+		const cutOff = new MemberView('d1');
+		follow(cutOff, 0, 2_000_000, []);
+		expect(cutOff.isRemovable('d2')).toBe(false);
+	});
+
 	it('should count as replaced by a newer incarnation, and as gone only after an absence of 35 s', () => {
 		const view = new MemberView('d1');
 		view.applyListing([member('d1', 1), member('d2', 1, 'i2')], 0);
