Keep test fixtures in one folder

Cause: two folders held fixtures, and two fakes of the object API had one file name. Ruled out: merging the fakes now; they fail in different ways. Change: moves only. Before/after: the same tests pass. Conclusion: one place to look.

--- a/tests/membership.test.ts
+++ b/tests/membership.test.ts
@@ -3,9 +3,9 @@
 import {MemberRegistry} from '../src/membership/member-registry.js';
 import {MEMBER_TIMEOUT_MS, MemberView} from '../src/membership/member-view.js';
 import {groupByPool, shardOf} from '../src/membership/pool-shards.js';
-import {configurationOf, modelService, silentLogger} from './support/capacity-fixtures.js';
-import {hostsOf} from './support/daemon-fixture.js';
-import {MemoryObjects} from './support/memory-object-api.js';
+import {configurationOf, modelService, silentLogger} from './fixtures/capacity-fixtures.js';
+import {hostsOf} from './fixtures/daemon-fixture.js';
+import {MemoryObjects} from './fixtures/memory-objects.js';
 
 const member = (id: string, renewal: number, incarnation = 'i1') => ({
 	key: id,
--- a/tests/peer.test.ts
+++ b/tests/peer.test.ts
@@ -5,7 +5,7 @@
 import {PeerError} from '../src/peer/peer-error.js';
 import {createPeerServer, type PeerServer} from '../src/peer/peer-server.js';
 import type {PeerService, Reserve} from '../src/peer/protocol.js';
-import {requestOf} from './support/capacity-fixtures.js';
+import {requestOf} from './fixtures/capacity-fixtures.js';
 
 const sender = {id: 'd1', incarnation: 'i1', peerAddress: '127.0.0.1:1'};
 const refuse = async (): Promise<never> => {
--- a/tests/pool-admission.test.ts
+++ b/tests/pool-admission.test.ts
@@ -4,8 +4,8 @@
 import type {ReservationRequest} from '../src/capacity/pool-reservation.js';
 import type {ModelService} from '../src/configuration/schema.js';
 import type {ReserveAnswer} from '../src/peer/protocol.js';
-import {configurationOf, modelService, requestOf} from './support/capacity-fixtures.js';
-import {hostsOf} from './support/daemon-fixture.js';
+import {configurationOf, modelService, requestOf} from './fixtures/capacity-fixtures.js';
+import {hostsOf} from './fixtures/daemon-fixture.js';
 
 const sender = {id: 'd1', incarnation: 'i1', peerAddress: 'x'};
 const FULL = {kind: 'full', unconfirmed: 0} as const;
--- a/tests/pool-choice.test.ts
+++ b/tests/pool-choice.test.ts
@@ -8,7 +8,7 @@
 import {monotonicMs} from '../src/util/clock.js';
 import {sampleConfiguration, sampleModelService} from './fixtures/configurations.js';
 import {GrantingPools} from './fixtures/pools.js';
-import {requestOf} from './support/capacity-fixtures.js';
+import {requestOf} from './fixtures/capacity-fixtures.js';
 
 const candidate = fc.record({
 	failureDomain: fc.constantFrom('a', 'b', 'c'), coordinator: fc.constantFrom('known', 'unknown', 'silent'), waitMs: fc.constantFrom(0, 20, 100, 500),
--- a/tests/pool-coordination.test.ts
+++ b/tests/pool-coordination.test.ts
@@ -2,11 +2,11 @@
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import {monotonicMs} from '../src/util/clock.js';
-import {requestOf} from './support/capacity-fixtures.js';
+import {requestOf} from './fixtures/capacity-fixtures.js';
 import {
 	coordinatorOf, type DaemonFixture, hostsOf, POOL, startDaemon,
-} from './support/daemon-fixture.js';
-import {MemoryObjects} from './support/memory-object-api.js';
+} from './fixtures/daemon-fixture.js';
+import {MemoryObjects} from './fixtures/memory-objects.js';
 
 const daemons: DaemonFixture[] = [];
 
--- a/tests/pool-limits.test.ts
+++ b/tests/pool-limits.test.ts
@@ -2,8 +2,8 @@
 import {
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
-import {modelService} from './support/capacity-fixtures.js';
-import {PoolWorld} from './support/pool-world.js';
+import {modelService} from './fixtures/capacity-fixtures.js';
+import {PoolWorld} from './fixtures/pool-world.js';
 
 type Command = (world: PoolWorld) => Promise<void> | void;
 
--- a/tests/pool-queue.test.ts
+++ b/tests/pool-queue.test.ts
@@ -4,7 +4,7 @@
 import {type Waiting, WaitQueue} from '../src/capacity/wait-queue.js';
 import {shareOf, WorkspaceLimits} from '../src/capacity/workspace-limits.js';
 import {poolsOf} from '../src/membership/pool-shards.js';
-import {configurationOf, modelService, workspaceOf} from './support/capacity-fixtures.js';
+import {configurationOf, modelService, workspaceOf} from './fixtures/capacity-fixtures.js';
 
 const waiting = (id: string, fields: Partial<Waiting> = {}): Waiting => ({
 	id, workspace: 'orders', weight: 1, rank: 5, lengthClass: 'short', lane: 'short', cost: 1000, arrivedAtMs: 0, deadlineMs: 10_000, ...fields,
--- a/tests/workspace-limits.test.ts
+++ b/tests/workspace-limits.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {shareOf, WorkspaceLimits} from '../src/capacity/workspace-limits.js';
-import {configurationOf, modelService, workspaceOf} from './support/capacity-fixtures.js';
+import {configurationOf, modelService, workspaceOf} from './fixtures/capacity-fixtures.js';
 
 const POOL = 'braga/fio-lm/0';
 const MODE = {kind: 'full', unconfirmed: 0} as const;
