--- a/testing/bench/first-token.ts
+++ b/testing/bench/first-token.ts
@@ -1,5 +1,5 @@
 /** Time to first token by prompt length, at several loads, against blind baselines on the same arrivals. */
-import {drawArrivals, letterMix, type ArrivalPlan} from '../load/arrivals.js';
+import {drawArrivals, plannedMix, type ArrivalPlan} from '../load/arrivals.js';
 import type {CompletionRecord} from '../load/completion-client.js';
 import {countEnds, firstTokenByClass} from '../load/summary.js';
 import type {Measure, MeasureOptions} from './measure.js';
@@ -58,7 +58,7 @@
 
 async function measureLoad(fixture: ModelFixture, label: string, load: number, {seed, log}: MeasureOptions): Promise<readonly Row[]> {
 	const plan: ArrivalPlan = {
-		seed, durationMs: DURATION_MS, requestsPerSecond: fixture.saturationPerSecond * load, mix: letterMix, maxTokens: ANSWER_TOKENS,
+		seed, durationMs: DURATION_MS, requestsPerSecond: fixture.saturationPerSecond * load, mix: plannedMix, maxTokens: ANSWER_TOKENS,
 	};
 	const arrivals = drawArrivals(plan);
 	const runs: Partial<Record<Policy, readonly CompletionRecord[]>> = {};
--- a/testing/load/arrivals.ts
+++ b/testing/load/arrivals.ts
@@ -19,7 +19,7 @@
 export type MixPart = LengthRange & {readonly share: number};
 
 /** One in fifty prompts is above 100 k tokens, the others are between 1 k and 100 k. */
-export const letterMix: readonly MixPart[] = [
+export const plannedMix: readonly MixPart[] = [
 	{share: 0.98, fromTokens: 1000, toTokens: 100_000},
 	{share: 0.02, fromTokens: 100_000, toTokens: 1_000_000},
 ];
