--- a/src/capacity/prefill-backlog.ts
+++ b/src/capacity/prefill-backlog.ts
@@ -2,6 +2,9 @@
 
 const RANKS = 10;
 
+/** Usual number of prompt tokens that an engine prefills in one step. A more urgent prompt waits for the step under way. */
+const STEP_TOKENS = 2048;
+
 /** Work drains at the prefill rate, the most urgent first. */
 export class PrefillBacklog {
 	readonly #tokens = Array.from({length: RANKS}, () => 0);
@@ -26,7 +29,10 @@
 		}
 	}
 
-	/** Milliseconds until work of `rank` or more urgent and then `tokens` of its own would be prefilled. */
+	/**
+	 * Milliseconds until work of `rank` or more urgent and then `tokens` of its own would be prefilled. Less urgent work
+	 * counts with half a step, so that an idle server goes before one that prefills a long prompt.
+	 */
 	estimateMs(rank: number, tokens: number, now: number): number {
 		this.#drain(now);
 		let ahead = 0;
@@ -34,7 +40,9 @@
 			ahead += this.#tokens[index]!;
 		}
 
-		return (ahead + tokens) * 1000 / this.tokensPerSecond;
+		const isStepUnderWay = this.#tokens.slice(rank + 1).some(less => less > 0);
+		const stepTokens = isStepUnderWay ? STEP_TOKENS / 2 : 0;
+		return (ahead + stepTokens + tokens) * 1000 / this.tokensPerSecond;
 	}
 
 	#drain(now: number): void {
