Print the object API's address of a demo that stays up

Ruled out: nothing. Before/after: status, report burn and the printed curl line were run against the demo.

--- a/testing/demo.ts
+++ b/testing/demo.ts
@@ -195,6 +195,7 @@
 	const body = JSON.stringify({
 		model: model.models[0]!.name, prompt: 'Summarise the last order', max_tokens: 8, stream: true,
 	});
+	console.log(`object API at ${deployment.objectApi.url}, for the command-line tool: --object-api ${deployment.objectApi.url}`);
 	console.log('Try, and end with Ctrl+C:');
 	console.log(`curl -sN ${deployment.daemons[0]!.process.url}/v1/completions -H 'authorization: Bearer ${apiKey}' -H 'content-type: application/json' -d '${body}'`);
 }
