Let the time limit of a call use the limited signal

Cause: withTimeLimit and LimitedSignal each linked a timer and a caller's signal to a controller, cleaned up the same way; a test declared a model service that a fixture already has. Ruled out: one function for both uses, since a limited signal outlives a single call. Change: withTimeLimit is built on LimitedSignal, which now holds TimeLimitError; the test of orders uses the fixture.

--- a/src/routing/reservations.ts
+++ b/src/routing/reservations.ts
@@ -4,9 +4,8 @@
 import type {Directory} from '../membership/directory.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
-import {LimitedSignal} from '../util/limited-signal.js';
+import {LimitedSignal, TimeLimitError} from '../util/limited-signal.js';
 import {pause} from '../util/pause.js';
-import {TimeLimitError} from '../util/time-limit.js';
 import {askPools, type Refusals} from './ask-race.js';
 import {CoordinatorWatch} from './coordinator-watch.js';
 import {
--- a/src/util/limited-signal.ts
+++ b/src/util/limited-signal.ts
@@ -1,5 +1,13 @@
 /** An abort signal with a time limit, linked to the signal of a caller. */
-import {TimeLimitError} from './time-limit.js';
+
+/** The reason with which a limited signal is aborted when the time is over. */
+export class TimeLimitError extends Error {
+	override readonly name = 'TimeLimitError';
+
+	constructor(readonly timeoutMs: number) {
+		super(`no answer within ${timeoutMs} ms`);
+	}
+}
 
 /** Aborts after a time with a {@link TimeLimitError}, or together with its parent. Used where the work goes on to end by itself. */
 export class LimitedSignal {
--- a/src/util/time-limit.ts
+++ b/src/util/time-limit.ts
@@ -1,4 +1,5 @@
 /** Runs a call under a time limit and a caller's cancellation, and leaves no timer or listener behind. */
+import {LimitedSignal} from './limited-signal.js';
 
 /** Time limit and cancellation of one call. */
 export type TimeLimit = {
@@ -6,38 +7,16 @@
 	readonly signal?: AbortSignal;
 };
 
-/** The reason with which the signal of {@link withTimeLimit} is aborted when the time is over. */
-export class TimeLimitError extends Error {
-	override readonly name = 'TimeLimitError';
-
-	constructor(readonly timeoutMs: number) {
-		super(`no answer within ${timeoutMs} ms`);
-	}
-}
-
 /**
  * Calls `call` with a signal that aborts after `timeoutMs` or together with `signal`, and then rejects with its reason,
  * even when `call` does not heed the signal.
  */
 export async function withTimeLimit<T>(limit: TimeLimit, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
-	const controller = new AbortController();
-	const cancel = () => {
-		controller.abort(limit.signal?.reason);
-	};
-
-	const timer = setTimeout(() => {
-		controller.abort(new TimeLimitError(limit.timeoutMs));
-	}, limit.timeoutMs);
-	limit.signal?.addEventListener('abort', cancel);
-	if (limit.signal?.aborted) {
-		cancel();
-	}
-
+	const limited = LimitedSignal.create(limit.timeoutMs, limit.signal);
 	try {
-		return await Promise.race([call(controller.signal), rejectOnAbort(controller.signal)]);
+		return await Promise.race([call(limited.signal), rejectOnAbort(limited.signal)]);
 	} finally {
-		clearTimeout(timer);
-		limit.signal?.removeEventListener('abort', cancel);
+		limited.close();
 	}
 }
 
--- a/tests/engine-orders.test.ts
+++ b/tests/engine-orders.test.ts
@@ -10,22 +10,9 @@
 import {LoadPermits} from '../src/orders/load-permits.js';
 import {ORDER_REPEAT_MS} from '../src/orders/order-plan.js';
 import {EngineStandIn} from '../testing/stand-ins/engine/engine-stand-in.js';
+import {modelService} from './fixtures/capacity-fixtures.js';
 
-const service: ModelService = {
-	kind: 'model',
-	name: 'fio-lm',
-	failureDomains: ['braga'],
-	models: [{name: 'fio-lm', version: '3'}],
-	warm: {requests: 8, prefillTokens: 100_000},
-	cold: {requests: 2, prefillTokens: 10_000},
-	kvTokens: 400_000,
-	prefillTokensPerSecond: 50_000,
-	decodeTokensPerSecond: 50,
-	longPromptShare: 0.5,
-	maxGangSize: 4,
-	fencing: 'ignored',
-	poolShards: 1,
-};
+const service: ModelService = {...modelService, models: [{name: 'fio-lm', version: '3'}], fencing: 'ignored'};
 
 const load = (models: readonly string[]): EngineLoad =>
 	({
