--- a/src/backend/checked-connector.ts
+++ b/src/backend/checked-connector.ts
@@ -12,8 +12,8 @@
 export type ConnectionCheck = () => string | undefined;
 
 /** A connector whose failures are {@link NotConnectedError}; `check` can refuse an open connection before its use. */
-export function createConnector(check: ConnectionCheck): buildConnector.connector {
-	const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+export function createConnector(check: ConnectionCheck, timeoutMs = CONNECT_TIMEOUT_MS): buildConnector.connector {
+	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...[err, socket]) => {
 			const refusal = err ? err.message : check();
--- a/src/capacity/backend-probe.ts
+++ b/src/capacity/backend-probe.ts
@@ -1,6 +1,6 @@
 /** What a coordinator asks backend servers directly. */
 import type {EngineListing} from '../backend/engine-protocol.js';
-import type {CallOptions} from '../platform/object-api.js';
+import type {CallOptions} from '../object-api/object-api.js';
 import type {LoadReport} from './backend-server-state.js';
 
 /** A backend server to ask. `address` is IP:PORT. */
--- a/src/capacity/pool-coordinator.ts
+++ b/src/capacity/pool-coordinator.ts
@@ -1,6 +1,6 @@
 /** Coordinates one pool while this daemon holds its lease. */
 import type {Configuration, Service} from '../configuration/schema.js';
-import type {Host} from '../platform/host-list.js';
+import type {Host} from '../object-api/host-list.js';
 import type {
 	Acknowledge, KeepAlive, KeepAliveAnswer, Release, Reserve, ReserveAnswer,
 } from '../peer/protocol.js';
--- a/src/capacity/pool-coordinators.ts
+++ b/src/capacity/pool-coordinators.ts
@@ -7,7 +7,7 @@
 import type {
 	Acknowledge, KeepAlive, KeepAliveAnswer, PeerService, PoolSummary, PromiseRequest, Release, Reserve, ReserveAnswer, StepDown,
 } from '../peer/protocol.js';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {BackendProbe} from './backend-probe.js';
--- a/src/capacity/pool-lease.ts
+++ b/src/capacity/pool-lease.ts
@@ -6,7 +6,7 @@
  */
 import {type PoolLease, poolLeaseSchema} from '../membership/directory.js';
 import type {SeenLease} from '../membership/region-directory.js';
-import type {ObjectApi, WriteCondition} from '../platform/object-api.js';
+import type {ObjectApi, WriteCondition} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {LeaseCandidates} from './lease-candidates.js';
--- a/src/capacity/pool-servers.ts
+++ b/src/capacity/pool-servers.ts
@@ -1,6 +1,6 @@
 /** The backend servers of one pool: follows the host list and the configuration. */
 import type {Service} from '../configuration/schema.js';
-import type {Host} from '../platform/host-list.js';
+import type {Host} from '../object-api/host-list.js';
 import {BackendServerState} from './backend-server-state.js';
 import type {ServerLimits} from './server-warmth.js';
 
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -1,5 +1,5 @@
 /** What each command of `fireflyport` declares, and what it is given when it runs. */
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {ExitCode} from './exit-codes.js';
 
 /** Streams and environment of the process. */
--- a/src/cli/daemons.ts
+++ b/src/cli/daemons.ts
@@ -1,6 +1,6 @@
 /** Asks all registered daemons for a report. */
 import {memberSchema, type Member} from '../membership/directory.js';
-import {describeError, JsonClient} from '../platform/json-client.js';
+import {describeError, JsonClient} from '../object-api/json-client.js';
 import {CommandError, type Call} from './command.js';
 import {EXIT} from './exit-codes.js';
 import {CALL_TIMEOUT_MS} from './stored-configuration.js';
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,7 +3,7 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {text} from 'node:stream/consumers';
-import {HttpObjectApi} from '../platform/http-object-api.js';
+import {HttpObjectApi} from '../object-api/http-object-api.js';
 import type {Io} from './command.js';
 import {runProgram} from './program.js';
 
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,6 +1,6 @@
 /** Parses a command line, runs its command and turns errors into messages and exit codes. */
 import {cac, type CAC} from 'cac';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import {
 	CommandError, type Call, type Command, type Io, type Output,
 } from './command.js';
--- a/src/configuration/apply-configuration.ts
+++ b/src/configuration/apply-configuration.ts
@@ -1,6 +1,6 @@
 /** Conditional write of a configuration, with the outcome resolved where an answer was lost. */
 import {isDeepStrictEqual} from 'node:util';
-import type {ObjectApi, ReadOutcome, WriteCondition} from '../platform/object-api.js';
+import type {ObjectApi, ReadOutcome, WriteCondition} from '../object-api/object-api.js';
 import type {Backoff} from '../util/backoff.js';
 import {pause} from '../util/pause.js';
 import {listDifferences, type Difference} from './configuration-differences.js';
--- a/src/configuration/change-domain.ts
+++ b/src/configuration/change-domain.ts
@@ -1,5 +1,5 @@
 /** Takes a failure domain out or in by read, change and conditional write. */
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import {pause} from '../util/pause.js';
 import {conditionOn, type ApplyOptions} from './apply-configuration.js';
 import {checkConfiguration} from './check-configuration.js';
--- a/src/configuration/configuration-delivery.ts
+++ b/src/configuration/configuration-delivery.ts
@@ -4,7 +4,7 @@
  * one other daemon of the region, so that a version that reached any reachable daemon goes on.
  */
 import type {Directory, Member} from '../membership/directory.js';
-import type {ObjectApi, ReadOutcome, WatchOutcome} from '../platform/object-api.js';
+import type {ObjectApi, ReadOutcome, WatchOutcome} from '../object-api/object-api.js';
 import type {ConfigurationPollAnswer, PeerService} from '../peer/protocol.js';
 import {Backoff} from '../util/backoff.js';
 import type {Clock} from '../util/clock.js';
--- a/src/daemon/completion-handler.ts
+++ b/src/daemon/completion-handler.ts
@@ -13,7 +13,7 @@
 import {
 	finishChunk, textChunk, usageChunk, wholeResponse, type CompletionFormat, type ResponseHead,
 } from './completion-responses.js';
-import {errorBody, sendJson} from './error-response.js';
+import {errorBody, sendJson} from '../http/error-response.js';
 import {EventStream} from './event-stream.js';
 import {parseBody, type BodyReader} from './request-body.js';
 import type {RequestObserver} from './request-observer.js';
--- a/src/daemon/http-front.ts
+++ b/src/daemon/http-front.ts
@@ -9,7 +9,7 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {openCall, type Call, type CallHandler} from './call.js';
-import {errorBody, sendFailure, statusOf} from './error-response.js';
+import {errorBody, sendFailure, statusOf} from '../http/error-response.js';
 import type {Lifecycle} from './lifecycle.js';
 import {formatEndpoint, type Endpoint} from './settings.js';
 
--- a/src/daemon/operation-parts.ts
+++ b/src/daemon/operation-parts.ts
@@ -9,7 +9,7 @@
 import {OperationExecutor} from '../operations/operation-executor.js';
 import type {PlainReservations} from '../operations/plain-call.js';
 import {PlainRouter} from '../operations/plain-router.js';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 
--- a/src/daemon/operator-handlers.ts
+++ b/src/daemon/operator-handlers.ts
@@ -2,7 +2,7 @@
 import type {ConfigurationIndexes} from '../admission/configuration-index.js';
 import type {Traffic} from '../util/traffic-meter.js';
 import type {CallHandler} from './call.js';
-import {sendJson} from './error-response.js';
+import {sendJson} from '../http/error-response.js';
 import type {Lifecycle} from './lifecycle.js';
 
 /** Facts of this daemon for `/status`. */
--- /dev/null
+++ b/src/fleet/fleet-view.ts
@@ -0,0 +1,82 @@
+/** The backend servers that may be used, from their registrations and from the failure domains that operators took out. */
+import type {BackendServer} from './backend-server.js';
+
+/**
+ * A registration that is missing after the store was away is kept for this time: servers whose registration lapsed
+ * meanwhile register again within about two seconds.
+ */
+const RETURN_TIME_MS = 2300;
+
+type Known = {
+	readonly server: BackendServer;
+	/** Set when the registration was found missing after an outage: time at which the server counts as gone. */
+	goneAt: number | undefined;
+};
+
+export class FleetView {
+	static create(): FleetView {
+		return new FleetView();
+	}
+
+	readonly #servers = new Map<string, Known>();
+	#domainsOut: ReadonlySet<string> = new Set();
+	#awayUntil = -Infinity;
+
+	private constructor() {}
+
+	/** Records a registration under its name. */
+	register(name: string, server: BackendServer): void {
+		this.#servers.set(name, {server, goneAt: undefined});
+	}
+
+	/** Records that a registration was removed. */
+	unregister(name: string, now: number): void {
+		const known = this.#servers.get(name);
+		if (!known) {
+			return;
+		}
+
+		if (now < this.#awayUntil + RETURN_TIME_MS) {
+			known.goneAt ??= this.#awayUntil + RETURN_TIME_MS;
+		} else {
+			this.#servers.delete(name);
+		}
+	}
+
+	/** Removes all registrations that a complete list does not name. */
+	retain(names: ReadonlySet<string>, now: number): void {
+		for (const name of this.#servers.keys()) {
+			if (!names.has(name)) {
+				this.unregister(name, now);
+			}
+		}
+	}
+
+	/** The store could not be read until `now`. */
+	noteOutage(now: number): void {
+		this.#awayUntil = now;
+	}
+
+	setDomainsOut(domains: ReadonlySet<string>): void {
+		this.#domainsOut = domains;
+	}
+
+	/** Servers of a service that may receive new work. */
+	usable(service: string, now: number): readonly BackendServer[] {
+		const usable: BackendServer[] = [];
+		for (const [name, {server, goneAt}] of this.#servers) {
+			if (goneAt !== undefined && now >= goneAt) {
+				this.#servers.delete(name);
+			} else if (server.service === service && !server.isDraining && !this.#domainsOut.has(server.failureDomain)) {
+				usable.push(server);
+			}
+		}
+
+		return usable;
+	}
+
+	/** Ids of all registered servers. */
+	ids(): ReadonlySet<string> {
+		return new Set([...this.#servers.values()].map(({server}) => server.id));
+	}
+}
--- /dev/null
+++ b/src/fleet/load-board.ts
@@ -0,0 +1,159 @@
+/**
+ * The work that all daemons have placed on backend servers, as far as this daemon knows.
+ *
+ * Load reports of backend servers lag by hundreds of ms; daemons therefore tell each other of each placement as they
+ * make it. The board is soft state: a lost message is corrected by the next snapshot of its daemon, and the entries of a
+ * daemon that has fallen silent are dropped.
+ */
+
+/** Entries of a daemon are dropped after this silence: three snapshots. */
+export const DAEMON_SILENCE_MS = 3500;
+
+/** One request on a backend server. */
+export type Placement = {
+	/** Unique for each send of a request. */
+	readonly id: string;
+	/** Id of the backend server that answers. */
+	readonly server: string;
+	/** Ids of the engines that prefill parts of its prompt. */
+	readonly helpers: readonly string[];
+	/** Prefill time in ms at each participant; 0 for calls. */
+	readonly prefillMs: number;
+	/** Tokens of memory at `server`: prompt and expected output. */
+	readonly contextTokens: number;
+	/** Longest pause between events in ms that is still on time; 0 for calls. */
+	readonly gapTargetMs: number;
+	/** Weight of the request against others when one of them has to be late. */
+	readonly weight: number;
+	/** Time in ms, from its placement, to the first event that is on time. */
+	readonly targetMs: number;
+};
+
+/** A placement as seen by this daemon. Times are on its monotonic clock. */
+export type BoardEntry = Placement & {
+	readonly daemon: string;
+	readonly placedAt: number;
+	/** Time of the first event; undefined while the prompt is being prefilled. */
+	readonly startedAt: number | undefined;
+};
+
+type DaemonEntries = {
+	lastHeardAt: number;
+	readonly entries: Map<string, BoardEntry>;
+};
+
+const noEntries: readonly BoardEntry[] = [];
+
+export class LoadBoard {
+	static create(): LoadBoard {
+		return new LoadBoard();
+	}
+
+	readonly #daemons = new Map<string, DaemonEntries>();
+	readonly #byServer = new Map<string, Map<string, BoardEntry>>();
+
+	private constructor() {}
+
+	/** Records a placement, or replaces it under the same id. */
+	open(daemon: string, placement: Placement, now: number, startedAt?: number): void {
+		const known = this.#of(daemon, now).entries.get(placement.id);
+		if (known) {
+			if (startedAt !== undefined && known.startedAt === undefined) {
+				this.start(daemon, placement.id, startedAt);
+			}
+
+			return;
+		}
+
+		this.#put({
+			...placement, daemon, placedAt: now, startedAt,
+		});
+	}
+
+	/** Records the first event. */
+	start(daemon: string, id: string, now: number): void {
+		const entry = this.#daemons.get(daemon)?.entries.get(id);
+		if (entry && entry.startedAt === undefined) {
+			this.#put({...entry, startedAt: now});
+		}
+	}
+
+	close(daemon: string, id: string): void {
+		const entries = this.#daemons.get(daemon)?.entries;
+		const entry = entries?.get(id);
+		if (entry) {
+			entries!.delete(id);
+			for (const server of participants(entry)) {
+				this.#byServer.get(server)?.delete(id);
+			}
+		}
+	}
+
+	/** Drops what `daemon` no longer lists in a snapshot. */
+	retain(daemon: string, ids: ReadonlySet<string>, now: number): void {
+		for (const id of this.#of(daemon, now).entries.keys()) {
+			if (!ids.has(id)) {
+				this.close(daemon, id);
+			}
+		}
+	}
+
+	/** Drops the entries of daemons other than `own` that have been silent. Returns their names. */
+	dropSilent(own: string, now: number): readonly string[] {
+		const silent = [...this.#daemons].filter(([daemon, {lastHeardAt}]) => daemon !== own && now - lastHeardAt > DAEMON_SILENCE_MS);
+		for (const [daemon, {entries}] of silent) {
+			for (const id of entries.keys()) {
+				this.close(daemon, id);
+			}
+
+			this.#daemons.delete(daemon);
+		}
+
+		return silent.map(([daemon]) => daemon);
+	}
+
+	/** Requests in which a backend server takes part, oldest first. */
+	on(server: string): readonly BoardEntry[] {
+		const entries = this.#byServer.get(server);
+		return entries === undefined || entries.size === 0 ? noEntries : [...entries.values()];
+	}
+
+	entriesOf(daemon: string): readonly BoardEntry[] {
+		return [...this.#daemons.get(daemon)?.entries.values() ?? noEntries];
+	}
+
+	/** Daemons that were heard lately, this one included once it has placed something. */
+	get daemons(): number {
+		return this.#daemons.size;
+	}
+
+	heard(daemon: string, now: number): void {
+		this.#of(daemon, now);
+	}
+
+	#of(daemon: string, now: number): DaemonEntries {
+		let known = this.#daemons.get(daemon);
+		if (!known) {
+			known = {lastHeardAt: now, entries: new Map()};
+			this.#daemons.set(daemon, known);
+		}
+
+		known.lastHeardAt = now;
+		return known;
+	}
+
+	#put(entry: BoardEntry): void {
+		this.#daemons.get(entry.daemon)!.entries.set(entry.id, entry);
+		for (const server of participants(entry)) {
+			let entries = this.#byServer.get(server);
+			if (!entries) {
+				entries = new Map();
+				this.#byServer.set(server, entries);
+			}
+
+			entries.set(entry.id, entry);
+		}
+	}
+}
+
+const participants = ({server, helpers}: Placement): ReadonlySet<string> => new Set([server, ...helpers]);
--- /dev/null
+++ b/src/forwarding/exchange.ts
@@ -0,0 +1,110 @@
+/**
+ * One request to a backend server on a connection of its own.
+ *
+ * A connection that served another request may be stale, may still deliver a late second answer, or may have gone silent.
+ * A new one costs a millisecond and rules out that bytes of one request reach another.
+ */
+import {Client, type Dispatcher} from 'undici';
+import {createConnector, NotConnectedError} from '../backend/checked-connector.js';
+
+export type ExchangeRequest = {
+	/** IP:PORT. */
+	readonly address: string;
+	readonly method: string;
+	/** Path and query. */
+	readonly path: string;
+	/** Names and values in turn. */
+	readonly headers: readonly string[];
+	readonly body: Uint8Array | undefined;
+};
+
+export type ExchangeHead = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+	/** Whether the end of the body can be told from a broken connection: a length or chunks. */
+	readonly isFramed: boolean;
+};
+
+/** Why an exchange ended. `not_connected` proves that nothing was sent. */
+export type ExchangeEnd =
+	| {readonly kind: 'complete'}
+	| {readonly kind: 'not_connected'; readonly message: string}
+	| {readonly kind: 'broken'; readonly message: string}
+	| {readonly kind: 'aborted'};
+
+export type ExchangeHandler = {
+	onHead(head: ExchangeHead): void;
+	onData(chunk: Uint8Array): void;
+	onEnd(end: ExchangeEnd): void;
+};
+
+/** A running exchange. `abort` closes its connection; the handler then gets `aborted`, once. */
+export type Exchange = {
+	abort(): void;
+	/** Stops and continues reading from the backend server. */
+	pause(): void;
+	resume(): void;
+};
+
+/** Starts an exchange. The handler is told of its end exactly once. */
+export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
+	const client = new Client(`http://${req.address}`, {
+		connect: createConnector(() => undefined, connectTimeoutMs),
+		pipelining: 1,
+		// The caller of this function decides on silence.
+		headersTimeout: 0,
+		bodyTimeout: 0,
+		maxHeaderSize: MAX_HEADER_BYTES,
+	});
+	let isEnded = false;
+	let controller: Dispatcher.DispatchController | undefined;
+	const end = (result: ExchangeEnd): void => {
+		if (!isEnded) {
+			isEnded = true;
+			client.destroy(new Error('exchange ended'), () => undefined);
+			handler.onEnd(result);
+		}
+	};
+
+	client.dispatch({
+		path: req.path,
+		method: req.method as Dispatcher.HttpMethod,
+		headers: [...req.headers],
+		body: req.body === undefined || req.body.length === 0 ? null : Buffer.from(req.body),
+		reset: true,
+	}, {
+		onRequestStart(started) {
+			controller = started;
+		},
+		onResponseStart(_controller, status, headers) {
+			if (!isEnded && status >= 200) {
+				handler.onHead({status, headers, isFramed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined});
+			}
+		},
+		onResponseData(_controller, chunk) {
+			if (!isEnded) {
+				handler.onData(chunk);
+			}
+		},
+		onResponseEnd() {
+			end({kind: 'complete'});
+		},
+		onResponseError(_controller, err) {
+			end(err instanceof NotConnectedError ? {kind: 'not_connected', message: err.message} : {kind: 'broken', message: err.message});
+		},
+	});
+	return {
+		abort() {
+			end({kind: 'aborted'});
+		},
+		pause() {
+			controller?.pause();
+		},
+		resume() {
+			controller?.resume();
+		},
+	};
+}
+
+/** Largest head of a response that is read: four times the limit for requests. */
+const MAX_HEADER_BYTES = 65_536;
--- /dev/null
+++ b/src/gateway/gateway-metrics.ts
@@ -0,0 +1,72 @@
+/** Counters and latency histograms of a gateway, served as text to those who ask (Prometheus exposition format). */
+import {createServer, type Server} from 'node:http';
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {FlowResult} from './request-flow.js';
+
+/** Upper bounds in ms; the targets of both users lie between 193 ms and 15 s. */
+const LATENCY_BUCKETS_MS = [25, 50, 100, 200, 300, 400, 600, 1000, 1500, 2500, 4000, 6000, 10_000, 15_000];
+
+export class GatewayMetrics {
+	static create(): GatewayMetrics {
+		return new GatewayMetrics();
+	}
+
+	readonly #registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'fireflyport_requests_total', help: 'Requests by service and outcome', labelNames: ['service', 'outcome'], registers: [this.#registry],
+	});
+
+	readonly #refusals = new Counter({
+		name: 'fireflyport_refusals_total', help: 'Requests refused before a server was chosen, by code', labelNames: ['code'], registers: [this.#registry],
+	});
+
+	readonly #latency = new Histogram({
+		name: 'fireflyport_request_ms', help: 'Time from the arrival of a request to its end in ms', labelNames: ['service'], buckets: LATENCY_BUCKETS_MS, registers: [this.#registry],
+	});
+
+	readonly #dropped = new Gauge({
+		name: 'fireflyport_log_lines_dropped', help: 'Log lines dropped because output was slow', registers: [this.#registry],
+	});
+
+	#server: Server | undefined;
+
+	private constructor() {}
+
+	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
+		this.#requests.inc({service, outcome});
+		this.#latency.observe({service}, ms);
+	}
+
+	countRefusal(code: string): void {
+		this.#refusals.inc({code});
+	}
+
+	setDroppedLines(lines: number): void {
+		this.#dropped.set(lines);
+	}
+
+	async text(): Promise<string> {
+		return this.#registry.metrics();
+	}
+
+	/** Serves the metrics on any path of `host:port`. */
+	listen(host: string, port: number, onError: (err: Error) => void): void {
+		this.#server = createServer((_req, res) => {
+			void this.#respond(res);
+		});
+		this.#server.on('error', onError);
+		this.#server.listen(port, host);
+	}
+
+	close(): void {
+		this.#server?.close();
+	}
+
+	async #respond(res: import('node:http').ServerResponse): Promise<void> {
+		const text = await this.text();
+		res.writeHead(200, {'content-type': this.#registry.contentType});
+		res.end(text);
+	}
+}
--- /dev/null
+++ b/src/gateway/gateway-settings.ts
@@ -0,0 +1,19 @@
+/** Settings of a gateway daemon, in the project's own names. */
+export type GatewaySettings = {
+	readonly daemon: string;
+	readonly ip: string;
+	readonly failureDomain: string;
+	/** Region of each failure domain. */
+	readonly regions: Readonly<Record<string, string>>;
+	/** IP:PORT for clients, and for the readiness checks of the balancer. */
+	readonly listen: string;
+	readonly readyListen: string;
+	/** UDP port of the load exchange, and TCP port of the metrics; the same on all daemons. */
+	readonly peerPort: number;
+	readonly metricsPort: number;
+	/** Time in ms between SIGTERM and SIGKILL. */
+	readonly stopGraceMs: number;
+	/** Repeats of requests at backend servers: a share of the requests, and a number that all daemons share. */
+	readonly retryShare: number;
+	readonly retrySlack: number;
+};
--- a/src/daemon/error-response.ts
+++ b/src/http/error-response.ts
@@ -56,10 +56,13 @@
 	res.end(text);
 }
 
-/** Sends a failure as a whole response. */
-export function sendFailure(res: ServerResponse, failed: Failure): void {
+/** Value of `Retry-After` in whole seconds (RFC 9110, section 10.2.3). */
+const wholeSeconds = (ms: number): string => String(Math.max(1, Math.ceil(ms / 1000)));
+
+/** Sends a failure as a whole response. `formatRetryAfter` is for callers that also read fractions of a second. */
+export function sendFailure(res: ServerResponse, failed: Failure, formatRetryAfter = wholeSeconds): void {
 	if (failed.retryAfterMs !== undefined) {
-		res.setHeader('retry-after', Math.max(1, Math.ceil(failed.retryAfterMs / 1000)));
+		res.setHeader('retry-after', formatRetryAfter(failed.retryAfterMs));
 	}
 
 	if (failed.ran !== 'not_run') {
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -1,6 +1,6 @@
 /** Views of members, pool leases and backend servers, as the other aggregates see them. */
 import {z} from 'zod';
-import type {Host} from '../platform/host-list.js';
+import type {Host} from '../object-api/host-list.js';
 
 /** One daemon, as it registers itself under `members/<region>/<failure domain>/<id>`. */
 export const memberSchema = z.object({
--- a/src/membership/host-list-source.ts
+++ b/src/membership/host-list-source.ts
@@ -1,6 +1,6 @@
 /** Access to the platform's host list, as membership needs it. */
-import type {HostList} from '../platform/host-list.js';
-import type {CallOptions} from '../platform/object-api.js';
+import type {HostList} from '../object-api/host-list.js';
+import type {CallOptions} from '../object-api/object-api.js';
 
 /** Outcome of one fetch. `unavailable` says nothing about the hosts. */
 export type HostListOutcome =
--- a/src/membership/member-registry.ts
+++ b/src/membership/member-registry.ts
@@ -1,5 +1,5 @@
 /** This daemon's own registration among the members. */
-import type {ObjectApi, WriteCondition, WriteOutcome} from '../platform/object-api.js';
+import type {ObjectApi, WriteCondition, WriteOutcome} from '../object-api/object-api.js';
 import type {Logger} from '../util/logger.js';
 import {type Member, memberSchema} from './directory.js';
 
--- a/src/membership/member-view.ts
+++ b/src/membership/member-view.ts
@@ -1,5 +1,5 @@
 /** Which members live, from successive listings of their registrations. */
-import type {StoredObject} from '../platform/object-api.js';
+import type {StoredObject} from '../object-api/object-api.js';
 import {type Member, memberSchema} from './directory.js';
 
 /** A member is dropped when its registration has not changed for this long. */
--- a/src/membership/pool-shards.ts
+++ b/src/membership/pool-shards.ts
@@ -1,6 +1,6 @@
 /** Split of a service's backend servers in one failure domain into pools. */
 import type {Configuration, Service} from '../configuration/schema.js';
-import type {Host} from '../platform/host-list.js';
+import type {Host} from '../object-api/host-list.js';
 import {chooseNode} from '../util/rendezvous.js';
 import {formatPool} from './directory.js';
 
--- a/src/membership/region-directory.ts
+++ b/src/membership/region-directory.ts
@@ -1,7 +1,7 @@
 /** Follows members, pool leases and backend servers of one region by listing them. */
 import type {ConfigurationSource} from '../configuration/configuration-source.js';
-import type {Host, HostList} from '../platform/host-list.js';
-import type {ObjectApi, StoredObject} from '../platform/object-api.js';
+import type {Host, HostList} from '../object-api/host-list.js';
+import type {ObjectApi, StoredObject} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {chooseNode} from '../util/rendezvous.js';
--- a/src/platform/json-client.ts
+++ b/src/object-api/json-client.ts
@@ -17,7 +17,7 @@
 
 /** One request. `path` includes the query. */
 export type JsonRequest = {
-	readonly method: 'GET' | 'PUT' | 'DELETE';
+	readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
 	readonly path: string;
 	readonly headers?: Readonly<Record<string, string>>;
 	readonly body?: unknown;
--- a/src/operations/claim-layout.ts
+++ b/src/operations/claim-layout.ts
@@ -4,7 +4,7 @@
  * would let an operation run twice. A later change of the configured values does not change them.
  */
 import {z} from 'zod';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {Configuration} from '../configuration/schema.js';
 import {pause} from '../util/pause.js';
 
--- a/src/operations/claim-partition.ts
+++ b/src/operations/claim-partition.ts
@@ -4,7 +4,7 @@
  * is read again and the batch is written conditional on the version read, which makes a delayed first write fail.
  */
 import {randomInt} from 'node:crypto';
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
 import {Backoff} from '../util/backoff.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
--- a/src/operations/claim-relay.ts
+++ b/src/operations/claim-relay.ts
@@ -1,5 +1,5 @@
 /** Serves claims and settlements of any partition to this daemon and its peers, so that their claims share writes. */
-import type {ObjectApi} from '../platform/object-api.js';
+import type {ObjectApi} from '../object-api/object-api.js';
 import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
 import {claimObjectKey, type ClaimLayoutStore} from './claim-layout.js';
--- a/src/operations/claim-retention.ts
+++ b/src/operations/claim-retention.ts
@@ -4,7 +4,7 @@
  */
 import {z} from 'zod';
 import type {Directory} from '../membership/directory.js';
-import type {ObjectApi, WriteCondition} from '../platform/object-api.js';
+import type {ObjectApi, WriteCondition} from '../object-api/object-api.js';
 import {monotonicMs, wallClockMs, type Clock} from '../util/clock.js';
 import {pause} from '../util/pause.js';
 import {chooseNode} from '../util/rendezvous.js';
--- a/src/operations/claim-state.ts
+++ b/src/operations/claim-state.ts
@@ -1,6 +1,6 @@
 /** Records of one claim object as last read or written, and the next state that a batch of messages asks for. */
 import {Buffer} from 'node:buffer';
-import type {StoredObject, WriteCondition} from '../platform/object-api.js';
+import type {StoredObject, WriteCondition} from '../object-api/object-api.js';
 import type {Claim, ClaimAnswer, Settle} from '../peer/protocol.js';
 import {
 	applyClaim, applySettle, claimObjectSchema, decodeOperation, decodeRecord, encodeOperation, encodeRecord, type ClaimRecord, type ClaimTuple,
--- /dev/null
+++ b/src/placement/engine-model.ts
@@ -0,0 +1,29 @@
+/**
+ * Cost model of a model engine, from the figures of its profile.
+ *
+ * An engine works in passes. A pass with requests that write executes `stepsPerPass` token steps and prefills waiting
+ * prompts between them, so each event of a running stream waits for the prompts that are prefilled in its pass.
+ */
+import type {EngineProfile} from '../gateway/serving-configuration.js';
+
+const TOKENS_PER_KILO = 1000;
+const PAIRS_PER_MILLION = 1_000_000;
+
+/** Time in ms to prefill a prompt of `tokens` on one engine. */
+export function prefillMs(profile: EngineProfile, tokens: number): number {
+	const pairs = (tokens * tokens) / 2;
+	return (tokens / profile.prefillTokensPerMs) + ((pairs / PAIRS_PER_MILLION) * profile.msPerMillionPairs);
+}
+
+/** Duration in ms of a pass without prefill, with requests that write at the given context lengths. */
+export function writingPassMs(profile: EngineProfile, contexts: readonly number[]): number {
+	let stepMs = profile.stepMs;
+	for (const context of contexts) {
+		stepMs += profile.stepMsPerWriter + ((context / TOKENS_PER_KILO) * profile.stepMsPerKiloContext);
+	}
+
+	return contexts.length === 0 ? stepMs : profile.stepsPerPass * stepMs;
+}
+
+/** Weight of a request in comparisons of loss: prompt tokens plus ten times the output tokens. */
+export const OUTPUT_TOKEN_WEIGHT = 10;
--- /dev/null
+++ b/src/util/bounded-output.ts
@@ -0,0 +1,70 @@
+/** Standard output that never blocks: lines wait in a bounded queue and are dropped, and counted, when it is full. */
+import {write} from 'node:fs';
+import type {LineSink} from './logger.js';
+
+/** Lines that may wait: some seconds of a busy daemon, under a megabyte. */
+const MAX_QUEUED_LINES = 4000;
+const STANDARD_OUTPUT = 1;
+/** Time in ms over which lines are collected into one write. */
+const COLLECT_MS = 20;
+
+export class BoundedOutput {
+	static create(): BoundedOutput {
+		return new BoundedOutput();
+	}
+
+	#lines: string[] = [];
+	#dropped = 0;
+	#reported = 0;
+	#isBusy = false;
+
+	private constructor() {}
+
+	/** Lines dropped so far. */
+	get dropped(): number {
+		return this.#dropped;
+	}
+
+	readonly sink: LineSink = line => {
+		if (this.#lines.length >= MAX_QUEUED_LINES) {
+			this.#dropped++;
+			return;
+		}
+
+		this.#lines.push(line);
+		if (!this.#isBusy) {
+			this.#isBusy = true;
+			setTimeout(this.#flush, COLLECT_MS);
+		}
+	};
+
+	readonly #flush = (): void => {
+		if (this.#dropped > this.#reported) {
+			this.#lines.push(`event=log_lines_dropped lines=${this.#dropped - this.#reported}`);
+			this.#reported = this.#dropped;
+		}
+
+		if (this.#lines.length === 0) {
+			this.#isBusy = false;
+			return;
+		}
+
+		const data = Buffer.from(`${this.#lines.join('\n')}\n`);
+		this.#lines = [];
+		this.#write(data);
+	};
+
+	#write(data: Buffer): void {
+		write(STANDARD_OUTPUT, data, (err, written) => {
+			if (err) {
+				// Standard output is full or gone; the lines count as dropped.
+				this.#dropped++;
+				setTimeout(this.#flush, COLLECT_MS);
+			} else if (written < data.length) {
+				this.#write(data.subarray(written));
+			} else {
+				setTimeout(this.#flush, COLLECT_MS);
+			}
+		});
+	}
+}
--- a/src/util/retry-budget.ts
+++ b/src/util/retry-budget.ts
@@ -5,22 +5,28 @@
 
 /** Token bucket that is filled by requests and emptied by retries. */
 export class RetryBudget {
-	/** `share` is the number of retries allowed for each request, for example 0.2. */
-	static create(share: number): RetryBudget {
-		return new RetryBudget(share);
+	/**
+	 * `share` is the number of retries allowed for each request, for example 0.2. `maxSaved` is asked at each use, since the
+	 * daemons share one allowance and their number changes.
+	 */
+	static create(share: number, maxSaved: () => number = () => MAX_SAVED): RetryBudget {
+		return new RetryBudget(share, maxSaved);
 	}
 
-	#saved = MAX_SAVED;
+	#saved: number;
 
-	private constructor(private readonly share: number) {}
+	private constructor(private readonly share: number, private readonly maxSaved: () => number) {
+		this.#saved = maxSaved();
+	}
 
 	/** Records a first attempt. */
 	recordRequest(): void {
-		this.#saved = Math.min(MAX_SAVED, this.#saved + this.share);
+		this.#saved = Math.min(this.maxSaved(), this.#saved + this.share);
 	}
 
 	/** Takes one retry; false when the budget is used up. */
 	tryRetry(): boolean {
+		this.#saved = Math.min(this.#saved, this.maxSaved());
 		if (this.#saved < 1) {
 			return false;
 		}
--- a/testing/bench/backend-crowd.ts
+++ b/testing/bench/backend-crowd.ts
@@ -1,7 +1,7 @@
 /** Many cheap backend servers behind one HTTP server, for measures of control traffic. Speaks the engine protocol. */
 import {StandInServer, readJson, sendJson} from '../stand-ins/stand-in-server.js';
 import {streamRequestSchema} from '../../src/backend/engine-protocol.js';
-import type {Host} from '../../src/platform/host-list.js';
+import type {Host} from '../../src/object-api/host-list.js';
 
 const BOOT = 'crowd';
 const temperature = {boot: BOOT, warm: true};
--- a/testing/bench/control-plan.ts
+++ b/testing/bench/control-plan.ts
@@ -1,6 +1,6 @@
 /** The sizes at which `control-cost` measures, and the configuration and host list of each. */
 import type {Configuration, FailureDomain, ModelService} from '../../src/configuration/schema.js';
-import type {Host} from '../../src/platform/host-list.js';
+import type {Host} from '../../src/object-api/host-list.js';
 import {configuration as sacaria} from '../../examples/sacaria.js';
 import type {BackendCrowd} from './backend-crowd.js';
 
--- a/testing/deployment.ts
+++ b/testing/deployment.ts
@@ -3,7 +3,7 @@
 import {
 	CONFIGURATION_KEY, type Configuration, type FailureDomain, type ModelService, type PlainService, type Service,
 } from '../src/configuration/schema.js';
-import type {Host} from '../src/platform/host-list.js';
+import type {Host} from '../src/object-api/host-list.js';
 import {Processes, type RunningProcess} from './processes.js';
 import {delay} from './stand-ins/stand-in-server.js';
 
--- a/testing/stand-ins/host-list/host-list-stand-in.ts
+++ b/testing/stand-ins/host-list/host-list-stand-in.ts
@@ -1,6 +1,6 @@
-/** Stand-in of the platform's lagging host list. Protocol: `src/platform/host-list.ts`; control: `/hosts`, `/faults`, `/counts`. */
+/** Stand-in of the platform's lagging host list. Protocol: `src/object-api/host-list.ts`; control: `/hosts`, `/faults`, `/counts`. */
 import {z} from 'zod';
-import {hostSchema, type Host, type HostList} from '../../../src/platform/host-list.js';
+import {hostSchema, type Host, type HostList} from '../../../src/object-api/host-list.js';
 import {monotonicMs} from '../../../src/util/clock.js';
 import {
 	callerOf, cutCallersSchema, HeldCalls, isCut,
--- a/testing/stand-ins/object-api/object-api-stand-in.ts
+++ b/testing/stand-ins/object-api/object-api-stand-in.ts
@@ -1,4 +1,4 @@
-/** Stand-in of the platform's object API. Protocol: `src/platform/object-api.ts`; control: `/faults`, `/counts`, `/dump`. */
+/** Stand-in of the platform's object API. Protocol: `src/object-api/object-api.ts`; control: `/faults`, `/counts`, `/dump`. */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {z} from 'zod';
--- a/tests/configuration-over-http.test.ts
+++ b/tests/configuration-over-http.test.ts
@@ -7,7 +7,7 @@
 import {ConfigurationStore} from '../src/configuration/configuration-store.js';
 import {CONFIGURATION_KEY, type Configuration} from '../src/configuration/schema.js';
 import type {Member} from '../src/membership/directory.js';
-import {HttpObjectApi} from '../src/platform/http-object-api.js';
+import {HttpObjectApi} from '../src/object-api/http-object-api.js';
 import {Backoff} from '../src/util/backoff.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {sampleConfiguration, sampleWorkspace} from './fixtures/configurations.js';
--- a/tests/http-object-api.test.ts
+++ b/tests/http-object-api.test.ts
@@ -2,8 +2,8 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import {HttpHostList} from '../src/platform/http-host-list.js';
-import {HttpObjectApi} from '../src/platform/http-object-api.js';
+import {HttpHostList} from '../src/object-api/http-host-list.js';
+import {HttpObjectApi} from '../src/object-api/http-object-api.js';
 import {HttpStandIn} from './fixtures/http-stand-in.js';
 
 const closers: Array<() => Promise<void>> = [];
