--- a/src/daemon/completion-handler.ts
+++ b/src/daemon/completion-handler.ts
@@ -6,6 +6,7 @@
 import type {TokenSink} from '../streams/token-relay.js';
 import {wallClockMs, type Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
+import {errorBody, sendJson} from '../http/error-response.js';
 import {
 	authenticate, headerOf, type Authenticated, type Call, type CallHandler,
 } from './call.js';
@@ -13,7 +14,6 @@
 import {
 	finishChunk, textChunk, usageChunk, wholeResponse, type CompletionFormat, type ResponseHead,
 } from './completion-responses.js';
-import {errorBody, sendJson} from '../http/error-response.js';
 import {EventStream} from './event-stream.js';
 import {parseBody, type BodyReader} from './request-body.js';
 import type {RequestObserver} from './request-observer.js';
--- a/src/daemon/http-front.ts
+++ b/src/daemon/http-front.ts
@@ -8,8 +8,8 @@
 import {failure, type Failure} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
-import {openCall, type Call, type CallHandler} from './call.js';
 import {errorBody, sendFailure, statusOf} from '../http/error-response.js';
+import {openCall, type Call, type CallHandler} from './call.js';
 import type {Lifecycle} from './lifecycle.js';
 import {formatEndpoint, type Endpoint} from './settings.js';
 
--- a/src/daemon/models-handler.ts
+++ b/src/daemon/models-handler.ts
@@ -1,7 +1,7 @@
 /** `GET /v1/models`: the models that the caller's workspace may use. */
 import type {ConfigurationIndexes} from '../admission/configuration-index.js';
-import {authenticate, type CallHandler} from './call.js';
 import {sendJson} from '../http/error-response.js';
+import {authenticate, type CallHandler} from './call.js';
 
 /** Creates the handler of the model list. */
 export function createModelsHandler(indexes: ConfigurationIndexes): CallHandler {
--- a/src/daemon/operator-handlers.ts
+++ b/src/daemon/operator-handlers.ts
@@ -1,8 +1,8 @@
 /** `/healthz`, `/readyz`, `/status` and `/levels`, for the balancer and for operators. They need no API key. */
 import type {ConfigurationIndexes} from '../admission/configuration-index.js';
 import type {Traffic} from '../util/traffic-meter.js';
-import type {CallHandler} from './call.js';
 import {sendJson} from '../http/error-response.js';
+import type {CallHandler} from './call.js';
 import type {Lifecycle} from './lifecycle.js';
 
 /** Facts of this daemon for `/status`. */
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -22,8 +22,6 @@
 	#domainsOut: ReadonlySet<string> = new Set();
 	#awayUntil = -Infinity;
 
-	private constructor() {}
-
 	/** Records a registration under its name. */
 	register(name: string, server: BackendServer): void {
 		this.#servers.set(name, {server, goneAt: undefined});
--- a/src/fleet/load-board.ts
+++ b/src/fleet/load-board.ts
@@ -52,8 +52,6 @@
 	readonly #daemons = new Map<string, DaemonEntries>();
 	readonly #byServer = new Map<string, Map<string, BoardEntry>>();
 
-	private constructor() {}
-
 	/** Records a placement, or replaces it under the same id. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): void {
 		const known = this.#of(daemon, now).entries.get(placement.id);
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -4,6 +4,7 @@
  * Each change is sent at once to every known daemon; a snapshot each second corrects lost datagrams and doubles as a sign
  * of life. tRPC would cost an HTTP request for each message, several hundred a second, for state that may be lost.
  */
+import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
 import {z} from 'zod';
 import type {Clock} from '../util/clock.js';
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -1,5 +1,7 @@
 /** Splits the bytes of an event stream (`text/event-stream`) into whole events, unchanged. */
 
+import {Buffer} from 'node:buffer';
+
 const LINE_FEED = 0x0A;
 const idPattern = /^id:[ ]?(?<id>\d+)\s*$/mv;
 
@@ -17,8 +19,6 @@
 
 	#rest: Uint8Array = Buffer.alloc(0);
 
-	private constructor() {}
-
 	/** Bytes of an event whose end has not arrived. */
 	get pendingBytes(): number {
 		return this.#rest.length;
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -4,6 +4,7 @@
  * A connection that served another request may be stale, may still deliver a late second answer, or may have gone silent.
  * A new one costs a millisecond and rules out that bytes of one request reach another.
  */
+import {Buffer} from 'node:buffer';
 import {Client, type Dispatcher} from 'undici';
 import {createConnector, NotConnectedError} from '../backend/checked-connector.js';
 
@@ -68,7 +69,7 @@
 
 	client.dispatch({
 		path: req.path,
-		method: req.method as Dispatcher.HttpMethod,
+		method: req.method,
 		headers: [...req.headers],
 		body: req.body === undefined || req.body.length === 0 ? null : Buffer.from(req.body),
 		reset: true,
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,6 +1,9 @@
 /** One send of a request to the chosen backend server: collects a call's response, or relays the events of a stream. */
+import {Buffer} from 'node:buffer';
 import {EventSplitter, type RawEvent} from '../forwarding/event-splitter.js';
-import {startExchange, type Exchange, type ExchangeEnd, type ExchangeHead} from '../forwarding/exchange.js';
+import {
+	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
+} from '../forwarding/exchange.js';
 import type {Clock} from '../util/clock.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {AttemptOutcome} from './repeat-policy.js';
@@ -29,10 +32,10 @@
 
 /** Where the events of a stream go. Lasts over the attempts of a request. */
 export type EventSink = {
-	/** Sends the head with the first event; later heads are not sent. */
-	event(head: readonly string[], event: RawEvent): boolean;
 	/** Id of the last event that the client has. */
 	readonly lastEventId: number | undefined;
+	/** Sends the head with the first event; later heads are not sent. */
+	event(head: readonly string[], event: RawEvent): boolean;
 	/** Calls back once the client reads again. */
 	onceWritable(callback: () => void): void;
 };
@@ -45,11 +48,11 @@
 	readonly sink: EventSink;
 	/** Longest silence in ms before `mayGiveUp` is asked. */
 	readonly silenceMs: number;
+	/** Aborted when the client leaves. */
+	readonly signal: AbortSignal;
 	/** Whether another attempt is possible. */
 	mayGiveUp(): boolean;
 	onFirstEvent(): void;
-	/** Aborted when the client leaves. */
-	readonly signal: AbortSignal;
 };
 
 type Phase =
@@ -208,7 +211,7 @@
 
 			case 'refused': {
 				const reason = phase.status === MISDIRECTED_STATUS ? 'the address belongs to another server' : `rejected with status ${phase.status}`;
-				return {outcome: {kind: 'rejected', reason}, mayHaveRun: false, ...(phase.facts.faultyAddress === undefined ? {} : {faultyAddress: phase.facts.faultyAddress})};
+				return {outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress: phase.facts.faultyAddress};
 			}
 
 			case 'relaying': {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -173,8 +173,6 @@
 					this.#applyConfiguration(event.object);
 				}
 			},
-			// The last configuration stays in force while the store is away.
-			onOutage() {},
 		};
 	}
 
@@ -223,7 +221,12 @@
 			const server = adapter.decodeServer(object, now);
 			this.#fleet.register(object.name, server);
 			logger.info('server', {
-				server: server.instanceId, service: server.service, domain: server.failureDomain, draining: server.isDraining, cold_ms: Math.max(0, Math.round(server.coldUntil - now)), revision: object.revision,
+				server: server.instanceId,
+				service: server.service,
+				domain: server.failureDomain,
+				draining: server.isDraining,
+				cold_ms: Math.max(0, Math.round(server.coldUntil - now)),
+				revision: object.revision,
 			});
 		} catch (err) {
 			this.#fleet.unregister(object.name, now);
@@ -255,8 +258,6 @@
 
 				apply();
 			},
-			// Failure domains stay out while the store is away.
-			onOutage() {},
 		};
 	}
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,5 +1,5 @@
 /** Counters and latency histograms of a gateway, served as text to those who ask (Prometheus exposition format). */
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
@@ -32,8 +32,6 @@
 
 	#server: Server | undefined;
 
-	private constructor() {}
-
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
 		this.#requests.inc({service, outcome});
 		this.#latency.observe({service}, ms);
@@ -64,7 +62,7 @@
 		this.#server?.close();
 	}
 
-	async #respond(res: import('node:http').ServerResponse): Promise<void> {
+	async #respond(res: ServerResponse): Promise<void> {
 		const text = await this.text();
 		res.writeHead(200, {'content-type': this.#registry.contentType});
 		res.end(text);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 /** HTTP front that forwards requests unchanged to backend servers, by the routes of the serving configuration. */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -26,10 +27,10 @@
 export type GatewayPhase = 'serving' | 'leaving' | 'refusing';
 
 export type GatewayParts = FlowParts & {
-	/** The newest configuration, or undefined before the first. */
-	table(): RouteTable | undefined;
 	readonly metrics: GatewayMetrics;
 	readonly seed: number;
+	/** The newest configuration, or undefined before the first. */
+	table(): RouteTable | undefined;
 };
 
 export class Gateway {
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -1,8 +1,7 @@
 /** Runs one request: chooses a server, sends, and decides after each attempt whether to repeat, deliver or fail. */
 import type {LoadExchange} from '../fleet/load-exchange.js';
-
 import type {Clock} from '../util/clock.js';
-import {failure, type Failure} from '../util/failure.js';
+import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
 import {
@@ -10,7 +9,9 @@
 } from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {patienceMs, type GatewayRequest} from './gateway-request.js';
-import {hasRunsLeft, nextStep, type RepeatState} from './repeat-policy.js';
+import {
+	hasRunsLeft, nextStep, type NextStep, type RepeatState,
+} from './repeat-policy.js';
 import {chooseServer, type Choice, type ChoiceParts} from './server-choice.js';
 import type {WireFormat} from './wire-format.js';
 
@@ -86,12 +87,12 @@
 
 				case 'fail': {
 					return this.#fail(failure({
-						code: next.isExpired && next.ran === 'unknown' ? 'deadline_exceeded' : (next.ran === 'not_run' ? 'no_capacity' : 'backend_failed'),
+						code: failureCode(next),
 						message: next.reason,
 						ran: next.ran,
 						step: 'send',
 						peer: choice.choice.server.instanceId,
-						...(next.ran === 'not_run' ? {retryAfterMs: RETRY_AFTER_MS} : {}),
+						retryAfterMs: next.ran === 'not_run' ? RETRY_AFTER_MS : undefined,
 					}));
 				}
 			}
@@ -100,13 +101,17 @@
 
 	#choose(now: number): {readonly kind: 'chosen'; readonly choice: Choice} | {readonly kind: 'refused'; readonly failure: Failure} {
 		const {parts, request} = this;
-		const choice = chooseServer(parts, request, this.#excluded, this.#sends, now);
+		const choice = chooseServer(parts, request, {excluded: this.#excluded, sends: this.#sends}, now);
 		const ran = this.#runs === 0 ? 'not_run' : 'unknown';
 		if (!choice) {
 			return {
 				kind: 'refused',
 				failure: failure({
-					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed', message: `no backend server of ${request.service.name} can take the request`, ran, step: 'reserve', retryAfterMs: RETRY_AFTER_MS,
+					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
+					message: `no backend server of ${request.service.name} can take the request`,
+					ran,
+					step: 'reserve',
+					retryAfterMs: RETRY_AFTER_MS,
 				}),
 			};
 		}
@@ -116,7 +121,11 @@
 			return {
 				kind: 'refused',
 				failure: failure({
-					code: 'overloaded', message: `the first event is expected in ${Math.round(choice.expectedMs)} ms, the client waits ${patience} ms`, ran, step: 'reserve', retryAfterMs: RETRY_AFTER_MS,
+					code: 'overloaded',
+					message: `the first event is expected in ${Math.round(choice.expectedMs)} ms, the client waits ${patience} ms`,
+					ran,
+					step: 'reserve',
+					retryAfterMs: RETRY_AFTER_MS,
 				}),
 			};
 		}
@@ -141,7 +150,7 @@
 				sink: this.#response,
 				silenceMs: this.#silenceMs(choice),
 				mayGiveUp: () => hasRunsLeft({...this.#state(parts.clock()), runs: this.#runs + 1}),
-				onFirstEvent: () => {
+				onFirstEvent() {
 					parts.exchange.start(placement.id, parts.clock());
 				},
 				signal: this.#response.signal,
@@ -212,3 +221,10 @@
 	}
 }
 
+function failureCode({ran, isExpired}: Extract<NextStep, {kind: 'fail'}>): FailureCode {
+	if (ran === 'not_run') {
+		return 'no_capacity';
+	}
+
+	return isExpired ? 'deadline_exceeded' : 'backend_failed';
+}
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -31,8 +31,14 @@
 	regionOf(failureDomain: string): string | undefined;
 };
 
+/** Earlier attempts of the request: servers that are not tried again, and their number. */
+export type EarlierAttempts = {
+	readonly excluded: ReadonlySet<string>;
+	readonly sends: number;
+};
+
 /** The server for the next attempt of a request, or undefined when none can take it. */
-export function chooseServer(parts: ChoiceParts, request: GatewayRequest, excluded: ReadonlySet<string>, sends: number, now: number): Choice | undefined {
+export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, sends}: EarlierAttempts, now: number): Choice | undefined {
 	const servers = parts.fleet.usable(request.service.name, now)
 		.filter(server => !excluded.has(server.id) && isAllowedRegion(parts, request, server));
 	const id = `${request.id}#${sends}`;
@@ -42,7 +48,7 @@
 		? chooseEngine(parts, request, {
 			servers, engine, id, targetMs,
 		}, now)
-		: chooseCallServer(parts, servers, id, targetMs, now);
+		: chooseCallServer(parts, servers, {id, targetMs}, now);
 }
 
 function isAllowedRegion(parts: ChoiceParts, {route, workspace}: GatewayRequest, {failureDomain}: BackendServer): boolean {
@@ -51,7 +57,12 @@
 	return isAllowed(route.regions) && isAllowed(workspace?.regions);
 }
 
-function chooseCallServer({board, health, failureDomain}: ChoiceParts, servers: readonly BackendServer[], id: string, targetMs: number, now: number): Choice | undefined {
+function chooseCallServer(
+	{board, health, failureDomain}: ChoiceParts,
+	servers: readonly BackendServer[],
+	{id, targetMs}: {readonly id: string; readonly targetMs: number},
+	now: number,
+): Choice | undefined {
 	const server = placeCall(servers.map(server => ({
 		server, requests: board.on(server.id).length, isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 	})), failureDomain);
--- a/src/placement/engine-model.ts
+++ b/src/placement/engine-model.ts
@@ -17,7 +17,7 @@
 
 /** Duration in ms of a pass without prefill, with requests that write at the given context lengths. */
 export function writingPassMs(profile: EngineProfile, contexts: readonly number[]): number {
-	let stepMs = profile.stepMs;
+	let {stepMs} = profile;
 	for (const context of contexts) {
 		stepMs += profile.stepMsPerWriter + ((context / TOKENS_PER_KILO) * profile.stepMsPerKiloContext);
 	}
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -112,10 +112,10 @@
 	const ranked = options
 		.map(option => ({option, charge: memberCharge(request, option, partMs)}))
 		.sort((a, b) => a.charge - b.charge);
-	const writer = ranked
+	const [writer] = ranked
 		.filter(({option}) => hasMemory(request, option.forecast, profile))
 		.map(({option, charge}) => ({option, charge: charge + writerCharge(request, option, profile)}))
-		.reduce<{option: Option; charge: number} | undefined>((best, item) => best && best.charge <= item.charge ? best : item, undefined);
+		.sort((a, b) => a.charge - b.charge);
 	if (!writer) {
 		return undefined;
 	}
@@ -128,7 +128,8 @@
 	}
 
 	const members = [writer.option, ...helpers.map(({option}) => option)];
-	const expectedMs = Math.max(...members.map(({forecast}) => readyMs(forecast, partMs))) + passAfterPrefillMs(writer.option.forecast) + slotWaitMs(writer.option.forecast, profile);
+	const {forecast} = writer.option;
+	const expectedMs = Math.max(...members.map(member => readyMs(member.forecast, partMs))) + passAfterPrefillMs(forecast) + slotWaitMs(forecast, profile);
 	const own = request.weight * (
 		(LATE_LOSS * lateChance(expectedMs, request.targetMs))
 		+ (SLOWNESS_CHARGE * expectedMs / Math.max(1, request.targetMs))
@@ -180,6 +181,6 @@
 function writerCharge(request: GenerationRequest, {server, forecast}: Option, profile: EngineProfile): number {
 	const emptiness = forecast.requests === 0 ? EMPTY_ENGINE_CHARGE : 0;
 	const distance = server.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_CHARGE;
-	const {waitMs, latenessMs} = {waitMs: slotWaitMs(forecast, profile), latenessMs: forecast.backlogMs + passAfterPrefillMs(forecast)};
-	return request.weight * (emptiness + distance + (SLOWNESS_CHARGE * (waitMs + latenessMs) / Math.max(1, request.targetMs)));
+	const waitMs = slotWaitMs(forecast, profile) + forecast.backlogMs + passAfterPrefillMs(forecast);
+	return request.weight * (emptiness + distance + (SLOWNESS_CHARGE * waitMs / Math.max(1, request.targetMs)));
 }
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -21,8 +21,8 @@
 	/** A complete list, which replaces everything before it. */
 	onList(objects: readonly KindObject[], now: number): void;
 	onEvent(event: KindEvent, now: number): void;
-	/** The store could not be read until `now`. */
-	onOutage(now: number): void;
+	/** The store could not be read until `now`. Without it, what was learned last stays in force. */
+	onOutage?(now: number): void;
 };
 
 export type FeedOptions = {
@@ -118,7 +118,7 @@
 		const {
 			kind, sink, clock, logger,
 		} = this.options;
-		sink.onOutage(clock());
+		sink.onOutage?.(clock());
 		if (!this.#isAway) {
 			this.#isAway = true;
 			logger.warn('store_lost', {kind, message});
@@ -132,7 +132,7 @@
 		this.#backoff.reset();
 		if (this.#isAway) {
 			this.#isAway = false;
-			sink.onOutage(clock());
+			sink.onOutage?.(clock());
 			logger.info('store_regained', {kind});
 		}
 	}
--- a/src/util/bounded-output.ts
+++ b/src/util/bounded-output.ts
@@ -1,4 +1,5 @@
 /** Standard output that never blocks: lines wait in a bounded queue and are dropped, and counted, when it is full. */
+import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 import type {LineSink} from './logger.js';
 
@@ -18,8 +19,6 @@
 	#reported = 0;
 	#isBusy = false;
 
-	private constructor() {}
-
 	/** Lines dropped so far. */
 	get dropped(): number {
 		return this.#dropped;
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['dist/**', 'coverage/**']},
+	{ignores: ['dist/**', 'coverage/**', 'target/**', 'journal/**']},
 	{
 		rules: {
 			// The house style asks for the customary short names (req, res, cfg, err).
@@ -15,7 +15,7 @@
 		},
 	},
 	{
-		files: ['src/**/main.ts', 'testing/**/*.ts'],
+		files: ['src/**/main.ts', 'platform/main.ts', 'testing/**/*.ts'],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 			'n/no-process-exit': 'off',
