Do not take a reset connection for the end of an answer without a length

Ruled out: the adapter's framing, which passes a length only for whole bodies. Change: the connector reports socket errors first, and an exchange with one counts as broken.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -95,6 +95,11 @@
 		return this.#peers.size + 1;
 	}
 
+	/** Requests that this daemon has at backend servers. */
+	get ownPlacements(): number {
+		return this.options.board.entriesOf(this.options.daemon).length;
+	}
+
 	/** Adds daemons found in the registry. New ones are asked for their placements. */
 	addPeers(addresses: Iterable<string>, now: number): void {
 		for (const address of addresses) {
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -49,15 +49,21 @@
 
 /** Starts an exchange. The handler is told of its end exactly once. */
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
+	let isEnded = false;
+	let connectionError: Error | undefined;
 	const client = new Client(`http://${req.address}`, {
-		connect: createConnector(() => undefined, connectTimeoutMs),
+		connect: createConnector(() => undefined, {
+			timeoutMs: connectTimeoutMs,
+			onError(err) {
+				connectionError = err;
+			},
+		}),
 		pipelining: 1,
 		// The caller of this function decides on silence.
 		headersTimeout: 0,
 		bodyTimeout: 0,
 		maxHeaderSize: MAX_HEADER_BYTES,
 	});
-	let isEnded = false;
 	let controller: Dispatcher.DispatchController | undefined;
 	const end = (result: ExchangeEnd): void => {
 		if (!isEnded) {
@@ -88,7 +94,7 @@
 			}
 		},
 		onResponseEnd() {
-			end({kind: 'complete'});
+			end(connectionError ? {kind: 'broken', message: connectionError.message} : {kind: 'complete'});
 		},
 		onResponseError(_controller, err) {
 			end(err instanceof NotConnectedError ? {kind: 'not_connected', message: err.message} : {kind: 'broken', message: err.message});
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -54,6 +54,7 @@
 	#table: RouteTable | undefined;
 	#gateway!: Gateway;
 	#readyServer!: Server;
+	#isClosed = false;
 
 	private constructor(
 		private readonly settings: GatewaySettings,
@@ -62,6 +63,11 @@
 		private readonly exchange: LoadExchange,
 	) {}
 
+	/** Requests that this daemon has at backend servers. */
+	get openPlacements(): number {
+		return this.exchange.ownPlacements;
+	}
+
 	/** Leaves: not ready at once, serves on until the balancer has noticed, then until open requests end or time is up. */
 	async drain(): Promise<void> {
 		const {clock, logger} = this.sources;
@@ -80,7 +86,13 @@
 		await this.close();
 	}
 
+	/** Cuts what is open. Calls after the first do nothing. */
 	async close(): Promise<void> {
+		if (this.#isClosed) {
+			return;
+		}
+
+		this.#isClosed = true;
 		for (const feed of this.#feeds) {
 			feed.close();
 		}
--- /dev/null
+++ b/testing/stand-ins/platform/runner-stand-in.ts
@@ -0,0 +1,190 @@
+/** Stand-in of a back end of the platform: answers calls and streams, with disturbances for the next requests. */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+const RESET_DELAY_MS = 20;
+
+/** How the next request is handled; requests without an entry are served well. */
+export type Disturbance =
+	/** Rejects it as not executed. */
+	| {readonly kind: 'reject'; readonly status: 503 | 421}
+	/** Runs it and closes the connection, for streams after `events` events and `bytes` more bytes of the next one. */
+	| {readonly kind: 'break'; readonly events?: number; readonly bytes?: number}
+	/** Runs it, sends part of an answer without a length, or in chunks, and resets the connection. */
+	| {readonly kind: 'reset'; readonly isChunked: boolean}
+	/** Runs it and says nothing, for streams after `events` events. */
+	| {readonly kind: 'mute'; readonly events?: number}
+	/** Answers with a failure of its own. */
+	| {readonly kind: 'error'; readonly status: number}
+	/** Answers with another request's id. */
+	| {readonly kind: 'foreign'}
+	/** Answers without a signature. */
+	| {readonly kind: 'unsigned'};
+
+/** A request as it arrived. */
+export type Arrival = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: IncomingMessage['headers'];
+	readonly body: string;
+	readonly hasRun: boolean;
+};
+
+export type RunnerOptions = {
+	readonly instance: string;
+	/** Events of a stream; undefined answers calls with one body. */
+	readonly events?: number;
+	/** Time in ms before a call's answer and between events. */
+	readonly paceMs?: number;
+};
+
+export class RunnerStandIn {
+	static async create(options: RunnerOptions): Promise<RunnerStandIn> {
+		const standIn = new RunnerStandIn(options);
+		await new Promise<void>(resolve => {
+			standIn.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return standIn;
+	}
+
+	readonly arrivals: Arrival[] = [];
+	/** Requests whose connection closed before the answer was complete. */
+	left = 0;
+	readonly #next: Disturbance[] = [];
+	readonly #server: Server;
+
+	private constructor(private readonly options: RunnerOptions) {
+		this.#server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+	}
+
+	get instance(): string {
+		return this.options.instance;
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	get runs(): number {
+		return this.arrivals.filter(({hasRun}) => hasRun).length;
+	}
+
+	disturb(...disturbances: readonly Disturbance[]): void {
+		this.#next.push(...disturbances);
+	}
+
+	async close(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const chunks: Buffer[] = [];
+		for await (const chunk of req) {
+			chunks.push(chunk as Buffer);
+		}
+
+		const disturbance = req.headers['fireflyport-target-instance'] === this.instance ? this.#next.shift() : {kind: 'reject', status: 421} as const;
+		this.arrivals.push({
+			method: req.method!, path: req.url!, headers: req.headers, body: Buffer.concat(chunks).toString(), hasRun: disturbance?.kind !== 'reject',
+		});
+		res.on('close', () => {
+			this.left += res.writableFinished ? 0 : 1;
+		});
+		if (disturbance?.kind === 'reject') {
+			res.writeHead(disturbance.status, disturbance.status === 421 ? {} : {'fireflyport-not-executed': '1'}).end();
+		} else if (this.options.events === undefined) {
+			await this.#answerCall(req, res, disturbance);
+		} else {
+			await this.#answerStream(req, res, disturbance);
+		}
+	}
+
+	async #answerCall(req: IncomingMessage, res: ServerResponse, disturbance: Disturbance | undefined): Promise<void> {
+		if (disturbance?.kind === 'mute') {
+			return;
+		}
+
+		if (disturbance?.kind === 'break') {
+			res.writeHead(200, {...this.#headers(req), 'content-length': 100});
+			res.write('half');
+			await this.#pace();
+			res.destroy();
+			return;
+		}
+
+		if (disturbance?.kind === 'reset') {
+			const head = Object.entries(this.#headers(req)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+			const body = disturbance.isChunked ? 'transfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n' : '\r\nhalf';
+			res.socket!.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n${head}${body}`, () => {
+				// The bytes arrive before the reset.
+				setTimeout(() => res.socket?.resetAndDestroy(), RESET_DELAY_MS);
+			});
+			return;
+		}
+
+		await this.#pace();
+		const status = disturbance?.kind === 'error' ? disturbance.status : 200;
+		const headers = {...this.#headers(req)};
+		if (disturbance?.kind === 'foreign') {
+			headers['fireflyport-attempt-id'] = 'another';
+		}
+
+		if (disturbance?.kind === 'unsigned') {
+			delete headers['fireflyport-response-seal'];
+		}
+
+		res.writeHead(status, headers).end(`${this.instance} answered`);
+	}
+
+	async #answerStream(req: IncomingMessage, res: ServerResponse, disturbance: Disturbance | undefined): Promise<void> {
+		if (disturbance?.kind === 'error') {
+			res.writeHead(disturbance.status, this.#headers(req)).end('failed');
+			return;
+		}
+
+		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+		res.writeHead(200, {...this.#headers(req), 'content-type': 'text/event-stream'});
+		res.flushHeaders();
+		for (let id = first; id <= this.options.events!; id++) {
+			const event = `id: ${id}\ndata: event ${id} \n\n`;
+			const limit = disturbance?.kind === 'break' || disturbance?.kind === 'mute' ? disturbance.events ?? 0 : Infinity;
+			if (id - first >= limit) {
+				if (disturbance?.kind === 'break') {
+					res.write(event.slice(0, disturbance.bytes ?? 0), () => {
+						res.destroy();
+					});
+				}
+
+				return;
+			}
+
+			res.write(event);
+			await this.#pace();
+		}
+
+		res.end();
+	}
+
+	#headers(req: IncomingMessage): Record<string, string> {
+		return {
+			'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
+			'fireflyport-response-seal': `seal-${this.instance}`,
+		};
+	}
+
+	async #pace(): Promise<void> {
+		await new Promise(resolve => {
+			setTimeout(resolve, this.options.paceMs ?? 0);
+		});
+	}
+}
--- /dev/null
+++ b/tests/fleet.test.ts
@@ -0,0 +1,133 @@
+import {describe, expect, it} from 'vitest';
+import type {BackendServer} from '../src/fleet/backend-server.js';
+import {FleetView} from '../src/fleet/fleet-view.js';
+import {DAEMON_SILENCE_MS, LoadBoard, type Placement} from '../src/fleet/load-board.js';
+import {LoadExchange} from '../src/fleet/load-exchange.js';
+import {ServerHealth} from '../src/fleet/server-health.js';
+import {placeCall} from '../src/placement/call-placement.js';
+import {monotonicMs} from '../src/util/clock.js';
+import {createLogger} from '../src/util/logger.js';
+import {RetryBudget} from '../src/util/retry-budget.js';
+import {until} from './fixtures/http.js';
+import {freeUdpPort} from './fixtures/platform-world.js';
+
+const server = (id: string, more: Partial<BackendServer> = {}): BackendServer => ({
+	id, instanceId: id, service: 'desk', address: '10.0.0.1:80', failureDomain: 'braga', slots: 6, isDraining: false, coldUntil: -Infinity, startedAt: undefined, ...more,
+});
+
+const placement = (id: string, more: Partial<Placement> = {}): Placement => ({
+	id, server: 'i-1', helpers: [], prefillMs: 0, contextTokens: 0, gapTargetMs: 0, weight: 1, targetMs: 100, ...more,
+});
+
+const ids = (servers: readonly BackendServer[]): readonly string[] => servers.map(({id}) => id);
+
+describe('fleet view', () => {
+	it('should drop a removed registration at once', () => {
+		const fleet = FleetView.create();
+		fleet.register('i-1', server('i-1'));
+		fleet.unregister('i-1', 1000);
+		expect(fleet.usable('desk', 1000)).toEqual([]);
+	});
+
+	it('should keep a server whose registration lapsed during an outage until it had time to return', () => {
+		const fleet = FleetView.create();
+		fleet.register('i-1', server('i-1'));
+		fleet.register('i-2', server('i-2'));
+		fleet.noteOutage(5000);
+		fleet.retain(new Set(), 5100);
+		expect(ids(fleet.usable('desk', 7200))).toEqual(['i-1', 'i-2']);
+		fleet.register('i-2', server('i-2'));
+		expect(ids(fleet.usable('desk', 7300))).toEqual(['i-2']);
+	});
+
+	it('should leave out draining servers, other services and failure domains that are out', () => {
+		const fleet = FleetView.create();
+		fleet.register('i-1', server('i-1', {isDraining: true}));
+		fleet.register('i-2', server('i-2', {service: 'model'}));
+		fleet.register('i-3', server('i-3', {failureDomain: 'famalicao'}));
+		fleet.register('i-4', server('i-4'));
+		fleet.setDomainsOut(new Set(['famalicao']));
+		expect(ids(fleet.usable('desk', 0))).toEqual(['i-4']);
+	});
+});
+
+describe('load board', () => {
+	it('should list a placement on its server and on its helpers until it is closed', () => {
+		const board = LoadBoard.create();
+		board.open('d-1', placement('p', {helpers: ['i-2']}), 0);
+		expect([board.on('i-1').length, board.on('i-2').length]).toEqual([1, 1]);
+		board.close('d-1', 'p');
+		expect([board.on('i-1').length, board.on('i-2').length]).toEqual([0, 0]);
+	});
+
+	it('should drop what a silent daemon placed, and what a snapshot no longer lists', () => {
+		const board = LoadBoard.create();
+		board.open('d-1', placement('a'), 0);
+		board.open('d-2', placement('b'), 0);
+		board.open('d-2', placement('c'), 0);
+		board.retain('d-2', new Set(['c']), 3000);
+		expect(board.on('i-1').map(({id}) => id)).toEqual(['a', 'c']);
+		expect(board.dropSilent('own', DAEMON_SILENCE_MS + 1)).toEqual(['d-1']);
+		expect(board.on('i-1').map(({id}) => id)).toEqual(['c']);
+	});
+});
+
+describe('load exchange', () => {
+	it('should tell other daemons of placements, first events and ends, and new daemons of all of them', async () => {
+		const port = await freeUdpPort();
+		const create = async (ip: string) => {
+			const board = LoadBoard.create();
+			const exchange = await LoadExchange.create({
+				daemon: ip, ip, port, board, clock: monotonicMs, logger: createLogger('error'),
+			});
+			return {board, exchange};
+		};
+
+		const first = await create('127.0.0.1');
+		const second = await create('127.0.0.2');
+		first.exchange.open(placement('early'), monotonicMs());
+		second.exchange.addPeers(['127.0.0.1', '127.0.0.2'], monotonicMs());
+		await until(() => second.board.on('i-1').length === 1);
+		first.exchange.open(placement('late', {helpers: ['i-2']}), monotonicMs());
+		first.exchange.start('late', monotonicMs());
+		await until(() => second.board.on('i-2')[0]?.startedAt !== undefined);
+		first.exchange.closePlacement('late');
+		await until(() => second.board.on('i-2').length === 0);
+		await first.exchange.close();
+		await second.exchange.close();
+	});
+});
+
+describe('server health', () => {
+	it('should make a server suspect after failures and trust it again with time or successes', () => {
+		const health = ServerHealth.create();
+		health.note('i-1', false, 0);
+		expect(health.isSuspect('i-1', 100)).toBe(true);
+		expect(health.isSuspect('i-1', 5000)).toBe(false);
+		health.note('i-1', false, 5000);
+		health.note('i-1', true, 5010);
+		health.note('i-1', true, 5020);
+		expect(health.isSuspect('i-1', 5020)).toBe(false);
+	});
+});
+
+describe('placement of calls', () => {
+	it('should take the least loaded server, the own failure domain if equal, and a suspect one last', () => {
+		const candidate = (id: string, requests: number, failureDomain = 'braga', isSuspect = false) => ({server: server(id, {failureDomain}), requests, isSuspect});
+		expect(placeCall([candidate('i-1', 2), candidate('i-2', 1)], 'braga')!.id).toBe('i-2');
+		expect(placeCall([candidate('i-1', 1, 'famalicao'), candidate('i-2', 1)], 'braga')!.id).toBe('i-2');
+		expect(placeCall([candidate('i-1', 0, 'braga', true), candidate('i-2', 5)], 'braga')!.id).toBe('i-2');
+		expect(placeCall([candidate('i-1', 0, 'braga', true)], 'braga')!.id).toBe('i-1');
+		expect(placeCall([], 'braga')).toBeUndefined();
+	});
+});
+
+describe('retry budget', () => {
+	it('should give up saved retries when more daemons share the allowance', () => {
+		let share = 10;
+		const budget = RetryBudget.create(0.2, () => share);
+		share = 1;
+		expect(budget.tryRetry()).toBe(true);
+		expect(budget.tryRetry()).toBe(false);
+	});
+});
--- /dev/null
+++ b/tests/generation-placement.test.ts
@@ -0,0 +1,170 @@
+import {describe, expect, it} from 'vitest';
+import type {BackendServer} from '../src/fleet/backend-server.js';
+import {LoadBoard, type Placement} from '../src/fleet/load-board.js';
+import type {EngineProfile} from '../src/gateway/serving-configuration.js';
+import {prefillMs, writingPassMs} from '../src/placement/engine-model.js';
+import {lateChance, placeGeneration, type GenerationRequest} from '../src/placement/generation-placement.js';
+
+/** Figures of the engines of both sites. */
+const profile: EngineProfile = {
+	slots: 11,
+	memoryTokens: 450_000,
+	stepsPerPass: 46,
+	stepMs: 0.925,
+	stepMsPerWriter: 0.007,
+	stepMsPerKiloContext: 0.002_54,
+	prefillTokensPerMs: 256,
+	msPerMillionPairs: 0.0917,
+	hopMs: 0.1,
+	usualPromptTokens: 13_252,
+	usualOutputTokens: 1540,
+};
+
+const engine = (id: string): BackendServer => ({
+	id, instanceId: id, service: 'model', address: `10.0.0.1:${id.length}`, failureDomain: 'braga', slots: 11, isDraining: false, coldUntil: -Infinity, startedAt: undefined,
+});
+
+const engines = Array.from({length: 16}, (_, index) => engine(`e-${index}`));
+
+const chat: GenerationRequest = {
+	promptTokens: 4960, outputTokens: 1600, gapTargetMs: 200, targetMs: 300, weight: 20_960, failureDomain: 'braga',
+};
+const digest: GenerationRequest = {
+	promptTokens: 210_000, outputTokens: 780, gapTargetMs: 800, targetMs: 3000, weight: 217_800, failureDomain: 'braga',
+};
+
+const entry = (id: string, server: string, more: Partial<Placement> = {}): Placement => ({
+	id, server, helpers: [], prefillMs: 21, contextTokens: 6560, gapTargetMs: 200, weight: 20_960, targetMs: 300, ...more,
+});
+
+const candidatesOf = (board: LoadBoard, suspects: ReadonlySet<string> = new Set()) => engines.map(server => ({
+	server, entries: board.on(server.id), isSuspect: suspects.has(server.id),
+}));
+
+/** Chats that write on the first `count` engines, `each` on each of them. */
+function boardWithChats(count: number, each: number): LoadBoard {
+	const board = LoadBoard.create();
+	for (let server = 0; server < count; server++) {
+		for (let index = 0; index < each; index++) {
+			const id = `${server}-${index}`;
+			board.open('other', entry(id, `e-${server}`), 0);
+			board.start('other', id, 50);
+		}
+	}
+
+	return board;
+}
+
+const membersOf = (placed: ReturnType<typeof placeGeneration>): readonly string[] => [placed!.server.id, ...placed!.helpers.map(({id}) => id)];
+
+describe('engine model', () => {
+	it('should give the cost of a prompt and of a pass by the figures of the profile', () => {
+		// 210,000 tokens: 820 ms to read, and 22,050 million pairs.
+		expect(prefillMs(profile, 210_000)).toBeCloseTo(820.3 + 2022, 0);
+		expect(writingPassMs(profile, [])).toBeCloseTo(0.925);
+		expect(writingPassMs(profile, [6560, 6560])).toBeCloseTo(46 * (0.925 + (2 * (0.007 + (6.56 * 0.002_54)))));
+	});
+
+	it('should call a forecast certain only where it is far from the target', () => {
+		expect(lateChance(100, 300)).toBe(0);
+		expect(lateChance(400, 300)).toBe(1);
+		expect(lateChance(250, 300)).toBeGreaterThan(0);
+		expect(lateChance(1, 0)).toBe(1);
+	});
+});
+
+describe('placement of prompts', () => {
+	it('should split a long prompt until its first event is on time', () => {
+		const placed = placeGeneration(digest, candidatesOf(LoadBoard.create()), profile, 1000);
+		expect(placed!.helpers.length).toBeGreaterThan(0);
+		expect(placed!.expectedMs).toBeLessThan(0.6 * digest.targetMs);
+		expect(new Set(membersOf(placed)).size).toBe(placed!.helpers.length + 1);
+	});
+
+	it('should keep a long prompt off engines whose streams it would delay', () => {
+		const board = boardWithChats(8, 5);
+		const members = membersOf(placeGeneration(digest, candidatesOf(board), profile, 1000));
+		const harmed = members.filter(id => Number(id.slice(2)) < 8);
+		expect(harmed).toEqual([]);
+	});
+
+	it('should let short prompts share engines, and leave others free for long ones', () => {
+		const board = boardWithChats(2, 3);
+		expect(['e-0', 'e-1']).toContain(placeGeneration(chat, candidatesOf(board), profile, 1000)!.server.id);
+	});
+
+	it('should keep a short prompt away from an engine that is prefilling a long one', () => {
+		const board = LoadBoard.create();
+		board.open('other', entry('long', 'e-0', {helpers: ['e-1', 'e-2'], prefillMs: 950, targetMs: 3000}), 900);
+		const {server, expectedMs} = placeGeneration(chat, candidatesOf(board), profile, 1000)!;
+		expect(['e-0', 'e-1', 'e-2']).not.toContain(server.id);
+		expect(expectedMs).toBeLessThan(200);
+	});
+
+	it('should not let the second long prompt of the same moment wait for the first', () => {
+		const board = LoadBoard.create();
+		const first = placeGeneration(digest, candidatesOf(board), profile, 1000)!;
+		board.open('other', entry('first', first.server.id, {
+			helpers: first.helpers.map(({id}) => id), prefillMs: first.prefillMs, contextTokens: 210_780, targetMs: 3000, weight: digest.weight,
+		}), 1000);
+		const second = placeGeneration(digest, candidatesOf(board), profile, 1001)!;
+		expect(second.expectedMs).toBeLessThan(digest.targetMs);
+	});
+
+	it('should refuse a prompt that no engine has the memory for', () => {
+		expect(placeGeneration({...digest, promptTokens: 500_000}, candidatesOf(LoadBoard.create()), profile, 1000)).toBeUndefined();
+	});
+
+	it('should prefer engines that have not failed lately', () => {
+		const suspects = new Set(engines.slice(0, 12).map(({id}) => id));
+		const members = membersOf(placeGeneration(digest, candidatesOf(LoadBoard.create(), suspects), profile, 1000));
+		expect(members.filter(id => suspects.has(id))).toEqual([]);
+	});
+
+	it('should keep short prompts on time through a load of long ones on the same engines', () => {
+		// Ten seconds of a busy day: 25 chats and 1.5 digests a second, played against the engines' own cost model.
+		const board = LoadBoard.create();
+		const late = {chats: 0, digests: 0};
+		let chats = 0;
+		let digests = 0;
+		const ends: Array<{readonly at: number; run(): void}> = [];
+		for (let now = 0; now < 10_000; now += 10) {
+			for (const end of ends.splice(0).sort((a, b) => a.at - b.at)) {
+				if (end.at <= now) {
+					end.run();
+				} else {
+					ends.push(end);
+				}
+			}
+
+			const arrivals = [...(now % 40 === 0 ? [chat] : []), ...(now % 670 === 0 ? [digest] : [])];
+			for (const request of arrivals) {
+				const placed = placeGeneration(request, candidatesOf(board), profile, now)!;
+				const id = `${now}-${request.promptTokens}`;
+				const isChat = request === chat;
+				chats += isChat ? 1 : 0;
+				digests += isChat ? 0 : 1;
+				late[isChat ? 'chats' : 'digests'] += placed.expectedMs > request.targetMs ? 1 : 0;
+				board.open('other', {
+					...entry(id, placed.server.id), helpers: placed.helpers.map(helper => helper.id), prefillMs: placed.prefillMs, weight: request.weight, gapTargetMs: request.gapTargetMs, targetMs: request.targetMs,
+				}, now);
+				ends.push(
+					{
+						at: now + placed.expectedMs, run() {
+							board.start('other', id, now + placed.expectedMs);
+						},
+					},
+					{
+						at: now + placed.expectedMs + 1700, run() {
+							board.close('other', id);
+						},
+					},
+				);
+			}
+		}
+
+		expect(chats).toBe(250);
+		expect(digests).toBe(15);
+		expect(late).toEqual({chats: 0, digests: 0});
+	});
+});
