Log first event and longest pause; spend no retry budget where no server was reached

Change: a repeat is free until an attempt has reached a server; with no usable server a client is told to return later.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -22,9 +22,11 @@
 	#domainsOut: ReadonlySet<string> = new Set();
 	#awayUntil = -Infinity;
 
-	/** Records a registration under its name. */
-	register(name: string, server: BackendServer): void {
+	/** Records a registration under its name. Returns the one before. */
+	register(name: string, server: BackendServer): BackendServer | undefined {
+		const known = this.#servers.get(name)?.server;
 		this.#servers.set(name, {server, goneAt: undefined});
+		return known;
 	}
 
 	/** Records that a registration was removed. */
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -26,6 +26,8 @@
 	readonly answer?: Answer;
 	/** Whether it may have run. */
 	readonly mayHaveRun: boolean;
+	/** Nothing reached the server. */
+	readonly isUnsent?: boolean;
 	/** IP:PORT of the server at fault, where it is not the chosen one. */
 	readonly faultyAddress?: string;
 };
@@ -189,7 +191,7 @@
 			}
 
 			case 'not_connected': {
-				return {outcome: {kind: 'rejected', reason: `no connection: ${end.message}`}, mayHaveRun: false};
+				return {outcome: {kind: 'rejected', reason: `no connection: ${end.message}`}, mayHaveRun: false, isUnsent: true};
 			}
 
 			case 'broken': {
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -1,20 +1,23 @@
 /** The response to one client: a whole answer, a failure, or the events of a stream over several attempts. */
 import type {RawEvent} from '../forwarding/event-splitter.js';
 import {sendFailure, statusOf} from '../http/error-response.js';
+import type {Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
 import type {Answer, EventSink} from './attempt.js';
 import type {GatewayRequest} from './gateway-request.js';
 
 export class ClientResponse implements EventSink {
-	static create(request: GatewayRequest): ClientResponse {
-		return new ClientResponse(request);
+	static create(request: GatewayRequest, clock: Clock): ClientResponse {
+		return new ClientResponse(request, clock);
 	}
 
 	readonly #controller = new AbortController();
 	#lastEventId: number | undefined;
-	#events = 0;
+	#firstEventAt: number | undefined;
+	#lastEventAt = 0;
+	#longestGapMs = 0;
 
-	private constructor(private readonly request: GatewayRequest) {
+	private constructor(private readonly request: GatewayRequest, private readonly clock: Clock) {
 		const {res, facts} = request;
 		this.#lastEventId = facts.lastEventId;
 		res.on('close', () => {
@@ -36,13 +39,19 @@
 		return this.#lastEventId;
 	}
 
+	/** Time in ms from the request's arrival to its first event, and the longest pause between events. */
+	get pace(): {readonly firstEventMs: number | undefined; readonly longestGapMs: number} {
+		const firstEventMs = this.#firstEventAt === undefined ? undefined : this.#firstEventAt - this.request.arrivedAt;
+		return {firstEventMs, longestGapMs: this.#longestGapMs};
+	}
+
 	event(head: readonly string[], event: RawEvent): boolean {
 		const {res} = this.request;
 		if (!res.headersSent) {
 			res.writeHead(200, [...head]);
 		}
 
-		this.#events++;
+		this.#noteEvent(this.clock());
 		this.#lastEventId = event.id ?? this.#lastEventId;
 		return res.write(event.bytes);
 	}
@@ -78,4 +87,14 @@
 
 		return statusOf(failed.code);
 	}
+
+	#noteEvent(now: number): void {
+		if (this.#firstEventAt === undefined) {
+			this.#firstEventAt = now;
+		} else {
+			this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAt);
+		}
+
+		this.#lastEventAt = now;
+	}
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -231,7 +231,13 @@
 		const {adapter, logger} = this.sources;
 		try {
 			const server = adapter.decodeServer(object, now);
-			this.#fleet.register(object.name, server);
+			const known = this.#fleet.register(object.name, server);
+			// Cold servers renew their registration at each heartbeat.
+			const isNews = known?.id !== server.id || known.isDraining !== server.isDraining || (known.coldUntil <= now && server.coldUntil > now);
+			if (!isNews) {
+				return;
+			}
+
 			logger.info('server', {
 				server: server.instanceId,
 				service: server.service,
--- a/src/gateway/repeat-policy.ts
+++ b/src/gateway/repeat-policy.ts
@@ -24,6 +24,8 @@
 	readonly runs: number;
 	/** Attempts in all. */
 	readonly sends: number;
+	/** Attempts that reached a backend server, whether it ran them or not. */
+	readonly arrivals: number;
 	readonly timeLeftMs: number;
 	/** Takes one repeat from the budget that daemons share; asked last. */
 	tryBudget(): boolean;
@@ -63,7 +65,8 @@
 		}
 
 		case 'rejected': {
-			if (hasSendsLeft(state) && state.tryBudget()) {
+			// The budget bounds what backend servers receive; a connection that was never open cost them nothing.
+			if (hasSendsLeft(state) && (state.arrivals === 0 || state.tryBudget())) {
 				return {kind: 'repeat'};
 			}
 
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -23,8 +23,14 @@
 const EXPECTED_SLACK = 2;
 /** A prompt whose first event is expected after this share of its client's patience is refused at once. */
 const HOPELESS_SHARE = 0.9;
-/** Advice on when to return where no server could take a request: the time in which a usual answer frees a slot. */
+/** Advice on when to return where servers are full: the time in which a usual answer frees a slot. */
 const RETRY_AFTER_MS = 700;
+/**
+ * Advice on when to return where no server may be used at all. Clients return once, and wait for a third of their time at
+ * most, so the one return is as late as that allows: registrations need about two seconds.
+ */
+const NO_SERVER_RETRY_MS = 2000;
+const RETRY_TIME_SHARE = 0.33;
 
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
@@ -39,6 +45,9 @@
 	readonly outcome: 'delivered' | 'answered' | 'failed' | 'left';
 	readonly status: number;
 	readonly sends: number;
+	/** Time in ms to the first event of a stream, and its longest pause. */
+	readonly firstEventMs?: number;
+	readonly longestGapMs?: number;
 	readonly failure?: Failure;
 };
 
@@ -51,9 +60,10 @@
 	readonly #response: ClientResponse;
 	#runs = 0;
 	#sends = 0;
+	#arrivals = 0;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
-		this.#response = ClientResponse.create(request);
+		this.#response = ClientResponse.create(request, parts.clock);
 	}
 
 	async run(): Promise<FlowResult> {
@@ -111,7 +121,7 @@
 					message: `no backend server of ${request.service.name} can take the request`,
 					ran,
 					step: 'reserve',
-					retryAfterMs: RETRY_AFTER_MS,
+					retryAfterMs: Math.min(NO_SERVER_RETRY_MS, RETRY_TIME_SHARE * (request.deadline - now)),
 				}),
 			};
 		}
@@ -156,6 +166,7 @@
 				signal: this.#response.signal,
 			});
 			this.#runs += result.mayHaveRun ? 1 : 0;
+			this.#arrivals += result.isUnsent ? 0 : 1;
 			return result;
 		} finally {
 			parts.exchange.closePlacement(placement.id);
@@ -176,6 +187,7 @@
 			maxAttempts: route.maxAttempts,
 			runs: this.#runs,
 			sends: this.#sends,
+			arrivals: this.#arrivals,
 			timeLeftMs: deadline - now,
 			tryBudget: () => this.parts.budget(service.name).tryRetry(),
 		};
@@ -205,7 +217,9 @@
 			this.#response.end();
 		}
 
-		return {outcome, status: outcome === 'delivered' ? 200 : 499, sends: this.#sends};
+		return {
+			outcome, status: outcome === 'delivered' ? 200 : 499, sends: this.#sends, ...this.#response.pace,
+		};
 	}
 
 	#deliver(answer: Answer): FlowResult {
@@ -216,7 +230,7 @@
 	#fail(failed: Failure): FlowResult {
 		const status = this.#response.fail(failed, this.parts.wire.formatRetryAfter);
 		return {
-			outcome: 'failed', status, sends: this.#sends, failure: failed,
+			outcome: 'failed', status, sends: this.#sends, ...this.#response.pace, failure: failed,
 		};
 	}
 }
--- a/tests/repeat-policy.test.ts
+++ b/tests/repeat-policy.test.ts
@@ -3,7 +3,7 @@
 import {nextStep, type RepeatState} from '../src/gateway/repeat-policy.js';
 
 const state = (more: Partial<RepeatState> = {}): RepeatState => ({
-	kind: {kind: 'idempotent'}, maxAttempts: 2, runs: 1, sends: 1, timeLeftMs: 1000, tryBudget: () => true, ...more,
+	kind: {kind: 'idempotent'}, maxAttempts: 2, runs: 1, sends: 1, arrivals: 1, timeLeftMs: 1000, tryBudget: () => true, ...more,
 });
 const nonIdempotent = {kind: 'non_idempotent'} as const;
 
@@ -30,6 +30,13 @@
 		expect(nextStep(rejected, state({runs: 1, sends: 4}))).toMatchObject({kind: 'fail', ran: 'unknown'});
 	});
 
+	it('should not spend the budget on servers that could not be reached', () => {
+		const rejected = {kind: 'rejected', reason: 'no connection'} as const;
+		const empty = {tryBudget: () => false};
+		expect(nextStep(rejected, state({runs: 0, arrivals: 0, ...empty})).kind).toBe('repeat');
+		expect(nextStep(rejected, state({runs: 0, arrivals: 1, ...empty})).kind).toBe('fail');
+	});
+
 	it('should tell a request that expired before it was sent from one that was sent', () => {
 		expect(nextStep({kind: 'expired', wasSent: false}, state({runs: 0}))).toMatchObject({ran: 'not_run', isExpired: true});
 		expect(nextStep({kind: 'expired', wasSent: true}, state({runs: 1}))).toMatchObject({ran: 'unknown', isExpired: true});
