Pause a watch after changes, by the number of daemons

Ruled out: longer waits alone, since a silent connection has to be found within the stable window. Change: after events a feed pauses 8 ms for each daemon, at most 600 ms; the wait of a watch follows the stable window.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -6,7 +6,7 @@
 import {LoadBoard} from '../fleet/load-board.js';
 import {LoadExchange} from '../fleet/load-exchange.js';
 import {ServerHealth} from '../fleet/server-health.js';
-import {KindFeed, type FeedSink} from '../store/kind-feed.js';
+import {KindFeed, WATCH_SLACK_MS, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
@@ -26,6 +26,17 @@
 /** Share of the common slack of repeats that the daemons use together; the rest covers daemons that do not see each other. */
 const SLACK_SHARE = 0.6;
 
+/** Time in ms to read the store again over a new connection, once a watch was found lost. */
+const REREAD_TIME_MS = 600;
+const MIN_WATCH_WAIT_MS = 500;
+/**
+ * Pause of a watch after changes, for each daemon: in a series of changes all daemons together make at most 125 calls a
+ * second for each kind, a sixteenth of the store's reads today. The maximum leaves most of the two seconds in which a
+ * change has to be in force.
+ */
+const WATCH_PAUSE_MS_PER_DAEMON = 8;
+const MAX_WATCH_PAUSE_MS = 600;
+
 export type GatewayDaemonSources = {
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
@@ -169,7 +180,14 @@
 	#follow(kind: string, sink: FeedSink): void {
 		const {adapter, clock, logger} = this.sources;
 		this.#feeds.push(KindFeed.start({
-			kind, store: adapter.store, sink, clock, logger, seed: randomInt(2 ** 31),
+			kind,
+			store: adapter.store,
+			sink,
+			clock,
+			logger,
+			seed: randomInt(2 ** 31),
+			waitMs: Math.max(MIN_WATCH_WAIT_MS, this.settings.stableWindowMs - WATCH_SLACK_MS - REREAD_TIME_MS),
+			pauseMs: () => Math.min(MAX_WATCH_PAUSE_MS, this.exchange.daemons * WATCH_PAUSE_MS_PER_DAEMON),
 		}));
 	}
 
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -11,6 +11,8 @@
 	/** UDP port of the load exchange, and TCP port of the metrics; the same on all daemons. */
 	readonly peerPort: number;
 	readonly metricsPort: number;
+	/** Time in ms after a disturbance within which a changed store has to be in force again. */
+	readonly stableWindowMs: number;
 	/** Time in ms between SIGTERM and SIGKILL. */
 	readonly stopGraceMs: number;
 	/** Repeats of requests at backend servers: a share of the requests, and a number that all daemons share. */
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -5,13 +5,8 @@
 import {pause} from '../util/pause.js';
 import type {KindEvent, KindObject, KindStore} from './kind-store.js';
 
-/**
- * A watch waits this long in ms. A connection that went silent is found when the answer is overdue, and then a change has
- * to be in force within two seconds of the moment at which the connection counts as whole again.
- */
-const WATCH_WAIT_MS = 1900;
-/** Time beyond the wait after which a watch counts as lost. */
-const WATCH_SLACK_MS = 500;
+/** Time in ms beyond the wait after which a watch counts as lost: many times the store's 4 ms. */
+export const WATCH_SLACK_MS = 500;
 const LIST_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
 const BACKOFF_MAX_MS = 600;
@@ -33,6 +28,10 @@
 	readonly logger: Logger;
 	/** Seed of the jitter between attempts. */
 	readonly seed: number;
+	/** A watch waits this long in ms for a change. A connection that went silent is found when its answer is overdue. */
+	readonly waitMs: number;
+	/** Pause in ms after changes, before the next watch: bounds the calls of all daemons together when changes come in series. */
+	pauseMs(): number;
 };
 
 type Position = {readonly revision: number};
@@ -84,10 +83,10 @@
 
 	async #watch({revision}: Position): Promise<Position | undefined> {
 		const {
-			store, kind, sink, clock, logger,
+			store, kind, sink, clock, logger, waitMs,
 		} = this.options;
 		const {signal} = this.#controller;
-		const outcome = await store.watch(kind, revision, WATCH_WAIT_MS, {timeoutMs: WATCH_WAIT_MS + WATCH_SLACK_MS, signal});
+		const outcome = await store.watch(kind, revision, waitMs, {timeoutMs: waitMs + WATCH_SLACK_MS, signal});
 		if (signal.aborted) {
 			return undefined;
 		}
@@ -99,6 +98,10 @@
 					sink.onEvent(event, clock());
 				}
 
+				if (outcome.events.length > 0) {
+					await pause(this.options.pauseMs(), signal);
+				}
+
 				return {revision: Math.max(revision, outcome.revision)};
 			}
 
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -37,6 +37,8 @@
 		clock: monotonicMs,
 		logger: createLogger('error'),
 		seed: 1,
+		waitMs: 1900,
+		pauseMs: () => 100,
 		sink: {
 			onList(objects: readonly KindObject[]) {
 				lists++;
@@ -89,6 +91,20 @@
 		await until(() => known.get('d') === 5, 1500);
 	});
 
+	it('should collect a series of changes into few watches', async () => {
+		const before = standIn.calls;
+		for (let index = 0; index < 50; index++) {
+			standIn.put('servers', 'a', index);
+			await new Promise(resolve => {
+				setTimeout(resolve, 10);
+			});
+		}
+
+		await until(() => known.get('a') === 49);
+		// Half a second and more, in steps of 100 ms; one call for each change would be 50.
+		expect(standIn.calls - before).toBeLessThan(12);
+	});
+
 	it('should read all pages of a long list', async () => {
 		for (let index = 0; index < 1100; index++) {
 			standIn.put('many', `name-${String(index).padStart(5, '0')}`, index);
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -17,7 +17,9 @@
 	zones: {braga: 'pt-norte'},
 	listen: {front: '10.1.0.40:8227', ready: '10.1.0.40:8220', control: '10.1.0.40:8229'},
 	'internal-port-range': [7340, 7355],
-	bounds: {'grace-s': 8, 'retry-budget-ratio': 0.2, 'budget-slack': 106},
+	bounds: {
+		'grace-s': 8, 'stable-window-ms': 3000, 'retry-budget-ratio': 0.2, 'budget-slack': 106,
+	},
 	platform: {address: '10.200.1.7:8223', form: 'objects'},
 	'a-new-field': true,
 };
@@ -40,6 +42,7 @@
 				readyListen: '10.1.0.40:8220',
 				peerPort: 7340,
 				metricsPort: 7355,
+				stableWindowMs: 3000,
 				stopGraceMs: 8000,
 				retryShare: 0.2,
 				retrySlack: 106,
