--- a/src/fleet/load-board.ts
+++ b/src/fleet/load-board.ts
@@ -19,8 +19,10 @@
 	readonly helpers: readonly string[];
 	/** Prefill time in ms at each participant; 0 for calls. */
 	readonly prefillMs: number;
-	/** Tokens of memory at `server`: prompt and expected output. */
+	/** Tokens of memory at `server`: prompt and expected output, without what `reserved` holds. */
 	readonly contextTokens: number;
+	/** Tokens of the prompt's memory that helpers hold. */
+	readonly reserved: ReadonlyArray<{readonly server: string; readonly tokens: number}>;
 	/** Longest pause between events in ms that is still on time; 0 for calls. */
 	readonly gapTargetMs: number;
 	/** Weight of the request against others when one of them has to be late. */
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -23,6 +23,7 @@
 	helpers: z.array(z.string()).readonly(),
 	prefillMs: z.number(),
 	contextTokens: z.number(),
+	reserved: z.array(z.object({server: z.string(), tokens: z.number()})).readonly(),
 	gapTargetMs: z.number(),
 	weight: z.number(),
 	targetMs: z.number(),
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,6 +6,7 @@
 } from '../forwarding/exchange.js';
 import type {Clock} from '../util/clock.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {MemoryReservation} from './memory-reservation.js';
 import type {AttemptOutcome} from './repeat-policy.js';
 import type {Choice} from './server-choice.js';
 import type {ResponseFacts, WireFormat} from './wire-format.js';
@@ -47,6 +48,8 @@
 	readonly clock: Clock;
 	readonly request: GatewayRequest;
 	readonly choice: Choice;
+	/** Memory that helpers hold for the prompt. */
+	readonly memory: MemoryReservation | undefined;
 	readonly sink: EventSink;
 	/** Longest silence in ms before `mayGiveUp` is asked. */
 	readonly silenceMs: number;
@@ -110,7 +113,9 @@
 	}
 
 	#message(timeLeftMs: number) {
-		const {request, choice, wire, sink} = this.options;
+		const {
+			request, choice, memory, wire, sink,
+		} = this.options;
 		const {req, workspace, body} = request;
 		return {
 			address: choice.server.address,
@@ -121,7 +126,7 @@
 				deadlineMs: Math.floor(timeLeftMs),
 				workspace: workspace?.name,
 				lastEventId: sink.lastEventId,
-				helpers: choice.helpers.map(({address}) => address),
+				helpers: choice.helpers.map(helper => ({address: helper.address, reservation: memory?.idAt(helper)})),
 				urgency: undefined,
 			}),
 			body,
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -126,6 +126,7 @@
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
+			memoryOrders: adapter.memoryOrders,
 			exchange: this.exchange,
 			clock,
 			logger,
--- a/src/gateway/platform-adapter.ts
+++ b/src/gateway/platform-adapter.ts
@@ -1,6 +1,7 @@
 /** What a gateway needs from the platform it runs on. The adapter translates, the gateway decides. */
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
+import type {MemoryOrders} from './memory-reservation.js';
 import type {ServingConfiguration} from './serving-configuration.js';
 import type {WireFormat} from './wire-format.js';
 
@@ -17,6 +18,7 @@
 export type PlatformAdapter = {
 	readonly store: KindStore;
 	readonly wire: WireFormat;
+	readonly memoryOrders: MemoryOrders;
 	readonly kinds: KindNames;
 	/** Undefined for an object that is not the configuration in force. Throws for one that cannot be read. */
 	decodeConfiguration(object: KindObject): ServingConfiguration | undefined;
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -9,6 +9,7 @@
 } from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {patienceMs, type GatewayRequest} from './gateway-request.js';
+import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
 import {
 	hasRunsLeft, nextStep, type NextStep, type RepeatState,
 } from './repeat-policy.js';
@@ -35,6 +36,7 @@
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
 	readonly exchange: LoadExchange;
+	readonly memoryOrders: MemoryOrders;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	budget(service: string): RetryBudget;
@@ -151,8 +153,21 @@
 			request: request.id, server: choice.server.instanceId, helpers: choice.helpers.length, expected_ms: Math.round(choice.expectedMs), considered: choice.considered, send: this.#sends,
 		});
 		parts.exchange.open(placement, now);
+		let memory: MemoryReservation | undefined;
 		try {
+			if (choice.reserved.length > 0) {
+				const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
+				if (acquired.kind === 'refused') {
+					return {
+						outcome: {kind: 'rejected', reason: acquired.reason}, mayHaveRun: false, isUnsent: true, faultyAddress: acquired.server.address,
+					};
+				}
+
+				memory = acquired.reservation;
+			}
+
 			const result = await runAttempt({
+				memory,
 				wire: parts.wire,
 				clock: parts.clock,
 				request,
@@ -170,6 +185,7 @@
 			return result;
 		} finally {
 			parts.exchange.closePlacement(placement.id);
+			void memory?.release();
 		}
 	}
 
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -7,6 +7,7 @@
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
 import {placeGeneration} from '../placement/generation-placement.js';
 import type {GatewayRequest} from './gateway-request.js';
+import type {HeldMemory} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
 
 /** Weight of a call against other requests; calls do not share engines with prompts. */
@@ -15,6 +16,8 @@
 export type Choice = {
 	readonly server: BackendServer;
 	readonly helpers: readonly BackendServer[];
+	/** Memory that helpers have to set aside before the request is sent. */
+	readonly reserved: readonly HeldMemory[];
 	readonly placement: Placement;
 	/** Expected time in ms to the first event; 0 for calls. */
 	readonly expectedMs: number;
@@ -69,8 +72,9 @@
 	return server && {
 		server,
 		helpers: [],
+		reserved: [],
 		placement: {
-			id, server: server.id, helpers: [], prefillMs: 0, contextTokens: 0, gapTargetMs: 0, weight: CALL_WEIGHT, targetMs,
+			id, server: server.id, helpers: [], prefillMs: 0, contextTokens: 0, reserved: [], gapTargetMs: 0, weight: CALL_WEIGHT, targetMs,
 		},
 		expectedMs: 0,
 		considered: servers.length,
@@ -100,12 +104,14 @@
 	return placed && {
 		server: placed.server,
 		helpers: placed.helpers,
+		reserved: placed.reserved,
 		placement: {
 			id,
 			server: placed.server.id,
 			helpers: placed.helpers.map(helper => helper.id),
 			prefillMs: placed.prefillMs,
-			contextTokens: promptTokens + outputTokens,
+			contextTokens: promptTokens + outputTokens - placed.reserved.reduce((sum, {tokens}) => sum + tokens, 0),
+			reserved: placed.reserved.map(({server, tokens}) => ({server: server.id, tokens})),
 			gapTargetMs,
 			weight,
 			targetMs,
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -24,8 +24,8 @@
 	readonly deadlineMs: number;
 	readonly workspace: string | undefined;
 	readonly lastEventId: number | undefined;
-	/** Addresses of the engines that prefill parts of the prompt. */
-	readonly helpers: readonly string[];
+	/** Engines that prefill parts of the prompt, with the reservation under which they keep their share of its memory. */
+	readonly helpers: ReadonlyArray<{readonly address: string; readonly reservation: string | undefined}>;
 	/** 0 is served first, 9 last; undefined leaves the engine's default. */
 	readonly urgency: number | undefined;
 };
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -32,6 +32,8 @@
 const EMPTY_ENGINE_CHARGE = 0.05;
 const HELPER_CHARGE = 0.004;
 const OTHER_DOMAIN_CHARGE = 0.005;
+/** Part of an engine's free memory that a prompt larger than one engine may use; the rest covers outputs that grow. */
+const FREE_MEMORY_SHARE = 0.9;
 /** Charge for an engine that has failed lately or is cold. */
 const SUSPECT_CHARGE = 0.5;
 
@@ -58,6 +60,8 @@
 export type GenerationPlacement = {
 	readonly server: BackendServer;
 	readonly helpers: readonly BackendServer[];
+	/** Memory that helpers have to hold, for a prompt larger than one engine's memory. */
+	readonly reserved: ReadonlyArray<{readonly server: BackendServer; readonly tokens: number}>;
 	/** Prefill in ms at each participant. */
 	readonly prefillMs: number;
 	/** Expected time in ms to the first event. */
@@ -78,7 +82,7 @@
 	return Math.min(1, Math.max(0, (share - SAFE_SHARE) / (LATE_SHARE - SAFE_SHARE)));
 }
 
-/** The placement with the least loss, or undefined when no engine has the memory. */
+/** The placement with the least loss, or undefined when the engines together do not have the memory. */
 export function placeGeneration(
 	request: GenerationRequest,
 	candidates: readonly EngineCandidate[],
@@ -113,21 +117,12 @@
 	const ranked = options
 		.map(option => ({option, charge: memberCharge(request, option, partMs)}))
 		.sort((a, b) => a.charge - b.charge);
-	const [writer] = ranked
-		.filter(({option}) => hasMemory(request, option.forecast, profile))
-		.map(({option, charge}) => ({option, charge: charge + writerCharge(request, option, profile)}))
-		.sort((a, b) => a.charge - b.charge);
-	if (!writer) {
-		return undefined;
-	}
-
-	const helpers = ranked
-		.filter(({option}) => option !== writer.option && option.forecast.helping < profile.slots)
-		.slice(0, size - 1);
-	if (helpers.length < size - 1) {
+	const group = isOversize(request, profile) ? chooseLargeGroup(request, ranked, profile, size) : chooseGroup(request, ranked, profile, size);
+	if (!group) {
 		return undefined;
 	}
 
+	const {writer, helpers} = group;
 	const members = [writer.option, ...helpers.map(({option}) => option)];
 	const {forecast} = writer.option;
 	const expectedMs = Math.max(...members.map(member => readyMs(member.forecast, partMs))) + passAfterPrefillMs(forecast) + slotWaitMs(forecast, profile);
@@ -140,12 +135,62 @@
 	return {
 		server: writer.option.server,
 		helpers: helpers.map(({option}) => option.server),
+		reserved: group.reserved,
 		prefillMs: partMs,
 		expectedMs,
 		loss: own + others,
 	};
 }
 
+type Ranked = {readonly option: Option; readonly charge: number};
+
+type Group = {
+	readonly writer: Ranked;
+	readonly helpers: readonly Ranked[];
+	readonly reserved: GenerationPlacement['reserved'];
+};
+
+const isOversize = (request: GenerationRequest, profile: EngineProfile): boolean => neededTokens(request) > profile.memoryTokens;
+
+const neededTokens = (request: GenerationRequest): number => request.promptTokens + request.outputTokens;
+
+const canHelp = (profile: EngineProfile) => ({option}: Ranked): boolean => option.forecast.helping < profile.slots;
+
+/** The engine that writes, and those that only prefill. */
+function chooseGroup(request: GenerationRequest, ranked: readonly Ranked[], profile: EngineProfile, size: number): Group | undefined {
+	const [writer] = ranked
+		.filter(({option}) => hasMemory(request, option.forecast, profile))
+		.map(({option, charge}) => ({option, charge: charge + writerCharge(request, option, profile)}))
+		.sort((a, b) => a.charge - b.charge);
+	const helpers = ranked.filter(item => item.option !== writer?.option).filter(canHelp(profile)).slice(0, size - 1);
+	return writer && helpers.length === size - 1 ? {writer, helpers, reserved: []} : undefined;
+}
+
+/** The engine with the most free memory writes; those with the most free memory after it hold the rest. */
+function chooseLargeGroup(request: GenerationRequest, ranked: readonly Ranked[], profile: EngineProfile, size: number): Group | undefined {
+	const free = ({option}: Ranked): number => Math.floor(FREE_MEMORY_SHARE * (profile.memoryTokens - option.forecast.usedTokens));
+	const [writer, ...others] = [...ranked].sort((a, b) => free(b) - free(a));
+	if (!writer) {
+		return undefined;
+	}
+
+	let missing = neededTokens(request) - free(writer);
+	const holders: Ranked[] = [];
+	const reserved: Array<{readonly server: BackendServer; readonly tokens: number}> = [];
+	for (const holder of others.filter(canHelp(profile)).slice(0, size - 1)) {
+		if (missing > 0 && free(holder) > 0) {
+			const tokens = Math.min(missing, free(holder));
+			reserved.push({server: holder.option.server, tokens});
+			holders.push(holder);
+			missing -= tokens;
+		}
+	}
+
+	const rest = ranked.filter(item => item !== writer && !holders.includes(item)).filter(canHelp(profile));
+	const helpers = [...holders, ...rest].slice(0, size - 1);
+	return missing > 0 || helpers.length < size - 1 ? undefined : {writer, helpers, reserved};
+}
+
 /** Time in ms until an engine has done its part. A pass that is under way ends first, after half its time on average. */
 const readyMs = (forecast: ServerForecast, partMs: number): number =>
 	forecast.backlogMs + partMs + (forecast.writers.length > 0 ? forecast.passMs / 2 : 0);
@@ -157,7 +202,7 @@
 	Math.max(0, forecast.requests + 1 - profile.slots) * SLOT_WAIT_MS;
 
 const hasMemory = (request: GenerationRequest, forecast: ServerForecast, profile: EngineProfile): boolean =>
-	forecast.usedTokens + request.promptTokens + request.outputTokens <= profile.memoryTokens;
+	forecast.usedTokens + neededTokens(request) <= profile.memoryTokens;
 
 /** What `partMs` of prefill on an engine costs those who are there already. */
 function memberCharge(request: GenerationRequest, {forecast, isSuspect}: Option, partMs: number): number {
--- a/src/placement/server-forecast.ts
+++ b/src/placement/server-forecast.ts
@@ -34,6 +34,7 @@
 	let requests = 0;
 	for (const entry of entries) {
 		const isOwn = entry.server === server;
+		usedTokens += entry.reserved.find(held => held.server === server)?.tokens ?? 0;
 		if (isOwn) {
 			requests++;
 			usedTokens += entry.contextTokens;
--- a/testing/stand-ins/platform/runner-stand-in.ts
+++ b/testing/stand-ins/platform/runner-stand-in.ts
@@ -33,6 +33,9 @@
 	readonly hasRun: boolean;
 };
 
+/** An order about memory. */
+export type Order = {readonly op: 'reserve' | 'release'; readonly id: string; readonly tokens?: number};
+
 export type RunnerOptions = {
 	readonly instance: string;
 	/** Events of a stream; undefined answers calls with one body. */
@@ -53,6 +56,9 @@
 	readonly arrivals: Arrival[] = [];
 	/** Requests whose connection closed before the answer was complete. */
 	left = 0;
+	readonly orders: Order[] = [];
+	/** Tokens set aside, by reservation. */
+	readonly reserved = new Map<string, number>();
 	readonly #next: Disturbance[] = [];
 	readonly #server: Server;
 
@@ -93,6 +99,11 @@
 			chunks.push(chunk as Buffer);
 		}
 
+		if (req.url === '/-/order') {
+			this.#order(res, JSON.parse(Buffer.concat(chunks).toString()) as Order);
+			return;
+		}
+
 		const disturbance = req.headers['fireflyport-target-instance'] === this.instance ? this.#next.shift() : {kind: 'reject', status: 421} as const;
 		this.arrivals.push({
 			method: req.method!, path: req.url!, headers: req.headers, body: Buffer.concat(chunks).toString(), hasRun: disturbance?.kind !== 'reject',
@@ -109,6 +120,17 @@
 		}
 	}
 
+	#order(res: ServerResponse, order: Order): void {
+		this.orders.push(order);
+		if (order.op === 'reserve') {
+			this.reserved.set(order.id, order.tokens ?? 0);
+		} else {
+			this.reserved.delete(order.id);
+		}
+
+		res.writeHead(200, {'content-type': 'application/json'}).end('{"available":0}');
+	}
+
 	async #answerCall(req: IncomingMessage, res: ServerResponse, disturbance: Disturbance | undefined): Promise<void> {
 		if (disturbance?.kind === 'mute') {
 			return;
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -213,6 +213,22 @@
 		expect(helpers).not.toContain(server.address);
 	});
 
+	it('should set memory aside for a prompt larger than one engine, and free it with the end of the stream', async () => {
+		const runners = await Promise.all(['e-1', 'e-2', 'e-3'].map(async instance => world.addRunner('model', {instance, events: 2})));
+		await ready();
+		expect(await world.statusOf('/chat/x', {headers: {...promptHeaders(600_000), 'fireflyport-deadline-ms': '3000'}})).toBe(503);
+		expect(runners.flatMap(({orders}) => orders)).toEqual([]);
+		world.store.put('config', 'main', configuration(4, {routes: configuration(4).routes.map(route => ({...route, 'target-latency-ms': 20_000, 'timeout-ms': 30_000}))}));
+		await world.logged('version=4');
+		expect(await world.bodyOf('/chat/x', {headers: {...promptHeaders(600_000), 'fireflyport-deadline-ms': '30000'}})).toBe(events(1, 2));
+		const server = runners.find(({runs}) => runs === 1)!;
+		const holder = runners.find(({orders}) => orders.length > 0)!;
+		const {id, tokens} = holder.orders[0]!;
+		expect(600_200 - tokens!).toBeLessThanOrEqual(450_000);
+		expect(String(server.arrivals[0]!.headers['fireflyport-helpers']).split(',')).toContain(`${holder.address}/${id}`);
+		await until(() => holder.reserved.size === 0, 1000);
+	});
+
 	it('should leave nothing on the load board when a stream has ended', async () => {
 		await world.addRunner('model', {instance: 'e-1', events: 3});
 		await ready();
