--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -2,6 +2,7 @@
 import {randomBytes, randomInt} from 'node:crypto';
 import {createServer, type Server} from 'node:http';
 import {DaemonRegistry} from '../fleet/daemon-registry.js';
+import {DomainCuts} from '../fleet/domain-cuts.js';
 import {FleetView} from '../fleet/fleet-view.js';
 import {LoadBoard} from '../fleet/load-board.js';
 import {LoadExchange} from '../fleet/load-exchange.js';
@@ -123,6 +124,7 @@
 			fleet: this.#fleet,
 			board: this.board,
 			health: this.#health,
+			cuts: DomainCuts.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -214,7 +214,12 @@
 		const {parts, request} = this;
 		const blamed = [choice.server, ...choice.helpers].find(({address}) => address === faultyAddress) ?? choice.server;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
-		parts.health.note(blamed.id, isSuccess, parts.clock());
+		const now = parts.clock();
+		parts.health.note(blamed.id, isSuccess, now);
+		if (blamed !== choice.server && blamed.failureDomain !== choice.server.failureDomain) {
+			parts.cuts.note(blamed.failureDomain, choice.server.failureDomain, now);
+		}
+
 		this.#excluded.add(blamed.id);
 		if (!isSuccess) {
 			parts.logger.warn('attempt_failed', {
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -1,5 +1,6 @@
 /** Chooses the backend server for one attempt from what this daemon knows now. */
 import type {BackendServer} from '../fleet/backend-server.js';
+import type {DomainCuts} from '../fleet/domain-cuts.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {LoadBoard, Placement} from '../fleet/load-board.js';
 import type {ServerHealth} from '../fleet/server-health.js';
@@ -29,6 +30,7 @@
 	readonly fleet: FleetView;
 	readonly board: LoadBoard;
 	readonly health: ServerHealth;
+	readonly cuts: DomainCuts;
 	readonly failureDomain: string;
 	/** Region of a failure domain. */
 	regionOf(failureDomain: string): string | undefined;
@@ -91,16 +93,23 @@
 function chooseEngine(parts: ChoiceParts, {facts, route}: GatewayRequest, {
 	servers, engine, id, targetMs,
 }: EngineChoice, now: number): Choice | undefined {
-	const {board, health, failureDomain} = parts;
+	const {
+		board, health, cuts, failureDomain,
+	} = parts;
 	const promptTokens = facts.promptTokens ?? engine.usualPromptTokens;
 	const outputTokens = Math.min(facts.maxOutputTokens ?? Infinity, facts.outputHint ?? facts.maxOutputTokens ?? engine.usualOutputTokens);
 	const weight = promptTokens + (OUTPUT_TOKEN_WEIGHT * outputTokens);
 	const gapTargetMs = route.kind.kind === 'stream' ? route.kind.gapTargetMs : route.targetLatencyMs;
-	const placed = placeGeneration({
+	const request = {
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
-	}, servers.map(server => ({
+	};
+	const candidates = servers.map(server => ({
 		server, entries: board.on(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
-	})), engine, now);
+	}));
+	const [placed] = cuts.connectedGroups(candidates, ({server}) => server.failureDomain, now)
+		.map(group => placeGeneration(request, group, engine, now))
+		.filter(option => option !== undefined)
+		.sort((a, b) => a.loss - b.loss);
 	return placed && {
 		server: placed.server,
 		helpers: placed.helpers,
--- a/testing/stand-ins/platform/runner-stand-in.ts
+++ b/testing/stand-ins/platform/runner-stand-in.ts
@@ -9,8 +9,8 @@
 
 /** How the next request is handled; requests without an entry are served well. */
 export type Disturbance =
-	/** Rejects it as not executed. */
-	| {readonly kind: 'reject'; readonly status: 503 | 421}
+	/** Rejects it as not executed; `helper` is the address of a helper that did not answer. */
+	| {readonly kind: 'reject'; readonly status: 503 | 421; readonly helper?: string}
 	/** Runs it and closes the connection, for streams after `events` events and `bytes` more bytes of the next one. */
 	| {readonly kind: 'break'; readonly events?: number; readonly bytes?: number}
 	/** Runs it, sends part of an answer without a length, or in chunks, and resets the connection. */
@@ -57,6 +57,8 @@
 	/** Requests whose connection closed before the answer was complete. */
 	left = 0;
 	readonly orders: Order[] = [];
+	/** Addresses of helpers that do not answer this server. */
+	unreachable: ReadonlySet<string> = new Set();
 	/** Tokens set aside, by reservation. */
 	readonly reserved = new Map<string, number>();
 	readonly #next: Disturbance[] = [];
@@ -104,7 +106,7 @@
 			return;
 		}
 
-		const disturbance = req.headers['fireflyport-target-instance'] === this.instance ? this.#next.shift() : {kind: 'reject', status: 421} as const;
+		const disturbance = this.#disturbanceOf(req);
 		this.arrivals.push({
 			method: req.method!, path: req.url!, headers: req.headers, body: Buffer.concat(chunks).toString(), hasRun: disturbance?.kind !== 'reject',
 		});
@@ -112,7 +114,10 @@
 			this.left += res.writableFinished ? 0 : 1;
 		});
 		if (disturbance?.kind === 'reject') {
-			res.writeHead(disturbance.status, disturbance.status === 421 ? {} : {'fireflyport-not-executed': '1'}).end();
+			res.writeHead(disturbance.status, {
+				...(disturbance.status === 421 ? {} : {'fireflyport-not-executed': '1'}),
+				...('helper' in disturbance ? {'at-server': disturbance.helper} : {}),
+			}).end();
 		} else if (this.options.events === undefined) {
 			await this.#answerCall(req, res, disturbance);
 		} else {
@@ -120,6 +125,16 @@
 		}
 	}
 
+	#disturbanceOf({headers}: IncomingMessage): Disturbance | undefined {
+		if (headers['fireflyport-target-instance'] !== this.instance) {
+			return {kind: 'reject', status: 421};
+		}
+
+		const helpers = String(headers['fireflyport-helpers'] ?? '').split(',');
+		const helper = helpers.find(address => this.unreachable.has(address));
+		return helper === undefined ? this.#next.shift() : {kind: 'reject', status: 503, helper};
+	}
+
 	#order(res: ServerResponse, order: Order): void {
 		this.orders.push(order);
 		if (order.op === 'reserve') {
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -229,6 +229,26 @@
 		await until(() => holder.reserved.size === 0, 1000);
 	});
 
+	it('should not split prompts over failure domains whose engines do not reach each other', async () => {
+		const add = async (instance: string, zone: string) => world.addRunner('model', {instance, zone, events: 2});
+		const near = await Promise.all(['e-1', 'e-2', 'e-3'].map(async instance => add(instance, 'braga')));
+		const far = await Promise.all(['e-4', 'e-5', 'e-6'].map(async instance => add(instance, 'famalicao')));
+		for (const runner of near) {
+			runner.unreachable = new Set(far.map(({address}) => address));
+		}
+
+		for (const runner of far) {
+			runner.unreachable = new Set(near.map(({address}) => address));
+		}
+
+		await ready();
+		expect(await world.statusOf('/chat/x', {headers: promptHeaders(200_000)})).toBe(200);
+		expect(await world.statusOf('/chat/x', {headers: promptHeaders(200_000)})).toBe(200);
+		const arrivals = [...near, ...far].flatMap(runner => runner.arrivals);
+		expect(arrivals.filter(({hasRun}) => !hasRun)).toHaveLength(1);
+		expect(arrivals).toHaveLength(3);
+	});
+
 	it('should leave nothing on the load board when a stream has ended', async () => {
 		await world.addRunner('model', {instance: 'e-1', events: 3});
 		await ready();
