--- a/src/backend/checked-connector.ts
+++ b/src/backend/checked-connector.ts
@@ -1,5 +1,6 @@
 /** Connections whose failures prove that nothing was sent. */
 import {buildConnector} from 'undici';
+import {watchReset} from './reset-watch.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 
@@ -13,22 +14,19 @@
 
 export type ConnectorOptions = {
 	readonly timeoutMs?: number;
-	/**
-	 * Told of an error on an open connection before undici is. undici takes a response without a length for complete when its
-	 * connection is reset.
-	 */
-	readonly onError?: (err: Error) => void;
+	/** Told of a reset of an open connection before undici is. */
+	readonly onReset?: (err: Error) => void;
 };
 
 /** A connector whose failures are {@link NotConnectedError}; `check` can refuse an open connection before its use. */
-export function createConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onError}: ConnectorOptions = {}): buildConnector.connector {
+export function createConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onReset}: ConnectorOptions = {}): buildConnector.connector {
 	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...[err, socket]) => {
 			const refusal = err ? err.message : check();
 			if (err === null && refusal === undefined) {
-				if (onError) {
-					socket.prependListener('error', onError);
+				if (onReset) {
+					watchReset(socket, onReset);
 				}
 
 				callback(null, socket);
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -54,7 +54,7 @@
 	const client = new Client(`http://${req.address}`, {
 		connect: createConnector(() => undefined, {
 			timeoutMs: connectTimeoutMs,
-			onError(err) {
+			onReset(err) {
 				connectionError = err;
 			},
 		}),
