--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -22,6 +22,8 @@
 	#domainsOut: ReadonlySet<string> = new Set();
 	#awayUntil = -Infinity;
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	/** Records a registration under its name. Returns the one before. */
 	register(name: string, server: BackendServer): BackendServer | undefined {
 		const known = this.#servers.get(name)?.server;
--- a/src/fleet/load-board.ts
+++ b/src/fleet/load-board.ts
@@ -54,6 +54,8 @@
 	readonly #daemons = new Map<string, DaemonEntries>();
 	readonly #byServer = new Map<string, Map<string, BoardEntry>>();
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	/** Records a placement, or replaces it under the same id. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): void {
 		const known = this.#of(daemon, now).entries.get(placement.id);
--- a/src/fleet/server-health.ts
+++ b/src/fleet/server-health.ts
@@ -16,6 +16,8 @@
 
 	readonly #records = new Map<string, Record>();
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	note(server: string, isSuccess: boolean, now: number): void {
 		const share = this.#share(server, now);
 		this.#records.set(server, {share: share + (OUTCOME_WEIGHT * ((isSuccess ? 0 : 1) - share)), updatedAt: now});
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -19,6 +19,8 @@
 
 	#rest: Uint8Array = Buffer.alloc(0);
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	/** Bytes of an event whose end has not arrived. */
 	get pendingBytes(): number {
 		return this.#rest.length;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -32,6 +32,8 @@
 
 	#server: Server | undefined;
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
 		this.#requests.inc({service, outcome});
 		this.#latency.observe({service}, ms);
--- a/src/util/bounded-output.ts
+++ b/src/util/bounded-output.ts
@@ -22,6 +22,8 @@
 	#reported = 0;
 	#isBusy = false;
 
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 	/** Lines dropped so far. */
 	get dropped(): number {
 		return this.#dropped;
