Report dropped log lines in the metrics

Cause: the gauge was never set, so it read zero whatever was dropped. Change: the gauge asks the output when it is read; a test with a stuck reader.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -42,6 +42,8 @@
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	/** Log lines dropped so far, for the metrics. */
+	readonly droppedLines: () => number;
 };
 
 export class GatewayDaemon {
@@ -56,7 +58,7 @@
 		return daemon;
 	}
 
-	readonly metrics = GatewayMetrics.create();
+	readonly metrics: GatewayMetrics;
 	readonly #fleet = FleetView.create();
 	readonly #health = ServerHealth.create();
 	readonly #budgets = new Map<string, RetryBudget>();
@@ -73,7 +75,9 @@
 		private readonly sources: GatewayDaemonSources,
 		private readonly board: LoadBoard,
 		private readonly exchange: LoadExchange,
-	) {}
+	) {
+		this.metrics = GatewayMetrics.create(sources.droppedLines);
+	}
 
 	/** Requests that this daemon has at backend servers. */
 	get openPlacements(): number {
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -9,8 +9,9 @@
 const LATENCY_BUCKETS_MS = [25, 50, 100, 200, 300, 400, 600, 1000, 1500, 2500, 4000, 6000, 10_000, 15_000];
 
 export class GatewayMetrics {
-	static create(): GatewayMetrics {
-		return new GatewayMetrics();
+	/** `droppedLines` is asked for the log lines dropped so far whenever the metrics are read. */
+	static create(droppedLines: () => number): GatewayMetrics {
+		return new GatewayMetrics(droppedLines);
 	}
 
 	readonly #registry = new Registry();
@@ -26,13 +27,19 @@
 		name: 'fireflyport_request_ms', help: 'Time from the arrival of a request to its end in ms', labelNames: ['service'], buckets: LATENCY_BUCKETS_MS, registers: [this.#registry],
 	});
 
-	readonly #dropped = new Gauge({
-		name: 'fireflyport_log_lines_dropped', help: 'Log lines dropped because output was slow', registers: [this.#registry],
-	});
-
 	#server: Server | undefined;
 
-	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+	private constructor(droppedLines: () => number) {
+		// The registry keeps the gauge and asks it when it is read.
+		const dropped: Gauge = new Gauge({
+			name: 'fireflyport_log_lines_dropped',
+			help: 'Log lines dropped because output was slow',
+			registers: [this.#registry],
+			collect() {
+				dropped.set(droppedLines());
+			},
+		});
+	}
 
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
 		this.#requests.inc({service, outcome});
@@ -43,10 +50,6 @@
 		this.#refusals.inc({code});
 	}
 
-	setDroppedLines(lines: number): void {
-		this.#dropped.set(lines);
-	}
-
 	async text(): Promise<string> {
 		return this.#registry.metrics();
 	}
--- /dev/null
+++ b/tests/bounded-output.test.ts
@@ -0,0 +1,38 @@
+import type fs from 'node:fs';
+import {
+	afterEach, describe, expect, it, vi,
+} from 'vitest';
+import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {BoundedOutput} from '../src/util/bounded-output.js';
+
+type Written = (err: Error | null, bytes: number) => void;
+
+// Standard output that accepts nothing until a test lets it.
+const waiting: Written[] = [];
+vi.mock('node:fs', async original => ({
+	...await original<typeof fs>(),
+	write(_fd: number, _data: Uint8Array, done: Written) {
+		waiting.push(done);
+	},
+}));
+
+afterEach(() => {
+	waiting.splice(0);
+});
+
+describe('bounded output', () => {
+	it('should drop and count lines, in the metrics too, instead of waiting for a reader that is stuck', async () => {
+		const output = BoundedOutput.create();
+		const metrics = GatewayMetrics.create(() => output.dropped);
+		output.sink('first');
+		await vi.waitFor(() => {
+			expect(waiting).toHaveLength(1);
+		});
+		for (let line = 0; line < 5000; line++) {
+			output.sink('line');
+		}
+
+		expect(output.dropped).toBe(1000);
+		expect(await metrics.text()).toContain('fireflyport_log_lines_dropped 1000');
+	});
+});
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -87,7 +87,9 @@
 		started.child.kill('SIGTERM');
 		expect(await stream).toMatchObject({body: events(1, 15), isBroken: false});
 		const {body} = await request(`http://127.0.0.1:${world.ports.metricsPort}/metrics`);
-		expect(await body.text()).toContain('fireflyport_requests_total{service="model",outcome="delivered"} 1');
+		const metrics = await body.text();
+		expect(metrics).toContain('fireflyport_requests_total{service="model",outcome="delivered"} 1');
+		expect(metrics).toContain('fireflyport_log_lines_dropped 0');
 		expect(await exited).toEqual([0, null]);
 		expect(started.output()).toContain('event=drained');
 	});
