Share the rule for header fields of one connection, and drop unused accessors

Cause: the platform's wire format had its own copy of the hop-by-hop fields and of the reading of Connection beside plain-headers.ts; two accessors of the gateway's parts had no caller. Change: one function in src/http serves both. Behaviour is the same; no test was changed. Checked: XO, type check, 93 tests of the parts that it touches.

--- a/src/fleet/load-board.ts
+++ b/src/fleet/load-board.ts
@@ -124,11 +124,6 @@
 		return [...this.#daemons.get(daemon)?.entries.values() ?? noEntries];
 	}
 
-	/** Daemons that were heard lately, this one included once it has placed something. */
-	get daemons(): number {
-		return this.#daemons.size;
-	}
-
 	heard(daemon: string, now: number): void {
 		this.#of(daemon, now);
 	}
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,6 +8,9 @@
 import {Client, type Dispatcher} from 'undici';
 import {createConnector, NotConnectedError} from '../backend/checked-connector.js';
 
+/** Largest head of a response that is read: four times the limit for requests. */
+const MAX_HEADER_BYTES = 65_536;
+
 export type ExchangeRequest = {
 	/** IP:PORT. */
 	readonly address: string;
@@ -112,6 +115,3 @@
 		},
 	};
 }
-
-/** Largest head of a response that is read: four times the limit for requests. */
-const MAX_HEADER_BYTES = 65_536;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,6 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo} from 'node:net';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {sendFailure, statusOf} from '../http/error-response.js';
@@ -57,10 +56,6 @@
 		return this.#open;
 	}
 
-	get address(): AddressInfo {
-		return this.#server.address() as AddressInfo;
-	}
-
 	/** Whether new connections should be sent here. */
 	get isReady(): boolean {
 		return this.#phase === 'serving' && this.parts.table() !== undefined;
--- a/src/operations/plain-headers.ts
+++ b/src/operations/plain-headers.ts
@@ -1,13 +1,10 @@
 /** Header fields that are passed between callers and plain services (RFC 9110, section 7.6.1). */
 import type {PlainHeaders} from '../backend/plain-service-protocol.js';
+import {fieldsNotPassedOn} from '../http/connection-headers.js';
 
 /** Marks the stored answer to a repeated operation. */
 export const REPEATED_HEADER = 'x-fireflyport-repeated';
 
-const HOP_BY_HOP = [
-	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade',
-];
-
 /** Fields of a caller that end here: its credentials, and what fireflyport sets itself. */
 const ENDS_HERE = ['host', 'authorization', 'content-length', 'expect', 'x-request-id', 'x-operation-id'];
 
@@ -15,8 +12,7 @@
 const FOR_FIREFLYPORT = ['x-backend-boot', 'x-backend-warm', 'x-not-run', 'x-request-id', REPEATED_HEADER];
 
 function without(headers: PlainHeaders, names: readonly string[]): PlainHeaders {
-	const named = String(headers.connection ?? '').toLowerCase().split(',').map(name => name.trim());
-	const dropped = new Set([...HOP_BY_HOP, ...names, ...named]);
+	const dropped = fieldsNotPassedOn(String(headers.connection ?? ''), names);
 	return Object.fromEntries(Object.entries(headers).filter(([name, value]) => value !== undefined && !dropped.has(name.toLowerCase())));
 }
 
