--- a/src/fleet/daemon-registry.ts
+++ b/src/fleet/daemon-registry.ts
@@ -1,22 +1,26 @@
 /** Registers this daemon in the store and finds the others there. */
-import type {KindStore} from '../store/kind-store.js';
+import {z} from 'zod';
+import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
+import type {Member} from './fleet-topology.js';
 
 const CALL_TIMEOUT_MS = 1000;
-/** Daemons tell each other of themselves, so the list is only read again for those that were cut off. */
-const REFRESH_MS = 10_000;
-/** Until the first success the store is asked this often. */
+/** Pauses in ms between reads of the list. Daemons start together, and the first lists may be older than some of them. */
 const FIRST_REFRESH_MS = 700;
+/** Daemons tell each other of themselves, so the list is seldom read later: for those that were cut off. */
+const MAX_REFRESH_MS = 10_000;
+
+const memberSchema = z.object({address: z.ipv4(), failureDomain: z.string(), cores: z.number().positive()}).readonly();
 
 export type RegistryOptions = {
 	readonly kind: string;
 	readonly store: KindStore;
-	readonly ip: string;
+	readonly self: Member;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	onPeers(addresses: readonly string[], now: number): void;
+	onPeers(members: readonly Member[], now: number): void;
 };
 
 export class DaemonRegistry {
@@ -37,18 +41,20 @@
 
 	async #run(): Promise<void> {
 		const {signal} = this.#controller;
+		let refreshMs = FIRST_REFRESH_MS;
 		while (!signal.aborted) {
 			this.#isRegistered ||= await this.#register();
 			const isListed = await this.#refresh();
-			await pause(this.#isRegistered && isListed ? REFRESH_MS : FIRST_REFRESH_MS, signal);
+			await pause(refreshMs, signal);
+			refreshMs = this.#isRegistered && isListed ? Math.min(MAX_REFRESH_MS, 2 * refreshMs) : FIRST_REFRESH_MS;
 		}
 	}
 
 	async #register(): Promise<boolean> {
 		const {
-			store, kind, ip, logger,
+			store, kind, self, logger,
 		} = this.options;
-		const outcome = await store.create(kind, ip, {address: ip}, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#controller.signal});
+		const outcome = await store.create(kind, self.address, self, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#controller.signal});
 		if (outcome.kind === 'unavailable') {
 			logger.warn('register_failed', {message: outcome.message});
 			return false;
@@ -60,7 +66,7 @@
 
 	async #refresh(): Promise<boolean> {
 		const {
-			store, kind, clock, logger, onPeers,
+			store, kind, clock, logger,
 		} = this.options;
 		const listed = await store.list(kind, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#controller.signal, isStaleAllowed: true});
 		if (listed.kind === 'unavailable') {
@@ -68,8 +74,17 @@
 			return false;
 		}
 
-		onPeers(listed.objects.map(({name}) => name), clock());
+		this.options.onPeers(listed.objects.map(object => this.#decode(object)).filter(member => member !== undefined), clock());
 		// A stale list may be older than the daemons that started together with this one.
 		return listed.objects.length > 1;
 	}
+
+	#decode({name, value}: KindObject): Member | undefined {
+		const parsed = memberSchema.safeParse(value);
+		if (!parsed.success) {
+			this.options.logger.warn('peer_unreadable', {peer: name, message: z.prettifyError(parsed.error)});
+		}
+
+		return parsed.data;
+	}
 }
--- a/src/fleet/load-board.ts
+++ b/src/fleet/load-board.ts
@@ -2,11 +2,11 @@
  * The work that all daemons have placed on backend servers, as far as this daemon knows.
  *
  * Load reports of backend servers lag by hundreds of ms; daemons therefore tell each other of each placement as they
- * make it. The board is soft state: a lost message is corrected by the next snapshot of its daemon, and the entries of a
+ * make it. The board is soft state: a lost message is corrected by the next report of its daemon, and the entries of a
  * daemon that has fallen silent are dropped.
  */
 
-/** Entries of a daemon are dropped after this silence: three snapshots. */
+/** Entries of a daemon are dropped after this silence in ms: three of its reports. */
 export const DAEMON_SILENCE_MS = 3500;
 
 /** One request on a backend server. */
@@ -39,6 +39,9 @@
 	readonly startedAt: number | undefined;
 };
 
+/** A placement in a report of its daemon. */
+export type OpenPlacement = Pick<BoardEntry, 'id' | 'startedAt'>;
+
 type DaemonEntries = {
 	lastHeardAt: number;
 	readonly entries: Map<string, BoardEntry>;
@@ -91,18 +94,29 @@
 		}
 	}
 
-	/** Drops what `daemon` no longer lists in a snapshot. */
-	retain(daemon: string, ids: ReadonlySet<string>, now: number): void {
-		for (const id of this.#of(daemon, now).entries.keys()) {
+	/** Drops what `daemon` no longer lists as open. Returns the ids of listed placements that are not known. */
+	retain(daemon: string, open: readonly OpenPlacement[], now: number): readonly string[] {
+		const {entries} = this.#of(daemon, now);
+		const ids = new Set(open.map(({id}) => id));
+		for (const id of entries.keys()) {
 			if (!ids.has(id)) {
 				this.close(daemon, id);
 			}
 		}
+
+		for (const {id, startedAt} of open) {
+			if (startedAt !== undefined) {
+				this.start(daemon, id, startedAt);
+			}
+		}
+
+		return [...ids].filter(id => !entries.has(id));
 	}
 
-	/** Drops the entries of daemons other than `own` that have been silent. Returns their names. */
+	/** Drops the entries of daemons other than `own` that have been silent. Returns those that had placements open. */
 	dropSilent(own: string, now: number): readonly string[] {
 		const silent = [...this.#daemons].filter(([daemon, {lastHeardAt}]) => daemon !== own && now - lastHeardAt > DAEMON_SILENCE_MS);
+		const withOpen = silent.filter(([, {entries}]) => entries.size > 0).map(([daemon]) => daemon);
 		for (const [daemon, {entries}] of silent) {
 			for (const id of entries.keys()) {
 				this.close(daemon, id);
@@ -111,7 +125,7 @@
 			this.#daemons.delete(daemon);
 		}
 
-		return silent.map(([daemon]) => daemon);
+		return withOpen;
 	}
 
 	/** Requests in which a backend server takes part, oldest first. */
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -1,74 +1,51 @@
 /**
  * Tells other daemons of this daemon's placements and records theirs, in datagrams with JSON bodies.
  *
- * Each change is sent at once to every known daemon; a snapshot each second corrects lost datagrams and doubles as a sign
- * of life. tRPC would cost an HTTP request for each message, several hundred a second, for state that may be lost.
+ * Each change is sent at once along the links of the fleet's topology. A report each second lists what is open: it ends
+ * what was closed, asks for what was lost, and doubles as a sign of life. tRPC would cost an HTTP request for each
+ * message, several hundred a second, for state that may be lost.
  */
-import {Buffer} from 'node:buffer';
 import {createSocket, type Socket} from 'node:dgram';
-import {z} from 'zod';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
-import type {LoadBoard, Placement} from './load-board.js';
-
-const SNAPSHOT_INTERVAL_MS = 1000;
-/** Entries in one datagram: about 250 bytes each, so that it fits into one packet of 1,500 bytes. */
-const ENTRIES_PER_DATAGRAM = 5;
-/** A peer that has been silent this long is no longer sent to; it announces itself again when it returns. */
-const PEER_FORGOTTEN_MS = 30_000;
-
-const placementSchema = z.object({
-	id: z.string(),
-	server: z.string(),
-	helpers: z.array(z.string()).readonly(),
-	prefillMs: z.number(),
-	contextTokens: z.number(),
-	reserved: z.array(z.object({server: z.string(), tokens: z.number()})).readonly(),
-	gapTargetMs: z.number(),
-	weight: z.number(),
-	targetMs: z.number(),
-});
-
-const messageSchema = z.discriminatedUnion('kind', [
-	z.object({
-		kind: z.literal('opened'),
-		daemon: z.string(),
-		placements: z.array(z.object({
-			placement: placementSchema,
-			/** Ms since the placement, and since its first event. */
-			ageMs: z.number(),
-			startedAgeMs: z.number().optional(),
-		})).readonly(),
-	}),
-	z.object({kind: z.literal('started'), daemon: z.string(), id: z.string()}),
-	z.object({kind: z.literal('closed'), daemon: z.string(), id: z.string()}),
-	/** All open ids of the daemon. `wantsReply` asks for the receiver's snapshot. */
-	z.object({
-		kind: z.literal('alive'), daemon: z.string(), ids: z.array(z.string()).readonly(), wantsReply: z.boolean(),
-	}),
-]);
-
-type Message = z.infer<typeof messageSchema>;
-
-type Peer = {readonly address: string; lastHeardAt: number};
+import {
+	FleetTopology, type ContactRole, type Links, type Member,
+} from './fleet-topology.js';
+import type {BoardEntry, LoadBoard, Placement} from './load-board.js';
+import {
+	parseDatagram, type Beat, type BoardMessage, type LoadMessage,
+} from './load-message.js';
+import {Outbox} from './outbox.js';
+
+const REPORT_INTERVAL_MS = 1000;
+/** A follower takes its relay for lost after a second of silence, three beats. */
+const BEAT_INTERVAL_MS = 300;
+
+/** What a daemon knows of the store, for its followers. */
+export type StoreState = Pick<Beat, 'storeAgeMs' | 'revisions'>;
 
 export type ExchangeOptions = {
 	/** Identity of this start of the daemon. */
 	readonly daemon: string;
-	readonly ip: string;
+	readonly self: Member;
 	/** The same on all daemons. */
 	readonly port: number;
 	readonly board: LoadBoard;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	storeState(now: number): StoreState;
+	/** The relay of this daemon told what it knows of the store. */
+	onRelayBeat(relay: string, state: StoreState, now: number): void;
 };
 
+type Sender = {readonly address: string; readonly as: ContactRole};
+
 export class LoadExchange {
 	static async create(options: ExchangeOptions): Promise<LoadExchange> {
 		const socket = createSocket('udp4');
 		await new Promise<void>((resolve, reject) => {
 			socket.once('error', reject);
-			socket.bind(options.port, options.ip, () => {
+			socket.bind(options.port, options.self.address, () => {
 				socket.off('error', reject);
 				resolve();
 			});
@@ -76,24 +53,44 @@
 		return new LoadExchange(socket, options);
 	}
 
-	readonly #peers = new Map<string, Peer>();
+	readonly #topology: FleetTopology;
+	readonly #outbox: Outbox;
 	readonly #timer: NodeJS.Timeout;
+	#links: Links;
+	#reportedAt = -Infinity;
 
 	private constructor(private readonly socket: Socket, private readonly options: ExchangeOptions) {
+		const {self, port, clock, logger} = options;
+		this.#topology = FleetTopology.create(self);
+		this.#links = this.#topology.links(clock());
+		this.#outbox = Outbox.create(socket, port, self, logger);
 		socket.on('message', (data, {address}) => {
-			this.#receive(data, address, options.clock());
+			this.#receive(data, address, clock());
 		});
 		socket.on('error', err => {
-			options.logger.warn('peer_socket_error', {message: err.message});
+			logger.warn('peer_socket_error', {message: err.message});
 		});
 		this.#timer = setInterval(() => {
-			this.#beat(options.clock());
-		}, SNAPSHOT_INTERVAL_MS);
+			this.#beat(clock());
+		}, BEAT_INTERVAL_MS);
 	}
 
-	/** Daemons heard lately, this one included. */
+	/** Daemons known, this one included. */
 	get daemons(): number {
-		return this.#peers.size + 1;
+		return this.#topology.size;
+	}
+
+	/** Daemons that read the store themselves, as far as this one knows. */
+	get storeReaders(): number {
+		return this.#topology.isMesh ? this.daemons : this.#links.peers.length + 1;
+	}
+
+	get relay(): string | undefined {
+		return this.#links.relay;
+	}
+
+	get followers(): number {
+		return this.#links.followers.length;
 	}
 
 	/** Requests that this daemon has at backend servers. */
@@ -101,12 +98,14 @@
 		return this.options.board.entriesOf(this.options.daemon).length;
 	}
 
-	/** Adds daemons found in the registry. New ones are asked for their placements. */
-	addPeers(addresses: Iterable<string>, now: number): void {
-		for (const address of addresses) {
-			if (address !== this.options.ip && !this.#peers.has(address)) {
-				this.#peers.set(address, {address, lastHeardAt: now});
-				this.#sendSnapshot([address], true);
+	/** Adds daemons found in the registry. New ones of a mesh are asked for their placements. */
+	addPeers(members: Iterable<Member>, now: number): void {
+		const added = this.#topology.add(members);
+		this.#updateLinks(now);
+		if (this.#topology.isMesh) {
+			const beat = JSON.stringify(this.#ownBeat(true, now));
+			for (const {address} of added) {
+				this.#outbox.post(address, 'peer', beat);
 			}
 		}
 	}
@@ -114,132 +113,274 @@
 	open(placement: Placement, now: number): void {
 		const {board, daemon} = this.options;
 		board.open(daemon, placement, now);
-		this.#broadcast({kind: 'opened', daemon, placements: [{placement, ageMs: 0}]});
+		this.#tell({
+			kind: 'opened', daemon, domain: this.#domain, placement, ageMs: 0,
+		});
 	}
 
 	/** The first event of a placement has arrived. */
 	start(id: string, now: number): void {
 		const {board, daemon} = this.options;
 		board.start(daemon, id, now);
-		this.#broadcast({kind: 'started', daemon, id});
+		this.#tell({
+			kind: 'started', daemon, domain: this.#domain, id,
+		});
 	}
 
 	closePlacement(id: string): void {
 		const {board, daemon} = this.options;
 		board.close(daemon, id);
-		this.#broadcast({kind: 'closed', daemon, id});
+		this.#tell({
+			kind: 'closed', daemon, domain: this.#domain, id,
+		});
+	}
+
+	/** Tells followers at once that this daemon knows more of the store. */
+	announceStore(now: number): void {
+		if (this.#links.followers.length > 0) {
+			this.#postBeats(now);
+			this.#outbox.flush();
+		}
 	}
 
 	async close(): Promise<void> {
 		clearInterval(this.#timer);
+		this.#outbox.close();
 		await new Promise<void>(resolve => {
 			this.socket.close(resolve);
 		});
 	}
 
+	get #domain(): string {
+		return this.options.self.failureDomain;
+	}
+
 	#beat(now: number): void {
 		const {board, daemon, logger} = this.options;
 		board.heard(daemon, now);
-		for (const [address, peer] of this.#peers) {
-			if (now - peer.lastHeardAt > PEER_FORGOTTEN_MS) {
-				this.#peers.delete(address);
-				logger.info('peer_forgotten', {peer: address});
-			}
-		}
-
 		for (const silent of board.dropSilent(daemon, now)) {
 			logger.info('peer_silent', {peer: silent});
 		}
 
-		this.#sendSnapshot(this.#peers.keys(), false);
+		this.#updateLinks(now);
+		this.#postBeats(now);
+		if (now - this.#reportedAt >= REPORT_INTERVAL_MS - (BEAT_INTERVAL_MS / 2)) {
+			this.#reportedAt = now;
+			this.#pass(this.#ownReport(now));
+			const {probe} = this.#links;
+			if (probe !== undefined) {
+				this.#outbox.post(probe, 'probe', JSON.stringify(this.#ownBeat(true, now)));
+			}
+		}
+
+		this.#outbox.flush();
+	}
+
+	#updateLinks(now: number): void {
+		const before = this.#links;
+		this.#links = this.#topology.links(now);
+		if (before.relay !== this.#links.relay) {
+			this.options.logger.info('relay_changed', {relay: this.#links.relay, before: before.relay, daemons: this.daemons});
+		}
 	}
 
 	#receive(data: Uint8Array, address: string, now: number): void {
-		const message = parseMessage(data);
-		if (!message) {
-			this.options.logger.warn('peer_message_unreadable', {peer: address, bytes: data.length});
+		const {logger} = this.options;
+		const datagram = parseDatagram(data);
+		if (!datagram) {
+			logger.warn('peer_message_unreadable', {peer: address, bytes: data.length});
 			return;
 		}
 
-		const peer = this.#peers.get(address);
-		if (peer) {
-			peer.lastHeardAt = now;
-		} else {
-			this.#peers.set(address, {address, lastHeardAt: now});
-			this.options.logger.info('peer_found', {peer: address});
+		const {as, failureDomain, cores, messages} = datagram;
+		if (this.#topology.add([{address, failureDomain, cores}]).length > 0) {
+			logger.info('peer_found', {peer: address});
+		}
+
+		const isNewFollower = this.#topology.heard(address, as, now);
+		if (isNewFollower) {
+			this.#updateLinks(now);
+		}
+
+		if (as === 'peer' && !this.#links.peers.includes(address)) {
+			// One that takes this daemon for a relay learns that it lives, and is left to the one that relays.
+			this.#outbox.post(address, 'probe', JSON.stringify(this.#ownBeat(false, now)));
 		}
 
-		this.#apply(message, address, now);
+		for (const message of messages) {
+			this.#apply(message, {address, as}, now);
+		}
 	}
 
-	#apply(message: Message, address: string, now: number): void {
-		const {board} = this.options;
+	#apply(message: LoadMessage, from: Sender, now: number): void {
+		const {board, daemon} = this.options;
+		if (message.kind !== 'beat' && message.kind !== 'missing' && message.daemon === daemon) {
+			// An own message that came back over another link.
+			return;
+		}
+
 		switch (message.kind) {
 			case 'opened': {
-				for (const {placement, ageMs, startedAgeMs} of message.placements) {
-					board.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs);
-				}
-
-				board.heard(message.daemon, now);
+				const {placement, ageMs, startedAgeMs} = message;
+				board.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs);
+				this.#pass(message, from);
 				break;
 			}
 
 			case 'started': {
 				board.start(message.daemon, message.id, now);
+				this.#pass(message, from);
 				break;
 			}
 
 			case 'closed': {
 				board.close(message.daemon, message.id);
+				this.#pass(message, from);
 				break;
 			}
 
 			case 'alive': {
-				board.retain(message.daemon, new Set(message.ids), now);
-				if (message.wantsReply) {
-					this.#sendSnapshot([address], false);
-				}
+				this.#applyReport(message, from, now);
+				break;
+			}
 
+			case 'missing': {
+				this.#answerMissing(message, from, now);
 				break;
 			}
+
+			case 'beat': {
+				this.#applyBeat(message, from, now);
+				break;
+			}
+		}
+	}
+
+	#applyReport(message: Extract<LoadMessage, {kind: 'alive'}>, from: Sender, now: number): void {
+		const {board} = this.options;
+		const wasIdle = board.entriesOf(message.daemon).length === 0;
+		const open = message.open.map(({id, startedAgeMs}) => ({id, startedAt: startedAgeMs === undefined ? undefined : now - startedAgeMs}));
+		const unknown = board.retain(message.daemon, open, now);
+		if (unknown.length > 0) {
+			this.#outbox.post(from.address, this.#roleTowards(from), JSON.stringify({kind: 'missing', daemon: message.daemon, ids: unknown}));
+		}
+
+		// Reports of idle daemons would only cost bytes: nobody has placements of them.
+		if (!wasIdle || open.length > 0) {
+			this.#pass(message, from);
+		}
+	}
+
+	#answerMissing({daemon, ids}: Extract<LoadMessage, {kind: 'missing'}>, from: Sender, now: number): void {
+		const wanted = new Set(ids);
+		for (const entry of this.options.board.entriesOf(daemon)) {
+			if (wanted.has(entry.id)) {
+				this.#outbox.post(from.address, this.#roleTowards(from), JSON.stringify(this.#opened(entry, now)));
+			}
 		}
 	}
 
-	#sendSnapshot(addresses: Iterable<string>, wantsReply: boolean): void {
-		const {board, daemon, clock} = this.options;
-		const now = clock();
-		const entries = board.entriesOf(daemon);
-		const messages: Message[] = [{
-			kind: 'alive', daemon, ids: entries.map(({id}) => id), wantsReply,
-		}];
-		for (let start = 0; start < entries.length; start += ENTRIES_PER_DATAGRAM) {
-			const placements = entries.slice(start, start + ENTRIES_PER_DATAGRAM).map(({
-				daemon: _, placedAt, startedAt, ...placement
-			}) => ({placement, ageMs: now - placedAt, startedAgeMs: startedAt === undefined ? undefined : now - startedAt}));
-			messages.push({kind: 'opened', daemon, placements});
+	#applyBeat(beat: Beat, from: Sender, now: number): void {
+		if (from.as === 'relay' && from.address === this.#links.relay) {
+			this.options.onRelayBeat(from.address, beat, now);
 		}
 
-		const bodies = messages.map(message => Buffer.from(JSON.stringify(message)));
-		for (const address of addresses) {
-			for (const body of bodies) {
-				this.socket.send(body, this.options.port, address);
+		if (beat.wantsReply) {
+			const role = this.#roleTowards(from);
+			this.#outbox.post(from.address, role, JSON.stringify(this.#ownBeat(false, now)));
+			if (role !== 'probe') {
+				this.#outbox.post(from.address, role, JSON.stringify(this.#ownReport(now)));
 			}
 		}
 	}
 
-	#broadcast(message: Message): void {
-		const body = Buffer.from(JSON.stringify(message));
-		for (const address of this.#peers.keys()) {
-			this.socket.send(body, this.options.port, address);
+	/** Failure domains of placements that were asked for are not known here; they are not passed on. */
+	#opened({
+		daemon, placedAt, startedAt, ...placement
+	}: BoardEntry, now: number): BoardMessage {
+		return {
+			kind: 'opened', daemon, domain: '', placement, ageMs: now - placedAt, startedAgeMs: startedAt === undefined ? undefined : now - startedAt,
+		};
+	}
+
+	#ownReport(now: number): BoardMessage {
+		const {board, daemon} = this.options;
+		const open = board.entriesOf(daemon).map(({id, startedAt}) => ({id, startedAgeMs: startedAt === undefined ? undefined : Math.round(now - startedAt)}));
+		return {
+			kind: 'alive', daemon, domain: this.#domain, open,
+		};
+	}
+
+	#ownBeat(wantsReply: boolean, now: number): Beat {
+		return {kind: 'beat', ...this.options.storeState(now), wantsReply};
+	}
+
+	#postBeats(now: number): void {
+		const {followers, peers} = this.#links;
+		if (this.#topology.isMesh || followers.length + peers.length === 0) {
+			return;
+		}
+
+		const beat = JSON.stringify(this.#ownBeat(false, now));
+		for (const address of followers) {
+			this.#outbox.post(address, 'relay', beat);
+		}
+
+		for (const address of peers) {
+			this.#outbox.post(address, 'peer', beat);
 		}
 	}
-}
 
-function parseMessage(data: Uint8Array): Message | undefined {
-	try {
-		return messageSchema.parse(JSON.parse(Buffer.from(data).toString()));
-	} catch {
-		// The caller logs the peer whose message cannot be read.
-		return undefined;
+	#roleTowards({address, as}: Sender): ContactRole {
+		switch (as) {
+			case 'follower': {
+				return 'relay';
+			}
+
+			case 'relay': {
+				return address === this.#links.relay ? 'follower' : 'probe';
+			}
+
+			case 'peer':
+			case 'probe': {
+				return as;
+			}
+		}
+	}
+
+	/** Sends a message of this daemon at once. */
+	#tell(message: BoardMessage): void {
+		this.#pass(message);
+		this.#outbox.flush();
+	}
+
+	/**
+	 * Passes a message on: from followers to everyone, from the relay or another failure domain to the followers. Other
+	 * failure domains get only what comes from this one, so that nothing goes round in a circle.
+	 */
+	#pass(message: BoardMessage, from?: Sender): void {
+		const {relay, followers, peers} = this.#links;
+		if (from?.as === 'probe' || (from?.as === 'relay' && from.address !== relay)) {
+			return;
+		}
+
+		const text = JSON.stringify(message);
+		if (relay !== undefined && from?.as !== 'relay') {
+			this.#outbox.post(relay, 'follower', text);
+		}
+
+		for (const address of followers) {
+			if (address !== from?.address) {
+				this.#outbox.post(address, 'relay', text);
+			}
+		}
+
+		if (from?.as !== 'peer' && message.domain === this.#domain) {
+			for (const address of peers) {
+				if (address !== from?.address) {
+					this.#outbox.post(address, 'peer', text);
+				}
+			}
+		}
 	}
 }
--- /dev/null
+++ b/src/fleet/load-message.ts
@@ -0,0 +1,78 @@
+/** Datagrams between daemons: messages on placements and on the relay, in JSON. */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+
+const placementSchema = z.object({
+	id: z.string(),
+	server: z.string(),
+	helpers: z.array(z.string()).readonly(),
+	prefillMs: z.number(),
+	contextTokens: z.number(),
+	reserved: z.array(z.object({server: z.string(), tokens: z.number()})).readonly(),
+	gapTargetMs: z.number(),
+	weight: z.number(),
+	targetMs: z.number(),
+});
+
+/** Ms since the first event of a placement; absent while its prompt is being prefilled. */
+const startedAgeSchema = z.number().optional();
+
+const messageSchema = z.discriminatedUnion('kind', [
+	z.object({
+		kind: z.literal('opened'),
+		daemon: z.string(),
+		/** Failure domain of `daemon`. */
+		domain: z.string(),
+		placement: placementSchema,
+		ageMs: z.number(),
+		startedAgeMs: startedAgeSchema,
+	}),
+	z.object({
+		kind: z.literal('started'), daemon: z.string(), domain: z.string(), id: z.string(),
+	}),
+	z.object({
+		kind: z.literal('closed'), daemon: z.string(), domain: z.string(), id: z.string(),
+	}),
+	/** All open placements of the daemon. */
+	z.object({
+		kind: z.literal('alive'),
+		daemon: z.string(),
+		domain: z.string(),
+		open: z.array(z.object({id: z.string(), startedAgeMs: startedAgeSchema})).readonly(),
+	}),
+	/** Placements that were listed by `alive`, and that the sender does not know. */
+	z.object({kind: z.literal('missing'), daemon: z.string(), ids: z.array(z.string()).readonly()}),
+	/** Sign of life, with what the sender knows of the store. */
+	z.object({
+		kind: z.literal('beat'),
+		/** Ms since the sender's knowledge of the store was confirmed. Absent before the first time. */
+		storeAgeMs: z.number().optional(),
+		/** Revision that the sender has for each kind. */
+		revisions: z.record(z.string(), z.number()),
+		wantsReply: z.boolean(),
+	}),
+]);
+
+const datagramSchema = z.object({
+	/** What the sender is to the receiver. */
+	as: z.enum(['follower', 'relay', 'peer', 'probe']),
+	failureDomain: z.string(),
+	cores: z.number(),
+	messages: z.array(messageSchema).readonly(),
+});
+
+export type LoadMessage = z.infer<typeof messageSchema>;
+/** A message on the placements of one daemon, which relays pass on. */
+export type BoardMessage = Extract<LoadMessage, {readonly domain: string}>;
+export type Beat = Extract<LoadMessage, {kind: 'beat'}>;
+export type Datagram = z.infer<typeof datagramSchema>;
+
+/** Undefined when it cannot be read. */
+export function parseDatagram(data: Uint8Array): Datagram | undefined {
+	try {
+		return datagramSchema.parse(JSON.parse(Buffer.from(data).toString()));
+	} catch {
+		// The caller logs the peer whose datagram cannot be read.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/gateway/fleet-feeds.ts
@@ -0,0 +1,181 @@
+/** Follows the store and applies what changes: the configuration, registrations of backend servers, failure domains that are out. */
+import {randomInt} from 'node:crypto';
+import type {FleetView} from '../fleet/fleet-view.js';
+import type {ServerHealth} from '../fleet/server-health.js';
+import {KindFeed, WATCH_SLACK_MS, type FeedSink} from '../store/kind-feed.js';
+import type {KindObject, KindStore} from '../store/kind-store.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import type {PlatformAdapter} from './platform-adapter.js';
+import {RouteTable} from './route-table.js';
+
+/** Time in ms to read the store again over a new connection, once a watch was found lost. */
+const REREAD_TIME_MS = 600;
+const MIN_WATCH_WAIT_MS = 500;
+
+export type FleetFeedsOptions = {
+	readonly adapter: PlatformAdapter;
+	readonly store: KindStore;
+	readonly fleet: FleetView;
+	readonly health: ServerHealth;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	/** Time in ms after a disturbance within which a changed store has to be in force again. */
+	readonly stableWindowMs: number;
+	/** Pause of a watch in ms after changes, and the longest one between attempts while the store is away. */
+	pauseMs(): number;
+	retryMs(): number;
+	/** A newer configuration is in force. */
+	onConfiguration(): void;
+};
+
+export class FleetFeeds {
+	static start(options: FleetFeedsOptions): FleetFeeds {
+		const feeds = new FleetFeeds(options);
+		const {kinds} = options.adapter;
+		feeds.#follow(kinds.configuration, feeds.#configurationSink());
+		feeds.#follow(kinds.servers, feeds.#serversSink());
+		feeds.#follow(kinds.domainsOut, feeds.#domainsOutSink());
+		return feeds;
+	}
+
+	readonly #feeds: KindFeed[] = [];
+	readonly #domainsOut = new Set<string>();
+	#table: RouteTable | undefined;
+
+	private constructor(private readonly options: FleetFeedsOptions) {}
+
+	/** Undefined until a configuration has been read. */
+	get table(): RouteTable | undefined {
+		return this.#table;
+	}
+
+	close(): void {
+		for (const feed of this.#feeds) {
+			feed.close();
+		}
+	}
+
+	#follow(kind: string, sink: FeedSink): void {
+		const {
+			store, clock, logger, stableWindowMs, pauseMs, retryMs,
+		} = this.options;
+		this.#feeds.push(KindFeed.start({
+			kind,
+			store,
+			sink,
+			clock,
+			logger,
+			seed: randomInt(2 ** 31),
+			waitMs: Math.max(MIN_WATCH_WAIT_MS, stableWindowMs - WATCH_SLACK_MS - REREAD_TIME_MS),
+			pauseMs,
+			retryMs,
+		}));
+	}
+
+	#configurationSink(): FeedSink {
+		return {
+			onList: objects => {
+				for (const object of objects) {
+					this.#applyConfiguration(object);
+				}
+			},
+			onEvent: event => {
+				if (event.kind === 'changed') {
+					this.#applyConfiguration(event.object);
+				}
+			},
+		};
+	}
+
+	#applyConfiguration(object: KindObject): void {
+		const {adapter, logger} = this.options;
+		try {
+			const configuration = adapter.decodeConfiguration(object);
+			// An answer that was delayed may carry an older version than the one in force.
+			if (configuration && configuration.version > (this.#table?.version ?? -Infinity)) {
+				this.#table = RouteTable.create(configuration);
+				this.options.onConfiguration();
+				logger.info('configuration', {version: configuration.version, routes: configuration.routes.length, revision: object.revision});
+			}
+		} catch (err) {
+			logger.error('configuration_unreadable', {name: object.name, revision: object.revision, message: String(err)});
+		}
+	}
+
+	#serversSink(): FeedSink {
+		return {
+			onList: (objects, now) => {
+				this.options.fleet.retain(new Set(objects.map(({name}) => name)), now);
+				for (const object of objects) {
+					this.#applyServer(object, now);
+				}
+
+				this.options.health.retain(this.options.fleet.ids());
+			},
+			onEvent: (event, now) => {
+				if (event.kind === 'changed') {
+					this.#applyServer(event.object, now);
+				} else {
+					this.options.fleet.unregister(event.name, now);
+					this.options.logger.info('server_gone', {server: event.name});
+				}
+			},
+			onOutage: now => {
+				this.options.fleet.noteOutage(now);
+			},
+		};
+	}
+
+	#applyServer(object: KindObject, now: number): void {
+		const {adapter, logger} = this.options;
+		try {
+			const server = adapter.decodeServer(object, now);
+			const known = this.options.fleet.register(object.name, server);
+			// Cold servers renew their registration at each heartbeat.
+			const isNews = known?.id !== server.id || known.isDraining !== server.isDraining || (known.coldUntil <= now && server.coldUntil > now);
+			if (!isNews) {
+				return;
+			}
+
+			logger.info('server', {
+				server: server.instanceId,
+				service: server.service,
+				domain: server.failureDomain,
+				draining: server.isDraining,
+				cold_ms: Math.max(0, Math.round(server.coldUntil - now)),
+				revision: object.revision,
+			});
+		} catch (err) {
+			this.options.fleet.unregister(object.name, now);
+			logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
+		}
+	}
+
+	#domainsOutSink(): FeedSink {
+		const apply = () => {
+			this.options.fleet.setDomainsOut(new Set(this.#domainsOut));
+			this.options.logger.info('domains_out', {domains: [...this.#domainsOut].join(',')});
+		};
+
+		return {
+			onList: objects => {
+				this.#domainsOut.clear();
+				for (const {name} of objects) {
+					this.#domainsOut.add(name);
+				}
+
+				apply();
+			},
+			onEvent: event => {
+				if (event.kind === 'changed') {
+					this.#domainsOut.add(event.object.name);
+				} else {
+					this.#domainsOut.delete(event.name);
+				}
+
+				apply();
+			},
+		};
+	}
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -7,17 +7,19 @@
 import {LoadBoard} from '../fleet/load-board.js';
 import {LoadExchange} from '../fleet/load-exchange.js';
 import {ServerHealth} from '../fleet/server-health.js';
-import {KindFeed, WATCH_SLACK_MS, type FeedSink} from '../store/kind-feed.js';
-import type {KindObject} from '../store/kind-store.js';
+import type {Member} from '../fleet/fleet-topology.js';
+import {RelayedStore} from '../store/relayed-store.js';
+import {ReplicaClient} from '../store/replica-client.js';
+import {ReplicaServer} from '../store/replica-server.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {RetryBudget} from '../util/retry-budget.js';
+import {FleetFeeds} from './fleet-feeds.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {Gateway} from './gateway.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import type {PlatformAdapter} from './platform-adapter.js';
-import {RouteTable} from './route-table.js';
 
 /** The balancer stops sending new connections after two failed checks, one a second; then a margin. */
 const BALANCER_LAG_MS = 2800;
@@ -27,16 +29,21 @@
 /** Share of the common slack of repeats that the daemons use together; the rest covers daemons that do not see each other. */
 const SLACK_SHARE = 0.6;
 
-/** Time in ms to read the store again over a new connection, once a watch was found lost. */
-const REREAD_TIME_MS = 600;
-const MIN_WATCH_WAIT_MS = 500;
 /**
- * Pause of a watch after changes, for each daemon: in a series of changes all daemons together make at most 125 calls a
- * second for each kind, a sixteenth of the store's reads today. The maximum leaves most of the two seconds in which a
- * change has to be in force.
+ * Pause of a watch after changes, for each daemon that reads the store: in a series of changes all daemons together make
+ * at most 125 calls a second for each kind, a sixteenth of the store's reads today. The maximum leaves most of the two
+ * seconds in which a change has to be in force.
  */
-const WATCH_PAUSE_MS_PER_DAEMON = 8;
+const WATCH_PAUSE_MS_PER_READER = 8;
+/** Covers a start, when few of the other daemons are known yet and all backend servers register. */
+const MIN_WATCH_PAUSE_MS = 200;
 const MAX_WATCH_PAUSE_MS = 600;
+/** Pause in ms after changes that came from a relay: four calls a second of each follower, of some dozens, at most. */
+const RELAYED_PAUSE_MS = 250;
+/** Longest pause in ms between attempts at a store that is away: all daemons together make about 150 calls a second for each kind. */
+const MIN_RETRY_MS = 600;
+const RETRY_MS_PER_DAEMON = 7;
+const MAX_RETRY_MS = 1500;
 
 export type GatewayDaemonSources = {
 	readonly adapter: PlatformAdapter;
@@ -46,14 +53,48 @@
 	readonly droppedLines: () => number;
 };
 
+type DaemonParts = {
+	readonly self: Member;
+	readonly board: LoadBoard;
+	readonly exchange: LoadExchange;
+	readonly store: RelayedStore;
+	readonly reader: ReplicaClient;
+	readonly server: ReplicaServer;
+};
+
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, sources: GatewayDaemonSources): Promise<GatewayDaemon> {
-		const {clock, logger} = sources;
+		const {adapter, clock, logger} = sources;
 		const board = LoadBoard.create();
+		const reader = ReplicaClient.create(settings.peerPort, logger);
+		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
+		const store = RelayedStore.create({
+			store: adapter.store,
+			reader,
+			clock,
+			logger,
+			kinds: [adapter.kinds.configuration, adapter.kinds.servers, adapter.kinds.domainsOut],
+			hasFollowers: () => exchange.followers > 0,
+			onChanged(now) {
+				exchange.announceStore(now);
+			},
+		});
 		const exchange = await LoadExchange.create({
-			daemon: `${settings.daemon}/${randomBytes(4).toString('hex')}`, ip: settings.ip, port: settings.peerPort, board, clock, logger,
+			daemon: `${settings.daemon}/${randomBytes(4).toString('hex')}`,
+			self,
+			port: settings.peerPort,
+			board,
+			clock,
+			logger,
+			storeState: now => store.state(now),
+			onRelayBeat(relay, state, now) {
+				store.noteRelay(relay, state, now);
+			},
+		});
+		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
+		const daemon = new GatewayDaemon(settings, sources, {
+			self, board, exchange, store, reader, server,
 		});
-		const daemon = new GatewayDaemon(settings, sources, board, exchange);
 		await daemon.#start();
 		return daemon;
 	}
@@ -62,10 +103,8 @@
 	readonly #fleet = FleetView.create();
 	readonly #health = ServerHealth.create();
 	readonly #budgets = new Map<string, RetryBudget>();
-	readonly #feeds: KindFeed[] = [];
-	readonly #domainsOut = new Set<string>();
+	#feeds: FleetFeeds | undefined;
 	#registry: DaemonRegistry | undefined;
-	#table: RouteTable | undefined;
 	#gateway!: Gateway;
 	#readyServer!: Server;
 	#isClosed = false;
@@ -73,15 +112,14 @@
 	private constructor(
 		private readonly settings: GatewaySettings,
 		private readonly sources: GatewayDaemonSources,
-		private readonly board: LoadBoard,
-		private readonly exchange: LoadExchange,
+		private readonly parts: DaemonParts,
 	) {
 		this.metrics = GatewayMetrics.create(sources.droppedLines);
 	}
 
 	/** Requests that this daemon has at backend servers. */
 	get openPlacements(): number {
-		return this.exchange.ownPlacements;
+		return this.parts.exchange.ownPlacements;
 	}
 
 	/** Leaves: not ready at once, serves on until the balancer has noticed, then until open requests end or time is up. */
@@ -109,35 +147,41 @@
 		}
 
 		this.#isClosed = true;
-		for (const feed of this.#feeds) {
-			feed.close();
-		}
-
+		this.#feeds?.close();
 		this.#registry?.close();
 		this.#gateway.close();
 		this.#readyServer.close();
 		this.#readyServer.closeAllConnections();
 		this.metrics.close();
-		await this.exchange.close();
-		await this.sources.adapter.store.close();
+		const {
+			server, exchange, reader, store,
+		} = this.parts;
+		server.close();
+		await exchange.close();
+		await reader.close();
+		await store.close();
 	}
 
 	async #start(): Promise<void> {
-		const {settings, sources: {adapter, clock, logger}} = this;
+		const {
+			settings, sources: {adapter, clock, logger}, parts: {
+				self, board, exchange, store,
+			},
+		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
 			fleet: this.#fleet,
-			board: this.board,
+			board,
 			health: this.#health,
 			cuts: DomainCuts.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
 			memoryOrders: adapter.memoryOrders,
-			exchange: this.exchange,
+			exchange,
 			clock,
 			logger,
 			budget: service => this.#budget(service),
-			table: () => this.#table,
+			table: () => this.#feeds?.table,
 			metrics: this.metrics,
 			seed: randomInt(2 ** 31),
 		});
@@ -145,17 +189,30 @@
 		this.metrics.listen(settings.ip, settings.metricsPort, err => {
 			logger.warn('metrics_unavailable', {message: err.message});
 		});
-		this.#follow(adapter.kinds.configuration, this.#configurationSink());
-		this.#follow(adapter.kinds.servers, this.#serversSink());
-		this.#follow(adapter.kinds.domainsOut, this.#domainsOutSink());
+		this.#feeds = FleetFeeds.start({
+			adapter,
+			store,
+			fleet: this.#fleet,
+			health: this.#health,
+			clock,
+			logger,
+			stableWindowMs: settings.stableWindowMs,
+			pauseMs: () => store.freshRelay(clock()) === undefined
+				? Math.min(MAX_WATCH_PAUSE_MS, Math.max(MIN_WATCH_PAUSE_MS, exchange.storeReaders * WATCH_PAUSE_MS_PER_READER))
+				: RELAYED_PAUSE_MS,
+			retryMs: () => Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, exchange.daemons * RETRY_MS_PER_DAEMON)),
+			onConfiguration: () => {
+				this.#gateway.applyLimits();
+			},
+		});
 		this.#registry = DaemonRegistry.start({
 			kind: adapter.kinds.daemons,
-			store: adapter.store,
-			ip: settings.ip,
+			store,
+			self,
 			clock,
 			logger,
-			onPeers: (addresses, now) => {
-				this.exchange.addPeers(addresses, now);
+			onPeers(members, now) {
+				exchange.addPeers(members, now);
 			},
 		});
 		logger.info('started', {listen: settings.listen, failure_domain: settings.failureDomain});
@@ -177,130 +234,10 @@
 		let budget = this.#budgets.get(service);
 		if (!budget) {
 			const {retryShare, retrySlack} = this.settings;
-			budget = RetryBudget.create(retryShare, () => Math.max(1, retrySlack * SLACK_SHARE / this.exchange.daemons));
+			budget = RetryBudget.create(retryShare, () => Math.max(1, retrySlack * SLACK_SHARE / this.parts.exchange.daemons));
 			this.#budgets.set(service, budget);
 		}
 
 		return budget;
 	}
-
-	#follow(kind: string, sink: FeedSink): void {
-		const {adapter, clock, logger} = this.sources;
-		this.#feeds.push(KindFeed.start({
-			kind,
-			store: adapter.store,
-			sink,
-			clock,
-			logger,
-			seed: randomInt(2 ** 31),
-			waitMs: Math.max(MIN_WATCH_WAIT_MS, this.settings.stableWindowMs - WATCH_SLACK_MS - REREAD_TIME_MS),
-			pauseMs: () => Math.min(MAX_WATCH_PAUSE_MS, this.exchange.daemons * WATCH_PAUSE_MS_PER_DAEMON),
-		}));
-	}
-
-	#configurationSink(): FeedSink {
-		return {
-			onList: objects => {
-				for (const object of objects) {
-					this.#applyConfiguration(object);
-				}
-			},
-			onEvent: event => {
-				if (event.kind === 'changed') {
-					this.#applyConfiguration(event.object);
-				}
-			},
-		};
-	}
-
-	#applyConfiguration(object: KindObject): void {
-		const {adapter, logger} = this.sources;
-		try {
-			const configuration = adapter.decodeConfiguration(object);
-			// An answer that was delayed may carry an older version than the one in force.
-			if (configuration && configuration.version > (this.#table?.version ?? -Infinity)) {
-				this.#table = RouteTable.create(configuration);
-				this.#gateway.applyLimits();
-				logger.info('configuration', {version: configuration.version, routes: configuration.routes.length, revision: object.revision});
-			}
-		} catch (err) {
-			logger.error('configuration_unreadable', {name: object.name, revision: object.revision, message: String(err)});
-		}
-	}
-
-	#serversSink(): FeedSink {
-		return {
-			onList: (objects, now) => {
-				this.#fleet.retain(new Set(objects.map(({name}) => name)), now);
-				for (const object of objects) {
-					this.#applyServer(object, now);
-				}
-
-				this.#health.retain(this.#fleet.ids());
-			},
-			onEvent: (event, now) => {
-				if (event.kind === 'changed') {
-					this.#applyServer(event.object, now);
-				} else {
-					this.#fleet.unregister(event.name, now);
-					this.sources.logger.info('server_gone', {server: event.name});
-				}
-			},
-			onOutage: now => {
-				this.#fleet.noteOutage(now);
-			},
-		};
-	}
-
-	#applyServer(object: KindObject, now: number): void {
-		const {adapter, logger} = this.sources;
-		try {
-			const server = adapter.decodeServer(object, now);
-			const known = this.#fleet.register(object.name, server);
-			// Cold servers renew their registration at each heartbeat.
-			const isNews = known?.id !== server.id || known.isDraining !== server.isDraining || (known.coldUntil <= now && server.coldUntil > now);
-			if (!isNews) {
-				return;
-			}
-
-			logger.info('server', {
-				server: server.instanceId,
-				service: server.service,
-				domain: server.failureDomain,
-				draining: server.isDraining,
-				cold_ms: Math.max(0, Math.round(server.coldUntil - now)),
-				revision: object.revision,
-			});
-		} catch (err) {
-			this.#fleet.unregister(object.name, now);
-			logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
-		}
-	}
-
-	#domainsOutSink(): FeedSink {
-		const apply = () => {
-			this.#fleet.setDomainsOut(new Set(this.#domainsOut));
-			this.sources.logger.info('domains_out', {domains: [...this.#domainsOut].join(',')});
-		};
-
-		return {
-			onList: objects => {
-				this.#domainsOut.clear();
-				for (const {name} of objects) {
-					this.#domainsOut.add(name);
-				}
-
-				apply();
-			},
-			onEvent: event => {
-				if (event.kind === 'changed') {
-					this.#domainsOut.add(event.object.name);
-				} else {
-					this.#domainsOut.delete(event.name);
-				}
-
-				apply();
-			},
-		};
-	}
 }
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -8,8 +8,11 @@
 	/** IP:PORT for clients, and for the readiness checks of the balancer. */
 	readonly listen: string;
 	readonly readyListen: string;
-	/** UDP port of the load exchange, and TCP port of the metrics; the same on all daemons. */
+	/** Processor cores that the daemon may use. */
+	readonly cores: number;
+	/** UDP port of the load exchange and TCP port for followers; the same on all daemons. */
 	readonly peerPort: number;
+	/** TCP port of the metrics. */
 	readonly metricsPort: number;
 	/** Time in ms after a disturbance within which a changed store has to be in force again. */
 	readonly stableWindowMs: number;
--- a/src/peer/peer-client.ts
+++ b/src/peer/peer-client.ts
@@ -1,6 +1,6 @@
 /** Calls to one peer over kept-alive connections. */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {Agent, request} from 'undici';
+import {Agent} from 'undici';
 import {z} from 'zod';
 import {withTimeLimit} from '../util/time-limit.js';
 import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
@@ -11,6 +11,7 @@
 	configurationPollAnswerSchema, type KeepAlive, type KeepAliveAnswer, keepAliveAnswerSchema, type PeerService,
 	type PromiseRequest, type Release, type Reserve, type ReserveAnswer, reserveAnswerSchema, type Settle, type StepDown,
 } from './protocol.js';
+import {createUndiciFetch} from './undici-fetch.js';
 
 /** Time-out of calls that a peer answers at once. */
 const SHORT_CALL_TIMEOUT_MS = 2000;
@@ -45,7 +46,7 @@
 		this.#trpc = createTRPCClient<PeerRouter>({
 			links: [httpLink({
 				url: `http://${address}`,
-				fetch: async (url, init) => this.#fetch(String(url), init as FetchInit),
+				fetch: createUndiciFetch(agent),
 			})],
 		});
 	}
@@ -120,26 +121,4 @@
 			this.#inFlight--;
 		}
 	}
-
-	/** `undici.request` in place of `fetch`, which costs more CPU for each call. */
-	async #fetch(url: string, init: FetchInit) {
-		const {statusCode, body} = await request(url, {
-			dispatcher: this.agent,
-			method: init.method ?? 'POST',
-			headers: init.headers,
-			body: init.body,
-			signal: init.signal,
-			// The time limit of the call bounds these.
-			headersTimeout: 0,
-			bodyTimeout: 0,
-		});
-		return {ok: statusCode >= 200 && statusCode < 300, json: async () => body.json()};
-	}
 }
-
-type FetchInit = {
-	readonly method?: 'GET' | 'POST';
-	readonly headers?: Record<string, string>;
-	readonly body?: string;
-	readonly signal?: AbortSignal;
-};
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -9,7 +9,6 @@
 export const WATCH_SLACK_MS = 500;
 const LIST_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
-const BACKOFF_MAX_MS = 600;
 
 /** Receives what a feed learns. */
 export type FeedSink = {
@@ -32,6 +31,8 @@
 	readonly waitMs: number;
 	/** Pause in ms after changes, before the next watch: bounds the calls of all daemons together when changes come in series. */
 	pauseMs(): number;
+	/** Longest pause in ms between attempts while the store is away. */
+	retryMs(): number;
 };
 
 type Position = {readonly revision: number};
@@ -48,7 +49,7 @@
 	#isAway = false;
 
 	private constructor(private readonly options: FeedOptions) {
-		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: BACKOFF_MAX_MS, seed: options.seed});
+		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: options.retryMs(), seed: options.seed});
 	}
 
 	close(): void {
@@ -127,7 +128,7 @@
 			logger.warn('store_lost', {kind, message});
 		}
 
-		await pause(this.#backoff.nextMs(), this.#controller.signal);
+		await pause(this.#backoff.nextMs(this.options.retryMs()), this.#controller.signal);
 	}
 
 	#returned(): void {
--- /dev/null
+++ b/src/store/replica-client.ts
@@ -0,0 +1,83 @@
+/** Reads what relays know of the store, over kept-alive connections. */
+import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
+import {Agent} from 'undici';
+import {z} from 'zod';
+import {describeError} from '../object-api/json-client.js';
+import type {CallOptions} from '../object-api/object-api.js';
+import {createUndiciFetch} from '../peer/undici-fetch.js';
+import type {Logger} from '../util/logger.js';
+import {withTimeLimit} from '../util/time-limit.js';
+import type {KindEvents, KindList} from './kind-store.js';
+import type {ReplicaReader} from './relayed-store.js';
+import type {ReplicaRouter} from './replica-server.js';
+
+/** Time limit of a call in ms, after which the store is read directly: many times the round trip within a failure domain. */
+const CALL_TIMEOUT_MS = 300;
+/** Shorter than servers of this project keep idle connections, which is 5 s by Node's default. */
+const IDLE_CONNECTION_MS = 4000;
+
+const objectSchema = z.object({name: z.string(), revision: z.number(), value: z.unknown()});
+const unavailableSchema = z.object({kind: z.literal('unavailable'), message: z.string()});
+const listSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('listed'), objects: z.array(objectSchema), revision: z.number()}),
+	unavailableSchema,
+]);
+const eventSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('changed'), object: objectSchema}),
+	z.object({kind: z.literal('deleted'), name: z.string()}),
+]);
+const eventsSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('events'), events: z.array(eventSchema), revision: z.number()}),
+	z.object({kind: z.literal('compacted')}),
+	unavailableSchema,
+]);
+
+export class ReplicaClient implements ReplicaReader {
+	/** `port` is that of all daemons. */
+	static create(port: number, logger: Logger): ReplicaClient {
+		return new ReplicaClient(port, logger);
+	}
+
+	readonly #agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, keepAliveMaxTimeout: IDLE_CONNECTION_MS, connect: {timeout: CALL_TIMEOUT_MS}});
+	readonly #clients = new Map<string, TRPCClient<ReplicaRouter>>();
+
+	private constructor(private readonly port: number, private readonly logger: Logger) {}
+
+	async list(relay: string, kind: string, {signal}: CallOptions): Promise<KindList> {
+		return this.#call('list', relay, signal, async options => listSchema.parse(await this.#client(relay).list.query({kind}, options)) as KindList);
+	}
+
+	async since(relay: string, kind: string, revision: number, {signal}: CallOptions): Promise<KindEvents> {
+		return this.#call('since', relay, signal, async options =>
+			eventsSchema.parse(await this.#client(relay).since.query({kind, revision}, options)) as KindEvents);
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #call<T>(
+		step: string,
+		relay: string,
+		signal: AbortSignal | undefined,
+		call: (options: {readonly signal: AbortSignal}) => Promise<T>,
+	): Promise<T | {readonly kind: 'unavailable'; readonly message: string}> {
+		try {
+			return await withTimeLimit({timeoutMs: CALL_TIMEOUT_MS, signal}, async limited => call({signal: limited}));
+		} catch (err) {
+			const message = `${step} at relay ${relay}: ${describeError(err)}`;
+			this.logger.warn('relay_unavailable', {relay, message});
+			return {kind: 'unavailable', message};
+		}
+	}
+
+	#client(relay: string): TRPCClient<ReplicaRouter> {
+		let client = this.#clients.get(relay);
+		if (!client) {
+			client = createTRPCClient<ReplicaRouter>({links: [httpLink({url: `http://${relay}:${this.port}`, fetch: createUndiciFetch(this.#agent)})]});
+			this.#clients.set(relay, client);
+		}
+
+		return client;
+	}
+}
--- /dev/null
+++ b/src/store/replica-server.ts
@@ -0,0 +1,37 @@
+/** Hands out what this daemon knows of the store to its followers, over tRPC: calls are few, one for each change. */
+import {createServer, type Server} from 'node:http';
+import {initTRPC} from '@trpc/server';
+import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {z} from 'zod';
+import type {KindReplica} from './kind-replica.js';
+import type {KindEvents, KindList} from './kind-store.js';
+
+const t = initTRPC.create();
+
+const unknownKind = {kind: 'unavailable', message: 'no such kind'} as const;
+
+export const createReplicaRouter = (replica: (kind: string) => KindReplica | undefined) => t.router({
+	list: t.procedure.input(z.object({kind: z.string()})).query(({input}): KindList => replica(input.kind)?.list() ?? unknownKind),
+	since: t.procedure.input(z.object({kind: z.string(), revision: z.number()}))
+		.query(({input}): KindEvents => replica(input.kind)?.since(input.revision) ?? unknownKind),
+});
+
+export type ReplicaRouter = ReturnType<typeof createReplicaRouter>;
+
+export class ReplicaServer {
+	static async listen(host: string, port: number, replica: (kind: string) => KindReplica | undefined): Promise<ReplicaServer> {
+		const server = createServer(createHTTPHandler({router: createReplicaRouter(replica)}));
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, host, resolve);
+		});
+		return new ReplicaServer(server);
+	}
+
+	private constructor(private readonly server: Server) {}
+
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+}
--- a/src/util/backoff.ts
+++ b/src/util/backoff.ts
@@ -22,8 +22,8 @@
 	}
 
 	/** Delay before the next attempt in ms: between half and all of `baseMs` doubled with each failure, up to `maxMs`. */
-	nextMs(): number {
-		const limitMs = Math.min(this.options.maxMs, this.options.baseMs * (2 ** this.#failures));
+	nextMs(maxMs = this.options.maxMs): number {
+		const limitMs = Math.min(maxMs, this.options.baseMs * (2 ** this.#failures));
 		this.#failures = Math.min(this.#failures + 1, 30);
 		return uniformInt(this.#random, Math.ceil(limitMs / 2), Math.ceil(limitMs));
 	}
--- /dev/null
+++ b/tests/fleet-topology.test.ts
@@ -0,0 +1,69 @@
+import {describe, expect, it} from 'vitest';
+import {FleetTopology, MESH_LIMIT, type Member} from '../src/fleet/fleet-topology.js';
+
+const member = (index: number): Member => ({address: `10.0.0.${index + 10}`, failureDomain: `domain-${index % 3}`, cores: index < 6 ? 2 : 1});
+
+const fleet = (size: number): readonly Member[] => Array.from({length: size}, (_, index) => member(index));
+
+function topologyOf(index: number, size: number): FleetTopology {
+	const topology = FleetTopology.create(member(index));
+	topology.add(fleet(size));
+	return topology;
+}
+
+/** Links after everyone that was asked had time to answer; `answers` says who does. */
+function settled(topology: FleetTopology, answers: (address: string) => boolean) {
+	let links = topology.links(0);
+	for (let now = 300; now < 6000; now += 300) {
+		for (const address of [links.relay, ...links.peers, links.probe]) {
+			if (address !== undefined && answers(address)) {
+				topology.heard(address, 'probe', now);
+			}
+		}
+
+		links = topology.links(now);
+	}
+
+	return links;
+}
+
+describe('topology of the fleet', () => {
+	it('should link all daemons of a small fleet', () => {
+		const links = topologyOf(0, MESH_LIMIT).links(0);
+		expect(links).toMatchObject({relay: undefined, followers: [], probe: undefined});
+		expect(links.peers).toHaveLength(MESH_LIMIT - 1);
+	});
+
+	it('should let the strongest daemon of a failure domain relay, so that no daemon has links to all others', () => {
+		const everyone = () => true;
+		expect(settled(topologyOf(30, 90), everyone)).toMatchObject({relay: member(0).address, peers: []});
+		expect(settled(topologyOf(0, 90), everyone)).toMatchObject({relay: undefined, peers: [member(1).address, member(2).address]});
+	});
+
+	it('should pass over daemons that do not answer, and return to them once they do', () => {
+		const topology = topologyOf(30, 90);
+		expect(settled(topology, address => address !== member(0).address).relay).toBe(member(3).address);
+		topology.heard(member(0).address, 'probe', 6000);
+		expect(topology.links(6000).relay).toBe(member(0).address);
+	});
+
+	it('should relay itself when no daemon of higher rank answers', () => {
+		const dead = new Set([0, 3, 6].map(index => member(index).address));
+		expect(settled(topologyOf(9, 90), address => !dead.has(address))).toMatchObject({relay: undefined, peers: [member(1).address, member(2).address]});
+	});
+
+	it('should never let two daemons follow each other', () => {
+		for (const index of [0, 3, 6, 9, 30, 60]) {
+			const {relay} = topologyOf(index, 90).links(0);
+			const rank = fleet(90).findIndex(({address}) => address === relay);
+			expect(relay === undefined || rank < index).toBe(true);
+		}
+	});
+
+	it('should forget followers that fall silent', () => {
+		const topology = topologyOf(0, 90);
+		expect(topology.heard(member(3).address, 'follower', 0)).toBe(true);
+		expect(topology.links(3000).followers).toEqual([member(3).address]);
+		expect(topology.links(4000).followers).toEqual([]);
+	});
+});
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -2,14 +2,9 @@
 import type {BackendServer} from '../src/fleet/backend-server.js';
 import {FleetView} from '../src/fleet/fleet-view.js';
 import {DAEMON_SILENCE_MS, LoadBoard, type Placement} from '../src/fleet/load-board.js';
-import {LoadExchange} from '../src/fleet/load-exchange.js';
 import {ServerHealth} from '../src/fleet/server-health.js';
 import {placeCall} from '../src/placement/call-placement.js';
-import {monotonicMs} from '../src/util/clock.js';
-import {createLogger} from '../src/util/logger.js';
 import {RetryBudget} from '../src/util/retry-budget.js';
-import {until} from './fixtures/http.js';
-import {freeUdpPort} from './fixtures/platform-world.js';
 
 const server = (id: string, more: Partial<BackendServer> = {}): BackendServer => ({
 	id, instanceId: id, service: 'desk', address: '10.0.0.1:80', failureDomain: 'braga', slots: 6, isDraining: false, coldUntil: -Infinity, startedAt: undefined, ...more,
@@ -65,36 +60,19 @@
 		board.open('d-1', placement('a'), 0);
 		board.open('d-2', placement('b'), 0);
 		board.open('d-2', placement('c'), 0);
-		board.retain('d-2', new Set(['c']), 3000);
+		board.retain('d-2', [{id: 'c', startedAt: undefined}], 3000);
 		expect(board.on('i-1').map(({id}) => id)).toEqual(['a', 'c']);
 		expect(board.dropSilent('own', DAEMON_SILENCE_MS + 1)).toEqual(['d-1']);
 		expect(board.on('i-1').map(({id}) => id)).toEqual(['c']);
 	});
 });
 
-describe('load exchange', () => {
-	it('should tell other daemons of placements, first events and ends, and new daemons of all of them', async () => {
-		const port = await freeUdpPort();
-		const create = async (ip: string) => {
-			const board = LoadBoard.create();
-			const exchange = await LoadExchange.create({
-				daemon: ip, ip, port, board, clock: monotonicMs, logger: createLogger('error'),
-			});
-			return {board, exchange};
-		};
-
-		const first = await create('127.0.0.1');
-		const second = await create('127.0.0.2');
-		first.exchange.open(placement('early'), monotonicMs());
-		second.exchange.addPeers(['127.0.0.1', '127.0.0.2'], monotonicMs());
-		await until(() => second.board.on('i-1').length === 1);
-		first.exchange.open(placement('late', {helpers: ['i-2']}), monotonicMs());
-		first.exchange.start('late', monotonicMs());
-		await until(() => second.board.on('i-2')[0]?.startedAt !== undefined);
-		first.exchange.closePlacement('late');
-		await until(() => second.board.on('i-2').length === 0);
-		await first.exchange.close();
-		await second.exchange.close();
+describe('reports on the load board', () => {
+	it('should name listed placements that are unknown, and learn of first events whose message was lost', () => {
+		const board = LoadBoard.create();
+		board.open('d-1', placement('a'), 0);
+		expect(board.retain('d-1', [{id: 'a', startedAt: 40}, {id: 'b', startedAt: undefined}], 100)).toEqual(['b']);
+		expect(board.on('i-1')[0]!.startedAt).toBe(40);
 	});
 });
 
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -39,6 +39,7 @@
 		seed: 1,
 		waitMs: 1900,
 		pauseMs: () => 100,
+		retryMs: () => 600,
 		sink: {
 			onList(objects: readonly KindObject[]) {
 				lists++;
--- /dev/null
+++ b/tests/load-exchange.test.ts
@@ -0,0 +1,122 @@
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {MESH_LIMIT} from '../src/fleet/fleet-topology.js';
+import {LoadBoard, type Placement} from '../src/fleet/load-board.js';
+import {LoadExchange} from '../src/fleet/load-exchange.js';
+import {monotonicMs} from '../src/util/clock.js';
+import {createLogger} from '../src/util/logger.js';
+import {until} from './fixtures/http.js';
+import {freeUdpPort} from './fixtures/platform-world.js';
+
+const placement = (id: string, more: Partial<Placement> = {}): Placement => ({
+	id, server: 'i-1', helpers: [], prefillMs: 0, contextTokens: 0, reserved: [], gapTargetMs: 0, weight: 1, targetMs: 100, ...more,
+});
+
+type Daemon = {readonly address: string; readonly board: LoadBoard; readonly exchange: LoadExchange; readonly storeAges: number[]};
+
+let port: number;
+let daemons: Daemon[];
+
+const member = (index: number) => ({address: `127.0.0.${index + 1}`, failureDomain: `domain-${index % 3}`, cores: index < 6 ? 1.35 : 0.324});
+
+async function start(index: number): Promise<Daemon> {
+	const self = member(index);
+	const board = LoadBoard.create();
+	const storeAges: number[] = [];
+	const exchange = await LoadExchange.create({
+		daemon: self.address,
+		self,
+		port,
+		board,
+		clock: monotonicMs,
+		logger: createLogger('error'),
+		storeState: () => ({storeAgeMs: 7, revisions: {servers: 3}}),
+		onRelayBeat(_relay, {storeAgeMs}) {
+			storeAges.push(storeAgeMs!);
+		},
+	});
+	const daemon = {
+		address: self.address, board, exchange, storeAges,
+	};
+	daemons.push(daemon);
+	return daemon;
+}
+
+beforeEach(async () => {
+	port = await freeUdpPort();
+	daemons = [];
+});
+
+afterEach(async () => {
+	await Promise.all(daemons.map(async ({exchange}) => exchange.close()));
+});
+
+describe('load exchange in a mesh', () => {
+	it('should tell other daemons of placements, first events and ends, and new daemons of all of them', async () => {
+		const first = await start(0);
+		const second = await start(1);
+		first.exchange.open(placement('early'), monotonicMs());
+		second.exchange.addPeers([member(0), member(1)], monotonicMs());
+		await until(() => second.board.on('i-1').length === 1);
+		first.exchange.open(placement('late', {helpers: ['i-2']}), monotonicMs());
+		first.exchange.start('late', monotonicMs());
+		await until(() => second.board.on('i-2')[0]?.startedAt !== undefined);
+		first.exchange.closePlacement('late');
+		await until(() => second.board.on('i-2').length === 0);
+	});
+});
+
+describe('load exchange over relays', () => {
+	const size = MESH_LIMIT + 9;
+
+	beforeEach(async () => {
+		const members = Array.from({length: size}, (_, index) => member(index));
+		for (const index of members.keys()) {
+			const {exchange} = await start(index);
+			exchange.addPeers(members, monotonicMs());
+		}
+
+		await until(() => daemons.filter(({exchange}) => exchange.relay === undefined).length === 3);
+	});
+
+	it('should tell every daemon of a placement of a follower, with one relay in each failure domain', async () => {
+		const now = monotonicMs();
+		daemons.at(-1)!.exchange.open(placement('p'), now);
+		await until(() => daemons.every(({board}) => board.on('i-1').length === 1));
+		daemons.at(-1)!.exchange.closePlacement('p');
+		await until(() => daemons.every(({board}) => board.on('i-1').length === 0));
+	});
+
+	it('should continue over another daemon when a relay is gone', async () => {
+		await daemons[0]!.exchange.close();
+		const lost = daemons.shift()!;
+		await until(() => daemons.every(({exchange}) => exchange.relay !== lost.address), 5000);
+		// The new relay is found by followers of its failure domain and by the relays of the others.
+		await until(() => daemons.filter(({exchange}) => exchange.relay === undefined).length === 3, 5000);
+		daemons.at(-1)!.exchange.open(placement('p'), monotonicMs());
+		await until(() => daemons.every(({board}) => board.on('i-1').length === 1), 5000);
+	});
+
+	it('should repair the board of a daemon that missed a message', async () => {
+		const follower = daemons[10]!;
+		daemons.at(-1)!.exchange.open(placement('p'), monotonicMs());
+		await until(() => follower.board.on('i-1').length === 1);
+		follower.board.close(daemons.at(-1)!.address, 'p');
+		await until(() => follower.board.on('i-1').length === 1, 3000);
+	});
+
+	it('should leave the mesh for good once the fleet is known to be large', async () => {
+		// A daemon that still takes the fleet for a mesh sends to all; those that know better must not answer it as peers for ever.
+		const late = await start(size);
+		late.exchange.addPeers(Array.from({length: MESH_LIMIT - 2}, (_, index) => member(index)), monotonicMs());
+		await until(() => late.exchange.relay === undefined);
+		late.exchange.addPeers(Array.from({length: size}, (_, index) => member(index)), monotonicMs());
+		await until(() => late.exchange.relay !== undefined && late.exchange.storeReaders === 1, 3000);
+		await until(() => daemons.every(({exchange}) => exchange.storeReaders <= 3), 3000);
+	});
+
+	it('should tell followers how old the knowledge of the store is', async () => {
+		await until(() => daemons.filter(({exchange}) => exchange.relay !== undefined).every(({storeAges}) => storeAges.at(-1) === 7));
+	});
+});
