Charge engines whose last free slots may be taken unseen

All daemons prefer the same, fullest engine that still has a slot, and learn of each other's placements 5 to 45 ms later.

Change: the charge for writing on an engine includes the chance that its free slots are taken meanwhile, from the rate of placements in the last 500 ms.

--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -14,6 +14,7 @@
 import type {EngineProfile} from '../gateway/serving-configuration.js';
 import {prefillMs} from './engine-model.js';
 import {forecastServer, type ServerForecast} from './server-forecast.js';
+import {overflowChance, unseenPlacements} from './unseen-placements.js';
 
 /** Numbers of engines that are tried for one prompt. The protocol allows 16 helpers. */
 const GROUP_SIZES = [1, 2, 3, 4, 6, 8, 10, 12, 14, 17] as const;
@@ -72,6 +73,14 @@
 
 type Option = EngineCandidate & {readonly forecast: ServerForecast};
 
+/** What is known of the engines when a prompt is placed. */
+type Engines = {
+	readonly options: readonly Option[];
+	readonly profile: EngineProfile;
+	/** Placements on the most attractive engine that are not known yet. */
+	readonly unseen: number;
+};
+
 /** Chance that something expected after `expectedMs` misses `targetMs`. */
 export function lateChance(expectedMs: number, targetMs: number): number {
 	if (targetMs <= 0) {
@@ -92,13 +101,14 @@
 	const options = candidates.map((candidate): Option => ({
 		...candidate, forecast: forecastServer(candidate.server.id, candidate.entries, profile, now),
 	}));
+	const engines = {options, profile, unseen: unseenPlacements(options, now)};
 	let best: GenerationPlacement | undefined;
 	for (const size of GROUP_SIZES) {
 		if (size > 1 && (size > options.length || request.promptTokens / size < MIN_PART_TOKENS)) {
 			break;
 		}
 
-		const placement = placeOnGroup(request, options, profile, size);
+		const placement = placeOnGroup(request, engines, size);
 		if (placement && (!best || placement.loss < best.loss)) {
 			best = placement;
 		}
@@ -107,17 +117,13 @@
 	return best;
 }
 
-function placeOnGroup(
-	request: GenerationRequest,
-	options: readonly Option[],
-	profile: EngineProfile,
-	size: number,
-): GenerationPlacement | undefined {
+function placeOnGroup(request: GenerationRequest, engines: Engines, size: number): GenerationPlacement | undefined {
+	const {options, profile} = engines;
 	const partMs = prefillMs(profile, request.promptTokens) / size;
 	const ranked = options
 		.map(option => ({option, charge: memberCharge(request, option, partMs)}))
 		.sort((a, b) => a.charge - b.charge);
-	const group = isOversize(request, profile) ? chooseLargeGroup(request, ranked, profile, size) : chooseGroup(request, ranked, profile, size);
+	const group = isOversize(request, profile) ? chooseLargeGroup(request, ranked, profile, size) : chooseGroup(request, ranked, engines, size);
 	if (!group) {
 		return undefined;
 	}
@@ -157,10 +163,10 @@
 const canHelp = (profile: EngineProfile) => ({option}: Ranked): boolean => option.forecast.helping < profile.slots;
 
 /** The engine that writes, and those that only prefill. */
-function chooseGroup(request: GenerationRequest, ranked: readonly Ranked[], profile: EngineProfile, size: number): Group | undefined {
+function chooseGroup(request: GenerationRequest, ranked: readonly Ranked[], {profile, unseen}: Engines, size: number): Group | undefined {
 	const [writer] = ranked
 		.filter(({option}) => hasMemory(request, option.forecast, profile))
-		.map(({option, charge}) => ({option, charge: charge + writerCharge(request, option, profile)}))
+		.map(({option, charge}) => ({option, charge: charge + writerCharge(request, option, profile, unseen)}))
 		.sort((a, b) => a.charge - b.charge);
 	const helpers = ranked.filter(item => item.option !== writer?.option).filter(canHelp(profile)).slice(0, size - 1);
 	return writer && helpers.length === size - 1 ? {writer, helpers, reserved: []} : undefined;
@@ -224,10 +230,11 @@
 }
 
 /** What it costs to let an engine write the answer. */
-function writerCharge(request: GenerationRequest, {server, forecast}: Option, profile: EngineProfile): number {
+function writerCharge(request: GenerationRequest, {server, forecast}: Option, profile: EngineProfile, unseen: number): number {
+	const overflow = LATE_LOSS * overflowChance(profile.slots - forecast.requests, unseen);
 	const freeSlots = Math.max(0, 1 - (forecast.requests / profile.slots));
 	const emptiness = (FREE_SLOTS_CHARGE * freeSlots) + (forecast.requests === 0 ? EMPTY_ENGINE_CHARGE : 0);
 	const distance = server.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_CHARGE;
 	const waitMs = slotWaitMs(forecast, profile) + forecast.backlogMs + passAfterPrefillMs(forecast);
-	return request.weight * (emptiness + distance + (SLOWNESS_CHARGE * waitMs / Math.max(1, request.targetMs)));
+	return request.weight * (overflow + emptiness + distance + (SLOWNESS_CHARGE * waitMs / Math.max(1, request.targetMs)));
 }
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -1,24 +1,11 @@
 import {describe, expect, it} from 'vitest';
 import type {BackendServer} from '../src/fleet/backend-server.js';
 import {LoadBoard, type Placement} from '../src/fleet/load-board.js';
-import type {EngineProfile} from '../src/gateway/serving-configuration.js';
 import {prefillMs, writingPassMs} from '../src/placement/engine-model.js';
 import {lateChance, placeGeneration, type GenerationRequest} from '../src/placement/generation-placement.js';
+import {firstSiteProfile} from './fixtures/engine-profiles.js';
 
-/** Figures of the engines of both sites. */
-const profile: EngineProfile = {
-	slots: 11,
-	memoryTokens: 450_000,
-	stepsPerPass: 46,
-	stepMs: 0.925,
-	stepMsPerWriter: 0.007,
-	stepMsPerKiloContext: 0.002_54,
-	prefillTokensPerMs: 256,
-	msPerMillionPairs: 0.0917,
-	hopMs: 0.1,
-	usualPromptTokens: 13_252,
-	usualOutputTokens: 1540,
-};
+const profile = firstSiteProfile;
 
 const engine = (id: string): BackendServer => ({
 	id, instanceId: id, service: 'model', address: `10.0.0.1:${id.length}`, failureDomain: 'braga', slots: 11, isDraining: false, coldUntil: -Infinity, startedAt: undefined,
