Expect engines that are behind their forecast to stay busy

A prompt of most of an engine's memory was prefilled there for 10.6 s instead of 6.5 s; once the expected time was over, the engine counted as idle.

Change: a first event that is overdue counts as half as much work again. The line `placed` tells prompt tokens and memory that is held elsewhere.

--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -150,7 +150,14 @@
 		const {placement} = choice;
 		this.#sends++;
 		parts.logger.info('placed', {
-			request: request.id, server: choice.server.instanceId, helpers: choice.helpers.length, expected_ms: Math.round(choice.expectedMs), considered: choice.considered, send: this.#sends,
+			request: request.id,
+			server: choice.server.instanceId,
+			helpers: choice.helpers.length,
+			prompt_tokens: request.facts.promptTokens,
+			reserved_tokens: choice.reserved.reduce((sum, {tokens}) => sum + tokens, 0),
+			expected_ms: Math.round(choice.expectedMs),
+			considered: choice.considered,
+			send: this.#sends,
 		});
 		parts.exchange.open(placement, now);
 		let memory: MemoryReservation | undefined;
--- a/src/placement/server-forecast.ts
+++ b/src/placement/server-forecast.ts
@@ -3,6 +3,13 @@
 import type {EngineProfile} from '../gateway/serving-configuration.js';
 import {writingPassMs} from './engine-model.js';
 
+/**
+ * Share of the time by which a first event is overdue that its engine is expected to need still. An engine that is behind
+ * its forecast has work, or a lack of memory, that this daemon does not know; how long it lasts is best told by how long
+ * it has lasted.
+ */
+const OVERRUN_SHARE = 0.5;
+
 /** A request whose prompt is still being prefilled. */
 export type PendingEntry = {
 	readonly entry: BoardEntry;
@@ -51,6 +58,9 @@
 	let freeAt = -Infinity;
 	const pending = reading.map((entry): PendingEntry => {
 		freeAt = Math.max(freeAt, entry.placedAt) + entry.prefillMs;
+		// At a helper, the part may long be done while the request waits for another engine.
+		const overdueMs = entry.server === server ? now - freeAt - passMs : 0;
+		freeAt = overdueMs > 0 ? now + (OVERRUN_SHARE * overdueMs) : freeAt;
 		return {
 			entry,
 			startsInMs: Math.max(0, freeAt - now) + (writers.length > 0 ? passMs : 0),
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -3,6 +3,7 @@
 import {LoadBoard, type Placement} from '../src/fleet/load-board.js';
 import {prefillMs, writingPassMs} from '../src/placement/engine-model.js';
 import {lateChance, placeGeneration, type GenerationRequest} from '../src/placement/generation-placement.js';
+import {forecastServer} from '../src/placement/server-forecast.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
 
 const profile = firstSiteProfile;
@@ -192,3 +193,21 @@
 		expect(late).toEqual({chats: 0, digests: 0});
 	});
 });
+
+describe('forecast of an engine', () => {
+	const reading = entry('p', 'e-0', {prefillMs: 100});
+
+	it('should expect an engine to stay busy that is behind its forecast', () => {
+		// Guards against placing prompts on an engine whose memory or slots hold up everything: it looked idle once the time of its prefill was over.
+		const board = LoadBoard.create();
+		board.open('other', reading, 0);
+		expect(forecastServer('e-0', board.on('e-0'), profile, 50).backlogMs).toBe(50);
+		expect(forecastServer('e-0', board.on('e-0'), profile, 1100).backlogMs).toBeCloseTo(500, -1);
+	});
+
+	it('should not blame a helper whose part is done while the request waits elsewhere', () => {
+		const board = LoadBoard.create();
+		board.open('other', {...reading, helpers: ['e-1']}, 0);
+		expect(forecastServer('e-1', board.on('e-1'), profile, 1100).backlogMs).toBe(0);
+	});
+});
