--- a/src/placement/server-forecast.ts
+++ b/src/placement/server-forecast.ts
@@ -8,7 +8,7 @@
  * its forecast has work, or a lack of memory, that this daemon does not know; how long it lasts is best told by how long
  * it has lasted.
  */
-const OVERRUN_SHARE = 0.5;
+const OVERRUN_SHARE = 0.3;
 
 /** A request whose prompt is still being prefilled. */
 export type PendingEntry = {
