--- a/testing/soak/run-soak.ts
+++ b/testing/soak/run-soak.ts
@@ -369,8 +369,8 @@
 }
 
 function describeFault(fault: Fault, target: string | undefined): string {
-	const {kind, daemon: _, server: __, ...details} = {daemon: undefined, server: undefined, ...fault};
-	return [kind, target, ...Object.values(details)].filter(part => part !== undefined).join(' ');
+	const details = Object.entries(fault).filter(([name]) => name !== 'daemon' && name !== 'server').map(([, value]) => String(value));
+	return [target, ...details].filter(part => part !== undefined).join(' ');
 }
 
 function drawKind(uniform: number): CallKind {
--- a/testing/soak/soak-fleet.ts
+++ b/testing/soak/soak-fleet.ts
@@ -1,6 +1,7 @@
 /** The system of a soak: store and backend servers as stand-ins in this process, daemons as processes of their own. */
 import path from 'node:path';
 import {freePeerPort, freePort} from '../free-port.js';
+import {engineFields} from '../stand-ins/platform/engine-fields.js';
 import {RunnerStandIn} from '../stand-ins/platform/runner-stand-in.js';
 import {StoreStandIn} from '../stand-ins/platform/store-stand-in.js';
 import {FaultProxy} from './fault-proxy.js';
@@ -105,21 +106,7 @@
 				route('once', 'stream', 'model', {'gap-target-ms': 200, 'max-attempts': 1}),
 				...Array.from({length: version}, (_, index) => route(`since-${index + 1}`, 'safe', 'desk')),
 			],
-			services: [{name: 'desk'}, {
-				name: 'model',
-				engine: {
-					slots: 8,
-					'kv-capacity-tokens': 450_000,
-					stride: 52,
-					step_ms: 0.925,
-					per_seq_ms: 0.007,
-					context_per_k: 0.002_54,
-					read_per_s: 256_000,
-					pairs_per_m: 0.0917,
-					'hop-ms': 0.1,
-					usual: {prompt: 13_252, answer: 1540},
-				},
-			}],
+			services: [{name: 'desk'}, {name: 'model', engine: engineFields}],
 			limits: {'max-body-bytes': 1_000_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000},
 		});
 	}
