Share what the gateway had written again, and divide the load exchange

From reading the whole change once more; behaviour stays as it is.

- One `listen` for all servers (gateway, readiness, replica server, peers, first front door, stand-ins) instead of a promise around `server.listen` in each.
Two of those kept a listener that would have swallowed a later error.
- One weighted choice for services of a route, for prompt lengths of the load and for kinds of requests in the soak.
- One set of members that expire, for cut failure domains and for lost servers.
Ids of lost servers that never registered again stayed in memory for ever; they now go with the next addition.
- The adapter alone knows the status of a misdirected request; the attempt asks `isMisdirected`.
- src/fleet/load-exchange.ts (401 lines) is divided: fleet-links.ts keeps the links and sends along them, the exchange applies messages to the board.
The ranking of daemons is sorted once for each update instead of twice.
- The soak uses the guard that ends processes when their starter is gone; it is a class of testing/processes.ts now.
- Dead: `isFramed` of a response head, `receivedAt` of a relay's news, a copy of a revision.

--- a/src/daemon/http-front.ts
+++ b/src/daemon/http-front.ts
@@ -1,11 +1,11 @@
 /** HTTP server for callers: dispatch, request ids, errors, log lines and shutdown without cutting responses. */
-import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
+import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {errorBody, sendFailure, statusOf} from '../http/error-response.js';
@@ -53,8 +53,7 @@
 		});
 		server.maxConnections = MAX_CONNECTIONS;
 		const front = new HttpFront(server, parts);
-		server.listen(endpoint.port, endpoint.host);
-		await once(server, 'listening');
+		await listen(server, endpoint);
 		return front;
 	}
 
--- a/src/fleet/domain-cuts.ts
+++ b/src/fleet/domain-cuts.ts
@@ -4,6 +4,7 @@
  * An engine rejects a prompt when one of its helpers does not answer. When failure domains are cut off from each other, every
  * prompt that is split over both would be rejected, once for each helper.
  */
+import {ExpiringSet} from '../util/expiring-set.js';
 
 /** Time in ms after which a split over both failure domains is tried again; one rejection takes a few ms. */
 const CUT_MEMORY_MS = 2000;
@@ -13,17 +14,17 @@
 		return new DomainCuts();
 	}
 
-	readonly #until = new Map<string, number>();
+	readonly #cut = ExpiringSet.create();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	/** An engine in one failure domain did not reach an engine in the other. */
 	note(one: string, other: string, now: number): void {
-		this.#until.set(pairOf(one, other), now + CUT_MEMORY_MS);
+		this.#cut.add(pairOf(one, other), now + CUT_MEMORY_MS, now);
 	}
 
 	areCut(one: string, other: string, now: number): boolean {
-		return now < (this.#until.get(pairOf(one, other)) ?? -Infinity);
+		return this.#cut.has(pairOf(one, other), now);
 	}
 
 	/**
--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -132,7 +132,7 @@
 		}
 
 		return {
-			relay, followers: this.#currentFollowers(now), peers, probe: this.#nextProbe(relay === undefined),
+			relay, followers: this.#currentFollowers(now), peers, probe: this.#nextProbe(ranked, relay === undefined),
 		};
 	}
 
@@ -151,9 +151,9 @@
 	}
 
 	/** The next of the daemons that do not answer: of higher rank in the own failure domain, and any of others. */
-	#nextProbe(isRelay: boolean): string | undefined {
+	#nextProbe(ranked: readonly Candidate[], isRelay: boolean): string | undefined {
 		const {self} = this;
-		const down = this.#ranked().filter(({member, isDown}) => isDown
+		const down = ranked.filter(({member, isDown}) => isDown
 			&& (member.failureDomain === self.failureDomain ? compareRank(member, self) < 0 : isRelay));
 		return down[this.#probes++ % Math.max(1, down.length)]?.member.address;
 	}
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -1,4 +1,5 @@
 /** The backend servers that may be used, from their registrations and from the failure domains that operators took out. */
+import {ExpiringSet} from '../util/expiring-set.js';
 import type {BackendServer} from './backend-server.js';
 
 /**
@@ -19,8 +20,8 @@
 	}
 
 	readonly #servers = new Map<string, Known>();
-	/** Ids of servers that do not answer under their registration, and until when they are left out. */
-	readonly #lost = new Map<string, number>();
+	/** Ids of servers that do not answer under their registration. */
+	readonly #lost = ExpiringSet.create();
 	#domainsOut: ReadonlySet<string> = new Set();
 	#awayUntil = -Infinity;
 
@@ -70,9 +71,7 @@
 	 * changes with each start, so one that returns is not left out.
 	 */
 	noteLost(id: string, until: number, now: number): boolean {
-		const isNews = (this.#lost.get(id) ?? -Infinity) <= now;
-		this.#lost.set(id, Math.max(until, this.#lost.get(id) ?? -Infinity));
-		return isNews;
+		return this.#lost.add(id, until, now);
 	}
 
 	/** Servers of a service that may receive new work. Lost ones are used only when there are no others. */
@@ -83,7 +82,7 @@
 			if (goneAt !== undefined && now >= goneAt) {
 				this.#servers.delete(name);
 			} else if (server.service === service && !server.isDraining && !this.#domainsOut.has(server.failureDomain)) {
-				(this.#isLost(server.id, now) ? lost : usable).push(server);
+				(this.#lost.has(server.id, now) ? lost : usable).push(server);
 			}
 		}
 
@@ -94,13 +93,4 @@
 	ids(): ReadonlySet<string> {
 		return new Set([...this.#servers.values()].map(({server}) => server.id));
 	}
-
-	#isLost(id: string, now: number): boolean {
-		const until = this.#lost.get(id);
-		if (until !== undefined && until <= now) {
-			this.#lost.delete(id);
-		}
-
-		return until !== undefined && until > now;
-	}
 }
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -8,14 +8,12 @@
 import {createSocket, type Socket} from 'node:dgram';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
-import {
-	FleetTopology, type ContactRole, type Links, type Member,
-} from './fleet-topology.js';
+import {FleetLinks, type Sender} from './fleet-links.js';
+import type {Member} from './fleet-topology.js';
 import type {BoardEntry, LoadBoard, Placement} from './load-board.js';
 import {
 	parseDatagram, type Beat, type BoardMessage, type LoadMessage,
 } from './load-message.js';
-import {Outbox} from './outbox.js';
 
 const REPORT_INTERVAL_MS = 1000;
 /** A follower takes its relay for lost after a second of silence, three beats. */
@@ -40,8 +38,6 @@
 	onRelayBeat(relay: string, state: StoreState, now: number): void;
 };
 
-type Sender = {readonly address: string; readonly as: ContactRole};
-
 export class LoadExchange {
 	static async create(options: ExchangeOptions): Promise<LoadExchange> {
 		const socket = createSocket('udp4');
@@ -55,17 +51,13 @@
 		return new LoadExchange(socket, options);
 	}
 
-	readonly #topology: FleetTopology;
-	readonly #outbox: Outbox;
+	readonly #links: FleetLinks;
 	readonly #timer: NodeJS.Timeout;
-	#links: Links;
 	#reportedAt = -Infinity;
 
 	private constructor(private readonly socket: Socket, private readonly options: ExchangeOptions) {
 		const {self, port, clock, logger} = options;
-		this.#topology = FleetTopology.create(self);
-		this.#links = this.#topology.links(clock());
-		this.#outbox = Outbox.create(socket, port, self, logger);
+		this.#links = FleetLinks.create(socket, port, self, {logger, now: clock()});
 		socket.on('message', (data, {address}) => {
 			this.#receive(data, address, clock());
 		});
@@ -79,12 +71,12 @@
 
 	/** Daemons known, this one included. */
 	get daemons(): number {
-		return this.#topology.size;
+		return this.#links.daemons;
 	}
 
 	/** Daemons that read the store themselves, as far as this one knows. */
 	get storeReaders(): number {
-		return this.#topology.isMesh ? this.daemons : this.#links.peers.length + 1;
+		return this.#links.storeReaders;
 	}
 
 	get relay(): string | undefined {
@@ -92,7 +84,7 @@
 	}
 
 	get followers(): number {
-		return this.#links.followers.length;
+		return this.#links.followers;
 	}
 
 	/** Requests that this daemon has at backend servers. */
@@ -102,13 +94,9 @@
 
 	/** Adds daemons found in the registry. New ones of a mesh are asked for their placements. */
 	addPeers(members: Iterable<Member>, now: number): void {
-		const added = this.#topology.add(members);
-		this.#updateLinks(now);
-		if (this.#topology.isMesh) {
-			const beat = JSON.stringify(this.#ownBeat(true, now));
-			for (const {address} of added) {
-				this.#outbox.post(address, 'peer', beat);
-			}
+		const added = this.#links.add(members, now);
+		for (const {address} of this.#links.isMesh ? added : []) {
+			this.#links.post(address, 'peer', this.#ownBeat(true, now));
 		}
 	}
 
@@ -146,15 +134,15 @@
 
 	/** Tells followers at once that this daemon knows more of the store. */
 	announceStore(now: number): void {
-		if (this.#links.followers.length > 0) {
-			this.#postBeats(now);
-			this.#outbox.flush();
+		if (this.followers > 0) {
+			this.#links.beat(() => this.#ownBeat(false, now));
+			this.#links.flush();
 		}
 	}
 
 	async close(): Promise<void> {
 		clearInterval(this.#timer);
-		this.#outbox.close();
+		this.#links.close();
 		await new Promise<void>(resolve => {
 			this.socket.close(resolve);
 		});
@@ -171,26 +159,15 @@
 			logger.info('peer_silent', {peer: silent});
 		}
 
-		this.#updateLinks(now);
-		this.#postBeats(now);
+		this.#links.update(now);
+		this.#links.beat(() => this.#ownBeat(false, now));
 		if (now - this.#reportedAt >= REPORT_INTERVAL_MS - (BEAT_INTERVAL_MS / 2)) {
 			this.#reportedAt = now;
-			this.#pass(this.#ownReport(now));
-			const {probe} = this.#links;
-			if (probe !== undefined) {
-				this.#outbox.post(probe, 'probe', JSON.stringify(this.#ownBeat(true, now)));
-			}
+			this.#links.pass(this.#ownReport(now));
+			this.#links.probe(() => this.#ownBeat(true, now));
 		}
 
-		this.#outbox.flush();
-	}
-
-	#updateLinks(now: number): void {
-		const before = this.#links;
-		this.#links = this.#topology.links(now);
-		if (before.relay !== this.#links.relay) {
-			this.options.logger.info('relay_changed', {relay: this.#links.relay, before: before.relay, daemons: this.daemons});
-		}
+		this.#links.flush();
 	}
 
 	#receive(data: Uint8Array, address: string, now: number): void {
@@ -202,18 +179,10 @@
 		}
 
 		const {as, failureDomain, cores, messages} = datagram;
-		if (this.#topology.add([{address, failureDomain, cores}]).length > 0) {
-			logger.info('peer_found', {peer: address});
-		}
-
-		const isNewFollower = this.#topology.heard(address, as, now);
-		if (isNewFollower) {
-			this.#updateLinks(now);
-		}
-
-		if (as === 'peer' && !this.#links.peers.includes(address)) {
+		const isLinked = this.#links.heard({address, failureDomain, cores}, as, now);
+		if (!isLinked) {
 			// One that takes this daemon for a relay learns that it lives, and is left to the one that relays.
-			this.#outbox.post(address, 'probe', JSON.stringify(this.#ownBeat(false, now)));
+			this.#links.post(address, 'probe', this.#ownBeat(false, now));
 		}
 
 		for (const message of messages) {
@@ -232,25 +201,25 @@
 			case 'opened': {
 				const {placement, ageMs, startedAgeMs} = message;
 				board.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs);
-				this.#pass(message, from);
+				this.#links.pass(message, from);
 				break;
 			}
 
 			case 'started': {
 				board.start(message.daemon, message.id, now);
-				this.#pass(message, from);
+				this.#links.pass(message, from);
 				break;
 			}
 
 			case 'closed': {
 				board.close(message.daemon, message.id);
-				this.#pass(message, from);
+				this.#links.pass(message, from);
 				break;
 			}
 
 			case 'lost': {
 				this.options.onLost(message.server, now + message.forMs, now);
-				this.#pass(message, from);
+				this.#links.pass(message, from);
 				break;
 			}
 
@@ -277,12 +246,12 @@
 		const open = message.open.map(({id, startedAgeMs}) => ({id, startedAt: startedAgeMs === undefined ? undefined : now - startedAgeMs}));
 		const unknown = board.retain(message.daemon, open, now);
 		if (unknown.length > 0) {
-			this.#outbox.post(from.address, this.#roleTowards(from), JSON.stringify({kind: 'missing', daemon: message.daemon, ids: unknown}));
+			this.#links.reply(from, {kind: 'missing', daemon: message.daemon, ids: unknown});
 		}
 
 		// Reports of idle daemons would only cost bytes: nobody has placements of them.
 		if (!wasIdle || open.length > 0) {
-			this.#pass(message, from);
+			this.#links.pass(message, from);
 		}
 	}
 
@@ -290,21 +259,20 @@
 		const wanted = new Set(ids);
 		for (const entry of this.options.board.entriesOf(daemon)) {
 			if (wanted.has(entry.id)) {
-				this.#outbox.post(from.address, this.#roleTowards(from), JSON.stringify(this.#opened(entry, now)));
+				this.#links.reply(from, this.#opened(entry, now));
 			}
 		}
 	}
 
 	#applyBeat(beat: Beat, from: Sender, now: number): void {
-		if (from.as === 'relay' && from.address === this.#links.relay) {
+		if (this.#links.isRelay(from)) {
 			this.options.onRelayBeat(from.address, beat, now);
 		}
 
 		if (beat.wantsReply) {
-			const role = this.#roleTowards(from);
-			this.#outbox.post(from.address, role, JSON.stringify(this.#ownBeat(false, now)));
-			if (role !== 'probe') {
-				this.#outbox.post(from.address, role, JSON.stringify(this.#ownReport(now)));
+			this.#links.reply(from, this.#ownBeat(false, now));
+			if (this.#links.roleTowards(from) !== 'probe') {
+				this.#links.reply(from, this.#ownReport(now));
 			}
 		}
 	}
@@ -330,72 +298,9 @@
 		return {kind: 'beat', ...this.options.storeState(now), wantsReply};
 	}
 
-	#postBeats(now: number): void {
-		const {followers, peers} = this.#links;
-		if (this.#topology.isMesh || followers.length + peers.length === 0) {
-			return;
-		}
-
-		const beat = JSON.stringify(this.#ownBeat(false, now));
-		for (const address of followers) {
-			this.#outbox.post(address, 'relay', beat);
-		}
-
-		for (const address of peers) {
-			this.#outbox.post(address, 'peer', beat);
-		}
-	}
-
-	#roleTowards({address, as}: Sender): ContactRole {
-		switch (as) {
-			case 'follower': {
-				return 'relay';
-			}
-
-			case 'relay': {
-				return address === this.#links.relay ? 'follower' : 'probe';
-			}
-
-			case 'peer':
-			case 'probe': {
-				return as;
-			}
-		}
-	}
-
 	/** Sends a message of this daemon at once. */
 	#tell(message: BoardMessage): void {
-		this.#pass(message);
-		this.#outbox.flush();
-	}
-
-	/**
-	 * Passes a message on: from followers to everyone, from the relay or another failure domain to the followers. Other
-	 * failure domains get only what comes from this one, so that nothing goes round in a circle.
-	 */
-	#pass(message: BoardMessage, from?: Sender): void {
-		const {relay, followers, peers} = this.#links;
-		if (from?.as === 'probe' || (from?.as === 'relay' && from.address !== relay)) {
-			return;
-		}
-
-		const text = JSON.stringify(message);
-		if (relay !== undefined && from?.as !== 'relay') {
-			this.#outbox.post(relay, 'follower', text);
-		}
-
-		for (const address of followers) {
-			if (address !== from?.address) {
-				this.#outbox.post(address, 'relay', text);
-			}
-		}
-
-		if (from?.as !== 'peer' && message.domain === this.#domain) {
-			for (const address of peers) {
-				if (address !== from?.address) {
-					this.#outbox.post(address, 'peer', text);
-				}
-			}
-		}
+		this.#links.pass(message);
+		this.#links.flush();
 	}
 }
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -25,8 +25,6 @@
 export type ExchangeHead = {
 	readonly status: number;
 	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
-	/** Whether the end of the body can be told from a broken connection: a length or chunks. */
-	readonly isFramed: boolean;
 };
 
 /** Why an exchange ended. `not_connected` proves that nothing was sent. */
@@ -88,7 +86,7 @@
 		},
 		onResponseStart(_controller, status, headers) {
 			if (!isEnded && status >= 200) {
-				handler.onHead({status, headers, isFramed: headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined});
+				handler.onHead({status, headers});
 			}
 		},
 		onResponseData(_controller, chunk) {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -69,7 +69,6 @@
 	| {readonly kind: 'refused'; readonly facts: ResponseFacts; readonly status: number};
 
 const OK_STATUS = 200;
-const MISDIRECTED_STATUS = 421;
 
 /** Runs one attempt to its end. */
 export async function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
@@ -221,10 +220,10 @@
 			}
 
 			case 'refused': {
-				const isMoved = phase.status === MISDIRECTED_STATUS;
-				const reason = isMoved ? 'the address belongs to another server' : `rejected with status ${phase.status}`;
+				const {isMisdirected, faultyAddress} = phase.facts;
+				const reason = isMisdirected ? 'the address belongs to another server' : `rejected with status ${phase.status}`;
 				return {
-					outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress: phase.facts.faultyAddress, lost: isMoved ? 'moved' : undefined,
+					outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress, lost: isMisdirected ? 'moved' : undefined,
 				};
 			}
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -12,6 +12,7 @@
 import {ReplicaClient} from '../store/replica-client.js';
 import {ReplicaServer} from '../store/replica-server.js';
 import type {Clock} from '../util/clock.js';
+import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {RetryBudget} from '../util/retry-budget.js';
@@ -230,10 +231,7 @@
 			res.end();
 		});
 		const [host, port] = this.settings.readyListen.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this.#readyServer.once('error', reject);
-			this.#readyServer.listen(Number(port), host, resolve);
-		});
+		await listen(this.#readyServer, {host, port: Number(port)});
 	}
 
 	#budget(service: string): RetryBudget {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,11 +7,12 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {sendFailure, statusOf} from '../http/error-response.js';
 import {failure, type Failure} from '../util/failure.js';
+import {listen} from '../util/listen.js';
+import {chooseWeighted} from '../util/weighted-choice.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
 import {RequestFlow, type FlowParts, type FlowResult} from './request-flow.js';
 import type {RouteTable} from './route-table.js';
-import type {WeightedService} from './serving-configuration.js';
 
 /** Advice to clients that reach a daemon before its configuration, or while it leaves. Another daemon serves them. */
 const OTHER_DAEMON_RETRY_MS = 200;
@@ -89,13 +90,7 @@
 
 	async #listen(address: string): Promise<void> {
 		const [host, port] = address.split(':');
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port: Number(port), backlog: BACKLOG}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
+		await listen(this.#server, {host, port: Number(port), backlog: BACKLOG});
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -158,7 +153,7 @@
 			});
 		}
 
-		const service = table.service(this.#chooseService(route.services));
+		const service = table.service(chooseWeighted(route.services, ({weight}) => weight, uniformFloat64(this.#random))?.service ?? '');
 		if (!service) {
 			return failure({
 				code: 'no_capacity', message: `route ${route.name} names an unknown service`, ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
@@ -179,19 +174,6 @@
 		};
 	}
 
-	#chooseService(services: readonly WeightedService[]): string {
-		const total = services.reduce((sum, {weight}) => sum + weight, 0);
-		let rest = uniformFloat64(this.#random) * total;
-		for (const {service, weight} of services) {
-			rest -= weight;
-			if (rest < 0) {
-				return service;
-			}
-		}
-
-		return services.at(-1)?.service ?? '';
-	}
-
 	#noteRefusal(req: IncomingMessage, failed: Failure): void {
 		const {parts} = this;
 		const status = statusOf(failed.code);
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -37,6 +37,8 @@
 	readonly isSigned: boolean;
 	/** The request did not run and never will. */
 	readonly isNotExecuted: boolean;
+	/** The address belongs to another server than the one that the request was meant for. */
+	readonly isMisdirected: boolean;
 	/** IP:PORT of the server at fault, where it is another one. */
 	readonly faultyAddress: string | undefined;
 };
--- a/src/peer/peer-server.ts
+++ b/src/peer/peer-server.ts
@@ -3,6 +3,7 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
+import {listen} from '../util/listen.js';
 import type {TrafficMeter} from '../util/traffic-meter.js';
 import {createPeerRouter} from './peer-router.js';
 import type {PeerService} from './protocol.js';
@@ -20,15 +21,14 @@
 };
 
 export class PeerServer {
-	static async create(service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> {
+	static async create(service: PeerService, endpoint: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> {
 		const handler = createHTTPHandler({
 			router: createPeerRouter(service),
 			maxBodySize: MAX_BODY_BYTES,
 		});
 		const server = createServer({keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, noDelay: true}, handler);
 		server.on('connection', socket => meter?.watch(socket));
-		server.listen(listen.port, listen.host);
-		await once(server, 'listening');
+		await listen(server, endpoint);
 		return new PeerServer(server);
 	}
 
@@ -53,6 +53,6 @@
 	}
 }
 
-/** Serves `service` to peers on `listen`. `meter` counts the bytes of all connections. */
-export const createPeerServer = async (service: PeerService, listen: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> =>
-	PeerServer.create(service, listen, meter);
+/** Serves `service` to peers on `endpoint`. `meter` counts the bytes of all connections. */
+export const createPeerServer = async (service: PeerService, endpoint: ListenOptions, meter?: TrafficMeter): Promise<PeerServer> =>
+	PeerServer.create(service, endpoint, meter);
--- a/src/store/kind-store.ts
+++ b/src/store/kind-store.ts
@@ -9,10 +9,13 @@
 	readonly value: unknown;
 };
 
+/** The store, or the daemon that was asked, gave no answer that can be used. */
+export type Unavailable = {readonly kind: 'unavailable'; readonly message: string};
+
 /** A complete list of a kind, as of one revision or later. */
 export type KindList =
 	| {readonly kind: 'listed'; readonly objects: readonly KindObject[]; readonly revision: number}
-	| {readonly kind: 'unavailable'; readonly message: string};
+	| Unavailable;
 
 export type KindEvent =
 	| {readonly kind: 'changed'; readonly object: KindObject}
@@ -22,12 +25,12 @@
 export type KindEvents =
 	| {readonly kind: 'events'; readonly events: readonly KindEvent[]; readonly revision: number}
 	| {readonly kind: 'compacted'}
-	| {readonly kind: 'unavailable'; readonly message: string};
+	| Unavailable;
 
 export type CreateOutcome =
 	| {readonly kind: 'created'}
 	| {readonly kind: 'exists'}
-	| {readonly kind: 'unavailable'; readonly message: string};
+	| Unavailable;
 
 /** Methods do not throw for failures of the store; they return them. */
 export type KindStore = {
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -44,7 +44,7 @@
 	onChanged(now: number): void;
 };
 
-type RelayNews = {readonly relay: string; readonly confirmedAt: number; readonly receivedAt: number; readonly revisions: Readonly<Record<string, number>>};
+type RelayNews = {readonly relay: string; readonly confirmedAt: number; readonly revisions: Readonly<Record<string, number>>};
 
 /** A kind as this daemon knows it. */
 type Known = {readonly replica: KindReplica; confirmedAt: number};
@@ -88,9 +88,7 @@
 		}
 
 		const confirmedAt = now - storeAgeMs;
-		this.#news = {
-			relay, confirmedAt, receivedAt: now, revisions,
-		};
+		this.#news = {relay, confirmedAt, revisions};
 		for (const [kind, known] of this.#kinds) {
 			// What the relay has confirmed holds for this daemon as well, once it has caught up.
 			if (known.replica.revision !== undefined && known.replica.revision >= (revisions[kind] ?? Infinity)) {
@@ -133,7 +131,6 @@
 			return this.#watchDirectly(kind, revision, waitMs, options);
 		}
 
-		const revisionBefore = revision;
 		if (!await this.#waitForNews(kind, revision, waitMs, options)) {
 			return {kind: 'events', events: [], revision};
 		}
@@ -144,7 +141,7 @@
 			return this.#watchDirectly(kind, revision, 0, options);
 		}
 
-		known.replica.apply(revisionBefore, outcome.events, outcome.revision);
+		known.replica.apply(revision, outcome.events, outcome.revision);
 		this.#confirm(known, true);
 		return outcome;
 	}
--- a/src/store/replica-client.ts
+++ b/src/store/replica-client.ts
@@ -7,7 +7,7 @@
 import {createUndiciFetch} from '../peer/undici-fetch.js';
 import type {Logger} from '../util/logger.js';
 import {withTimeLimit} from '../util/time-limit.js';
-import type {KindEvents, KindList} from './kind-store.js';
+import type {KindEvents, KindList, Unavailable} from './kind-store.js';
 import type {ReplicaReader} from './relayed-store.js';
 import type {ReplicaRouter} from './replica-server.js';
 
@@ -61,7 +61,7 @@
 		relay: string,
 		signal: AbortSignal | undefined,
 		call: (options: {readonly signal: AbortSignal}) => Promise<T>,
-	): Promise<T | {readonly kind: 'unavailable'; readonly message: string}> {
+	): Promise<T | Unavailable> {
 		try {
 			return await withTimeLimit({timeoutMs: CALL_TIMEOUT_MS, signal}, async limited => call({signal: limited}));
 		} catch (err) {
--- a/src/store/replica-server.ts
+++ b/src/store/replica-server.ts
@@ -3,12 +3,13 @@
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {z} from 'zod';
+import {listen} from '../util/listen.js';
 import type {KindReplica} from './kind-replica.js';
-import type {KindEvents, KindList} from './kind-store.js';
+import type {KindEvents, KindList, Unavailable} from './kind-store.js';
 
 const t = initTRPC.create();
 
-const unknownKind = {kind: 'unavailable', message: 'no such kind'} as const;
+const unknownKind: Unavailable = {kind: 'unavailable', message: 'no such kind'};
 
 export const createReplicaRouter = (replica: (kind: string) => KindReplica | undefined) => t.router({
 	list: t.procedure.input(z.object({kind: z.string()})).query(({input}): KindList => replica(input.kind)?.list() ?? unknownKind),
@@ -21,10 +22,7 @@
 export class ReplicaServer {
 	static async listen(host: string, port: number, replica: (kind: string) => KindReplica | undefined): Promise<ReplicaServer> {
 		const server = createServer(createHTTPHandler({router: createReplicaRouter(replica)}));
-		await new Promise<void>((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, host, resolve);
-		});
+		await listen(server, {host, port});
 		return new ReplicaServer(server);
 	}
 
--- /dev/null
+++ b/src/util/listen.ts
@@ -0,0 +1,9 @@
+/** Starts servers. */
+import {once} from 'node:events';
+import type {ListenOptions, Server} from 'node:net';
+
+/** Resolves when `server` listens; rejects when the address cannot be used. */
+export async function listen(server: Server, options: ListenOptions): Promise<void> {
+	server.listen(options);
+	await once(server, 'listening');
+}
--- a/testing/baselines/blind-router.ts
+++ b/testing/baselines/blind-router.ts
@@ -9,6 +9,7 @@
 import {createParser} from 'eventsource-parser';
 import {Agent, request} from 'undici';
 import {z} from 'zod';
+import {listen} from '../../src/util/listen.js';
 
 /** Policies of the blind router. */
 export type BlindPolicy = 'round-robin' | 'least-in-flight';
@@ -29,9 +30,7 @@
 export class BlindRouter {
 	static async create(policy: BlindPolicy, addresses: readonly string[]): Promise<BlindRouter> {
 		const router = new BlindRouter(policy, addresses.map(address => ({address, inFlight: 0})));
-		await new Promise<void>(resolve => {
-			router.server.listen(0, '127.0.0.1', resolve);
-		});
+		await listen(router.server, {port: 0, host: '127.0.0.1'});
 		return router;
 	}
 
--- a/testing/free-port.ts
+++ b/testing/free-port.ts
@@ -1,15 +1,13 @@
 /** Ports that are free for listening now. */
 import {createSocket} from 'node:dgram';
 import {createServer, type AddressInfo} from 'node:net';
+import {listen} from '../src/util/listen.js';
 
 /** A port that is free for TCP on all local addresses. */
 export async function freePort(): Promise<number> {
 	const server = createServer();
-	const port = await new Promise<number>(resolve => {
-		server.listen(0, '0.0.0.0', () => {
-			resolve((server.address() as AddressInfo).port);
-		});
-	});
+	await listen(server, {port: 0, host: '0.0.0.0'});
+	const {port} = server.address() as AddressInfo;
 	await new Promise(resolve => {
 		server.close(resolve);
 	});
--- a/testing/load/arrivals.ts
+++ b/testing/load/arrivals.ts
@@ -1,6 +1,7 @@
 /** Seeded arrivals of model requests: Poisson arrival times and the mix of prompt lengths that the design states. */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {chooseWeighted} from '../../src/util/weighted-choice.js';
 import {lengthClassOf, type LengthClass} from '../../src/util/length-class.js';
 
 /** One request to send. `atMs` counts from the start of the run. */
@@ -49,11 +50,7 @@
 }
 
 function drawLength(mix: readonly MixPart[], random: () => number): number {
-	let rest = random();
-	const part = mix.find(candidate => {
-		rest -= candidate.share;
-		return rest < 0;
-	}) ?? mix.at(-1)!;
+	const part = chooseWeighted(mix, ({share}) => share, random())!;
 	const span = Math.log(part.toTokens / part.fromTokens);
 	return Math.round(part.fromTokens * Math.exp(span * random()));
 }
--- a/testing/processes.ts
+++ b/testing/processes.ts
@@ -162,6 +162,36 @@
 	}
 }
 
+/** Ends processes by their ids when the program that started them is gone, also after SIGKILL. */
+export class ProcessGuard {
+	static create(): ProcessGuard {
+		return new ProcessGuard();
+	}
+
+	readonly #guard: ChildProcess;
+
+	private constructor() {
+		this.#guard = spawn(process.execPath, [builtProgram('testing/process-guard.js')], {stdio: ['pipe', 'ignore', 'inherit']});
+		this.#guard.stdin!.on('error', () => undefined);
+	}
+
+	add(pid: number): void {
+		this.#guard.stdin!.write(`add ${pid}\n`);
+	}
+
+	remove(pid: number): void {
+		this.#guard.stdin!.write(`remove ${pid}\n`);
+	}
+
+	/** Ends what was not removed. */
+	async close(): Promise<void> {
+		this.#guard.stdin!.end();
+		if (this.#guard.exitCode === null) {
+			await once(this.#guard, 'exit');
+		}
+	}
+}
+
 /** All processes that one test or program started. They end with it, however it ends. */
 export class Processes {
 	static create(): Processes {
@@ -169,7 +199,7 @@
 	}
 
 	readonly #running = new Set<RunningProcess>();
-	readonly #guard: ChildProcess;
+	readonly #guard = ProcessGuard.create();
 	readonly #killAll: () => void;
 
 	private constructor() {
@@ -179,8 +209,6 @@
 			}
 		};
 
-		this.#guard = spawn(process.execPath, [builtProgram('testing/process-guard.js')], {stdio: ['pipe', 'ignore', 'inherit']});
-		this.#guard.stdin!.on('error', () => undefined);
 		process.on('exit', this.#killAll);
 	}
 
@@ -195,10 +223,7 @@
 	async closeAll(): Promise<void> {
 		await Promise.all([...this.#running].map(async running => running.stop()));
 		process.off('exit', this.#killAll);
-		this.#guard.stdin!.end();
-		if (this.#guard.exitCode === null) {
-			await once(this.#guard, 'exit');
-		}
+		await this.#guard.close();
 	}
 
 	async #watch(running: RunningProcess): Promise<void> {
@@ -207,9 +232,9 @@
 		}
 
 		this.#running.add(running);
-		this.#guard.stdin!.write(`add ${running.pid}\n`);
+		this.#guard.add(running.pid);
 		await running.exited;
 		this.#running.delete(running);
-		this.#guard.stdin!.write(`remove ${running.pid}\n`);
+		this.#guard.remove(running.pid);
 	}
 }
--- a/testing/soak/fault-proxy.ts
+++ b/testing/soak/fault-proxy.ts
@@ -2,6 +2,7 @@
 import {
 	createConnection, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
+import {listen} from '../../src/util/listen.js';
 
 /** `one_way` loses what the target answers, `silent` loses both directions; neither closes anything. */
 export type ProxyMode = {readonly kind: 'pass'} | {readonly kind: 'delay'; readonly ms: number} | {readonly kind: 'one_way'} | {readonly kind: 'silent'};
@@ -15,9 +16,7 @@
 	/** `target` is IP:PORT. */
 	static async create(target: string): Promise<FaultProxy> {
 		const proxy = new FaultProxy(target);
-		await new Promise<void>(resolve => {
-			proxy.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listen(proxy.#server, {port: 0, host: '127.0.0.1'});
 		return proxy;
 	}
 
--- a/testing/soak/run-soak.ts
+++ b/testing/soak/run-soak.ts
@@ -2,6 +2,7 @@
 import {request} from 'undici';
 import {monotonicMs} from '../../src/util/clock.js';
 import {pause} from '../../src/util/pause.js';
+import {chooseWeighted} from '../../src/util/weighted-choice.js';
 import {createRandom} from '../load/arrivals.js';
 import type {Disturbance} from '../stand-ins/platform/runner-stand-in.js';
 import {
@@ -179,7 +180,7 @@
 			}
 
 			if (daemon) {
-				const kind = drawKind(random());
+				const [kind] = chooseWeighted(mix, ([, share]) => share, random())!;
 				this.#seen.push(await caller.send(daemon, kind, random() < LARGE_SHARE, () => this.#now()));
 			}
 
@@ -373,18 +374,6 @@
 	return [target, ...details].filter(part => part !== undefined).join(' ');
 }
 
-function drawKind(uniform: number): CallKind {
-	let rest = uniform;
-	for (const [kind, share] of mix) {
-		rest -= share;
-		if (rest < 0) {
-			return kind;
-		}
-	}
-
-	return 'idempotent';
-}
-
 async function disturbPath(proxy: FaultProxy, mode: PathMode, ms: number): Promise<void> {
 	if (mode === 'reset') {
 		proxy.resetConnections();
--- a/testing/soak/soak-daemon.ts
+++ b/testing/soak/soak-daemon.ts
@@ -4,6 +4,7 @@
 import {createWriteStream, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import type {ProcessGuard} from '../processes.js';
 import type {FaultProxy} from './fault-proxy.js';
 
 /** The same on all daemons, which have addresses of their own. */
@@ -18,6 +19,7 @@
 	/** Folder for its settings and its log. */
 	readonly folder: string;
 	readonly storePath: FaultProxy;
+	readonly guard: ProcessGuard;
 };
 
 export const STOP_GRACE_MS = 5000;
@@ -53,13 +55,23 @@
 			return;
 		}
 
-		const {name, folder, program} = this.options;
+		const {
+			name, folder, program, guard,
+		} = this.options;
 		const settings = path.join(folder, `${name}.json`);
 		writeFileSync(settings, JSON.stringify(this.#settings()));
 		const child = spawn(process.execPath, [program], {env: {...process.env, FIREFLYPORT_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
 		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log, {end: false});
+		const {pid} = child;
+		if (pid !== undefined) {
+			guard.add(pid);
+			child.once('exit', () => {
+				guard.remove(pid);
+			});
+		}
+
 		child.once('exit', () => {
 			if (this.#child === child) {
 				this.#child = undefined;
--- a/testing/soak/soak-fleet.ts
+++ b/testing/soak/soak-fleet.ts
@@ -1,6 +1,7 @@
 /** The system of a soak: store and backend servers as stand-ins in this process, daemons as processes of their own. */
 import path from 'node:path';
 import {freePeerPort, freePort} from '../free-port.js';
+import {ProcessGuard} from '../processes.js';
 import {engineFields} from '../stand-ins/platform/engine-fields.js';
 import {RunnerStandIn} from '../stand-ins/platform/runner-stand-in.js';
 import {StoreStandIn} from '../stand-ins/platform/store-stand-in.js';
@@ -48,6 +49,7 @@
 				program: path.resolve(options.program),
 				folder: options.folder,
 				storePath: await FaultProxy.create(store.address),
+				guard: fleet.#guard,
 			}));
 		}
 
@@ -62,6 +64,7 @@
 	readonly servers: SoakServer[] = [];
 	/** All that ever served, with those that left. */
 	readonly everyServer: SoakServer[] = [];
+	readonly #guard = ProcessGuard.create();
 	#started = 0;
 
 	private constructor(readonly store: StoreStandIn) {}
@@ -113,6 +116,7 @@
 
 	async close(): Promise<void> {
 		await Promise.all(this.daemons.map(async daemon => daemon.kill()));
+		await this.#guard.close();
 		await Promise.all(this.daemons.map(async ({options}) => options.storePath.close()));
 		await Promise.all(this.everyServer.map(async ({runner, proxy}) => {
 			await proxy.close();
--- a/testing/stand-ins/platform/runner-stand-in.ts
+++ b/testing/stand-ins/platform/runner-stand-in.ts
@@ -1,10 +1,12 @@
 /** Stand-in of a back end of the platform: answers calls and streams, with disturbances for the next requests. */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {monotonicMs} from '../../../src/util/clock.js';
+import {listen} from '../../../src/util/listen.js';
+import {pause} from '../../../src/util/pause.js';
+import {readBytes} from '../stand-in-server.js';
 
 const RESET_DELAY_MS = 20;
 
@@ -50,9 +52,7 @@
 export class RunnerStandIn {
 	static async create(options: RunnerOptions): Promise<RunnerStandIn> {
 		const standIn = new RunnerStandIn(options);
-		await new Promise<void>(resolve => {
-			standIn.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listen(standIn.#server, {port: 0, host: '127.0.0.1'});
 		return standIn;
 	}
 
@@ -104,19 +104,15 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const chunks: Buffer[] = [];
-		for await (const chunk of req) {
-			chunks.push(chunk as Buffer);
-		}
-
+		const body = await readBytes(req);
 		if (req.url === '/-/order') {
-			this.#order(res, JSON.parse(Buffer.concat(chunks).toString()) as Order);
+			this.#order(res, JSON.parse(body.toString()) as Order);
 			return;
 		}
 
 		const disturbance = this.#disturbanceOf(req);
 		this.arrivals.push({
-			method: req.method!, path: req.url!, headers: req.headers, body: Buffer.concat(chunks).toString(), hasRun: disturbance?.kind !== 'reject', at: monotonicMs(),
+			method: req.method!, path: req.url!, headers: req.headers, body: body.toString(), hasRun: disturbance?.kind !== 'reject', at: monotonicMs(),
 		});
 		res.on('close', () => {
 			this.left += res.writableFinished ? 0 : 1;
@@ -233,8 +229,6 @@
 	}
 
 	async #pace(): Promise<void> {
-		await new Promise(resolve => {
-			setTimeout(resolve, this.options.paceMs ?? 0);
-		});
+		await pause(this.options.paceMs ?? 0);
 	}
 }
--- a/testing/stand-ins/stand-in-server.ts
+++ b/testing/stand-ins/stand-in-server.ts
@@ -5,6 +5,7 @@
 } from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import {z} from 'zod';
+import {listen} from '../../src/util/listen.js';
 
 const KEEP_ALIVE_MS = 120_000;
 
@@ -94,10 +95,7 @@
 	/** Listens on `port` (0: chosen by the system). Rejects when the port is taken. */
 	static async create(port: number, routes: readonly Route[]): Promise<StandInServer> {
 		const standIn = new StandInServer(routes);
-		await new Promise<void>((resolve, reject) => {
-			standIn.#server.once('error', reject);
-			standIn.#server.listen(port, '127.0.0.1', resolve);
-		});
+		await listen(standIn.#server, {port, host: '127.0.0.1'});
 		return standIn;
 	}
 
