--- a/src/backend/checked-connector.ts
+++ b/src/backend/checked-connector.ts
@@ -1,6 +1,6 @@
 /** An undici connector that distinguishes connection failures, after which nothing has been sent, from other errors. */
+import type {Socket} from 'node:net';
 import {buildConnector} from 'undici';
-import {watchReset} from './reset-watch.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
 
@@ -19,24 +19,21 @@
 
 export type ConnectorOptions = {
 	readonly timeoutMs?: number;
-	/** Called when an open connection is reset, before undici handles the reset. */
-	readonly onReset?: (err: Error) => void;
+	/** Called with an open connection before undici uses it. */
+	readonly onOpen?: (socket: Socket) => void;
 };
 
 /**
  * Creates a connector that fails with {@link NotConnectedError}. `check` can refuse an open connection before its first
  * use.
  */
-export function createCheckedConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onReset}: ConnectorOptions = {}): buildConnector.connector {
+export function createCheckedConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onOpen}: ConnectorOptions = {}): buildConnector.connector {
 	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...[err, socket]) => {
 			const refusal = err ? err.message : check();
 			if (err === null && refusal === undefined) {
-				if (onReset) {
-					watchReset(socket, onReset);
-				}
-
+				onOpen?.(socket);
 				callback(null, socket);
 				return;
 			}
--- a/src/daemon/completion-handler.ts
+++ b/src/daemon/completion-handler.ts
@@ -6,6 +6,7 @@
 import type {TokenSink} from '../streams/token-relay.js';
 import {wallClockMs, type Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
+import type {BodyReader} from '../http/body-reader.js';
 import {errorBody, sendJson} from '../http/error-response.js';
 import {
 	authenticate, headerOf, type AuthenticatedClient, type RequestContext, type RequestHandler,
@@ -15,7 +16,7 @@
 	finishChunk, textChunk, usageChunk, wholeResponse, type CompletionFormat, type ResponseHead,
 } from './completion-responses.js';
 import {EventStream} from './event-stream.js';
-import {parseBody, type BodyReader} from './request-body.js';
+import {parseBody} from './request-body.js';
 import type {RequestObserver} from './request-observer.js';
 
 export type CompletionDependencies = {
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 /** The daemon: creates its components, serves clients, drains and closes. */
 import {randomBytes} from 'node:crypto';
 import {ConfigurationIndexes} from '../admission/configuration-index.js';
+import {BodyReader} from '../http/body-reader.js';
 import {ModelRunner} from '../routing/model-runner.js';
 import {Reservations} from '../routing/reservations.js';
 import {StreamCleanup} from '../streams/stream-cleanup.js';
@@ -21,12 +22,13 @@
 } from './operator-handlers.js';
 import {createPlainHandler, PLAIN_PREFIX} from './plain-handler.js';
 import {createPlainReservations} from './plain-reservations.js';
-import {BodyReader} from './request-body.js';
 import type {Settings} from './settings.js';
 
 /** Maximum wait after the last response until memory at the engines has been released. */
 const CLEANUP_TIMEOUT_MS = 10_000;
 const HAND_OVER_TIMEOUT_MS = 5000;
+/** Limit in bytes on all request bodies that are held at the same time: half of the memory of an entry host. */
+const MAX_BUFFERED_BODY_BYTES = 256 * 1024 * 1024;
 
 /** Dependencies that the process provides. */
 export type DaemonDependencies = Omit<ComponentDependencies, 'settings' | 'identity' | 'clock'> & {readonly createComponents: CreateComponents};
@@ -141,8 +143,9 @@
 	#createRoutes(): readonly Route[] {
 		const indexes = this.#indexes;
 		const reservations = this.#createReservations();
+		const bodies = BodyReader.create({maxBodyBytes: () => this.settings.maxBodyBytes, maxBufferedBytes: MAX_BUFFERED_BODY_BYTES});
 		const completionDependencies = {
-			indexes, runner: this.#createRunner(reservations), bodies: BodyReader.create(this.settings.maxBodyBytes), observer: this.components.observer, clock: monotonicMs,
+			indexes, runner: this.#createRunner(reservations), bodies, observer: this.components.observer, clock: monotonicMs,
 		};
 		const router = this.components.createPlainCalls(createPlainReservations(reservations, indexes));
 		return [
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -7,9 +7,16 @@
 import {Buffer} from 'node:buffer';
 import {Client, type Dispatcher} from 'undici';
 import {createCheckedConnector, NotConnectedError} from '../backend/checked-connector.js';
+import {watchReset} from '../backend/reset-watch.js';
 
 /** Largest response head that is read: four times the limit for requests. */
 const MAX_HEADER_BYTES = 65_536;
+/**
+ * Limit on received bytes that are not part of the body, such as informational responses and chunk extensions, which
+ * undici reads without end: what its read buffer and one head may hold, and as much as the body, since short chunks
+ * have several bytes of framing.
+ */
+const MAX_FRAMING_BYTES = 262_144;
 
 export type ExchangeRequest = {
 	/** IP:PORT. */
@@ -52,11 +59,19 @@
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
 	let isEnded = false;
 	let connectionError: Error | undefined;
+	let bodyBytes = 0;
 	const client = new Client(`http://${req.address}`, {
 		connect: createCheckedConnector(() => undefined, {
 			timeoutMs: connectTimeoutMs,
-			onReset(err) {
-				connectionError = err;
+			onOpen(socket) {
+				watchReset(socket, err => {
+					connectionError = err;
+				});
+				socket.on('readable', () => {
+					if (socket.bytesRead > MAX_FRAMING_BYTES + (2 * bodyBytes)) {
+						end({kind: 'broken', message: `received ${socket.bytesRead} bytes with only ${bodyBytes} bytes of a body`});
+					}
+				});
 			},
 		}),
 		pipelining: 1,
@@ -90,6 +105,7 @@
 			}
 		},
 		onResponseData(_controller, chunk) {
+			bodyBytes += chunk.length;
 			if (!isEnded) {
 				handler.onData(chunk);
 			}
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,10 +1,11 @@
 /** One attempt to send a request to the chosen backend server: buffers a whole response or relays the events of a stream. */
-import {Buffer} from 'node:buffer';
 import {EventSplitter, type RawEvent} from '../forwarding/event-splitter.js';
 import {
 	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
 } from '../forwarding/exchange.js';
+import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {Clock} from '../util/clock.js';
+import {GrowingBuffer} from '../util/growing-buffer.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryReservation} from './memory-reservation.js';
 import type {AttemptOutcome} from './retry-policy.js';
@@ -13,12 +14,21 @@
 
 /** Time in ms to connect: round trips take a few ms, and a lost first packet is only retransmitted after a second. */
 const CONNECT_TIMEOUT_MS = 400;
+/** Largest response other than a stream. Such a response is buffered, so that a broken one can be retried. */
+const MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+/**
+ * Bytes of a stream after which a server without a new event counts as broken. Also limits the size of one event: an
+ * event of a hundred tokens with log probabilities has about 50 kB.
+ */
+const MAX_STALLED_STREAM_BYTES = 262_144;
 
 /** A complete response that has not been sent to the client. */
 export type BufferedResponse = {
 	readonly status: number;
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
+	/** The memory of the body, to be closed when the response has been sent. */
+	readonly account: ResponseAccount;
 };
 
 export type AttemptResult = {
@@ -53,7 +63,8 @@
 	/** Memory reserved on helpers for the prompt. */
 	readonly memory: MemoryReservation | undefined;
 	readonly sink: EventSink;
-	/** Time in ms without an event after which the attempt is aborted if `canRetry` allows it. */
+	readonly buffers: ResponseBuffers;
+	/** Time in ms without a new event after which the attempt is aborted if `canRetry` allows it. */
 	readonly silenceTimeoutMs: number;
 	/** Aborted when the client disconnects. */
 	readonly signal: AbortSignal;
@@ -64,9 +75,26 @@
 
 type Phase =
 	| {readonly kind: 'waiting'}
-	| {readonly kind: 'collecting'; readonly head: ExchangeHead; readonly chunks: Uint8Array[]}
-	| {readonly kind: 'relaying'; readonly head: readonly string[]; readonly splitter: EventSplitter}
-	| {readonly kind: 'refused'; readonly metadata: ResponseMetadata; readonly status: number};
+	| CollectingPhase
+	| RelayingPhase;
+
+type CollectingPhase = {
+	readonly kind: 'collecting';
+	readonly head: ExchangeHead;
+	readonly body: GrowingBuffer;
+	readonly account: ResponseAccount;
+};
+
+type RelayingPhase = {
+	readonly kind: 'relaying';
+	readonly head: readonly string[];
+	readonly splitter: EventSplitter;
+	readonly account: ResponseAccount;
+	/** Events without an id, such as comments, before the first new event. They are no sign that the request is being served. */
+	preamble: RawEvent[];
+	/** Bytes received since the last new event. */
+	stalledBytes: number;
+};
 
 const OK_STATUS = 200;
 
@@ -84,6 +112,7 @@
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#isFinished = false;
 	#hasEvent = false;
+	#isPaused = false;
 
 	constructor(private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
 
@@ -138,56 +167,121 @@
 		const {wire, request} = this.options;
 		const metadata = wire.readResponseMetadata(head.status, head.headers);
 		if (metadata.isNotExecuted) {
-			this.#phase = {kind: 'refused', metadata, status: head.status};
+			// The head decides; the body may never end.
+			this.#abort(rejection(metadata, head.status));
 		} else if (metadata.attemptId !== request.metadata.attemptId || !metadata.isSigned) {
-			this.#abort({outcome: {kind: 'broken', reason: `response with status ${head.status} lacks a signature or the request id`}, mayHaveRun: true});
+			this.#abortBroken(`response with status ${head.status} lacks a signature or the request id`);
 		} else if (request.route.kind.kind === 'stream' && head.status === OK_STATUS) {
-			this.#phase = {kind: 'relaying', head: wire.clientHeaders(head.headers), splitter: EventSplitter.create()};
+			this.#phase = {
+				kind: 'relaying', head: wire.clientHeaders(head.headers), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
+			};
 		} else {
-			this.#phase = {kind: 'collecting', head, chunks: []};
+			this.#collect(head);
 		}
 	}
 
+	#collect(head: ExchangeHead): void {
+		const length = Number(head.headers['content-length'] ?? 0);
+		if (length > MAX_RESPONSE_BYTES) {
+			this.#abortBroken(`a response of ${length} bytes exceeds the limit of ${MAX_RESPONSE_BYTES} bytes`);
+			return;
+		}
+
+		this.#phase = {
+			kind: 'collecting', head, body: GrowingBuffer.create(), account: this.#openAccount(),
+		};
+	}
+
+	#openAccount(): ResponseAccount {
+		const {buffers} = this.options;
+		return buffers.open(() => {
+			this.#abortBroken(`this response is the largest of the buffered ones, which exceed ${buffers.maxBytes} bytes in total`);
+		});
+	}
+
 	#onData(chunk: Uint8Array): void {
 		const phase = this.#phase;
+		if (this.#isFinished) {
+			return;
+		}
+
 		if (phase.kind === 'collecting') {
-			phase.chunks.push(chunk);
+			phase.body.append(chunk);
+			if (phase.body.length > MAX_RESPONSE_BYTES) {
+				this.#abortBroken(`the response exceeds the limit of ${MAX_RESPONSE_BYTES} bytes`);
+			} else {
+				phase.account.record(phase.body.capacity);
+			}
 		} else if (phase.kind === 'relaying') {
-			for (const event of phase.splitter.push(chunk)) {
-				if (!this.#relayEvent(phase.head, event)) {
-					return;
-				}
+			this.#relay(phase, chunk);
+		}
+	}
+
+	#relay(phase: RelayingPhase, chunk: Uint8Array): void {
+		phase.stalledBytes += chunk.length;
+		for (const event of phase.splitter.push(chunk)) {
+			this.#relayEvent(phase, event);
+			if (this.#isFinished) {
+				return;
 			}
 		}
+
+		if (phase.stalledBytes > MAX_STALLED_STREAM_BYTES) {
+			this.#abortBroken(`received ${phase.stalledBytes} bytes without a new event`);
+		} else {
+			phase.account.record(phase.stalledBytes);
+		}
 	}
 
-	/** Relays an event. Returns false if it is not the expected one, which ends the attempt. */
-	#relayEvent(head: readonly string[], event: RawEvent): boolean {
-		const {sink} = this.options;
-		const {lastEventId} = sink;
-		if (event.id !== undefined && lastEventId !== undefined && event.id !== lastEventId + 1) {
-			if (event.id <= lastEventId) {
-				return true;
+	#relayEvent(phase: RelayingPhase, event: RawEvent): void {
+		const {lastEventId} = this.options.sink;
+		if (event.id === undefined) {
+			if (this.#hasEvent) {
+				this.#write(phase.head, event);
+			} else {
+				phase.preamble.push(event);
 			}
+		} else if (lastEventId !== undefined && event.id > lastEventId + 1) {
+			this.#abortBroken(`received event ${event.id} after event ${lastEventId}`);
+		} else if (lastEventId === undefined || event.id > lastEventId) {
+			this.#relayNewEvent(phase, event);
+		}
+	}
 
-			this.#abort({outcome: {kind: 'broken', reason: `received event ${event.id} after event ${lastEventId}`}, mayHaveRun: true});
-			return false;
+	#relayNewEvent(phase: RelayingPhase, event: RawEvent): void {
+		phase.stalledBytes = phase.splitter.pendingBytes;
+		this.#restartSilenceTimer();
+		for (const earlier of phase.preamble) {
+			this.#write(phase.head, earlier);
 		}
 
+		phase.preamble = [];
 		if (!this.#hasEvent) {
 			this.#hasEvent = true;
 			this.options.onFirstEvent();
 		}
 
-		this.#restartSilenceTimer();
-		if (!sink.writeEvent(head, event)) {
-			this.#exchange.pause();
-			sink.onceDrained(() => {
-				this.#exchange.resume();
-			});
+		this.#write(phase.head, event);
+	}
+
+	/** Sends an event to the client, and stops reading from the server while the client does not read. */
+	#write(head: readonly string[], event: RawEvent): void {
+		const {sink} = this.options;
+		if (sink.writeEvent(head, event) || this.#isPaused) {
+			return;
 		}
 
-		return true;
+		this.#isPaused = true;
+		this.#exchange.pause();
+		// The client is slow, not the server.
+		clearTimeout(this.#silenceTimer);
+		sink.onceDrained(() => {
+			this.#isPaused = false;
+			if (!this.#isFinished) {
+				this.#exchange.resume();
+				this.#restartSilenceTimer();
+			}
+		});
 	}
 
 	#resultOf(end: ExchangeEnd): AttemptResult {
@@ -219,14 +313,6 @@
 				return {outcome: {kind: 'broken', reason: 'connection closed without a response'}, mayHaveRun: true};
 			}
 
-			case 'refused': {
-				const {isMisdirected, faultyAddress} = phase.metadata;
-				const reason = isMisdirected ? 'the address now belongs to another server' : `rejected with status ${phase.status}`;
-				return {
-					outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress, lostReason: isMisdirected ? 'moved' : undefined,
-				};
-			}
-
 			case 'relaying': {
 				return phase.splitter.pendingBytes > 0 || !this.#hasEvent
 					? {outcome: {kind: 'broken', reason: 'the stream ended before a complete event'}, mayHaveRun: true}
@@ -234,8 +320,10 @@
 			}
 
 			case 'collecting': {
-				const {head, chunks} = phase;
-				const response = {status: head.status, headers: this.options.wire.clientHeaders(head.headers), body: Buffer.concat(chunks)};
+				const {head, body, account} = phase;
+				const response = {
+					status: head.status, headers: this.options.wire.clientHeaders(head.headers), body: body.bytes, account,
+				};
 				return {outcome: {kind: 'answered', status: head.status}, mayHaveRun: true, response};
 			}
 		}
@@ -243,9 +331,13 @@
 
 	#restartSilenceTimer(): void {
 		clearTimeout(this.#silenceTimer);
+		if (this.#isPaused) {
+			return;
+		}
+
 		this.#silenceTimer = setTimeout(() => {
 			if (this.options.canRetry()) {
-				this.#abort({outcome: {kind: 'broken', reason: `no event or response within ${this.options.silenceTimeoutMs} ms`}, mayHaveRun: true});
+				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
 			}
 		}, this.options.silenceTimeoutMs);
 	}
@@ -254,6 +346,10 @@
 		this.#abort({outcome: {kind: 'left'}, mayHaveRun: true});
 	};
 
+	#abortBroken(reason: string): void {
+		this.#abort({outcome: {kind: 'broken', reason}, mayHaveRun: true});
+	}
+
 	#abort(result: AttemptResult): void {
 		this.#finish(result);
 		this.#exchange.abort();
@@ -265,7 +361,18 @@
 			clearTimeout(this.#silenceTimer);
 			clearTimeout(this.#deadlineTimer);
 			this.options.signal.removeEventListener('abort', this.#onDisconnect);
+			if (this.#phase.kind !== 'waiting' && !result.response) {
+				this.#phase.account.close();
+			}
+
 			this.resolve(result);
 		}
 	}
 }
+
+function rejection({isMisdirected, faultyAddress}: ResponseMetadata, status: number): AttemptResult {
+	const reason = isMisdirected ? 'the address now belongs to another server' : `rejected with status ${status}`;
+	return {
+		outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress, lostReason: isMisdirected ? 'moved' : undefined,
+	};
+}
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -64,8 +64,16 @@
 		this.request.res.end();
 	}
 
-	sendBuffered({status, headers, body}: BufferedResponse): void {
+	sendBuffered({
+		status, headers, body, account,
+	}: BufferedResponse): void {
 		const {res} = this.request;
+		account.setDrop(() => {
+			res.destroy();
+		});
+		res.once('close', () => {
+			account.close();
+		});
 		if (res.headersSent) {
 			// A stream has begun. Bytes of another response would look like its end.
 			res.destroy();
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import {LoadExchange} from '../fleet/load-exchange.js';
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
+import {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {RelayedStore} from '../store/relayed-store.js';
 import {ReplicaClient} from '../store/replica-client.js';
 import {ReplicaServer} from '../store/replica-server.js';
@@ -27,6 +28,12 @@
 /** Time in ms before SIGKILL at which the process exits by itself. */
 const EXIT_MARGIN_MS = 300;
 const DRAIN_POLL_MS = 50;
+/**
+ * Shares of the host's memory for request bodies and for responses that have not been sent. A daemon at rest needs about
+ * half of the smallest host, and freed buffers are collected late.
+ */
+const REQUEST_BODY_MEMORY_SHARE = 0.1;
+const RESPONSE_MEMORY_SHARE = 0.1;
 /** Share of the fleet's retry slack that is divided among the daemons; the rest covers daemons not known to each other. */
 const DIVIDED_SLACK_SHARE = 0.6;
 
@@ -184,6 +191,8 @@
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
 			memoryOrders: adapter.memoryOrders,
+			buffers: ResponseBuffers.create(settings.memoryBytes * RESPONSE_MEMORY_SHARE),
+			maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE,
 			loadExchange,
 			clock,
 			logger,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -10,6 +10,8 @@
 	readonly readyListen: string;
 	/** Processor cores that the daemon may use. */
 	readonly cores: number;
+	/** Memory in bytes at which the host kills the daemon. */
+	readonly memoryBytes: number;
 	/** UDP port of the load exchange and TCP port for followers; the same on all daemons. */
 	readonly peerPort: number;
 	/** TCP port of the metrics. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,10 +1,10 @@
 /** HTTP server that forwards requests unchanged to backend servers, according to the routes of the serving configuration. */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {BodyReader} from '../http/body-reader.js';
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
@@ -29,6 +29,8 @@
 export type GatewayParts = FlowParts & {
 	readonly metrics: GatewayMetrics;
 	readonly seed: number;
+	/** Limit in bytes on all request bodies that are held at the same time. */
+	readonly maxBufferedBodyBytes: number;
 	/** The current configuration; undefined before the first one. */
 	routeTable(): RouteTable | undefined;
 };
@@ -42,11 +44,16 @@
 
 	readonly #server: Server;
 	readonly #random;
+	readonly #bodies: BodyReader;
 	#phase: GatewayPhase = 'serving';
 	#openRequests = 0;
 
 	private constructor(private readonly parts: GatewayParts) {
 		this.#random = xoroshiro128plus(parts.seed);
+		this.#bodies = BodyReader.create({
+			maxBodyBytes: () => parts.routeTable()?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+			maxBufferedBytes: parts.maxBufferedBodyBytes,
+		});
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
 			void this.#handle(req, res);
 		});
@@ -100,19 +107,27 @@
 		res.on('close', () => {
 			this.#openRequests--;
 		});
-		const body = await readBody(req, parts.routeTable()?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES);
-		if (body === 'aborted') {
+		const body = await this.#bodies.read(req);
+		if (body.kind === 'failure') {
+			if (body.code !== 'caller_left') {
+				// The rest of the body is not read, so the connection cannot be used again.
+				res.setHeader('connection', 'close');
+				this.#refuse(req, res, body);
+			}
+
 			return;
 		}
 
+		res.on('close', () => {
+			body.release();
+		});
 		if (this.#phase !== 'serving') {
 			res.setHeader('connection', 'close');
 		}
 
-		const request = body === 'too_large' ? bodyTooLarge() : this.#admit(req, res, body, arrivedAt);
+		const request = this.#admit(req, res, body.bytes, arrivedAt);
 		if ('code' in request) {
-			sendFailure(res, request, parts.wire.formatRetryAfter);
-			this.#recordRefusal(req, request);
+			this.#refuse(req, res, request);
 			return;
 		}
 
@@ -174,8 +189,9 @@
 		};
 	}
 
-	#recordRefusal(req: IncomingMessage, failed: Failure): void {
+	#refuse(req: IncomingMessage, res: ServerResponse, failed: Failure): void {
 		const {parts} = this;
+		sendFailure(res, failed, parts.wire.formatRetryAfter);
 		const status = httpStatusOf(failed.code);
 		parts.metrics.countRefusal(failed.code);
 		parts.logger.warn('request_refused', {
@@ -204,33 +220,3 @@
 		});
 	}
 }
-
-function bodyTooLarge(): Failure {
-	return failure({
-		code: 'request_too_large', message: 'the request body exceeds the configured limit', ran: 'not_run', step: 'parse',
-	});
-}
-
-/** Reads a whole request body. Resolves to `aborted` if the client disconnects before its end. */
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | 'aborted' | 'too_large'> {
-	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		req.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size <= maxBytes) {
-				chunks.push(chunk);
-			}
-		});
-		req.on('end', () => {
-			resolve(size > maxBytes ? 'too_large' : Buffer.concat(chunks));
-		});
-		// A client that disconnects closes the request before its end; no response is possible.
-		req.on('error', () => {
-			resolve('aborted');
-		});
-		req.on('close', () => {
-			resolve('aborted');
-		});
-	});
-}
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -1,6 +1,7 @@
 /** Runs one request: chooses a server, sends, and decides after each attempt whether to retry, deliver or fail. */
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {LoadExchange} from '../fleet/load-exchange.js';
+import type {ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
@@ -46,6 +47,8 @@
 	readonly wire: WireFormat;
 	readonly loadExchange: LoadExchange;
 	readonly memoryOrders: MemoryOrders;
+	/** Memory of responses, shared by all requests of this daemon. */
+	readonly buffers: ResponseBuffers;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	retryBudget(service: string): RetryBudget;
@@ -93,6 +96,10 @@
 				this.#recordAttempt(choice.choice, result, next.kind);
 			}
 
+			if (next.kind !== 'deliver') {
+				result.response?.account.close();
+			}
+
 			switch (next.kind) {
 				case 'repeat': {
 					continue;
@@ -189,6 +196,7 @@
 				request,
 				choice,
 				sink: this.#response,
+				buffers: parts.buffers,
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
 				onFirstEvent() {
--- a/src/object-api/json-client.ts
+++ b/src/object-api/json-client.ts
@@ -6,6 +6,8 @@
 /** Time limit in ms for opening a connection. If it is exceeded, no byte of the request has been sent. */
 const CONNECT_TIMEOUT_MS = 1000;
 const IDLE_CONNECTION_MS = 10_000;
+/** Largest body of an answer that is read: several times the megabyte that the platform's services allow for a page or an object. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 /** An answer: its status and its parsed JSON body, which is undefined if the body is empty. */
 export type JsonAnswer = {
@@ -60,7 +62,9 @@
 
 	private constructor(readonly origin: string, private readonly caller: string, meter: TrafficMeter | undefined) {
 		const connect = createMeteredConnector({timeout: CONNECT_TIMEOUT_MS}, meter);
-		this.#agent = new Agent({connect, keepAliveTimeout: IDLE_CONNECTION_MS, pipelining: 1});
+		this.#agent = new Agent({
+			connect, keepAliveTimeout: IDLE_CONNECTION_MS, pipelining: 1, maxResponseSize: MAX_ANSWER_BYTES,
+		});
 	}
 
 	async call(req: JsonRequest, limit: TimeLimit): Promise<JsonAnswer> {
--- a/src/store/replica-client.ts
+++ b/src/store/replica-client.ts
@@ -15,6 +15,8 @@
 const CALL_TIMEOUT_MS = 300;
 /** Shorter than the keep-alive timeout of this project's servers, which is Node's default of 5 s. */
 const IDLE_CONNECTION_MS = 4000;
+/** Largest answer that is read: a configuration of a megabyte and the registrations of some thousand servers. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
 const objectSchema = z.object({name: z.string(), revision: z.number(), value: z.unknown()});
 const unavailableSchema = z.object({kind: z.literal('unavailable'), message: z.string()});
@@ -38,7 +40,10 @@
 		return new ReplicaClient(port, logger);
 	}
 
-	readonly #agent = new Agent({keepAliveTimeout: IDLE_CONNECTION_MS, keepAliveMaxTimeout: IDLE_CONNECTION_MS, connect: {timeout: CALL_TIMEOUT_MS}});
+	readonly #agent = new Agent({
+		keepAliveTimeout: IDLE_CONNECTION_MS, keepAliveMaxTimeout: IDLE_CONNECTION_MS, connect: {timeout: CALL_TIMEOUT_MS}, maxResponseSize: MAX_ANSWER_BYTES,
+	});
+
 	readonly #clients = new Map<string, TRPCClient<ReplicaRouter>>();
 
 	private constructor(private readonly port: number, private readonly logger: Logger) {}
--- /dev/null
+++ b/src/util/growing-buffer.ts
@@ -0,0 +1,41 @@
+/** Bytes that arrive in chunks of any size. The space grows by doubling, so that many tiny chunks take linear time and memory. */
+import {Buffer} from 'node:buffer';
+
+const MIN_CAPACITY_BYTES = 1024;
+
+export class GrowingBuffer {
+	static create(): GrowingBuffer {
+		return new GrowingBuffer();
+	}
+
+	#storage: Buffer = Buffer.alloc(0);
+	#length = 0;
+
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	get length(): number {
+		return this.#length;
+	}
+
+	/** Number of bytes allocated. */
+	get capacity(): number {
+		return this.#storage.length;
+	}
+
+	/** A view of the bytes, which later calls of `append` may leave behind but never overwrite. */
+	get bytes(): Buffer {
+		return this.#storage.subarray(0, this.#length);
+	}
+
+	append(chunk: Uint8Array): void {
+		const length = this.#length + chunk.length;
+		if (length > this.#storage.length) {
+			const storage = Buffer.allocUnsafeSlow(Math.max(MIN_CAPACITY_BYTES, length, 2 * this.#storage.length));
+			storage.set(this.bytes);
+			this.#storage = storage;
+		}
+
+		this.#storage.set(chunk, this.#length);
+		this.#length = length;
+	}
+}
--- a/testing/soak/soak-daemon.ts
+++ b/testing/soak/soak-daemon.ts
@@ -123,7 +123,7 @@
 			zones: {[failureDomain]: 'region'},
 			listen: {front: `${ip}:${ports.front}`, ready: `${ip}:${ports.ready}`},
 			'internal-port-range': [ports.peer, ports.metrics],
-			limits: {'cpu-share': 1, cores: 1},
+			limits: {'cpu-share': 1, cores: 1, 'memory-mb': 350},
 			bounds: {
 				'grace-s': STOP_GRACE_MS / 1000, 'stable-window-ms': 3000, 'retry-budget-ratio': RETRY_BUDGET_RATIO, 'budget-slack': RETRY_BUDGET_SLACK,
 			},
--- a/tests/http-api.test.ts
+++ b/tests/http-api.test.ts
@@ -6,7 +6,7 @@
 } from 'vitest';
 import {HttpServer} from '../src/daemon/http-server.js';
 import {Lifecycle} from '../src/daemon/lifecycle.js';
-import {BodyReader} from '../src/daemon/request-body.js';
+import {BodyReader} from '../src/http/body-reader.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {createLogger} from '../src/util/logger.js';
 import {expectedText} from '../testing/expected-token.js';
@@ -155,7 +155,7 @@
 	});
 
 	it('should refuse headers and bodies that arrive too slowly', async () => {
-		const bodyReader = BodyReader.create(10_000, 100);
+		const bodyReader = BodyReader.create({maxBodyBytes: () => 10_000, maxBufferedBytes: 100_000, timeoutMs: 100});
 		const server = await HttpServer.listen({host: '127.0.0.1', port: 0}, {
 			routes: [{
 				path: '/body',
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -18,7 +18,7 @@
 	zones: {braga: 'pt-norte'},
 	listen: {front: '10.1.0.40:8227', ready: '10.1.0.40:8220', control: '10.1.0.40:8229'},
 	'internal-port-range': [7340, 7355],
-	limits: {'cpu-share': 0.675, cores: 2},
+	limits: {'cpu-share': 0.675, cores: 2, 'memory-mb': 350},
 	bounds: {
 		'grace-s': 8, 'stable-window-ms': 3000, 'retry-budget-ratio': 0.2, 'budget-slack': 106,
 	},
@@ -43,6 +43,7 @@
 				listen: '10.1.0.40:8227',
 				readyListen: '10.1.0.40:8220',
 				cores: 1.35,
+				memoryBytes: 367_001_600,
 				peerPort: 7340,
 				metricsPort: 7355,
 				stableWindowMs: 3000,
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -1,6 +1,8 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -8,12 +10,18 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
+import {parseLogLine} from '../testing/processes.js';
 import {buildPlatformProgram} from '../testing/platform-program.js';
 import {waitUntil} from './fixtures/http.js';
 import {
 	platformConfiguration, eventStreamBody, GatewayFixture, promptHeaders,
 } from './fixtures/gateway-fixture.js';
 
+const SMALL_HOST_MB = 250;
+const FLOODED_REQUESTS = 300;
+/** Clients of streams leave after this time without an event. */
+const CLIENT_SILENCE_LIMIT_MS = 2000;
+
 let folder: string;
 let program: string;
 let world: GatewayFixture;
@@ -52,6 +60,23 @@
 	return {child, output: () => chunks.join('')};
 }
 
+async function waitUntilReady(): Promise<void> {
+	await waitUntil(async () => {
+		try {
+			return await world.isReady();
+		} catch {
+			// Not listening yet.
+			return false;
+		}
+	}, 10_000);
+}
+
+/** Largest resident memory of a process so far, in bytes. */
+function peakMemoryBytes(pid: number): number {
+	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
+	return Number(groups!.kilobytes) * 1024;
+}
+
 describe('platform program', () => {
 	it('should exit with code 2 and name the invalid field', async () => {
 		const started = startProgram({...world.settingsFile(), ip: 'here'});
@@ -63,14 +88,7 @@
 	it('should register, serve requests and metrics, and complete a stream after SIGTERM before it exits with code 0', async () => {
 		const server = await world.addServer('model', {instance: 'e-1', events: 15, paceMs: 100});
 		const started = startProgram(world.settingsFile());
-		await waitUntil(async () => {
-			try {
-				return await world.isReady();
-			} catch {
-				// Not listening yet.
-				return false;
-			}
-		}, 10_000);
+		await waitUntilReady();
 		expect(world.store.names('fireflyport-daemons')).toEqual(['127.0.0.1']);
 		const stream = world.send('/chat/x', {headers: promptHeaders(1000)});
 		await waitUntil(() => server.arrivals.length === 1);
@@ -84,4 +102,26 @@
 		expect(await exited).toEqual([0, null]);
 		expect(started.output()).toContain('event=drained');
 	});
+
+	it('should stay within the memory of a small host and serve other requests in time while hundreds of servers send without end', async () => {
+		const kinds = ['body', 'tiny chunks', 'chunk extension', 'refusal body', 'informational heads'] as const;
+		await Promise.all(kinds.map(async bytes => world.addEndlessServer('desk', {instance: `endless-${bytes.replaceAll(' ', '-')}`, bytes})));
+		await world.addServer('model', {instance: 'e-1', events: 4});
+		const settings = world.settingsFile();
+		const started = startProgram({...settings, limits: {...settings.limits as object, 'memory-mb': SMALL_HOST_MB}});
+		await waitUntilReady();
+		await waitUntil(() => started.output().includes('server=e-1'));
+		const flooded = Array.from({length: FLOODED_REQUESTS}, async () => world.send('/book/order'));
+		for (let sent = 0; sent < 10; sent++) {
+			expect(await world.bodyOf('/chat/x', {headers: promptHeaders(1000)})).toBe(eventStreamBody(1, 4));
+		}
+
+		const responses = await Promise.all(flooded);
+		expect(responses.filter(({status}) => ![502, 503, 504].includes(status))).toEqual([]);
+		await waitUntil(() => world.endlessServers.every(({openConnections}) => openConnections === 0));
+		expect(peakMemoryBytes(started.child.pid!)).toBeLessThan(SMALL_HOST_MB * 1024 * 1024);
+		const firstEvents = () => started.output().split('\n').map(line => parseLogLine(line)).filter(({event, route}) => event === 'request_done' && route === 'chat');
+		await waitUntil(() => firstEvents().length === 10);
+		expect(Math.max(...firstEvents().map(({first_event_ms: ms}) => Number(ms)))).toBeLessThan(CLIENT_SILENCE_LIMIT_MS);
+	});
 });
