--- a/src/fleet/fleet-links.ts
+++ b/src/fleet/fleet-links.ts
@@ -2,7 +2,7 @@
 import type {Socket} from 'node:dgram';
 import type {Logger} from '../util/logger.js';
 import {
-	FleetTopology, type ContactRole, type Links, type Member,
+	FleetTopology, type ContactRole, type HasStoreRelays, type Links, type Member,
 } from './fleet-topology.js';
 import type {Heartbeat, RelayedMessage, LoadMessage} from './load-message.js';
 import {DatagramBatcher} from './datagram-batcher.js';
@@ -10,9 +10,15 @@
 /** The daemon that a message came from, and its role towards this daemon. */
 export type Sender = {readonly address: string; readonly as: ContactRole};
 
+export type FleetLinksOptions = {
+	readonly logger: Logger;
+	readonly hasStoreRelays: HasStoreRelays;
+	readonly now: number;
+};
+
 export class FleetLinks {
-	static create(socket: Socket, port: number, self: Member, {logger, now}: {readonly logger: Logger; readonly now: number}): FleetLinks {
-		return new FleetLinks(FleetTopology.create(self), DatagramBatcher.create(socket, port, self, logger), logger, now);
+	static create(socket: Socket, port: number, self: Member, {logger, hasStoreRelays, now}: FleetLinksOptions): FleetLinks {
+		return new FleetLinks(FleetTopology.create(self, hasStoreRelays), DatagramBatcher.create(socket, port, self, logger), logger, now);
 	}
 
 	#links: Links;
@@ -37,15 +43,17 @@
 
 	/** Number of daemons that read the store directly, as far as this daemon knows. */
 	get storeReaders(): number {
-		return this.isMesh ? this.daemons : this.#links.peers.length + 1;
+		return this.isMesh ? this.topology.meshStoreReaders : this.#links.peers.length + 1;
 	}
 
-	get relay(): string | undefined {
-		return this.#links.relay;
+	/** The daemon whose copy of the store this one reads. */
+	get storeRelay(): string | undefined {
+		return this.#links.storeRelay;
 	}
 
-	get followers(): number {
-		return this.#links.followers.length;
+	/** Number of daemons that read this one's copy of the store. */
+	get storeFollowers(): number {
+		return this.#links.storeFollowers.length;
 	}
 
 	/** Adds daemons and returns those that were not known. */
@@ -72,14 +80,15 @@
 	updateLinks(now: number): void {
 		const before = this.#links;
 		this.#links = this.topology.links(now);
-		if (before.relay !== this.#links.relay) {
-			this.logger.info('relay_changed', {relay: this.#links.relay, before: before.relay, daemons: this.daemons});
+		const {storeRelay} = this.#links;
+		if (before.storeRelay !== storeRelay) {
+			this.logger.info('relay_changed', {relay: storeRelay, before: before.storeRelay, daemons: this.daemons});
 		}
 	}
 
 	/** Whether `from` is the current relay of this daemon. */
 	isRelay({address, as}: Sender): boolean {
-		return as === 'relay' && address === this.#links.relay;
+		return as === 'relay' && address === this.#links.storeRelay;
 	}
 
 	/** Role of this daemon towards the sender of a message. */
@@ -108,13 +117,14 @@
 		this.send(from.address, this.roleTowards(from), message);
 	}
 
-	/** Sends a heartbeat to followers and peers. In a mesh, the reports serve as heartbeats. */
+	/** Sends a heartbeat to followers and other relays. To the peers of a mesh, the reports serve as heartbeats. */
 	sendHeartbeats(createHeartbeat: () => Heartbeat): void {
-		const {followers, peers} = this.#links;
-		if (!this.isMesh && followers.length + peers.length > 0) {
+		const {storeFollowers, peers} = this.#links;
+		const otherRelays = this.isMesh ? [] : peers;
+		if (storeFollowers.length + otherRelays.length > 0) {
 			const text = JSON.stringify(createHeartbeat());
-			this.#sendToAll(followers, 'relay', text);
-			this.#sendToAll(peers, 'peer', text);
+			this.#sendToAll(storeFollowers, 'relay', text);
+			this.#sendToAll(otherRelays, 'peer', text);
 		}
 	}
 
--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -7,6 +7,9 @@
  * failure domain that answers, and a daemon that can reach none of higher rank becomes a relay. The ranking is a total
  * order, so daemons cannot follow each other in a cycle.
  *
+ * The relay of a failure domain also reads the store for its followers. In a mesh of which each failure domain has several
+ * daemons, one of them does so too, by the same ranking, while all exchange their other messages directly.
+ *
  * Designed for fleets of some dozens to some hundreds of daemons.
  */
 
@@ -38,8 +41,15 @@
 	readonly peers: readonly string[];
 	/** An unresponsive daemon that is contacted again. */
 	readonly probe: string | undefined;
+	/** The daemon whose copy of the store this one reads; undefined if it reads the store itself. */
+	readonly storeRelay: string | undefined;
+	/** Daemons that read this one's copy of the store. */
+	readonly storeFollowers: readonly string[];
 };
 
+/** Whether one daemon of each failure domain should read the store for a mesh of that many daemons and failure domains. */
+export type HasStoreRelays = (daemons: number, failureDomains: number) => boolean;
+
 type LinkCandidate = {
 	readonly member: Member;
 	/** When it was chosen as a link, if no message has arrived from it since. */
@@ -49,15 +59,21 @@
 };
 
 export class FleetTopology {
-	static create(self: Member): FleetTopology {
-		return new FleetTopology(self);
+	/** `hasStoreRelays` applies to meshes; larger fleets always have relays. */
+	static create(self: Member, hasStoreRelays: HasStoreRelays = () => false): FleetTopology {
+		return new FleetTopology(self, hasStoreRelays);
 	}
 
 	readonly #candidates = new Map<string, LinkCandidate>();
+	/** The candidates by rank, and the failure domains of all daemons. */
+	#ranked: readonly LinkCandidate[] = [];
+	#failureDomains: ReadonlySet<string>;
 	readonly #followers = new Map<string, number>();
 	#probeCount = 0;
 
-	private constructor(readonly self: Member) {}
+	private constructor(readonly self: Member, private readonly hasStoreRelays: HasStoreRelays) {
+		this.#failureDomains = new Set([self.failureDomain]);
+	}
 
 	/** Number of known daemons, including this one. */
 	get size(): number {
@@ -68,6 +84,12 @@
 		return this.size <= MAX_MESH_SIZE;
 	}
 
+	/** Number of daemons of a mesh that read the store if all can reach each other. */
+	get meshStoreReaders(): number {
+		const domains = this.#failureDomains.size;
+		return this.hasStoreRelays(this.size, domains) ? domains : this.size;
+	}
+
 	/** Adds daemons and returns those that were not known. */
 	addMembers(members: Iterable<Member>): readonly Member[] {
 		const added: Member[] = [];
@@ -80,6 +102,11 @@
 			}
 		}
 
+		if (added.length > 0) {
+			this.#ranked = [...this.#candidates.values()].sort((a, b) => compareRank(a.member, b.member));
+			this.#failureDomains = new Set([this.self, ...this.#ranked.map(({member}) => member)].map(({failureDomain}) => failureDomain));
+		}
+
 		return added;
 	}
 
@@ -113,17 +140,15 @@
 
 	links(now: number): Links {
 		if (this.isMesh) {
-			return {
-				relay: undefined, followers: [], peers: [...this.#candidates.keys()], probe: undefined,
-			};
+			return this.#meshLinks(now);
 		}
 
 		const {self} = this;
-		const ranked = this.#ranked();
-		const relay = chooseLink(ranked.filter(({member}) => member.failureDomain === self.failureDomain && compareRank(member, self) < 0), now);
+		const ranked = this.#ranked;
+		const relay = this.#chooseRelay(now);
 		const peers: string[] = [];
 		// A follower leaves the links to other failure domains to its relay.
-		const domains = relay === undefined ? new Set(ranked.map(({member}) => member.failureDomain)) : [];
+		const domains = relay === undefined ? this.#failureDomains : [];
 		for (const domain of domains) {
 			const peer = domain === self.failureDomain ? undefined : chooseLink(ranked.filter(({member}) => member.failureDomain === domain), now);
 			if (peer !== undefined) {
@@ -131,11 +156,37 @@
 			}
 		}
 
+		const followers = this.#currentFollowers(now);
 		return {
-			relay, followers: this.#currentFollowers(now), peers, probe: this.#nextProbe(ranked, relay === undefined),
+			relay, followers, peers, probe: this.#nextProbe(ranked, relay === undefined), storeRelay: relay, storeFollowers: followers,
 		};
 	}
 
+	#meshLinks(now: number): Links {
+		const {self} = this;
+		const hasRelays = this.hasStoreRelays(this.size, this.#failureDomains.size);
+		const storeRelay = hasRelays ? this.#chooseRelay(now) : undefined;
+		const isStoreRelay = hasRelays && storeRelay === undefined;
+		const storeFollowers = isStoreRelay
+			? [...this.#candidates.values()].filter(({member, lastContactAt}) => member.failureDomain === self.failureDomain
+				&& compareRank(member, self) > 0 && now - lastContactAt <= FOLLOWER_TIMEOUT_MS)
+			: [];
+		return {
+			relay: undefined,
+			followers: [],
+			peers: [...this.#candidates.keys()],
+			probe: undefined,
+			storeRelay,
+			storeFollowers: storeFollowers.map(({member}) => member.address),
+		};
+	}
+
+	/** The daemon of the own failure domain with the highest rank above this one that answers. */
+	#chooseRelay(now: number): string | undefined {
+		const {self} = this;
+		return chooseLink(this.#ranked.filter(({member}) => member.failureDomain === self.failureDomain && compareRank(member, self) < 0), now);
+	}
+
 	#currentFollowers(now: number): readonly string[] {
 		for (const [address, lastContactAt] of this.#followers) {
 			if (now - lastContactAt > FOLLOWER_TIMEOUT_MS) {
@@ -146,10 +197,6 @@
 		return [...this.#followers.keys()];
 	}
 
-	#ranked(): LinkCandidate[] {
-		return [...this.#candidates.values()].sort((a, b) => compareRank(a.member, b.member));
-	}
-
 	/** The next unresponsive daemon to probe: of higher rank in the own failure domain or, for a relay, any in another one. */
 	#nextProbe(ranked: readonly LinkCandidate[], isRelay: boolean): string | undefined {
 		const {self} = this;
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -9,7 +9,7 @@
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {FleetLinks, type Sender} from './fleet-links.js';
-import type {Member} from './fleet-topology.js';
+import type {HasStoreRelays, Member} from './fleet-topology.js';
 import type {PlacementEntry, PlacementTable, Placement} from './placement-table.js';
 import {
 	parseDatagram, type Heartbeat, type RelayedMessage, type LoadMessage,
@@ -31,6 +31,7 @@
 	readonly placements: PlacementTable;
 	readonly clock: Clock;
 	readonly logger: Logger;
+	readonly hasStoreRelays: HasStoreRelays;
 	storeState(now: number): StoreState;
 	/** Called when another daemon reports that a backend server does not answer at its registered address. */
 	onServerLost(server: string, until: number, now: number): void;
@@ -56,8 +57,10 @@
 	#reportedAt = -Infinity;
 
 	private constructor(private readonly socket: Socket, private readonly options: LoadExchangeOptions) {
-		const {self, port, clock, logger} = options;
-		this.#links = FleetLinks.create(socket, port, self, {logger, now: clock()});
+		const {
+			self, port, clock, logger, hasStoreRelays,
+		} = options;
+		this.#links = FleetLinks.create(socket, port, self, {logger, hasStoreRelays, now: clock()});
 		socket.on('message', (data, {address}) => {
 			this.#receive(data, address, clock());
 		});
@@ -79,12 +82,14 @@
 		return this.#links.storeReaders;
 	}
 
-	get relay(): string | undefined {
-		return this.#links.relay;
+	/** The daemon whose copy of the store this one reads. */
+	get storeRelay(): string | undefined {
+		return this.#links.storeRelay;
 	}
 
-	get followers(): number {
-		return this.#links.followers;
+	/** Number of daemons that read this one's copy of the store. */
+	get storeFollowers(): number {
+		return this.#links.storeFollowers;
 	}
 
 	/** Number of requests that this daemon has on backend servers. */
@@ -134,7 +139,7 @@
 
 	/** Notifies followers at once that this daemon's copy of the store has changed. */
 	announceStoreState(now: number): void {
-		if (this.followers > 0) {
+		if (this.storeFollowers > 0) {
 			this.#links.sendHeartbeats(() => this.#createHeartbeat(false, now));
 			this.#links.flush();
 		}
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -2,17 +2,13 @@
 import {randomInt} from 'node:crypto';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {ServerHealth} from '../fleet/server-health.js';
-import {KindFeed, WATCH_TIMEOUT_MARGIN_MS, type FeedSink} from '../store/kind-feed.js';
+import {KindFeed, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {PlatformAdapter} from './platform-adapter.js';
 import {RouteTable} from './route-table.js';
 
-/** Time in ms to read the store again over a new connection, once a watch was found broken. */
-const REREAD_MS = 600;
-const MIN_WATCH_WAIT_MS = 500;
-
 export type FleetFeedsOptions = {
 	readonly adapter: PlatformAdapter;
 	readonly store: KindStore;
@@ -20,8 +16,8 @@
 	readonly health: ServerHealth;
 	readonly clock: Clock;
 	readonly logger: Logger;
-	/** Time in ms after a fault within which a changed store has to be in force again. */
-	readonly stableWindowMs: number;
+	/** Time in ms for which a watch waits for a change. */
+	readonly watchWaitMs: number;
 	/** Pause of a watch in ms after changes, and the longest pause in ms between attempts while the store is unavailable. */
 	pauseMs(): number;
 	retryMs(): number;
@@ -58,7 +54,7 @@
 
 	#watch(kind: string, sink: FeedSink): void {
 		const {
-			store, clock, logger, stableWindowMs, pauseMs, retryMs,
+			store, clock, logger, watchWaitMs, pauseMs, retryMs,
 		} = this.options;
 		this.#feeds.push(KindFeed.start({
 			kind,
@@ -67,7 +63,7 @@
 			clock,
 			logger,
 			seed: randomInt(2 ** 31),
-			waitMs: Math.max(MIN_WATCH_WAIT_MS, stableWindowMs - WATCH_TIMEOUT_MARGIN_MS - REREAD_MS),
+			waitMs: watchWaitMs,
 			pauseMs,
 			retryMs,
 		}));
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -9,6 +9,7 @@
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
+import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
 import {ReplicaClient} from '../store/replica-client.js';
 import {ReplicaServer} from '../store/replica-server.js';
@@ -69,6 +70,7 @@
 	readonly store: RelayedStore;
 	readonly reader: ReplicaClient;
 	readonly server: ReplicaServer;
+	readonly schedule: ReadSchedule;
 };
 
 export class GatewayDaemon {
@@ -76,6 +78,7 @@
 		const {adapter, clock, logger} = dependencies;
 		const placements = PlacementTable.create();
 		const fleet = FleetView.create();
+		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
 		const store = RelayedStore.create({
@@ -84,7 +87,8 @@
 			clock,
 			logger,
 			kinds: [adapter.kinds.configuration, adapter.kinds.servers, adapter.kinds.domainsOut],
-			hasFollowers: () => loadExchange.followers > 0,
+			schedule,
+			hasFollowers: () => loadExchange.storeFollowers > 0,
 			onChanged(now) {
 				loadExchange.announceStoreState(now);
 			},
@@ -101,6 +105,7 @@
 					logger.info('server_lost', {server, ms: Math.round(until - now), told: true});
 				}
 			},
+			hasStoreRelays: schedule.hasStoreRelays,
 			storeState: now => store.state(now),
 			onRelayHeartbeat(relay, state, now) {
 				store.recordRelayState(relay, state, now);
@@ -108,7 +113,7 @@
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server,
+			self, fleet, placements, loadExchange, store, reader, server, schedule,
 		});
 		await daemon.#start();
 		return daemon;
@@ -179,7 +184,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store,
+				self, fleet, placements, loadExchange, store, schedule,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -212,7 +217,7 @@
 			health: this.#health,
 			clock,
 			logger,
-			stableWindowMs: settings.stableWindowMs,
+			watchWaitMs: schedule.watchWaitMs,
 			pauseMs: () => store.freshRelay(clock()) === undefined
 				? Math.min(MAX_WATCH_PAUSE_MS, Math.max(MIN_WATCH_PAUSE_MS, loadExchange.storeReaders * WATCH_PAUSE_MS_PER_READER))
 				: RELAYED_PAUSE_MS,
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -18,6 +18,8 @@
 	readonly metricsPort: number;
 	/** Time in ms after a fault within which a changed store has to be in force again. */
 	readonly stableWindowMs: number;
+	/** Shortest time in ms within which a change of the store has to be in force. */
+	readonly changeBoundMs: number;
 	/** Time in ms between SIGTERM and SIGKILL. */
 	readonly stopGraceMs: number;
 	/** Limits on retries at backend servers: a share of the requests, and a number that all daemons share. */
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -7,9 +7,8 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {KindEvent, KindObject, KindStore} from './kind-store.js';
+import {WATCH_TIMEOUT_MARGIN_MS} from './read-schedule.js';
 
-/** Added to the wait of a watch to get its timeout, in ms. The store answers within about 4 ms, so the margin is ample. */
-export const WATCH_TIMEOUT_MARGIN_MS = 500;
 const LIST_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
 
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -4,34 +4,18 @@
  * The store limits the rate of calls and operators pay for each one, so not every daemon watches it. The relay of a
  * failure domain watches on behalf of its followers, announces its revisions in each heartbeat and serves the changes
  * that a follower lacks. A follower reads the store directly when its relay sends no heartbeats or has itself had no
- * answer from the store for too long. A failing relay thus delays a change by at most {@link MAX_STORE_AGE_MS} and never
+ * answer from the store for too long. A failing relay thus delays a change by a bounded time and never
  * loses one.
  */
 import type {StoreState} from '../fleet/load-exchange.js';
 import type {CallOptions} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
-import {pause} from '../util/pause.js';
 import {KindReplica} from './kind-replica.js';
 import type {
 	CreateOutcome, KindEvents, KindList, KindStore,
 } from './kind-store.js';
-
-/**
- * Age in ms up to which a relay's copy of the store is used: one watch of the relay, its timeout margin and one heartbeat
- * interval. The strictest deployment requires changes to take effect within two seconds; a direct read takes a few ms.
- */
-export const MAX_STORE_AGE_MS = 1600;
-/**
- * Wait in ms of a direct watch by a daemon with followers. Shorter watches cost more calls; longer ones let its copy
- * become stale.
- */
-const WATCH_WAIT_WITH_FOLLOWERS_MS = 800;
-/**
- * Interval in ms at which a waiting follower checks whether its relay is still fresh; equals the heartbeat interval of a
- * relay.
- */
-const RELAY_CHECK_INTERVAL_MS = 300;
+import type {ReadSchedule} from './read-schedule.js';
 
 /** Reads another daemon's copy of the store. Methods do not throw; they return failures. */
 export type ReplicaReader = {
@@ -46,6 +30,7 @@
 	readonly logger: Logger;
 	/** Object kinds that are read through the relay. */
 	readonly kinds: readonly string[];
+	readonly schedule: ReadSchedule;
 	hasFollowers(): boolean;
 	/** Called when this daemon's copy of the store has changed. */
 	onChanged(now: number): void;
@@ -53,6 +38,14 @@
 
 type RelayState = {readonly relay: string; readonly confirmedAt: number; readonly revisions: Readonly<Record<string, number>>};
 
+/** A watch that waits for the relay to announce a revision after `revision`. */
+type RelayWaiter = {
+	readonly kind: string;
+	readonly revision: number;
+	readonly finish: (isChanged: boolean) => void;
+	readonly checkAge: () => void;
+};
+
 /** This daemon's copy of one kind, and the monotonic time in ms at which the store last confirmed it. */
 type KindState = {readonly replica: KindReplica; confirmedAt: number};
 
@@ -62,7 +55,7 @@
 	}
 
 	readonly #kinds: ReadonlyMap<string, KindState>;
-	readonly #waiters = new Set<() => void>();
+	readonly #waiters = new Set<RelayWaiter>();
 	#relayState: RelayState | undefined;
 	#loggedRelay: string | undefined;
 
@@ -95,6 +88,7 @@
 		}
 
 		const confirmedAt = now - storeAgeMs;
+		const isOlder = this.#relayState !== undefined && confirmedAt < this.#relayState.confirmedAt;
 		this.#relayState = {relay, confirmedAt, revisions};
 		for (const [kind, kindState] of this.#kinds) {
 			// The relay's confirmation also covers this daemon's copy when that is at least as new as the relay's.
@@ -103,12 +97,18 @@
 			}
 		}
 
-		this.#wakeWaiters();
+		for (const waiter of this.#waiters) {
+			if (this.#isAnnounced(waiter.kind, waiter.revision)) {
+				waiter.finish(true);
+			} else if (isOlder) {
+				waiter.checkAge();
+			}
+		}
 	}
 
 	/** The relay, if its copy of the store is fresh enough to be used. */
 	freshRelay(now: number): string | undefined {
-		return this.#relayState && now - this.#relayState.confirmedAt <= MAX_STORE_AGE_MS ? this.#relayState.relay : undefined;
+		return now <= this.#staleAt ? this.#relayState?.relay : undefined;
 	}
 
 	async list(kind: string, options: CallOptions & {readonly isStaleAllowed?: boolean}): Promise<KindList> {
@@ -158,12 +158,16 @@
 	}
 
 	async close(): Promise<void> {
-		this.#wakeWaiters();
+		for (const waiter of this.#waiters) {
+			waiter.finish(false);
+		}
+
 		await this.options.store.close();
 	}
 
 	async #watchDirectly(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents> {
-		const wait = this.options.hasFollowers() ? Math.min(waitMs, WATCH_WAIT_WITH_FOLLOWERS_MS) : waitMs;
+		const {hasFollowers, schedule} = this.options;
+		const wait = hasFollowers() ? Math.min(waitMs, schedule.relayWatchWaitMs) : waitMs;
 		const outcome = await this.options.store.watch(kind, revision, wait, {...options, timeoutMs: options.timeoutMs - waitMs + wait});
 		const kindState = this.#kinds.get(kind);
 		if (kindState && outcome.kind === 'events') {
@@ -180,31 +184,54 @@
 	 */
 	async #waitForRelayChange(kind: string, revision: number, waitMs: number, {signal}: CallOptions): Promise<boolean> {
 		const {clock} = this.options;
-		const until = clock() + waitMs;
-		for (let now = clock(); now < until && !signal?.aborted; now = clock()) {
-			if ((this.#relayState?.revisions[kind] ?? 0) > revision) {
-				return true;
-			}
-
-			if (this.freshRelay(now) === undefined) {
-				return false;
-			}
-
-			await this.#waitForHeartbeat(Math.min(RELAY_CHECK_INTERVAL_MS, until - now), signal);
+		if (this.#isAnnounced(kind, revision)) {
+			return true;
 		}
 
-		return false;
-	}
-
-	async #waitForHeartbeat(ms: number, signal: AbortSignal | undefined): Promise<void> {
-		const wakeController = new AbortController();
-		const wake = () => {
-			wakeController.abort();
-		};
-
-		this.#waiters.add(wake);
-		await pause(ms, signal ? AbortSignal.any([signal, wakeController.signal]) : wakeController.signal);
-		this.#waiters.delete(wake);
+		return new Promise(resolve => {
+			const until = clock() + waitMs;
+			let timer: NodeJS.Timeout | undefined;
+			const finish = (isChanged: boolean): void => {
+				clearTimeout(timer);
+				signal?.removeEventListener('abort', onAbort);
+				this.#waiters.delete(waiter);
+				resolve(isChanged);
+			};
+
+			const onAbort = (): void => {
+				finish(false);
+			};
+
+			const waiter: RelayWaiter = {
+				kind,
+				revision,
+				finish,
+				/** Waits until the relay's copy becomes too old, which each heartbeat postpones. */
+				checkAge: () => {
+					const now = clock();
+					const leftMs = Math.min(until, this.#staleAt) - now;
+					clearTimeout(timer);
+					if (leftMs <= 0 || signal?.aborted) {
+						finish(false);
+					} else {
+						timer = setTimeout(waiter.checkAge, Math.ceil(leftMs));
+					}
+				},
+			};
+
+			this.#waiters.add(waiter);
+			signal?.addEventListener('abort', onAbort);
+			waiter.checkAge();
+		});
+	}
+
+	#isAnnounced(kind: string, revision: number): boolean {
+		return (this.#relayState?.revisions[kind] ?? 0) > revision;
+	}
+
+	/** Monotonic time in ms after which the relay's copy is too old to be used. */
+	get #staleAt(): number {
+		return this.#relayState ? this.#relayState.confirmedAt + this.options.schedule.maxStoreAgeMs : -Infinity;
 	}
 
 	#confirm(kindState: KindState, isRelayed: boolean, hasChanged = true): void {
@@ -222,10 +249,4 @@
 			this.options.logger.info('store_source', {relay, news_age_ms: this.#relayState && Math.round(this.options.clock() - this.#relayState.confirmedAt)});
 		}
 	}
-
-	#wakeWaiters(): void {
-		for (const wake of this.#waiters) {
-			wake();
-		}
-	}
 }
--- a/tests/load-exchange.test.ts
+++ b/tests/load-exchange.test.ts
@@ -20,7 +20,7 @@
 
 const member = (index: number) => ({address: `127.0.0.${index + 1}`, failureDomain: `domain-${index % 3}`, cores: index < 6 ? 1.35 : 0.324});
 
-async function start(index: number): Promise<Daemon> {
+async function start(index: number, hasStoreRelays = false): Promise<Daemon> {
 	const self = member(index);
 	const placements = PlacementTable.create();
 	const storeAges: number[] = [];
@@ -32,6 +32,7 @@
 		placements,
 		clock: monotonicMs,
 		logger: createLogger('error'),
+		hasStoreRelays: () => hasStoreRelays,
 		onServerLost(server) {
 			lostServers.push(server);
 		},
@@ -81,9 +82,9 @@
 			exchange.addPeers(members, monotonicMs());
 		}
 
-		await waitUntil(() => daemons.filter(({exchange}) => exchange.relay === undefined).length === 3);
+		await waitUntil(() => daemons.filter(({exchange}) => exchange.storeRelay === undefined).length === 3);
 		// A relay knows a follower once it has reported.
-		await waitUntil(() => daemons.reduce((sum, {exchange}) => sum + exchange.followers, 0) === size - 3);
+		await waitUntil(() => daemons.reduce((sum, {exchange}) => sum + exchange.storeFollowers, 0) === size - 3);
 	});
 
 	it('should notify every daemon of a placement of a follower, with one relay in each failure domain', async () => {
@@ -103,9 +104,9 @@
 	it('should switch to another relay when a relay has ended', async () => {
 		await daemons[0]!.exchange.close();
 		const lostRelay = daemons.shift()!;
-		await waitUntil(() => daemons.every(({exchange}) => exchange.relay !== lostRelay.address), 5000);
+		await waitUntil(() => daemons.every(({exchange}) => exchange.storeRelay !== lostRelay.address), 5000);
 		// Followers of its failure domain and the relays of the others must find the new relay.
-		await waitUntil(() => daemons.filter(({exchange}) => exchange.relay === undefined).length === 3, 5000);
+		await waitUntil(() => daemons.filter(({exchange}) => exchange.storeRelay === undefined).length === 3, 5000);
 		daemons.at(-1)!.exchange.openPlacement(placement('p'), monotonicMs());
 		await waitUntil(() => daemons.every(({placements}) => placements.entriesOn('i-1').length === 1), 5000);
 	});
@@ -122,13 +123,42 @@
 		// A daemon that knows only part of the fleet sends to all as in a mesh. Daemons that know the whole fleet must not answer it as peers indefinitely.
 		const partiallyInformed = await start(size);
 		partiallyInformed.exchange.addPeers(Array.from({length: MAX_MESH_SIZE - 2}, (_, index) => member(index)), monotonicMs());
-		await waitUntil(() => partiallyInformed.exchange.relay === undefined);
+		await waitUntil(() => partiallyInformed.exchange.storeRelay === undefined);
 		partiallyInformed.exchange.addPeers(Array.from({length: size}, (_, index) => member(index)), monotonicMs());
-		await waitUntil(() => partiallyInformed.exchange.relay !== undefined && partiallyInformed.exchange.storeReaders === 1, 3000);
+		await waitUntil(() => partiallyInformed.exchange.storeRelay !== undefined && partiallyInformed.exchange.storeReaders === 1, 3000);
 		await waitUntil(() => daemons.every(({exchange}) => exchange.storeReaders <= 3), 3000);
 	});
 
 	it('should send followers the age of the relay\'s copy of the store', async () => {
-		await waitUntil(() => daemons.filter(({exchange}) => exchange.relay !== undefined).every(({storeAges}) => storeAges.at(-1) === 7));
+		await waitUntil(() => daemons.filter(({exchange}) => exchange.storeRelay !== undefined).every(({storeAges}) => storeAges.at(-1) === 7));
+	});
+});
+
+describe('load exchange of a small fleet whose failure domains have several daemons', () => {
+	const size = 9;
+
+	beforeEach(async () => {
+		const members = Array.from({length: size}, (_, index) => member(index));
+		for (const index of members.keys()) {
+			const {exchange} = await start(index, true);
+			exchange.addPeers(members, monotonicMs());
+		}
+
+		await waitUntil(() => daemons.filter(({exchange}) => exchange.storeRelay === undefined).length === 3);
+		await waitUntil(() => daemons.reduce((sum, {exchange}) => sum + exchange.storeFollowers, 0) === size - 3);
+	});
+
+	it('should read the store through one daemon of each failure domain and exchange placements directly', async () => {
+		await waitUntil(() => daemons.filter(({exchange}) => exchange.storeRelay !== undefined).every(({storeAges}) => storeAges.at(-1) === 7));
+		expect(daemons.every(({exchange}) => exchange.storeReaders === 3)).toBe(true);
+		daemons.at(-1)!.exchange.openPlacement(placement('p'), monotonicMs());
+		await waitUntil(() => daemons.every(({placements}) => placements.entriesOn('i-1').length === 1));
+	});
+
+	it('should switch to another relay when a relay has ended', async () => {
+		await daemons[0]!.exchange.close();
+		const lostRelay = daemons.shift()!;
+		await waitUntil(() => daemons.every(({exchange}) => exchange.storeRelay !== lostRelay.address), 5000);
+		await waitUntil(() => daemons.reduce((sum, {exchange}) => sum + exchange.storeFollowers, 0) === daemons.length - 3, 5000);
 	});
 });
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -47,6 +47,7 @@
 				peerPort: 7340,
 				metricsPort: 7355,
 				stableWindowMs: 3000,
+				changeBoundMs: 2000,
 				stopGraceMs: 8000,
 				retryShare: 0.2,
 				retrySlack: 106,
--- a/tests/relayed-store.test.ts
+++ b/tests/relayed-store.test.ts
@@ -3,7 +3,8 @@
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
 import {KindReplica} from '../src/store/kind-replica.js';
-import {MAX_STORE_AGE_MS, RelayedStore} from '../src/store/relayed-store.js';
+import {ReadSchedule} from '../src/store/read-schedule.js';
+import {RelayedStore} from '../src/store/relayed-store.js';
 import {ReplicaClient} from '../src/store/replica-client.js';
 import {ReplicaServer} from '../src/store/replica-server.js';
 import {monotonicMs} from '../src/util/clock.js';
@@ -12,6 +13,7 @@
 import {StoreStandIn} from '../testing/stand-ins/platform/store-stand-in.js';
 
 const RELAY = '127.0.0.1';
+const schedule = ReadSchedule.create({stableWindowMs: 3000, changeBoundMs: 2000});
 const callOptions = {timeoutMs: 2000};
 const createObject = (name: string, revision: number) => ({name, revision, value: revision});
 
@@ -77,6 +79,7 @@
 		clock: monotonicMs,
 		logger: createLogger('error'),
 		kinds: ['servers'],
+		schedule,
 		hasFollowers: () => hasFollowers,
 		onChanged: () => undefined,
 	});
@@ -127,14 +130,14 @@
 	it('should read the store directly when the state of the relay is too old', async () => {
 		standIn.put('servers', 'b', 2);
 		const {revisions} = relay.state(monotonicMs());
-		follower.recordRelayState(RELAY, {storeAgeMs: MAX_STORE_AGE_MS + 1, revisions}, monotonicMs());
+		follower.recordRelayState(RELAY, {storeAgeMs: schedule.maxStoreAgeMs + 1, revisions}, monotonicMs());
 		expect(await follower.watch('servers', revision, 1000, callOptions)).toMatchObject({kind: 'events', events: [{object: {name: 'b'}}]});
 	});
 
 	it('should end a watch soon after heartbeats of the relay stop, so that the store is read directly', async () => {
 		const startedAt = monotonicMs();
 		expect(await follower.watch('servers', revision, 10_000, callOptions)).toEqual({kind: 'events', events: [], revision});
-		expect(monotonicMs() - startedAt).toBeLessThan(MAX_STORE_AGE_MS + 500);
+		expect(monotonicMs() - startedAt).toBeLessThan(schedule.maxStoreAgeMs + 500);
 	});
 
 	it('should read the store directly when the relay announces changes but does not return them', async () => {
@@ -148,7 +151,7 @@
 	it('should not return to an older state that a relay holds', async () => {
 		await follower.list('servers', callOptions);
 		standIn.put('servers', 'b', 2);
-		follower.recordRelayState(RELAY, {storeAgeMs: MAX_STORE_AGE_MS + 1, revisions: {}}, monotonicMs());
+		follower.recordRelayState(RELAY, {storeAgeMs: schedule.maxStoreAgeMs + 1, revisions: {}}, monotonicMs());
 		await follower.watch('servers', revision, 0, callOptions);
 		sendHeartbeat();
 		expect(await follower.list('servers', callOptions)).toMatchObject({objects: [{name: 'a'}, {name: 'b'}]});
