--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -1,11 +1,16 @@
+import {Buffer} from 'node:buffer';
 import {spawn, type ChildProcess} from 'node:child_process';
+import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
+import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import fc from 'fast-check';
 import {request} from 'undici';
 import {
 	afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
@@ -124,4 +129,82 @@
 		await waitUntil(() => firstEvents().length === 10);
 		expect(Math.max(...firstEvents().map(({first_event_ms: ms}) => Number(ms)))).toBeLessThan(CLIENT_SILENCE_LIMIT_MS);
 	});
+
+	it('should keep serving after malformed messages on each of its ports and from the store', async () => {
+		await world.addServer('desk', {instance: 'i-1'});
+		const started = startProgram(world.settingsFile());
+		await waitUntilReady();
+		await waitUntil(() => started.output().includes('server=i-1'));
+		const random = fc.sample(fc.oneof(malformedDatagram, fc.uint8Array({maxLength: 400}).map(bytes => Buffer.from(bytes))), 1000);
+		await sendDatagrams(world.ports.peerPort, random);
+		const {port, readyPort, peerPort, metricsPort} = world.ports;
+		const requests = [
+			'\u0000\u0001\u0002',
+			'GET / HTTP/9.9\r\n\r\n',
+			'POST /list HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n',
+			`GET /list?input=${'%7B'.repeat(3000)} HTTP/1.1\r\nHost: x\r\n\r\n`,
+		];
+		for (const target of [port, readyPort, peerPort, metricsPort]) {
+			for (const text of requests) {
+				await sendText(target, text);
+			}
+		}
+
+		for (const value of [null, [], 'text', 7, {routes: {}}, {version: 'x', routes: [{}]}, JSON.parse('['.repeat(2000) + ']'.repeat(2000))]) {
+			world.store.put('config', 'main', value);
+			world.store.put('servers', 'i-broken', value);
+			world.store.put('evacuations', 'nowhere', value);
+			world.store.put('fireflyport-daemons', '10.0.0.1', value);
+		}
+
+		await waitUntil(() => started.output().includes('event=server_unreadable'));
+		expect(await world.statusOf('/look/x')).toBe(200);
+		expect(started.child.exitCode).toBeNull();
+		expect(started.output()).not.toContain('event=unexpected_error');
+	});
 });
+
+/** Datagrams with the structure of messages between daemons and values of any type. */
+const malformedDatagram = fc.record({
+	as: fc.constantFrom('follower', 'relay', 'peer', 'probe'),
+	failureDomain: fc.oneof(fc.string(), fc.constant('braga')),
+	cores: fc.oneof(fc.double(), fc.anything()),
+	messages: fc.array(fc.record({
+		kind: fc.constantFrom('opened', 'started', 'closed', 'lost', 'alive', 'missing', 'beat'),
+		daemon: fc.string(),
+		domain: fc.string(),
+		server: fc.string(),
+		id: fc.string(),
+		ids: fc.array(fc.string()),
+		forMs: fc.double(),
+		open: fc.array(fc.record({id: fc.string(), startedAgeMs: fc.oneof(fc.double(), fc.anything())})),
+		placement: fc.anything(),
+		storeAgeMs: fc.double(),
+		revisions: fc.dictionary(fc.string(), fc.double()),
+		wantsReply: fc.boolean(),
+	}), {maxLength: 4}),
+}).map(datagram => Buffer.from(JSON.stringify(datagram, (_key, value: unknown) => typeof value === 'bigint' ? String(value) : value)));
+
+async function sendDatagrams(port: number, datagrams: readonly Uint8Array[]): Promise<void> {
+	const socket = createSocket('udp4');
+	for (const datagram of datagrams) {
+		await new Promise<void>(resolve => {
+			socket.send(datagram, port, '127.0.0.1', () => {
+				resolve();
+			});
+		});
+	}
+
+	socket.close();
+}
+
+/** Sends `text` on a new connection and waits until the peer closes it or for a short time. */
+async function sendText(port: number, text: string): Promise<void> {
+	const socket = connect(port, '127.0.0.1');
+	socket.on('error', () => undefined);
+	socket.on('data', () => undefined);
+	socket.write(text);
+	await Promise.race([once(socket, 'close'), delay(200)]);
+	socket.destroy();
+}
+
