--- a/src/fleet/daemon-registry.ts
+++ b/src/fleet/daemon-registry.ts
@@ -30,10 +30,17 @@
 		return registry;
 	}
 
+	/** Resolves when the list of daemons has been read or could not be read for the first time. */
+	readonly firstRead: Promise<void>;
 	readonly #controller = new AbortController();
 	#isRegistered = false;
+	#finishFirstRead!: () => void;
 
-	private constructor(private readonly options: DaemonRegistryOptions) {}
+	private constructor(private readonly options: DaemonRegistryOptions) {
+		this.firstRead = new Promise(resolve => {
+			this.#finishFirstRead = resolve;
+		});
+	}
 
 	close(): void {
 		this.#controller.abort();
@@ -43,8 +50,14 @@
 		const {signal} = this.#controller;
 		let refreshMs = FIRST_REFRESH_MS;
 		while (!signal.aborted) {
-			this.#isRegistered ||= await this.#register();
-			const isListed = await this.#refresh();
+			let isListed = await this.#refresh();
+			this.#finishFirstRead();
+			// A restarted daemon is listed already; reading costs operators less than writing.
+			if (!this.#isRegistered) {
+				this.#isRegistered = await this.#register();
+				isListed = await this.#refresh();
+			}
+
 			await pause(refreshMs, signal);
 			refreshMs = this.#isRegistered && isListed ? Math.min(MAX_REFRESH_MS, 2 * refreshMs) : FIRST_REFRESH_MS;
 		}
@@ -74,7 +87,9 @@
 			return false;
 		}
 
-		this.options.onMembers(listed.objects.map(object => this.#decode(object)).filter(member => member !== undefined), clock());
+		const members = listed.objects.map(object => this.#decode(object)).filter(member => member !== undefined);
+		this.#isRegistered ||= members.some(member => isSame(member, this.options.self));
+		this.options.onMembers(members, clock());
 		// A stale list may predate the daemons that started together with this one.
 		return listed.objects.length > 1;
 	}
@@ -88,3 +103,5 @@
 		return parsed.data;
 	}
 }
+
+const isSame = (a: Member, b: Member): boolean => a.address === b.address && a.failureDomain === b.failureDomain && a.cores === b.cores;
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -97,12 +97,21 @@
 		return this.options.placements.entriesOf(this.options.daemon).length;
 	}
 
-	/** Adds daemons found in the registry. In a mesh, new ones are asked for their placements. */
+	/**
+	 * Adds daemons found in the registry. In a mesh, new ones are asked for their placements. A new relay is asked for the
+	 * state of its copy of the store.
+	 */
 	addPeers(members: Iterable<Member>, now: number): void {
+		const previousRelay = this.storeRelay;
 		const added = this.#links.addMembers(members, now);
 		for (const {address} of this.#links.isMesh ? added : []) {
 			this.#links.send(address, 'peer', this.#createHeartbeat(true, now));
 		}
+
+		if (this.storeRelay !== undefined && this.storeRelay !== previousRelay) {
+			this.#links.send(this.storeRelay, 'follower', this.#createHeartbeat(true, now));
+			this.#links.flush();
+		}
 	}
 
 	openPlacement(placement: Placement, now: number): void {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -29,6 +29,8 @@
 /** Time in ms before SIGKILL at which the process exits by itself. */
 const EXIT_MARGIN_MS = 300;
 const DRAIN_POLL_MS = 50;
+/** Longest wait in ms for the list of daemons, which names the relay to read from, before the store is read directly. */
+const MAX_DISCOVERY_WAIT_MS = 150;
 /**
  * Shares of the host's memory for request bodies and for responses that have not been sent. A daemon at rest needs about
  * half of the smallest host, and freed buffers are collected late.
@@ -89,6 +91,7 @@
 			kinds: [adapter.kinds.configuration, adapter.kinds.servers, adapter.kinds.domainsOut],
 			schedule,
 			hasFollowers: () => loadExchange.storeFollowers > 0,
+			hasRelay: () => loadExchange.storeRelay !== undefined,
 			onChanged(now) {
 				loadExchange.announceStoreState(now);
 			},
@@ -210,6 +213,17 @@
 		this.metrics.listen(settings.ip, settings.metricsPort, err => {
 			logger.warn('metrics_unavailable', {message: err.message});
 		});
+		this.#registry = DaemonRegistry.start({
+			kind: adapter.kinds.daemons,
+			store,
+			self,
+			clock,
+			logger,
+			onMembers(members, now) {
+				loadExchange.addPeers(members, now);
+			},
+		});
+		await Promise.race([this.#registry.firstRead, pause(MAX_DISCOVERY_WAIT_MS)]);
 		this.#feeds = FleetFeeds.start({
 			adapter,
 			store,
@@ -226,16 +240,6 @@
 				this.#gateway.applyLimits();
 			},
 		});
-		this.#registry = DaemonRegistry.start({
-			kind: adapter.kinds.daemons,
-			store,
-			self,
-			clock,
-			logger,
-			onMembers(members, now) {
-				loadExchange.addPeers(members, now);
-			},
-		});
 		logger.info('started', {listen: settings.listen, failure_domain: settings.failureDomain});
 	}
 
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -11,12 +11,19 @@
 import type {CallOptions} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {pause} from '../util/pause.js';
 import {KindReplica} from './kind-replica.js';
 import type {
 	CreateOutcome, KindEvents, KindList, KindStore,
 } from './kind-store.js';
 import type {ReadSchedule} from './read-schedule.js';
 
+/**
+ * Time in ms for which the first list waits for a heartbeat of the relay. Relays are the strongest hosts, so after a restart
+ * of the whole fleet they have read the store before most of their followers have started.
+ */
+const FIRST_HEARTBEAT_WAIT_MS = 400;
+
 /** Reads another daemon's copy of the store. Methods do not throw; they return failures. */
 export type ReplicaReader = {
 	list(relay: string, kind: string, options: CallOptions): Promise<KindList>;
@@ -32,6 +39,8 @@
 	readonly kinds: readonly string[];
 	readonly schedule: ReadSchedule;
 	hasFollowers(): boolean;
+	/** Whether this daemon knows of a relay, also if no heartbeat of it has arrived yet. */
+	hasRelay(): boolean;
 	/** Called when this daemon's copy of the store has changed. */
 	onChanged(now: number): void;
 };
@@ -56,6 +65,8 @@
 
 	readonly #kinds: ReadonlyMap<string, KindState>;
 	readonly #waiters = new Set<RelayWaiter>();
+	/** Aborted by the first heartbeat of a relay that has read the store. */
+	readonly #firstHeartbeat = new AbortController();
 	#relayState: RelayState | undefined;
 	#loggedRelay: string | undefined;
 
@@ -90,6 +101,7 @@
 		const confirmedAt = now - storeAgeMs;
 		const isOlder = this.#relayState !== undefined && confirmedAt < this.#relayState.confirmedAt;
 		this.#relayState = {relay, confirmedAt, revisions};
+		this.#firstHeartbeat.abort();
 		for (const [kind, kindState] of this.#kinds) {
 			// The relay's confirmation also covers this daemon's copy when that is at least as new as the relay's.
 			if (kindState.replica.revision !== undefined && kindState.replica.revision >= (revisions[kind] ?? Infinity)) {
@@ -117,7 +129,7 @@
 			return this.options.store.list(kind, options);
 		}
 
-		const relay = this.freshRelay(this.options.clock());
+		const relay = await this.#relayForList(kindState, options);
 		const relayed = relay === undefined ? undefined : await this.options.reader.list(relay, kind, options);
 		// A relay may be behind this daemon. An older list is not used, so that applied data never goes back to an older revision.
 		const isUsable = relayed?.kind === 'listed' && relayed.revision >= (kindState.replica.revision ?? 0);
@@ -165,6 +177,16 @@
 		await this.options.store.close();
 	}
 
+	/** The relay to list from. Before its first list, a daemon that knows of a relay waits for a heartbeat of it. */
+	async #relayForList({replica}: KindState, {signal}: CallOptions): Promise<string | undefined> {
+		const {clock, hasRelay} = this.options;
+		if (replica.revision === undefined && this.freshRelay(clock()) === undefined && hasRelay()) {
+			await pause(FIRST_HEARTBEAT_WAIT_MS, signal ? AbortSignal.any([signal, this.#firstHeartbeat.signal]) : this.#firstHeartbeat.signal);
+		}
+
+		return this.freshRelay(clock());
+	}
+
 	async #watchDirectly(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents> {
 		const {hasFollowers, schedule} = this.options;
 		const wait = hasFollowers() ? Math.min(waitMs, schedule.relayWatchWaitMs) : waitMs;
--- a/tests/relayed-store.test.ts
+++ b/tests/relayed-store.test.ts
@@ -81,6 +81,7 @@
 		kinds: ['servers'],
 		schedule,
 		hasFollowers: () => hasFollowers,
+		hasRelay: () => !hasFollowers,
 		onChanged: () => undefined,
 	});
 
@@ -127,6 +128,24 @@
 		expect(standIn.calls).toBe(before + 1);
 	});
 
+	it('should wait for the relay before the first list, and read the store directly when no heartbeat arrives', async () => {
+		const before = standIn.calls;
+		const starting = createStore(false);
+		const listing = starting.list('servers', callOptions);
+		setTimeout(() => {
+			starting.recordRelayState(RELAY, relay.state(monotonicMs()), monotonicMs());
+		}, 50);
+		expect(await listing).toMatchObject({kind: 'listed', objects: [{name: 'a'}]});
+		expect(standIn.calls).toBe(before);
+		const alone = createStore(false);
+		const startedAt = monotonicMs();
+		expect(await alone.list('servers', callOptions)).toMatchObject({kind: 'listed', objects: [{name: 'a'}]});
+		expect(standIn.calls).toBe(before + 1);
+		expect(monotonicMs() - startedAt).toBeLessThan(1000);
+		await starting.close();
+		await alone.close();
+	});
+
 	it('should read the store directly when the state of the relay is too old', async () => {
 		standIn.put('servers', 'b', 2);
 		const {revisions} = relay.state(monotonicMs());
