--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -9,6 +9,7 @@
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
+import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
 import {ReplicaClient} from '../store/replica-client.js';
@@ -73,18 +74,22 @@
 	readonly reader: ReplicaClient;
 	readonly server: ReplicaServer;
 	readonly schedule: ReadSchedule;
+	readonly metrics: GatewayMetrics;
 };
 
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
+		const metrics = GatewayMetrics.create(dependencies.droppedLines);
 		const placements = PlacementTable.create();
 		const fleet = FleetView.create();
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
 		const store = RelayedStore.create({
-			store: adapter.store,
+			store: CountedStore.create(adapter.store, (kind, operation, result) => {
+				metrics.countStoreCall(kind, operation, result);
+			}),
 			reader,
 			clock,
 			logger,
@@ -116,13 +121,12 @@
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics,
 		});
 		await daemon.#start();
 		return daemon;
 	}
 
-	readonly metrics: GatewayMetrics;
 	readonly #health = ServerHealth.create();
 	readonly #retryBudgets = new Map<string, RetryBudget>();
 	#feeds: FleetFeeds | undefined;
@@ -135,8 +139,10 @@
 		private readonly settings: GatewaySettings,
 		private readonly dependencies: GatewayDaemonDependencies,
 		private readonly parts: DaemonParts,
-	) {
-		this.metrics = GatewayMetrics.create(dependencies.droppedLines);
+	) {}
+
+	get metrics(): GatewayMetrics {
+		return this.parts.metrics;
 	}
 
 	/** Number of requests that this daemon has on backend servers. */
@@ -235,7 +241,10 @@
 			pauseMs: () => store.freshRelay(clock()) === undefined
 				? Math.min(MAX_WATCH_PAUSE_MS, Math.max(MIN_WATCH_PAUSE_MS, loadExchange.storeReaders * WATCH_PAUSE_MS_PER_READER))
 				: RELAYED_PAUSE_MS,
-			retryMs: () => Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, loadExchange.daemons * RETRY_MS_PER_DAEMON)),
+			// A follower learns from its relay that the store is back.
+			retryMs: () => loadExchange.storeRelay === undefined
+				? Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, loadExchange.daemons * RETRY_MS_PER_DAEMON))
+				: MAX_RETRY_MS,
 			onConfiguration: () => {
 				this.#gateway.applyLimits();
 			},
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -3,6 +3,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
 import type {FlowResult} from './request-flow.js';
 
 /** Upper bounds in ms; the latency targets of both users lie between 193 ms and 15 s. */
@@ -23,6 +24,10 @@
 		name: 'fireflyport_refusals_total', help: 'Requests refused before a server was chosen, by code', labelNames: ['code'], registers: [this.#registry],
 	});
 
+	readonly #storeCalls = new Counter({
+		name: 'fireflyport_store_calls_total', help: 'Calls of this daemon to the store', labelNames: ['kind', 'operation', 'result'], registers: [this.#registry],
+	});
+
 	readonly #latency = new Histogram({
 		name: 'fireflyport_request_ms', help: 'Time from the arrival of a request to its end in ms', labelNames: ['service'], buckets: LATENCY_BUCKETS_MS, registers: [this.#registry],
 	});
@@ -50,6 +55,10 @@
 		this.#refusals.inc({code});
 	}
 
+	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
+		this.#storeCalls.inc({kind, operation, result});
+	}
+
 	async text(): Promise<string> {
 		return this.#registry.metrics();
 	}
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -104,6 +104,8 @@
 		const metrics = await body.text();
 		expect(metrics).toContain('fireflyport_requests_total{service="model",outcome="delivered"} 1');
 		expect(metrics).toContain('fireflyport_log_lines_dropped 0');
+		expect(metrics).toContain('fireflyport_store_calls_total{kind="servers",operation="list",result="listed"} 1');
+		expect(metrics).toContain('fireflyport_store_calls_total{kind="fireflyport-daemons",operation="create",result="created"} 1');
 		expect(await exited).toEqual([0, null]);
 		expect(started.output()).toContain('event=drained');
 	});
