--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -12,6 +12,7 @@
 	gapTargetMs: z.number(),
 	weight: z.number(),
 	targetMs: z.number(),
+	expectedMs: z.number().optional(),
 });
 
 /** Time in ms since the first event of a placement; absent while its prompt is being prefilled. */
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -2,6 +2,7 @@
 import {randomInt} from 'node:crypto';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {ServerHealth} from '../fleet/server-health.js';
+import type {EnginePace} from '../placement/engine-pace.js';
 import {KindFeed, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
@@ -14,6 +15,7 @@
 	readonly store: KindStore;
 	readonly fleet: FleetView;
 	readonly health: ServerHealth;
+	readonly pace: EnginePace;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Time in ms for which a watch waits for a change. */
@@ -107,7 +109,9 @@
 					this.#applyServer(object, now);
 				}
 
-				this.options.health.retain(this.options.fleet.serverIds());
+				const known = this.options.fleet.serverIds();
+				this.options.health.retain(known);
+				this.options.pace.retain(known);
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,6 +16,7 @@
 import {RelayedStore} from '../store/relayed-store.js';
 import {ReplicaClient} from '../store/replica-client.js';
 import {ReplicaServer} from '../store/replica-server.js';
+import {EnginePace} from '../placement/engine-pace.js';
 import type {Clock} from '../util/clock.js';
 import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
@@ -77,13 +78,17 @@
 	readonly server: ReplicaServer;
 	readonly schedule: ReadSchedule;
 	readonly metrics: GatewayMetrics;
+	readonly pace: EnginePace;
 };
 
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
 		const metrics = GatewayMetrics.create(dependencies.droppedLines);
-		const placements = PlacementTable.create();
+		const pace = EnginePace.create();
+		const placements = PlacementTable.create(entry => {
+			pace.recordStart(entry);
+		});
 		const fleet = FleetView.create();
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
@@ -123,7 +128,7 @@
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, pace,
 		});
 		await daemon.#start();
 		return daemon;
@@ -196,13 +201,14 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule,
+				self, fleet, placements, loadExchange, store, schedule, pace,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
 			fleet,
 			placements,
 			health: this.#health,
+			pace,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
@@ -238,6 +244,7 @@
 			store,
 			fleet,
 			health: this.#health,
+			pace,
 			clock,
 			logger,
 			watchWaitMs: schedule.watchWaitMs,
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -6,6 +6,7 @@
 import type {ServerHealth} from '../fleet/server-health.js';
 import {chooseLeastLoaded} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
+import type {EnginePace} from '../placement/engine-pace.js';
 import {placeGeneration} from '../placement/generation-placement.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
@@ -30,6 +31,7 @@
 	readonly fleet: FleetView;
 	readonly placements: PlacementTable;
 	readonly health: ServerHealth;
+	readonly pace: EnginePace;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
 	/** Region of a failure domain. */
@@ -94,7 +96,7 @@
 	servers, engine, id, targetMs,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {
-		placements, health, partitions, failureDomain,
+		placements, health, pace, partitions, failureDomain,
 	} = parts;
 	const promptTokens = metadata.promptTokens ?? engine.meanPromptTokens;
 	const outputTokens = Math.min(metadata.maxOutputTokens ?? Infinity, metadata.outputHint ?? metadata.maxOutputTokens ?? engine.meanOutputTokens);
@@ -104,7 +106,7 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
+		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, pace: pace.paceOf(server.id, now),
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
@@ -124,6 +126,7 @@
 			gapTargetMs,
 			weight,
 			targetMs,
+			expectedMs: Math.round(best.expectedMs),
 		},
 		expectedMs: best.expectedMs,
 		considered: servers.length,
