--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -12,7 +12,6 @@
 	gapTargetMs: z.number(),
 	weight: z.number(),
 	targetMs: z.number(),
-	expectedMs: z.number().optional(),
 });
 
 /** Time in ms since the first event of a placement; absent while its prompt is being prefilled. */
--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -29,8 +29,6 @@
 	readonly weight: number;
 	/** Time in ms from the placement until the first event is late. */
 	readonly targetMs: number;
-	/** Time in ms to the first event that its daemon expected; absent in messages of earlier versions. */
-	readonly expectedMs?: number;
 };
 
 /** A placement as known to this daemon. Times are on its monotonic clock. */
@@ -52,15 +50,14 @@
 const noEntries: readonly PlacementEntry[] = [];
 
 export class PlacementTable {
-	/** `onStarted` is called when the first event of a placement becomes known. */
-	static create(onStarted: (entry: PlacementEntry) => void = () => undefined): PlacementTable {
-		return new PlacementTable(onStarted);
+	static create(): PlacementTable {
+		return new PlacementTable();
 	}
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
 
-	private constructor(private readonly onStarted: (entry: PlacementEntry) => void) {}
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	/** Adds a placement. For a known id, only the time of the first event is added. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): void {
@@ -82,9 +79,7 @@
 	start(daemon: string, id: string, now: number): void {
 		const entry = this.#daemons.get(daemon)?.entries.get(id);
 		if (entry && entry.startedAt === undefined) {
-			const started = {...entry, startedAt: now};
-			this.#put(started);
-			this.onStarted(started);
+			this.#put({...entry, startedAt: now});
 		}
 	}
 
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -2,7 +2,6 @@
 import {randomInt} from 'node:crypto';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {ServerHealth} from '../fleet/server-health.js';
-import type {EnginePace} from '../placement/engine-pace.js';
 import {KindFeed, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
@@ -15,7 +14,6 @@
 	readonly store: KindStore;
 	readonly fleet: FleetView;
 	readonly health: ServerHealth;
-	readonly pace: EnginePace;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Time in ms for which a watch waits for a change. */
@@ -109,9 +107,7 @@
 					this.#applyServer(object, now);
 				}
 
-				const known = this.options.fleet.serverIds();
-				this.options.health.retain(known);
-				this.options.pace.retain(known);
+				this.options.health.retain(this.options.fleet.serverIds());
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,7 +16,6 @@
 import {RelayedStore} from '../store/relayed-store.js';
 import {ReplicaClient} from '../store/replica-client.js';
 import {ReplicaServer} from '../store/replica-server.js';
-import {EnginePace} from '../placement/engine-pace.js';
 import type {Clock} from '../util/clock.js';
 import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
@@ -78,17 +77,13 @@
 	readonly server: ReplicaServer;
 	readonly schedule: ReadSchedule;
 	readonly metrics: GatewayMetrics;
-	readonly pace: EnginePace;
 };
 
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
 		const metrics = GatewayMetrics.create(dependencies.droppedLines);
-		const pace = EnginePace.create();
-		const placements = PlacementTable.create(entry => {
-			pace.recordStart(entry);
-		});
+		const placements = PlacementTable.create();
 		const fleet = FleetView.create();
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
@@ -128,7 +123,7 @@
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, pace,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics,
 		});
 		await daemon.#start();
 		return daemon;
@@ -201,14 +196,13 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, pace,
+				self, fleet, placements, loadExchange, store, schedule,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
 			fleet,
 			placements,
 			health: this.#health,
-			pace,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
@@ -244,7 +238,6 @@
 			store,
 			fleet,
 			health: this.#health,
-			pace,
 			clock,
 			logger,
 			watchWaitMs: schedule.watchWaitMs,
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -6,7 +6,6 @@
 import type {ServerHealth} from '../fleet/server-health.js';
 import {chooseLeastLoaded} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
-import type {EnginePace} from '../placement/engine-pace.js';
 import {placeGeneration} from '../placement/generation-placement.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
@@ -31,7 +30,6 @@
 	readonly fleet: FleetView;
 	readonly placements: PlacementTable;
 	readonly health: ServerHealth;
-	readonly pace: EnginePace;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
 	/** Region of a failure domain. */
@@ -96,7 +94,7 @@
 	servers, engine, id, targetMs,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {
-		placements, health, pace, partitions, failureDomain,
+		placements, health, partitions, failureDomain,
 	} = parts;
 	const promptTokens = metadata.promptTokens ?? engine.meanPromptTokens;
 	const outputTokens = Math.min(metadata.maxOutputTokens ?? Infinity, metadata.outputHint ?? metadata.maxOutputTokens ?? engine.meanOutputTokens);
@@ -106,7 +104,7 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, pace: pace.paceOf(server.id, now),
+		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
@@ -126,7 +124,6 @@
 			gapTargetMs,
 			weight,
 			targetMs,
-			expectedMs: Math.round(best.expectedMs),
 		},
 		expectedMs: best.expectedMs,
 		considered: servers.length,
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -13,7 +13,7 @@
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {PlacementEntry} from '../fleet/placement-table.js';
 import type {EngineProfile} from '../gateway/serving-configuration.js';
-import {decodingPassMs, prefillMs} from './engine-model.js';
+import {prefillMs} from './engine-model.js';
 import {forecastServer, type ServerForecast} from './server-forecast.js';
 import {overflowProbability, expectedConcurrentPlacements} from './concurrent-placements.js';
 
@@ -57,8 +57,6 @@
 	readonly entries: readonly PlacementEntry[];
 	/** The engine is cold or has failed recently. */
 	readonly isSuspect: boolean;
-	/** Factor by which the engine takes longer than its profile says. */
-	readonly pace: number;
 };
 
 export type GenerationPlacement = {
@@ -102,7 +100,7 @@
 	now: number,
 ): GenerationPlacement | undefined {
 	const engines = candidates.map((candidate): ForecastEngine => ({
-		...candidate, forecast: forecastServer({server: candidate.server.id, pace: candidate.pace}, candidate.entries, profile, now),
+		...candidate, forecast: forecastServer(candidate.server.id, candidate.entries, profile, now),
 	}));
 	const context = {engines, profile, concurrentPlacements: expectedConcurrentPlacements(engines, now)};
 	let best: GenerationPlacement | undefined;
@@ -124,7 +122,7 @@
 	const {engines, profile} = context;
 	const partMs = prefillMs(profile, request.promptTokens) / size;
 	const ranked = engines
-		.map(engine => ({engine, charge: prefillCharge(request, engine, engine.pace * partMs)}))
+		.map(engine => ({engine, charge: prefillCharge(request, engine, partMs)}))
 		.sort((a, b) => a.charge - b.charge);
 	const group = exceedsEngineMemory(request, profile) ? chooseOversizeGroup(request, ranked, profile, size) : chooseGroup(request, ranked, context, size);
 	if (!group) {
@@ -134,7 +132,7 @@
 	const {decoder, helpers} = group;
 	const members = [decoder.engine, ...helpers.map(({engine}) => engine)];
 	const {forecast} = decoder.engine;
-	const expectedMs = Math.max(...members.map(member => partDoneMs(member.forecast, member.pace * partMs))) + passAfterPrefillMs(forecast) + slotWaitMs(forecast, profile);
+	const expectedMs = Math.max(...members.map(member => partDoneMs(member.forecast, partMs))) + passAfterPrefillMs(forecast) + slotWaitMs(forecast, profile);
 	const ownLoss = request.weight * (
 		(LATE_LOSS_SHARE * lateProbability(expectedMs, request.targetMs))
 		+ (LATENCY_CHARGE * expectedMs / Math.max(1, request.targetMs))
@@ -214,7 +212,7 @@
 	forecast.usedTokens + neededTokens(request) <= profile.memoryTokens;
 
 /** Expected loss that `partMs` of prefill on an engine causes for the requests that it already has. */
-function prefillCharge(request: GenerationRequest, {forecast, isSuspect, pace}: ForecastEngine, partMs: number): number {
+function prefillCharge(request: GenerationRequest, {forecast, isSuspect}: ForecastEngine, partMs: number): number {
 	const {decoding, pending, passMs, backlogMs} = forecast;
 	let loss = 0;
 	for (const {weight, gapTargetMs} of decoding) {
@@ -229,34 +227,15 @@
 
 	// Among engines where no request loses, the one with the least work is preferred.
 	const load = (backlogMs + (decoding.length * partMs)) / Math.max(1, request.targetMs);
-	return loss + (request.weight * ((isSuspect ? SUSPECT_CHARGE : 0) + slowPrefillShare(request, {forecast, pace}, partMs) + (HELPER_CHARGE * load)));
-}
-
-/** Share of the request's weight that is lost because the engine prefills a part in `partMs` instead of the time in its profile. */
-function slowPrefillShare({targetMs}: GenerationRequest, {forecast, pace}: Pick<ForecastEngine, 'forecast' | 'pace'>, partMs: number): number {
-	if (pace <= 1) {
-		return 0;
-	}
-
-	const profilePartMs = partMs / pace;
-	const normalMs = partDoneMs(forecast, profilePartMs);
-	const late = lateProbability(partDoneMs(forecast, partMs), targetMs) - lateProbability(normalMs, targetMs);
-	return (LATE_LOSS_SHARE * late) + (LATENCY_CHARGE * (partMs - profilePartMs) / Math.max(1, targetMs));
-}
-
-/** Share of the request's weight that is lost because the passes of a slow engine are longer than its client accepts. */
-function slowDecodingShare({promptTokens, outputTokens, gapTargetMs}: GenerationRequest, {forecast, pace}: ForecastEngine, profile: EngineProfile): number {
-	const contexts = [...forecast.decoding.map(({contextTokens}) => contextTokens), promptTokens + outputTokens];
-	return pace <= 1 ? 0 : LATE_LOSS_SHARE * lateProbability(pace * decodingPassMs(profile, contexts), gapTargetMs);
+	return loss + (request.weight * ((isSuspect ? SUSPECT_CHARGE : 0) + (HELPER_CHARGE * load)));
 }
 
 /** Expected loss and tie-breaking charges of decoding the request on an engine. */
-function decodeCharge(request: GenerationRequest, engine: ForecastEngine, profile: EngineProfile, concurrentPlacements: number): number {
-	const {server, forecast} = engine;
+function decodeCharge(request: GenerationRequest, {server, forecast}: ForecastEngine, profile: EngineProfile, concurrentPlacements: number): number {
 	const overflowLoss = LATE_LOSS_SHARE * overflowProbability(profile.slots - forecast.requests, concurrentPlacements);
 	const freeSlots = Math.max(0, 1 - (forecast.requests / profile.slots));
 	const freeSlotsCharge = (FREE_SLOTS_CHARGE * freeSlots) + (forecast.requests === 0 ? EMPTY_ENGINE_CHARGE : 0);
 	const otherDomainCharge = server.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_CHARGE;
 	const waitMs = slotWaitMs(forecast, profile) + forecast.backlogMs + passAfterPrefillMs(forecast);
-	return request.weight * (overflowLoss + slowDecodingShare(request, engine, profile) + freeSlotsCharge + otherDomainCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)));
+	return request.weight * (overflowLoss + freeSlotsCharge + otherDomainCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)));
 }
--- a/src/placement/server-forecast.ts
+++ b/src/placement/server-forecast.ts
@@ -33,11 +33,8 @@
 	readonly usedTokens: number;
 };
 
-/**
- * Forecasts the work of engine `server` at `now`. `entries` are sorted from oldest to newest. `pace` is the factor by which
- * the engine takes longer than its profile says.
- */
-export function forecastServer({server, pace = 1}: {readonly server: string; readonly pace?: number}, entries: readonly PlacementEntry[], profile: EngineProfile, now: number): ServerForecast {
+/** Forecasts the work of engine `server` at `now`. `entries` are sorted from oldest to newest. */
+export function forecastServer(server: string, entries: readonly PlacementEntry[], profile: EngineProfile, now: number): ServerForecast {
 	const decoding: PlacementEntry[] = [];
 	const prefilling: PlacementEntry[] = [];
 	let usedTokens = 0;
@@ -57,10 +54,10 @@
 		}
 	}
 
-	const passMs = pace * decodingPassMs(profile, decoding.map(({contextTokens}) => contextTokens));
+	const passMs = decodingPassMs(profile, decoding.map(({contextTokens}) => contextTokens));
 	let freeAt = -Infinity;
 	const pending = prefilling.map((entry): PendingPrefill => {
-		freeAt = Math.max(freeAt, entry.placedAt) + (pace * entry.prefillMs);
+		freeAt = Math.max(freeAt, entry.placedAt) + entry.prefillMs;
 		// A helper's part may be finished long ago while the request still waits for another engine.
 		const overdueMs = entry.server === server ? now - freeAt - passMs : 0;
 		freeAt = overdueMs > 0 ? now + (OVERRUN_SHARE * overdueMs) : freeAt;
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -26,7 +26,7 @@
 });
 
 const candidatesOf = (placements: PlacementTable, suspects: ReadonlySet<string> = new Set()) => engines.map(server => ({
-	server, entries: placements.entriesOn(server.id), isSuspect: suspects.has(server.id), pace: 1,
+	server, entries: placements.entriesOn(server.id), isSuspect: suspects.has(server.id),
 }));
 
 /** Returns placements of `perEngine` short prompts on each of the first `count` engines; all of them are decoding. */
@@ -201,13 +201,13 @@
 		// Guards against placing prompts on an engine that a lack of memory or slots has blocked: it looked idle once the expected prefill time was over.
 		const placements = PlacementTable.create();
 		placements.open('other', prefilling, 0);
-		expect(forecastServer({server: 'e-0'}, placements.entriesOn('e-0'), profile, 50).backlogMs).toBe(50);
-		expect(forecastServer({server: 'e-0'}, placements.entriesOn('e-0'), profile, 1100).backlogMs).toBeCloseTo(300, -1);
+		expect(forecastServer('e-0', placements.entriesOn('e-0'), profile, 50).backlogMs).toBe(50);
+		expect(forecastServer('e-0', placements.entriesOn('e-0'), profile, 1100).backlogMs).toBeCloseTo(300, -1);
 	});
 
 	it('should expect no backlog on a helper whose part is done while the request waits for another engine', () => {
 		const placements = PlacementTable.create();
 		placements.open('other', {...prefilling, helpers: ['e-1']}, 0);
-		expect(forecastServer({server: 'e-1'}, placements.entriesOn('e-1'), profile, 1100).backlogMs).toBe(0);
+		expect(forecastServer('e-1', placements.entriesOn('e-1'), profile, 1100).backlogMs).toBe(0);
 	});
 });
--- a/tests/placement-load.test.ts
+++ b/tests/placement-load.test.ts
@@ -57,25 +57,6 @@
 	});
 });
 
-describe('placement on engines of which some have turned slow', () => {
-	const options = {
-		engines: 54,
-		daemons: 12,
-		profile: grownSiteProfile,
-		messageDelay: {minMs: 5, maxMs: 45},
-		kinds: [{...chat, perSecond: 70}, {...contract, perSecond: 5}],
-		slowEngines: {count: 11, slowness: 4},
-	};
-	const simulate = (isPaceKnown: boolean): SimulationResult => mergeResults([1, 2].map(seed => simulatePlacement({
-		...options, isPaceKnown, seed, durationMs: 12_000,
-	})));
-
-	it('should start more short prompts in time once the first events of all daemons have shown which engines are slow', () => {
-		// Each daemon by itself sends a slow engine too few requests to notice, and its health looks good.
-		expect(shareWithin(simulate(true).chat, chat.targetMs)).toBeGreaterThan(shareWithin(simulate(false).chat, chat.targetMs));
-	});
-});
-
 describe('overflow probability', () => {
 	it('should be 1 without a free slot, and decrease with more free slots and with a lower rate', () => {
 		expect(overflowProbability(0, 0.5)).toBe(1);
