--- a/testing/soak/main.ts
+++ b/testing/soak/main.ts
@@ -1,4 +1,4 @@
-/** `npm run soak -- [--seed N] [--for SECONDS] [--runs N]`: exits with 1 when an invariant is violated, and keeps the logs of that run. */
+/** `npm run soak -- [--seed N] [--for DURATION] [--runs N]`: exits with 1 when an invariant is violated, and keeps the logs of that run. */
 import {mkdirSync, rmSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -6,13 +6,14 @@
 import {cac} from 'cac';
 import {z} from 'zod';
 import {buildPlatformProgram} from '../platform-program.js';
+import {durationSchema} from './duration.js';
 import {runSoak} from './run-soak.js';
 
 const MS_PER_SECOND = 1000;
 
 const optionsSchema = z.object({
 	seed: z.coerce.number().int().nonnegative().default(() => randomInt(1_000_000)),
-	for: z.coerce.number().positive().default(30),
+	for: durationSchema.default(30),
 	runs: z.coerce.number().int().positive().default(1),
 	daemons: z.coerce.number().int().min(2).max(100).default(6),
 	folder: z.string().default('soak-runs'),
@@ -20,9 +21,9 @@
 });
 
 const cli = cac('npm run soak --');
-cli.usage('[--seed N] [--for SECONDS] [--runs N] [--daemons N] [--folder PATH] [--verbose]');
+cli.usage('[--seed N] [--for DURATION] [--runs N] [--daemons N] [--folder PATH] [--verbose]');
 cli.option('--seed <number>', 'Seed of faults and load; further runs use the next numbers (default: random)');
-cli.option('--for <seconds>', 'Duration of the fault phase of each run (default: 30)');
+cli.option('--for <duration>', 'Duration of the fault phase of each run, such as 45s or 2m (default: 30 seconds)');
 cli.option('--runs <number>', 'Number of consecutive runs (default: 1)');
 cli.option('--daemons <number>', 'Number of daemon processes (default: 6)');
 cli.option('--folder <path>', 'Folder for the logs of failed runs (default: soak-runs)');
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -12,6 +12,7 @@
 } from '../testing/soak/soak-observations.js';
 import {runSoak} from '../testing/soak/run-soak.js';
 import {buildPlatformProgram} from '../testing/platform-program.js';
+import {durationSchema} from '../testing/soak/duration.js';
 import {eventStreamBody} from './fixtures/gateway-fixture.js';
 
 const budget = {share: 0.2, slack: 2};
@@ -97,6 +98,15 @@
 	});
 });
 
+describe('soak options', () => {
+	it('should accept durations in seconds and minutes, and name what is accepted otherwise', () => {
+		expect([45, '45', '45s', '1.5m'].map(value => durationSchema.parse(value))).toEqual([45, 45, 45, 90]);
+		for (const value of ['', '0', '-3', 's', '45 h', 'soon']) {
+			expect(durationSchema.safeParse(value).error?.message).toContain('such as 45, 45s or 2m');
+		}
+	});
+});
+
 describe('soak faults', () => {
 	it('should be the same for the same seed, and include periods without unplanned faults', () => {
 		expect(planFaults(7, 30_000)).toEqual(planFaults(7, 30_000));
