--- /dev/null
+++ b/tests/decoders.test.ts
@@ -0,0 +1,120 @@
+import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
+import {
+	describe, expect, it,
+} from 'vitest';
+import {decodeConfiguration} from '../platform/configuration.js';
+import {decodeServer} from '../platform/servers.js';
+import {parseSettings, SettingsError} from '../platform/settings.js';
+import {wireFormat} from '../platform/wire-format.js';
+import {parseDatagram} from '../src/fleet/load-message.js';
+import {EventSplitter} from '../src/forwarding/event-splitter.js';
+import {platformConfiguration} from './fixtures/gateway-fixture.js';
+
+const RUNS = {numRuns: 500};
+
+/** JSON values in which one part of a valid value has been replaced. */
+function withOneReplacedPart(valid: unknown): fc.Arbitrary<unknown> {
+	const paths = pathsOf(valid);
+	return fc.tuple(fc.constantFrom(...paths), fc.jsonValue()).map(([path, replacement]) => replaceAt(valid, path, replacement));
+}
+
+type JsonPath = readonly string[];
+
+function pathsOf(value: unknown): readonly JsonPath[] {
+	if (typeof value !== 'object' || value === null) {
+		return [[]];
+	}
+
+	return [[], ...Object.entries(value).flatMap(([key, inner]) => pathsOf(inner).map(path => [key, ...path]))];
+}
+
+function replaceAt(value: unknown, [key, ...rest]: JsonPath, replacement: unknown): unknown {
+	if (key === undefined) {
+		return replacement;
+	}
+
+	const copy: unknown = Array.isArray(value) ? [...value as unknown[]] : {...value as object};
+	(copy as Record<string, unknown>)[key] = replaceAt((value as Record<string, unknown>)[key], rest, replacement);
+	return copy;
+}
+
+/** Result of a decoder that may refuse its input with an error. */
+function decodeOrRefuse<T>(decode: () => T): T | Error {
+	try {
+		return decode();
+	} catch (err) {
+		expect(err).toBeInstanceOf(Error);
+		return err as Error;
+	}
+}
+
+describe('decoders of input from outside', () => {
+	it('should read any datagram as a message or as unreadable', () => {
+		fc.assert(fc.property(fc.oneof(fc.uint8Array(), fc.json().map(text => Buffer.from(text))), data => {
+			const datagram = parseDatagram(data);
+			expect(datagram === undefined || Array.isArray(datagram.messages)).toBe(true);
+		}), RUNS);
+	});
+
+	it('should never accept a registration without an address, a service, slots and a known state', () => {
+		const valid = {
+			service: 'desk', address: '10.128.0.9:8080', zone: 'braga', slots: 11, state: 'ready', 'cold-remaining-ms': 400, born: 1_764_800_000_000,
+		};
+		fc.assert(fc.property(fc.oneof(fc.jsonValue(), withOneReplacedPart(valid)), value => {
+			const server = decodeOrRefuse(() => decodeServer({name: 'i-1', revision: 1, value}, 100));
+			if (!(server instanceof Error)) {
+				expect(server.address).toMatch(/^\d+\.\d+\.\d+\.\d+:\d+$/v);
+				expect(server.service).not.toBe('');
+				expect(server.slots).toBeGreaterThan(0);
+				expect(server.coldUntil).toBeGreaterThanOrEqual(100);
+			}
+		}), RUNS);
+	});
+
+	it('should decode a configuration to usable routes or refuse it', () => {
+		fc.assert(fc.property(withOneReplacedPart(platformConfiguration(7)), value => {
+			const configuration = decodeOrRefuse(() => decodeConfiguration({name: 'main', revision: 1, value}));
+			if (configuration && !(configuration instanceof Error)) {
+				expect(Number.isFinite(configuration.version)).toBe(true);
+				expect(configuration.limits.idleTimeoutMs).toBeGreaterThan(0);
+				for (const route of configuration.routes) {
+					expect(route.timeoutMs).toBeGreaterThan(0);
+					expect(route.maxAttempts).toBeGreaterThan(0);
+					expect(route.targetLatencyMs).toBeGreaterThan(0);
+				}
+			}
+		}), RUNS);
+	});
+
+	it('should refuse settings with an error that names the file', () => {
+		fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
+			const settings = decodeOrRefuse(() => parseSettings(text, 'local.json'));
+			expect(settings).toBeInstanceOf(SettingsError);
+			expect((settings as SettingsError).message).toContain('local.json');
+		}), RUNS);
+	});
+
+	it('should read numbers from any header values as non-negative or absent', () => {
+		const names = ['fireflyport-deadline-ms', 'fireflyport-token-counts', 'fireflyport-length-hint', 'last-event-id', 'fireflyport-attempt-id', 'fireflyport-credential'];
+		const value = fc.oneof(fc.string(), fc.constantFrom('-1', 'NaN', '1e999', '0x10', ',', '1,', ' 7 ', '1,2,3'), fc.double().map(String));
+		fc.assert(fc.property(fc.dictionary(fc.constantFrom(...names), value), headers => {
+			const metadata = wireFormat.readClientMetadata(headers);
+			for (const number of [metadata.deadlineMs, metadata.promptTokens, metadata.maxOutputTokens, metadata.outputHint, metadata.lastEventId]) {
+				expect(number === undefined || (Number.isFinite(number) && number >= 0)).toBe(true);
+			}
+
+			expect(() => wireFormat.readResponseMetadata(200, headers)).not.toThrow();
+			expect(() => wireFormat.clientHeaders(headers)).not.toThrow();
+		}), RUNS);
+	});
+
+	it('should split any bytes of a stream without losing or adding one', () => {
+		fc.assert(fc.property(fc.array(fc.uint8Array()), chunks => {
+			const splitter = EventSplitter.create();
+			const events = chunks.flatMap(chunk => splitter.push(chunk));
+			const bytes = events.reduce((sum, event) => sum + event.bytes.length, splitter.pendingBytes);
+			expect(bytes).toBe(chunks.reduce((sum, chunk) => sum + chunk.length, 0));
+		}), RUNS);
+	});
+});
