--- a/deploy/program/build.mjs
+++ b/deploy/program/build.mjs
@@ -4,7 +4,9 @@
  * Usage: node deploy/program/build.mjs FOLDER
  */
 import {execFileSync} from 'node:child_process';
-import {copyFileSync, existsSync, mkdirSync} from 'node:fs';
+import {
+	copyFileSync, existsSync, mkdirSync, rmSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
@@ -16,6 +18,7 @@
 const here = import.meta.dirname;
 const folder = path.resolve(process.argv[2] ?? 'target');
 const launcher = path.join(folder, 'fireflyportd.cjs');
+const cache = path.join(folder, 'fireflyportd-bundle.cache');
 
 mkdirSync(folder, {recursive: true});
 await build({
@@ -42,6 +45,8 @@
 	logLevel: 'warning',
 });
 copyFileSync(path.join(here, 'launcher.cjs'), launcher);
+// V8 compares only the length of the source, so it could accept the cache of an earlier bundle.
+rmSync(cache, {force: true});
 writeCodeCache();
 
 /** Runs the program without settings: it loads all modules and exits, and the launcher writes what V8 has compiled. */
@@ -54,7 +59,7 @@
 		}
 	}
 
-	if (!existsSync(path.join(folder, 'fireflyportd-bundle.cache'))) {
+	if (!existsSync(cache)) {
 		throw new Error('the launcher has written no code cache');
 	}
 }
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -1,9 +1,9 @@
 import {Buffer} from 'node:buffer';
-import {spawn, type ChildProcess} from 'node:child_process';
+import {spawn, spawnSync, type ChildProcess} from 'node:child_process';
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
 import {
-	mkdtempSync, readFileSync, rmSync, writeFileSync,
+	existsSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {connect} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -90,6 +90,21 @@
 		expect(started.output()).toContain('ip is "here"');
 	});
 
+	it('should not start from the code cache of an earlier build', async () => {
+		const other = mkdtempSync(path.join(tmpdir(), 'fireflyport-'));
+		const bundle = path.join(other, 'fireflyportd-bundle.cjs');
+		const cache = path.join(other, 'fireflyportd-bundle.cache');
+		buildPlatformProgram(other);
+		// A bundle of the same length, and the cache that belongs to it, as an earlier build could have left them.
+		writeFileSync(bundle, readFileSync(bundle, 'latin1').replaceAll('FIREFLYPORT_CONFIG is not set', 'FIREFLYPORT_CONFIG is missing'), 'latin1');
+		rmSync(cache);
+		spawnSync(process.execPath, ['--max-old-space-size=160', path.join(other, 'fireflyportd.cjs'), '--write-code-cache'], {env: {}});
+		expect(existsSync(cache)).toBe(true);
+		const started = spawnSync(process.execPath, ['--max-old-space-size=160', buildPlatformProgram(other)], {env: {}});
+		expect(String(started.stderr)).toContain('FIREFLYPORT_CONFIG is not set');
+		rmSync(other, {recursive: true});
+	});
+
 	it('should register, serve requests and metrics, and complete a stream after SIGTERM before it exits with code 0', async () => {
 		const server = await world.addServer('model', {instance: 'e-1', events: 15, paceMs: 100});
 		const started = startProgram(world.settingsFile());
