--- a/deploy/program/build.mjs
+++ b/deploy/program/build.mjs
@@ -13,7 +13,7 @@
 
 const INVALID_SETTINGS_EXIT_CODE = 2;
 /** V8 accepts a code cache only under the flags with which it was written, so these equal those in deploy/system.toml. */
-const NODE_FLAGS = ['--max-old-space-size=160'];
+const NODE_FLAGS = ['--max-old-space-size=160', '--always-sparkplug', '--single-threaded'];
 
 const here = import.meta.dirname;
 const folder = path.resolve(process.argv[2] ?? 'target');
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -16,7 +16,7 @@
 	afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
 import {parseLogLine} from '../testing/processes.js';
-import {buildPlatformProgram} from '../testing/platform-program.js';
+import {buildPlatformProgram, platformNodeFlags} from '../testing/platform-program.js';
 import {waitUntil} from './fixtures/http.js';
 import {
 	platformConfiguration, eventStreamBody, GatewayFixture, promptHeaders,
@@ -59,7 +59,7 @@
 		chunks.push(String(chunk));
 	};
 
-	child = spawn(process.execPath, [program], {env: {...process.env, FIREFLYPORT_CONFIG: file}});
+	child = spawn(process.execPath, [...platformNodeFlags(), program], {env: {...process.env, FIREFLYPORT_CONFIG: file}});
 	child.stdout!.on('data', recordOutput);
 	child.stderr!.on('data', recordOutput);
 	return {child, output: () => chunks.join('')};
@@ -98,10 +98,11 @@
 		// A bundle of the same length, and the cache that belongs to it, as an earlier build could have left them.
 		writeFileSync(bundle, readFileSync(bundle, 'latin1').replaceAll('FIREFLYPORT_CONFIG is not set', 'FIREFLYPORT_CONFIG is missing'), 'latin1');
 		rmSync(cache);
-		spawnSync(process.execPath, ['--max-old-space-size=160', path.join(other, 'fireflyportd.cjs'), '--write-code-cache'], {env: {}});
+		spawnSync(process.execPath, [...platformNodeFlags(), path.join(other, 'fireflyportd.cjs'), '--write-code-cache'], {env: {}});
 		expect(existsSync(cache)).toBe(true);
-		const started = spawnSync(process.execPath, ['--max-old-space-size=160', buildPlatformProgram(other)], {env: {}});
+		const started = spawnSync(process.execPath, [...platformNodeFlags(), buildPlatformProgram(other)], {env: {}});
 		expect(String(started.stderr)).toContain('FIREFLYPORT_CONFIG is not set');
+		expect(String(started.stderr)).not.toContain('rejected');
 		rmSync(other, {recursive: true});
 	});
 
