Log prompt parts, events and disconnections of failed attempts

The lines of a failed attempt could not tell whether requests with one part, one key or one first part crash engines, nor whether the server or the daemon closed the connection.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -34,11 +34,11 @@
 	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 };
 
-/** Why an exchange ended. `not_connected` guarantees that nothing was sent. */
+/** Why an exchange ended. `not_connected` guarantees that nothing was sent. `isDisconnected`: the server closed or reset the connection. */
 export type ExchangeEnd =
-	| {readonly kind: 'complete'}
+	| {readonly kind: 'complete'; readonly isDisconnected: boolean}
 	| {readonly kind: 'not_connected'; readonly message: string; readonly isRefused: boolean}
-	| {readonly kind: 'broken'; readonly message: string}
+	| {readonly kind: 'broken'; readonly message: string; readonly isDisconnected: boolean}
 	| {readonly kind: 'aborted'};
 
 export type ExchangeHandler = {
@@ -59,6 +59,7 @@
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
 	let isEnded = false;
 	let connectionError: Error | undefined;
+	let isDisconnected = false;
 	let bodyBytes = 0;
 	const client = new Client(`http://${req.address}`, {
 		connect: createCheckedConnector(() => undefined, {
@@ -66,10 +67,15 @@
 			onOpen(socket) {
 				watchReset(socket, err => {
 					connectionError = err;
+					isDisconnected = true;
+				});
+				// Runs before undici reports the end as an error.
+				socket.prependListener('end', () => {
+					isDisconnected = true;
 				});
 				socket.on('readable', () => {
 					if (socket.bytesRead > MAX_FRAMING_BYTES + (2 * bodyBytes)) {
-						end({kind: 'broken', message: `received ${socket.bytesRead} bytes with only ${bodyBytes} bytes of a body`});
+						end({kind: 'broken', message: `received ${socket.bytesRead} bytes with only ${bodyBytes} bytes of a body`, isDisconnected});
 					}
 				});
 			},
@@ -111,10 +117,10 @@
 			}
 		},
 		onResponseEnd() {
-			end(connectionError ? {kind: 'broken', message: connectionError.message} : {kind: 'complete'});
+			end(connectionError ? {kind: 'broken', message: connectionError.message, isDisconnected} : {kind: 'complete', isDisconnected});
 		},
 		onResponseError(_controller, err) {
-			end(err instanceof NotConnectedError ? {kind: 'not_connected', message: err.message, isRefused: err.isRefused} : {kind: 'broken', message: err.message});
+			end(err instanceof NotConnectedError ? {kind: 'not_connected', message: err.message, isRefused: err.isRefused} : {kind: 'broken', message: err.message, isDisconnected});
 		},
 	});
 	return {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -41,6 +41,10 @@
 	readonly isUnsent?: boolean;
 	/** IP:PORT of the server that caused the failure, if it is not the chosen one. */
 	readonly faultyAddress?: string;
+	/** New events that the server sent. */
+	readonly events?: number;
+	/** The server closed or reset the connection before the end of the response. */
+	readonly isDisconnected?: boolean;
 	/** The address now belongs to another server (`moved`), or nothing listens on it (`refused`). */
 	readonly lostReason?: 'moved' | 'refused';
 };
@@ -111,7 +115,7 @@
 	#silenceTimer: NodeJS.Timeout | undefined;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#isFinished = false;
-	#hasEvent = false;
+	#events = 0;
 	#isPaused = false;
 
 	constructor(private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
@@ -236,7 +240,7 @@
 	#relayEvent(phase: RelayingPhase, event: RawEvent): void {
 		const {lastEventId} = this.options.sink;
 		if (event.id === undefined) {
-			if (this.#hasEvent) {
+			if (this.#events > 0) {
 				this.#write(phase.head, event);
 			} else {
 				phase.preamble.push(event);
@@ -256,8 +260,8 @@
 		}
 
 		phase.preamble = [];
-		if (!this.#hasEvent) {
-			this.#hasEvent = true;
+		this.#events++;
+		if (this.#events === 1) {
 			this.options.onFirstEvent();
 		}
 
@@ -287,7 +291,7 @@
 	#resultOf(end: ExchangeEnd): AttemptResult {
 		switch (end.kind) {
 			case 'complete': {
-				return this.#resultOfComplete();
+				return this.#resultOfComplete(end.isDisconnected);
 			}
 
 			case 'not_connected': {
@@ -297,7 +301,7 @@
 			}
 
 			case 'broken': {
-				return {outcome: {kind: 'broken', reason: end.message}, mayHaveRun: true};
+				return {outcome: {kind: 'broken', reason: end.message}, mayHaveRun: true, isDisconnected: end.isDisconnected};
 			}
 
 			case 'aborted': {
@@ -306,16 +310,16 @@
 		}
 	}
 
-	#resultOfComplete(): AttemptResult {
+	#resultOfComplete(isDisconnected: boolean): AttemptResult {
 		const phase = this.#phase;
 		switch (phase.kind) {
 			case 'waiting': {
-				return {outcome: {kind: 'broken', reason: 'connection closed without a response'}, mayHaveRun: true};
+				return {outcome: {kind: 'broken', reason: 'connection closed without a response'}, mayHaveRun: true, isDisconnected};
 			}
 
 			case 'relaying': {
-				return phase.splitter.pendingBytes > 0 || !this.#hasEvent
-					? {outcome: {kind: 'broken', reason: 'the stream ended before a complete event'}, mayHaveRun: true}
+				return phase.splitter.pendingBytes > 0 || this.#events === 0
+					? {outcome: {kind: 'broken', reason: 'the stream ended before a complete event'}, mayHaveRun: true, isDisconnected}
 					: {outcome: {kind: 'delivered'}, mayHaveRun: true};
 			}
 
@@ -365,7 +369,7 @@
 				this.#phase.account.close();
 			}
 
-			this.resolve(result);
+			this.resolve({...result, events: this.#events});
 		}
 	}
 }
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -233,8 +233,9 @@
 	}
 
 	/** Records the outcome in the health of the server at fault, and excludes that server from further attempts. */
-	#recordAttempt(choice: ServerChoice, {outcome, faultyAddress, lostReason}: AttemptResult, next: string): void {
+	#recordAttempt(choice: ServerChoice, result: AttemptResult, next: string): void {
 		const {parts, request} = this;
+		const {outcome, faultyAddress, lostReason} = result;
 		const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === faultyAddress) ?? choice.server;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
@@ -255,6 +256,11 @@
 				outcome: outcome.kind,
 				reason: 'reason' in outcome ? outcome.reason : undefined,
 				status: 'status' in outcome ? outcome.status : undefined,
+				events: result.events,
+				disconnected: result.isDisconnected,
+				parts: request.metadata.sharedParts.join(','),
+				route: request.route.name,
+				workspace: request.workspace?.name,
 				next,
 			});
 		}
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -11,6 +11,8 @@
 	readonly deadlineMs: number | undefined;
 	readonly apiKey: string | undefined;
 	readonly promptTokens: number | undefined;
+	/** Ids of the parts that the prompt may share with others, in order; the last part belongs to the request itself. */
+	readonly sharedParts: readonly string[];
 	readonly maxOutputTokens: number | undefined;
 	/** The client's estimate of the number of output tokens. */
 	readonly outputHint: number | undefined;
