--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -47,6 +47,10 @@
 	readonly events?: number;
 	/** Delay in ms before the response to a call and after each event. */
 	readonly paceMs?: number;
+	/** Ids of prompt parts on which the server crashes when it begins to write: it closes all connections without a response. */
+	readonly crashingParts?: readonly string[];
+	/** Called after a crash. The server accepts requests again at once, but loses all streams. */
+	readonly onCrash?: () => void;
 };
 
 export class PlatformServerStandIn {
@@ -193,6 +197,12 @@
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
+		if (hasPart(req, this.options.crashingParts ?? [])) {
+			this.#server.closeAllConnections();
+			this.options.onCrash?.();
+			return;
+		}
+
 		if (fault?.kind === 'error') {
 			res.writeHead(fault.status, this.#headers(req)).end('failed');
 			return;
@@ -232,3 +242,8 @@
 		await pause(this.options.paceMs ?? 0);
 	}
 }
+
+function hasPart({headers}: IncomingMessage, parts: readonly string[]): boolean {
+	const entries = String(headers['fireflyport-prompt-prefix'] ?? '').split(',');
+	return entries.some(entry => parts.includes(entry.split(':')[0]!));
+}
