--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -74,6 +74,8 @@
 	readonly signal: AbortSignal;
 	/** Whether another attempt is possible. */
 	canRetry(): boolean;
+	/** Called with the metadata of the response head. */
+	onMetadata(metadata: ResponseMetadata): void;
 	/** Called with the number of new events after each one. */
 	onEvent(events: number): void;
 };
@@ -171,6 +173,7 @@
 	#onHead(head: ExchangeHead): void {
 		const {wire, request} = this.options;
 		const metadata = wire.readResponseMetadata(head.status, head.headers);
+		this.options.onMetadata(metadata);
 		if (metadata.isNotExecuted) {
 			// The head decides; the body may never end.
 			this.#abort(rejection(metadata, head.status));
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -37,6 +37,9 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
+/** Time in ms over which the open requests of a limited server are counted for the log. */
+const LIMIT_LOG_WINDOW_MS = 4000;
+
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
 	readonly loadExchange: LoadExchange;
@@ -217,6 +220,9 @@
 				buffers: parts.buffers,
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
+				onMetadata: ({maxRequestsPerSecond}) => {
+					this.#logLimit(choice.server, maxRequestsPerSecond, parts.clock());
+				},
 				onEvent(events) {
 					if (events === 1) {
 						parts.loadExchange.startPlacement(placement.id, parts.clock());
@@ -258,6 +264,14 @@
 		};
 	}
 
+	/** Logs a limit that the server names, and the requests that all daemons sent to it in the last seconds. */
+	#logLimit({id, instanceId}: BackendServer, maxPerSecond: number | undefined, now: number): void {
+		if (maxPerSecond !== undefined) {
+			const sent = this.parts.placements.entriesOn(id).filter(({server, placedAt}) => server === id && now - placedAt <= LIMIT_LOG_WINDOW_MS);
+			this.parts.logger.info('server_limited', {server: instanceId, per_second: maxPerSecond, open_recent: sent.length});
+		}
+	}
+
 	/** Reports whether the server wrote the answer or ended before. */
 	#reportPrompt({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
 		const {quarantine} = this.parts;
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -43,6 +43,8 @@
 	readonly isMisdirected: boolean;
 	/** IP:PORT of the server that caused the failure, if it is another one. */
 	readonly faultyAddress: string | undefined;
+	/** Requests per second that the server takes from all daemons together, for as long as its responses say so. */
+	readonly maxRequestsPerSecond: number | undefined;
 };
 
 export type WireFormat = {
