--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -47,6 +47,8 @@
 	readonly events?: number;
 	/** Delay in ms before the response to a call and after each event. */
 	readonly paceMs?: number;
+	/** Requests per second that the server names in its responses. */
+	readonly limitPerSecond?: number;
 	/** Ids of prompt parts on which the server crashes when it begins to write: it closes all connections without a response. */
 	readonly crashingParts?: readonly string[];
 	/** Called after a crash. The server accepts requests again at once, but loses all streams. */
@@ -235,6 +237,7 @@
 		return {
 			'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
 			'fireflyport-response-seal': `seal-${this.instance}`,
+			...(this.options.limitPerSecond === undefined ? {} : {'server-limit': String(this.options.limitPerSecond)}),
 		};
 	}
 
