Keep the limit that a server names, over all daemons

Cause: Server-Limit was not read, and nothing bounded the requests of all daemons to one server. Ruled out: the restarted daemon (the rule was broken before its restart), and daemons that keep the limit for themselves (no daemon kept it).

Change: each daemon takes the requests of all daemons, which it hears of anyway, from a token bucket of the limited server. Limits are told to all daemons and end with a response without one to a later request. A server at its limit may still help with prompts. What exceeds all limits is refused at once as not run, with the time at which a request fits.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -11,6 +11,7 @@
 import type {Logger} from '../util/logger.js';
 import {FleetLinks, type Sender} from './fleet-links.js';
 import type {HasStoreRelays, Member} from './fleet-topology.js';
+import type {LimitNotice, ServerLimits} from './server-limits.js';
 import type {PlacementEntry, PlacementTable, Placement} from './placement-table.js';
 import {
 	parseDatagram, type Heartbeat, type RelayedMessage, type LoadMessage,
@@ -43,6 +44,7 @@
 	readonly logger: Logger;
 	readonly hasStoreRelays: HasStoreRelays;
 	readonly quarantine: QuarantineListener;
+	readonly limits: ServerLimits;
 	storeState(now: number): StoreState;
 	/** Called when another daemon reports that a backend server does not answer at its registered address. */
 	onServerLost(server: string, until: number, now: number): void;
@@ -143,8 +145,9 @@
 	}
 
 	openPlacement(placement: Placement, now: number): void {
-		const {placements, daemon} = this.options;
+		const {placements, limits, daemon} = this.options;
 		placements.open(daemon, placement, now);
+		limits.recordSend(placement.server, now);
 		this.#broadcast({
 			kind: 'opened', daemon, domain: this.#domain, placement, ageMs: 0,
 		});
@@ -175,6 +178,13 @@
 		});
 	}
 
+	/** Notifies the other daemons of a limit that a server named. */
+	broadcastLimit(notice: LimitNotice): void {
+		this.#broadcast({
+			kind: 'limit', daemon: this.options.daemon, domain: this.#domain, ...notice,
+		});
+	}
+
 	/** Notifies followers at once that this daemon's copy of the store has changed. */
 	announceStoreState(now: number): void {
 		if (this.storeFollowers > 0) {
@@ -235,7 +245,9 @@
 	}
 
 	#apply(message: LoadMessage, from: Sender, now: number): void {
-		const {placements, daemon, quarantine} = this.options;
+		const {
+			placements, daemon, quarantine, limits,
+		} = this.options;
 		if ('domain' in message && message.daemon === daemon) {
 			// A message of this daemon that came back over another link.
 			return;
@@ -244,7 +256,10 @@
 		switch (message.kind) {
 			case 'opened': {
 				const {placement, ageMs, startedAgeMs} = message;
-				placements.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs);
+				if (placements.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs)) {
+					limits.recordSend(placement.server, now);
+				}
+
 				this.#links.forward(message, from);
 				break;
 			}
@@ -268,6 +283,12 @@
 				break;
 			}
 
+			case 'limit': {
+				limits.applyNotice(message, now);
+				this.#links.forward(message, from);
+				break;
+			}
+
 			case 'crashed':
 			case 'sound': {
 				quarantine.receive(message, now);
--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -59,6 +59,10 @@
 		revisions: z.record(z.string(), z.number()),
 		wantsReply: z.boolean(),
 	}),
+	/** A limit that a server named in a response; without a number, its responses no longer name one. */
+	z.object({
+		kind: z.literal('limit'), ...originFields, server: z.string(), perSecond: z.number().nonnegative().optional(),
+	}),
 	crashedSchema.extend(originFields),
 	soundSchema.extend(originFields),
 	// Each daemon repeats what it knows, so this message is not forwarded.
--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -59,20 +59,21 @@
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
-	/** Adds a placement. For a known id, only the time of the first event is added. */
-	open(daemon: string, placement: Placement, now: number, startedAt?: number): void {
+	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
+	open(daemon: string, placement: Placement, now: number, startedAt?: number): boolean {
 		const known = this.#recordsOf(daemon, now).entries.get(placement.id);
 		if (known) {
 			if (startedAt !== undefined && known.startedAt === undefined) {
 				this.start(daemon, placement.id, startedAt);
 			}
 
-			return;
+			return false;
 		}
 
 		this.#put({
 			...placement, daemon, placedAt: now, startedAt,
 		});
+		return true;
 	}
 
 	/** Records the first event of a placement. */
--- /dev/null
+++ b/src/fleet/server-limits.ts
@@ -0,0 +1,141 @@
+/**
+ * Keeps the requests of all daemons to a server within the limit that the server names in its responses.
+ *
+ * Each daemon counts the requests of all daemons, which tell each other of each placement, in a token bucket for each limited
+ * server. A limit that one daemon reads is told to the others, so that it binds those that got no response from the server.
+ *
+ * Designed for limits of a fraction of a request to some dozens of requests per second, over up to some hundreds of daemons.
+ */
+
+/** A server that takes no requests, or that lost its last response, is tried this often per second, to learn of a new limit. */
+const MIN_RATE = 0.1;
+/** Largest burst, as a time in s at the limit; at least one request. */
+const BURST_S = 1;
+/** Interval in ms at which an unchanged limit is told again, for daemons that have started or missed a message. */
+const REPEAT_INTERVAL_MS = 2000;
+/** Shortest interval in ms between messages about a limit that changes with each response. */
+const CHANGE_INTERVAL_MS = 500;
+
+const MS_PER_SECOND = 1000;
+
+/** What one daemon tells the others about a server. `perSecond` is absent if the limit has ended. */
+export type LimitNotice = {readonly server: string; readonly perSecond?: number};
+
+type Bucket = {
+	perSecond: number;
+	/** Negative after requests that other daemons sent at the same time. */
+	tokens: number;
+	updatedAt: number;
+	/** Time of the last response, here or at another daemon, that named the limit. */
+	namedAt: number;
+	toldAt: number;
+	toldPerSecond: number;
+};
+
+export class ServerLimits {
+	static create(): ServerLimits {
+		return new ServerLimits();
+	}
+
+	readonly #buckets = new Map<string, Bucket>();
+
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	/** Number of servers with a limit. */
+	get size(): number {
+		return this.#buckets.size;
+	}
+
+	/**
+	 * Records what a response says about the limit of its server. `sentAt` is the time at which the request was sent. Returns
+	 * what the other daemons have to be told, if anything.
+	 */
+	recordResponse({server, perSecond}: LimitNotice, sentAt: number, now: number): LimitNotice | undefined {
+		const known = this.#buckets.get(server);
+		if (perSecond === undefined) {
+			// A response to an earlier request may have been created before the limit.
+			if (!known || sentAt <= known.namedAt) {
+				return undefined;
+			}
+
+			this.#buckets.delete(server);
+			return {server};
+		}
+
+		const bucket = this.#setLimit(server, perSecond, now);
+		const isChanged = bucket.toldPerSecond !== perSecond;
+		if (now - bucket.toldAt < (isChanged ? CHANGE_INTERVAL_MS : REPEAT_INTERVAL_MS)) {
+			return undefined;
+		}
+
+		bucket.toldAt = now;
+		bucket.toldPerSecond = perSecond;
+		return {server, perSecond};
+	}
+
+	/** Applies what another daemon tells. */
+	applyNotice({server, perSecond}: LimitNotice, now: number): void {
+		if (perSecond === undefined) {
+			this.#buckets.delete(server);
+			return;
+		}
+
+		const bucket = this.#setLimit(server, perSecond, now);
+		bucket.toldAt = now;
+		bucket.toldPerSecond = perSecond;
+	}
+
+	/** Records that any daemon has sent a request to the server. */
+	recordSend(server: string, now: number): void {
+		const bucket = this.#buckets.get(server);
+		if (bucket) {
+			refill(bucket, now);
+			bucket.tokens--;
+		}
+	}
+
+	/** Time in ms until the server may get a further request; 0 if it may now. */
+	waitMs(server: string, now: number): number {
+		const bucket = this.#buckets.get(server);
+		if (!bucket) {
+			return 0;
+		}
+
+		refill(bucket, now);
+		return bucket.tokens >= 1 ? 0 : Math.ceil((1 - bucket.tokens) / rate(bucket) * MS_PER_SECOND);
+	}
+
+	/** Removes servers that are not in `known`. */
+	retain(known: ReadonlySet<string>): void {
+		for (const server of this.#buckets.keys()) {
+			if (!known.has(server)) {
+				this.#buckets.delete(server);
+			}
+		}
+	}
+
+	#setLimit(server: string, perSecond: number, now: number): Bucket {
+		let bucket = this.#buckets.get(server);
+		if (bucket) {
+			refill(bucket, now);
+			bucket.perSecond = perSecond;
+			bucket.namedAt = now;
+		} else {
+			bucket = {
+				perSecond, tokens: 0, updatedAt: now, namedAt: now, toldAt: -Infinity, toldPerSecond: perSecond,
+			};
+			this.#buckets.set(server, bucket);
+		}
+
+		return bucket;
+	}
+}
+
+const rate = ({perSecond}: Bucket): number => Math.max(MIN_RATE, perSecond);
+
+function refill(bucket: Bucket, now: number): void {
+	const perSecond = rate(bucket);
+	const gained = Math.max(0, now - bucket.updatedAt) / MS_PER_SECOND * perSecond;
+	bucket.tokens = Math.min(Math.max(1, BURST_S * perSecond), bucket.tokens + gained);
+	bucket.updatedAt = Math.max(now, bucket.updatedAt);
+}
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -1,6 +1,7 @@
 /** Watches the store for changes of the configuration, of server registrations and of the failure domains out of service. */
 import {randomInt} from 'node:crypto';
 import type {FleetView} from '../fleet/fleet-view.js';
+import type {ServerLimits} from '../fleet/server-limits.js';
 import type {ServerHealth} from '../fleet/server-health.js';
 import {KindFeed, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
@@ -14,6 +15,7 @@
 	readonly store: KindStore;
 	readonly fleet: FleetView;
 	readonly health: ServerHealth;
+	readonly limits: ServerLimits;
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Time in ms for which a watch waits for a change. */
@@ -107,7 +109,9 @@
 					this.#applyServer(object, now);
 				}
 
-				this.options.health.retain(this.options.fleet.serverIds());
+				const serverIds = this.options.fleet.serverIds();
+				this.options.health.retain(serverIds);
+				this.options.limits.retain(serverIds);
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -8,6 +8,7 @@
 import {FleetView} from '../fleet/fleet-view.js';
 import {PlacementTable} from '../fleet/placement-table.js';
 import {LoadExchange} from '../fleet/load-exchange.js';
+import {ServerLimits} from '../fleet/server-limits.js';
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
@@ -79,6 +80,7 @@
 	readonly server: ReplicaServer;
 	readonly schedule: ReadSchedule;
 	readonly metrics: GatewayMetrics;
+	readonly limits: ServerLimits;
 	readonly quarantine: PromptQuarantine;
 	readonly quarantineStore: QuarantineStore;
 };
@@ -86,9 +88,10 @@
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
-		const metrics = GatewayMetrics.create({droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size});
+		const metrics = GatewayMetrics.create({droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size});
 		const placements = PlacementTable.create();
 		const fleet = FleetView.create();
+		const limits = ServerLimits.create();
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
@@ -121,6 +124,7 @@
 		});
 		const loadExchange = await LoadExchange.create({
 			quarantine,
+			limits,
 			daemon: `${settings.daemon}/${randomBytes(4).toString('hex')}`,
 			self,
 			port: settings.peerPort,
@@ -140,7 +144,7 @@
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, quarantine, quarantineStore,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore,
 		});
 		await daemon.#start();
 		return daemon;
@@ -214,13 +218,14 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, quarantine,
+				self, fleet, placements, loadExchange, store, schedule, limits, quarantine,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
 			fleet,
 			placements,
 			health: this.#health,
+			limits,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
@@ -265,6 +270,7 @@
 			store,
 			fleet,
 			health: this.#health,
+			limits,
 			clock,
 			logger,
 			watchWaitMs: schedule.watchWaitMs,
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -15,6 +15,8 @@
 	droppedLines(): number;
 	/** Number of quarantined prompt parts. */
 	quarantinedParts(): number;
+	/** Number of servers that name a limit. */
+	limitedServers(): number;
 };
 
 export class GatewayMetrics {
@@ -41,9 +43,10 @@
 
 	#server: Server | undefined;
 
-	private constructor({droppedLines, quarantinedParts}: GatewayMetricSources) {
+	private constructor({droppedLines, quarantinedParts, limitedServers}: GatewayMetricSources) {
 		this.#addGauge('fireflyport_log_lines_dropped', 'Log lines dropped because output was slow', droppedLines);
 		this.#addGauge('fireflyport_quarantined_parts', 'Prompt parts whose requests are refused because engines crash on them', quarantinedParts);
+		this.#addGauge('fireflyport_limited_servers', 'Servers that name a limit on their requests per second', limitedServers);
 	}
 
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -18,7 +18,9 @@
 import {
 	canRunAgain, nextStep, type NextStep, type RetryState,
 } from './retry-policy.js';
-import {chooseServer, type ServerChoice, type ChoiceParts} from './server-choice.js';
+import {
+	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
+} from './server-choice.js';
 import type {WireFormat} from './wire-format.js';
 
 /** A retryable request without a stream is sent to another server after this multiple of its target latency. */
@@ -37,9 +39,6 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
-/** Time in ms over which the open requests of a limited server are counted for the log. */
-const LIMIT_LOG_WINDOW_MS = 4000;
-
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
 	readonly loadExchange: LoadExchange;
@@ -137,14 +136,15 @@
 		const choice = chooseServer(parts, request, {excluded: this.#excluded, sends: this.#sends}, now);
 		const ran = this.#runs === 0 ? 'not_run' : 'unknown';
 		if (!choice) {
+			const waitMs = limitWaitMs(parts, request, now);
 			return {
 				kind: 'refused',
 				failure: failure({
 					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
-					message: `no available backend server for service ${request.service.name}`,
+					message: `no available backend server for service ${request.service.name}${waitMs === undefined ? '' : ' below the limit that it named'}`,
 					ran,
 					step: 'reserve',
-					retryAfterMs: this.#retryAdviceMs({kind: 'no_server'}, now),
+					retryAfterMs: this.#retryAdviceMs(waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs}, now),
 				}),
 			};
 		}
@@ -221,7 +221,7 @@
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
 				onMetadata: ({maxRequestsPerSecond}) => {
-					this.#logLimit(choice.server, maxRequestsPerSecond, parts.clock());
+					this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
 				},
 				onEvent(events) {
 					if (events === 1) {
@@ -264,11 +264,13 @@
 		};
 	}
 
-	/** Logs a limit that the server names, and the requests that all daemons sent to it in the last seconds. */
-	#logLimit({id, instanceId}: BackendServer, maxPerSecond: number | undefined, now: number): void {
-		if (maxPerSecond !== undefined) {
-			const sent = this.parts.placements.entriesOn(id).filter(({server, placedAt}) => server === id && now - placedAt <= LIMIT_LOG_WINDOW_MS);
-			this.parts.logger.info('server_limited', {server: instanceId, per_second: maxPerSecond, open_recent: sent.length});
+	/** Records a limit that the server names, or that it no longer does, and tells the other daemons. */
+	#recordLimit({id, instanceId}: BackendServer, perSecond: number | undefined, {sentAt, now}: {readonly sentAt: number; readonly now: number}): void {
+		const {limits, loadExchange, logger} = this.parts;
+		const notice = limits.recordResponse({server: id, perSecond}, sentAt, now);
+		if (notice) {
+			loadExchange.broadcastLimit(notice);
+			logger.info('server_limited', {server: instanceId, per_second: perSecond});
 		}
 	}
 
--- a/src/gateway/retry-advice.ts
+++ b/src/gateway/retry-advice.ts
@@ -19,6 +19,8 @@
 export type RefusalCause =
 	/** No usable server is registered. */
 	| {readonly kind: 'no_server'}
+	/** All servers have got as many requests as they take, and one takes the next in `waitMs`. */
+	| {readonly kind: 'limited'; readonly waitMs: number}
 	/** All servers that were asked are full. */
 	| {readonly kind: 'full'}
 	/** The first event is expected after `expectedMs`, and the client accepts `limitMs`. */
@@ -36,6 +38,10 @@
 			return REGISTRATION_MS;
 		}
 
+		case 'limited': {
+			return cause.waitMs;
+		}
+
 		case 'full': {
 			return SLOT_TIME_MS;
 		}
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -3,6 +3,7 @@
 import type {DomainPartitions} from '../fleet/domain-partitions.js';
 import type {FleetView} from '../fleet/fleet-view.js';
 import type {PlacementTable, Placement} from '../fleet/placement-table.js';
+import type {ServerLimits} from '../fleet/server-limits.js';
 import type {ServerHealth} from '../fleet/server-health.js';
 import {chooseLeastLoaded} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
@@ -30,6 +31,7 @@
 	readonly fleet: FleetView;
 	readonly placements: PlacementTable;
 	readonly health: ServerHealth;
+	readonly limits: ServerLimits;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
 	/** Region of a failure domain. */
@@ -56,6 +58,15 @@
 		: choosePlainServer(parts, servers, {id, targetMs}, now);
 }
 
+/** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
+export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
+	const waits = parts.fleet.usableServers(request.service.name, now)
+		.filter(server => isAllowedRegion(parts, request, server))
+		.map(({id}) => parts.limits.waitMs(id, now))
+		.filter(ms => ms > 0);
+	return waits.length === 0 ? undefined : Math.min(...waits);
+}
+
 function isAllowedRegion(parts: ChoiceParts, {route, workspace}: GatewayRequest, {failureDomain}: BackendServer): boolean {
 	const region = parts.regionOf(failureDomain);
 	const isAllowed = (regions: readonly string[] | undefined): boolean => regions === undefined || (region !== undefined && regions.includes(region));
@@ -63,12 +74,14 @@
 }
 
 function choosePlainServer(
-	{placements, health, failureDomain}: ChoiceParts,
+	{
+		placements, health, limits, failureDomain,
+	}: ChoiceParts,
 	servers: readonly BackendServer[],
 	{id, targetMs}: {readonly id: string; readonly targetMs: number},
 	now: number,
 ): ServerChoice | undefined {
-	const server = chooseLeastLoaded(servers.map(server => ({
+	const server = chooseLeastLoaded(servers.filter(({id: serverId}) => limits.waitMs(serverId, now) === 0).map(server => ({
 		server, requests: placements.entriesOn(server.id).length, isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 	})), failureDomain);
 	return server && {
@@ -94,7 +107,7 @@
 	servers, engine, id, targetMs,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {
-		placements, health, partitions, failureDomain,
+		placements, health, limits, partitions, failureDomain,
 	} = parts;
 	const promptTokens = metadata.promptTokens ?? engine.meanPromptTokens;
 	const outputTokens = Math.min(metadata.maxOutputTokens ?? Infinity, metadata.outputHint ?? metadata.maxOutputTokens ?? engine.meanOutputTokens);
@@ -104,7 +117,7 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
+		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: limits.waitMs(server.id, now) > 0,
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -57,6 +57,8 @@
 	readonly entries: readonly PlacementEntry[];
 	/** The engine is cold or has failed recently. */
 	readonly isSuspect: boolean;
+	/** The engine takes no further request now; it may still help with others. */
+	readonly isAtLimit: boolean;
 };
 
 export type GenerationPlacement = {
@@ -166,7 +168,7 @@
 /** Chooses the engine that prefills and decodes, and the helpers that only prefill. */
 function chooseGroup(request: GenerationRequest, ranked: readonly RankedEngine[], {profile, concurrentPlacements}: PlacementContext, size: number): EngineGroup | undefined {
 	const [decoder] = ranked
-		.filter(({engine}) => hasMemory(request, engine.forecast, profile))
+		.filter(({engine}) => !engine.isAtLimit && hasMemory(request, engine.forecast, profile))
 		.map(({engine, charge}) => ({engine, charge: charge + decodeCharge(request, engine, profile, concurrentPlacements)}))
 		.sort((a, b) => a.charge - b.charge);
 	const helpers = ranked.filter(item => item.engine !== decoder?.engine).filter(canHelp(profile)).slice(0, size - 1);
@@ -176,7 +178,8 @@
 /** Chooses the engine with the most free memory for decoding; the engines with the next most free memory hold the rest. */
 function chooseOversizeGroup(request: GenerationRequest, ranked: readonly RankedEngine[], profile: EngineProfile, size: number): EngineGroup | undefined {
 	const freeTokens = ({engine}: RankedEngine): number => Math.floor(FREE_MEMORY_SHARE * (profile.memoryTokens - engine.forecast.usedTokens));
-	const [decoder, ...others] = [...ranked].sort((a, b) => freeTokens(b) - freeTokens(a));
+	const byFreeTokens = [...ranked].sort((a, b) => freeTokens(b) - freeTokens(a));
+	const decoder = byFreeTokens.find(({engine}) => !engine.isAtLimit);
 	if (!decoder) {
 		return undefined;
 	}
@@ -184,7 +187,7 @@
 	let missingTokens = neededTokens(request) - freeTokens(decoder);
 	const holders: RankedEngine[] = [];
 	const reserved: Array<{readonly server: BackendServer; readonly tokens: number}> = [];
-	for (const holder of others.filter(canHelp(profile)).slice(0, size - 1)) {
+	for (const holder of byFreeTokens.filter(item => item !== decoder).filter(canHelp(profile)).slice(0, size - 1)) {
 		if (missingTokens > 0 && freeTokens(holder) > 0) {
 			const tokens = Math.min(missingTokens, freeTokens(holder));
 			reserved.push({server: holder.engine.server, tokens});
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -26,7 +26,7 @@
 });
 
 const candidatesOf = (placements: PlacementTable, suspects: ReadonlySet<string> = new Set()) => engines.map(server => ({
-	server, entries: placements.entriesOn(server.id), isSuspect: suspects.has(server.id),
+	server, entries: placements.entriesOn(server.id), isSuspect: suspects.has(server.id), isAtLimit: false,
 }));
 
 /** Returns placements of `perEngine` short prompts on each of the first `count` engines; all of them are decoding. */
--- a/tests/load-exchange.test.ts
+++ b/tests/load-exchange.test.ts
@@ -2,6 +2,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {MAX_MESH_SIZE} from '../src/fleet/fleet-topology.js';
+import {ServerLimits} from '../src/fleet/server-limits.js';
 import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
 import {PlacementTable, type Placement} from '../src/fleet/placement-table.js';
 import {LoadExchange} from '../src/fleet/load-exchange.js';
@@ -15,7 +16,8 @@
 });
 
 type Daemon = {readonly address: string; readonly placements: PlacementTable; readonly exchange: LoadExchange; readonly storeAges: number[]; readonly lostServers: string[];
-	readonly quarantine: PromptQuarantine;};
+	readonly quarantine: PromptQuarantine;
+	readonly limits: ServerLimits;};
 
 let port: number;
 let daemons: Daemon[];
@@ -34,8 +36,10 @@
 		},
 		save: () => undefined,
 	});
+	const limits = ServerLimits.create();
 	const exchange: LoadExchange = await LoadExchange.create({
 		quarantine,
+		limits,
 		daemon: self.address,
 		self,
 		port,
@@ -52,7 +56,7 @@
 		},
 	});
 	const daemon = {
-		address: self.address, placements, exchange, storeAges, lostServers, quarantine,
+		address: self.address, placements, exchange, storeAges, lostServers, quarantine, limits,
 	};
 	daemons.push(daemon);
 	return daemon;
@@ -111,6 +115,17 @@
 		await waitUntil(() => daemons.slice(0, -1).every(({lostServers}) => lostServers.includes('i-1')));
 	});
 
+	it('should tell every daemon the limit of a server and the requests that others send to it', async () => {
+		const last = daemons.at(-1)!;
+		last.exchange.broadcastLimit({server: 'i-1', perSecond: 0.5});
+		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.size === 1));
+		const before = daemons[0]!.limits.waitMs('i-1', monotonicMs());
+		last.exchange.openPlacement(placement('p'), monotonicMs());
+		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.waitMs('i-1', monotonicMs()) > before));
+		last.exchange.broadcastLimit({server: 'i-1'});
+		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.size === 0));
+	});
+
 	it('should tell every daemon which prompt parts are quarantined, also one that missed the message', async () => {
 		daemons.at(-1)!.quarantine.add('dead', 60_000, monotonicMs());
 		await waitUntil(() => daemons.every(({quarantine}) => quarantine.size === 1));
