Keep the rate that a cold server bears, over all daemons

Found while looking for the cause of the named limits elsewhere: cold-per-s was decoded and used by nothing. A cold server that bears 5 requests a second got 20 in one second when no other server could take them, above the 12.5 of rule FAILBACK.

Change: the counts of the requests of all daemons that keep named limits also bound those of any second to a cold server; what exceeds them goes to other servers, or is refused with the time at which it fits. The test in tests/named-limits.test.ts failed before and passes.

--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -1,5 +1,6 @@
 /**
- * Keeps the requests of all daemons to a server within the limit that the server names in its responses.
+ * Keeps the requests of all daemons to a server within the limit that the server names in its responses, and within the rate that
+ * it bears while it is cold.
  *
  * Each daemon counts the requests of all daemons, which tell each other of each placement, in a token bucket for each limited
  * server. A limit that one daemon reads is told to the others, so that it binds those that got no response from the server.
@@ -38,6 +39,8 @@
 	}
 
 	readonly #buckets = new Map<string, Bucket>();
+	/** Times of the requests of the last second by server, oldest first. */
+	readonly #recentSends = new Map<string, number[]>();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
@@ -92,10 +95,32 @@
 			refill(bucket, now);
 			bucket.tokens--;
 		}
+
+		const recent = this.#sendsOfLastSecond(server, now);
+		recent.push(now);
+		this.#recentSends.set(server, recent);
+	}
+
+	/**
+	 * Time in ms until the server may get a further request; 0 if it may now. `coldPerSecond` is the rate that it bears while it is cold,
+	 * undefined when it is not.
+	 */
+	waitMs(server: string, coldPerSecond: number | undefined, now: number): number {
+		return Math.max(this.#limitWaitMs(server, now), coldPerSecond === undefined ? 0 : this.#coldWaitMs(server, coldPerSecond, now));
 	}
 
-	/** Time in ms until the server may get a further request; 0 if it may now. */
-	waitMs(server: string, now: number): number {
+	/** Removes servers that are not in `known`. */
+	retain(known: ReadonlySet<string>): void {
+		for (const servers of [this.#buckets, this.#recentSends]) {
+			for (const server of servers.keys()) {
+				if (!known.has(server)) {
+					servers.delete(server);
+				}
+			}
+		}
+	}
+
+	#limitWaitMs(server: string, now: number): number {
 		const bucket = this.#buckets.get(server);
 		if (!bucket) {
 			return 0;
@@ -105,13 +130,14 @@
 		return bucket.tokens >= 1 ? 0 : Math.ceil((1 - bucket.tokens) / rate(bucket) * MS_PER_SECOND);
 	}
 
-	/** Removes servers that are not in `known`. */
-	retain(known: ReadonlySet<string>): void {
-		for (const server of this.#buckets.keys()) {
-			if (!known.has(server)) {
-				this.#buckets.delete(server);
-			}
-		}
+	#coldWaitMs(server: string, perSecond: number, now: number): number {
+		const recent = this.#sendsOfLastSecond(server, now);
+		const oldestCounted = recent.at(-Math.max(1, Math.floor(perSecond)));
+		return oldestCounted === undefined ? 0 : Math.ceil(oldestCounted + MS_PER_SECOND - now);
+	}
+
+	#sendsOfLastSecond(server: string, now: number): number[] {
+		return (this.#recentSends.get(server) ?? []).filter(at => now - at < MS_PER_SECOND);
 	}
 
 	#setLimit(server: string, perSecond: number, now: number): Bucket {
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -55,14 +55,18 @@
 		? chooseEngine(parts, request, {
 			servers, engine, id, targetMs,
 		}, now)
-		: choosePlainServer(parts, servers, {id, targetMs}, now);
+		: choosePlainServer(parts, servers.filter(server => waitMs(parts, request, server, now) === 0), {id, targetMs}, now);
 }
 
+/** Time in ms until `server` may get a further request. */
+const waitMs = ({limits}: ChoiceParts, {service}: GatewayRequest, {id, coldUntil}: BackendServer, now: number): number =>
+	limits.waitMs(id, coldUntil > now && service.coldRequestsPerSecond > 0 ? service.coldRequestsPerSecond : undefined, now);
+
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
 export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
 	const waits = parts.fleet.usableServers(request.service.name, now)
 		.filter(server => isAllowedRegion(parts, request, server))
-		.map(({id}) => parts.limits.waitMs(id, now))
+		.map(server => waitMs(parts, request, server, now))
 		.filter(ms => ms > 0);
 	return waits.length === 0 ? undefined : Math.min(...waits);
 }
@@ -74,14 +78,12 @@
 }
 
 function choosePlainServer(
-	{
-		placements, health, limits, failureDomain,
-	}: ChoiceParts,
+	{placements, health, failureDomain}: ChoiceParts,
 	servers: readonly BackendServer[],
 	{id, targetMs}: {readonly id: string; readonly targetMs: number},
 	now: number,
 ): ServerChoice | undefined {
-	const server = chooseLeastLoaded(servers.filter(({id: serverId}) => limits.waitMs(serverId, now) === 0).map(server => ({
+	const server = chooseLeastLoaded(servers.map(server => ({
 		server, requests: placements.entriesOn(server.id).length, isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 	})), failureDomain);
 	return server && {
@@ -103,11 +105,12 @@
 	readonly targetMs: number;
 };
 
-function chooseEngine(parts: ChoiceParts, {metadata, route}: GatewayRequest, {
+function chooseEngine(parts: ChoiceParts, gatewayRequest: GatewayRequest, {
 	servers, engine, id, targetMs,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
+	const {metadata, route} = gatewayRequest;
 	const {
-		placements, health, limits, partitions, failureDomain,
+		placements, health, partitions, failureDomain,
 	} = parts;
 	const promptTokens = metadata.promptTokens ?? engine.meanPromptTokens;
 	const outputTokens = Math.min(metadata.maxOutputTokens ?? Infinity, metadata.outputHint ?? metadata.maxOutputTokens ?? engine.meanOutputTokens);
@@ -117,7 +120,7 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: limits.waitMs(server.id, now) > 0,
+		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: waitMs(parts, gatewayRequest, server, now) > 0,
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
--- a/tests/load-exchange.test.ts
+++ b/tests/load-exchange.test.ts
@@ -119,9 +119,9 @@
 		const last = daemons.at(-1)!;
 		last.exchange.broadcastLimit({server: 'i-1', perSecond: 0.5});
 		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.size === 1));
-		const before = daemons[0]!.limits.waitMs('i-1', monotonicMs());
+		const before = daemons[0]!.limits.waitMs('i-1', undefined, monotonicMs());
 		last.exchange.openPlacement(placement('p'), monotonicMs());
-		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.waitMs('i-1', monotonicMs()) > before));
+		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.waitMs('i-1', undefined, monotonicMs()) > before));
 		last.exchange.broadcastLimit({server: 'i-1'});
 		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.size === 0));
 	});
--- a/tests/named-limits.test.ts
+++ b/tests/named-limits.test.ts
@@ -75,3 +75,19 @@
 		}
 	});
 });
+
+describe('cold servers', () => {
+	it('should send no more to a cold server than it bears, and refuse the rest with the time at which it fits', async () => {
+		const coldPerSecond = 5;
+		fixture.store.put('config', 'main', platformConfiguration(4, {services: [{name: 'desk', 'cold-per-s': coldPerSecond}, {name: 'model'}]}));
+		await fixture.waitForLog('event=configuration version=4');
+		const server = await fixture.addServer('desk', {instance: 'i-cold'});
+		fixture.register('desk', server, {'cold-remaining-ms': 10_000, sequence: 2});
+		await fixture.waitForLog('server=i-cold service=desk domain=braga draining=false cold_ms=1');
+		const statuses = await load('/look/x', {}, 3000);
+		// Rule FAILBACK allows 1.5 times the rate and 5 more in any second.
+		expect(largestCount(server.arrivals.map(({at}) => at), 1000)).toBeLessThanOrEqual((1.5 * coldPerSecond) + 5);
+		expect(new Set(statuses)).toEqual(new Set([200, 503]));
+		expect(server.arrivals.length).toBeGreaterThanOrEqual(2 * coldPerSecond);
+	});
+});
--- a/tests/server-limits.test.ts
+++ b/tests/server-limits.test.ts
@@ -53,7 +53,7 @@
 		for (let expected = requestsPerSecond * STEP_MS / 1000; chance() < expected; expected--) {
 			const from = Math.floor(chance() * daemons);
 			const daemon = known[from]!;
-			const server = [...limits.keys()].find(index => daemon.waitMs(String(index), now) === 0);
+			const server = [...limits.keys()].find(index => daemon.waitMs(String(index), undefined, now) === 0);
 			if (server === undefined) {
 				refused++;
 				continue;
@@ -118,15 +118,27 @@
 		const limits = ServerLimits.create();
 		expect(limits.recordResponse({server: 'a', perSecond: 0.5}, 0, 100)).toEqual({server: 'a', perSecond: 0.5});
 		expect(limits.recordResponse({server: 'a'}, 50, 200)).toBeUndefined();
-		expect(limits.waitMs('a', 200)).toBeGreaterThan(0);
+		expect(limits.waitMs('a', undefined, 200)).toBeGreaterThan(0);
 		expect(limits.recordResponse({server: 'a'}, 150, 300)).toEqual({server: 'a'});
-		expect(limits.waitMs('a', 300)).toBe(0);
+		expect(limits.waitMs('a', undefined, 300)).toBe(0);
+	});
+
+	it('should bound the requests of all daemons to a cold server in any second, and only those', () => {
+		const limits = ServerLimits.create();
+		for (const at of [0, 300, 600]) {
+			expect(limits.waitMs('a', 3, at)).toBe(0);
+			limits.recordSend('a', at);
+		}
+
+		expect(limits.waitMs('a', 3, 700)).toBe(300);
+		expect(limits.waitMs('a', undefined, 700)).toBe(0);
+		expect(limits.waitMs('a', 3, 1000)).toBe(0);
 	});
 
 	it('should try a server that takes no requests now and then', () => {
 		const limits = ServerLimits.create();
 		limits.recordResponse({server: 'a', perSecond: 0}, 0, 0);
-		expect(limits.waitMs('a', 9000)).toBeGreaterThan(0);
-		expect(limits.waitMs('a', 10_000)).toBe(0);
+		expect(limits.waitMs('a', undefined, 9000)).toBeGreaterThan(0);
+		expect(limits.waitMs('a', undefined, 10_000)).toBe(0);
 	});
 });
