Halve the memory of buffered responses

Cause: a buffer that grows leaves its former copies to the garbage collector, and a busy machine collects late, so a limit of 25 MB took three times as much.

Three of the largest responses (4 MB) still fit on the smallest host.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -39,10 +39,10 @@
 const MAX_DISCOVERY_WAIT_MS = 150;
 /**
  * Shares of the host's memory for request bodies and for responses that have not been sent. A daemon at rest needs about
- * half of the smallest host, and freed buffers are collected late.
+ * half of the smallest host, and freed buffers are collected late: growing responses leave twice their size behind.
  */
 const REQUEST_BODY_MEMORY_SHARE = 0.1;
-const RESPONSE_MEMORY_SHARE = 0.1;
+const RESPONSE_MEMORY_SHARE = 0.05;
 /** Share of the fleet's retry slack that is divided among the daemons; the rest covers daemons not known to each other. */
 const DIVIDED_SLACK_SHARE = 0.6;
 
