Bound the work and the memory of the evidence about crashing parts

The times of crashes by part are kept instead of being collected on each tick, decisions end some seconds after the last crash, and repeated lists of quarantined parts share the datagrams of reports.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -138,7 +138,6 @@
 
 			case 'quarantined': {
 				this.#links.sendToLinks(message);
-				this.#links.flush();
 				break;
 			}
 		}
--- a/src/quarantine/part-evidence.ts
+++ b/src/quarantine/part-evidence.ts
@@ -9,6 +9,8 @@
  * Designed for up to some crashes a second, several crashing parts at once, and daemons that each see few of the requests.
  */
 
+import {setNewest} from './part-times.js';
+
 /** Events after which an answer is sound. Most answers have more, and shorter ones count when they are complete. */
 export const SOUND_EVENTS = 8;
 
@@ -34,7 +36,6 @@
 /** Bounds on the memory of the evidence. */
 const MAX_CRASHES = 200;
 const MAX_RUNS_PER_CRASH = 64;
-const MAX_SOUND_PARTS = 20_000;
 
 /** A request whose server closed the connection before the answer was sound. */
 export type CrashReport = {
@@ -68,6 +69,8 @@
 	readonly #crashes = new Map<string, Crash>();
 	/** Latest time at which a part was written, oldest first. */
 	readonly #soundTimes = new Map<string, number>();
+	/** Latest crash of each part that is remembered. */
+	readonly #crashTimes = new Map<string, number>();
 	/** Number of begun answers by period, while there are crashes. */
 	readonly #starts = new Map<number, number>();
 
@@ -83,17 +86,15 @@
 
 		if (crash.runs.size < MAX_RUNS_PER_CRASH && !crash.runs.has(request)) {
 			crash.runs.set(request, {parts, at: now});
+			for (const part of parts) {
+				setNewest(this.#crashTimes, part, now);
+			}
 		}
 	}
 
 	/** Records that an answer to a prompt with `part` was written at `at`. */
 	recordSound(part: string, at: number): void {
-		const known = this.#soundTimes.get(part) ?? -Infinity;
-		this.#soundTimes.delete(part);
-		this.#soundTimes.set(part, Math.max(at, known));
-		if (this.#soundTimes.size > MAX_SOUND_PARTS) {
-			this.#soundTimes.delete(this.#soundTimes.keys().next().value!);
-		}
+		setNewest(this.#soundTimes, part, at);
 	}
 
 	/** Records that any server has begun an answer. */
@@ -111,18 +112,8 @@
 	}
 
 	/** Latest crash of each part with remembered crashes. */
-	lastCrashTimes(now: number): ReadonlyMap<string, number> {
-		this.#dropOld(now);
-		const times = new Map<string, number>();
-		for (const {runs} of this.#crashes.values()) {
-			for (const {parts, at} of runs.values()) {
-				for (const part of parts) {
-					times.set(part, Math.max(at, times.get(part) ?? -Infinity));
-				}
-			}
-		}
-
-		return times;
+	get crashTimes(): ReadonlyMap<string, number> {
+		return this.#crashTimes;
 	}
 
 	/** Removes the crashes that `part` explains, except for parts that several requests also crashed other servers with. */
@@ -226,6 +217,12 @@
 			}
 		}
 
+		for (const [part, at] of this.#crashTimes) {
+			if (now - at > MEMORY_MS) {
+				this.#crashTimes.delete(part);
+			}
+		}
+
 		if (this.#crashes.size === 0) {
 			this.#starts.clear();
 		}
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -7,14 +7,15 @@
  */
 import type {Logger} from '../util/logger.js';
 import {PartEvidence, type CrashReport} from './part-evidence.js';
+import {setNewest} from './part-times.js';
 import type {QuarantineMessage} from './quarantine-messages.js';
 
 /** Time in ms after which requests with a quarantined part are tried again; engines may have been repaired by then. */
 export const QUARANTINE_MS = 3_600_000;
-/** Bound on the number of parts whose answers are remembered. */
-const MAX_SOUND_PARTS = 20_000;
 /** Bound on the number of quarantined parts, so that the repeated lists stay small. The oldest ones are dropped. */
 const MAX_PARTS = 200;
+/** Time in ms after a crash for which its reason may still be decided. */
+const DECISION_MS = 5000;
 /** Number of parts in one message, so that it fits into one datagram. */
 const PARTS_PER_MESSAGE = 12;
 const REPEAT_INTERVAL_MS = 1000;
@@ -39,6 +40,8 @@
 	readonly #ownSound = new Map<string, number>();
 	readonly #announcedSound = new Map<string, number>();
 	#repeatedAt = -Infinity;
+	/** Time of the latest crash. */
+	#crashedAt = -Infinity;
 
 	private constructor(private readonly options: PromptQuarantineOptions) {}
 
@@ -148,10 +151,15 @@
 		}
 
 		this.#evidence.recordCrash(report, now);
+		this.#crashedAt = now;
 		this.#decide(now);
 	}
 
 	#decide(now: number): void {
+		if (now - this.#crashedAt > DECISION_MS) {
+			return;
+		}
+
 		for (let part = this.#evidence.findCrashingPart(now); part !== undefined; part = this.#evidence.findCrashingPart(now)) {
 			this.add(part, QUARANTINE_MS, now);
 			this.options.save(part, QUARANTINE_MS);
@@ -161,7 +169,7 @@
 	/** Announces suspected parts that this daemon's requests have shown to be sound. */
 	#publishSound(now: number): void {
 		const parts = [];
-		for (const [part, crashedAt] of this.#evidence.lastCrashTimes(now)) {
+		for (const [part, crashedAt] of this.#evidence.crashTimes) {
 			const own = this.#ownSound.get(part) ?? -Infinity;
 			const announced = this.#announcedSound.get(part) ?? -Infinity;
 			// An older answer still clears earlier crashes, and shows that the part has been written before.
@@ -194,13 +202,3 @@
 		}
 	}
 }
-
-/** Stores the time of a part, and drops the part that was updated longest ago when there are too many. */
-function setNewest(times: Map<string, number>, part: string, at: number): void {
-	const known = times.get(part) ?? -Infinity;
-	times.delete(part);
-	times.set(part, Math.max(at, known));
-	if (times.size > MAX_SOUND_PARTS) {
-		times.delete(times.keys().next().value!);
-	}
-}
