--- a/tests/known-red/many-crashing-parts.test.ts
+++ b/tests/known-red/many-crashing-parts.test.ts
@@ -11,3 +11,13 @@
 		expect(lateSends(result, part), part).toBeLessThanOrEqual(MAX_LATE_REQUESTS);
 	}
 });
+
+it('should quarantine three crashing parts that begin at once and come before the first part of their prompts', () => {
+	const crashingParts = ['dead-1', 'dead-2', 'dead-3'];
+	const result = simulateCrashes({
+		...calmScenario, seed: 138, crashingParts, crashingFrom: 4000, isCrashingPartFirst: true,
+	});
+	for (const part of crashingParts) {
+		expect(lateSends(result, part), part).toBeLessThanOrEqual(MAX_LATE_REQUESTS);
+	}
+});
--- a/tests/part-evidence.test.ts
+++ b/tests/part-evidence.test.ts
@@ -24,6 +24,7 @@
 		play({crashingParts: ['dead-1']});
 		play({crashingParts: ['dead-1'], crashingShare: 0.3});
 		play({crashingParts: ['dead-1'], firstParts: 4});
+		play({crashingParts: ['dead-1'], isCrashingPartFirst: true});
 	});
 
 	it('should quarantine several crashing parts that share their first part', () => {
