Ignore the limit of a server that answers for another one

A server that has the address of a former one answers 421. Its response was taken for one of the former server without a limit, so that the limit ended for all daemons. Found by reading the change; the test in tests/named-limits.test.ts failed before and passes. Also in this commit: saving a quarantined part ends with its quarantine, and the decision about crashing parts is explained.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -111,7 +111,7 @@
 			},
 		});
 		const quarantineStore = QuarantineStore.create({
-			kind: adapter.kinds.daemons, store, logger, isWriter: () => loadExchange.storeRelay === undefined,
+			kind: adapter.kinds.daemons, store, logger, unixTime: wallClockMs, isWriter: () => loadExchange.storeRelay === undefined,
 		});
 		const quarantine = PromptQuarantine.create({
 			logger,
@@ -119,7 +119,7 @@
 				loadExchange.publish(message);
 			},
 			save(part, remainingMs) {
-				void quarantineStore.save(part, wallClockMs() + remainingMs);
+				void quarantineStore.save(part, remainingMs);
 			},
 		});
 		const loadExchange = await LoadExchange.create({
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -141,7 +141,7 @@
 				kind: 'refused',
 				failure: failure({
 					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
-					message: `no available backend server for service ${request.service.name}${waitMs === undefined ? '' : ' below the limit that it named'}`,
+					message: `no available backend server for service ${request.service.name}${waitMs === undefined ? '' : ' takes a further request now'}`,
 					ran,
 					step: 'reserve',
 					retryAfterMs: this.#retryAdviceMs(waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs}, now),
@@ -220,8 +220,10 @@
 				buffers: parts.buffers,
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
-				onMetadata: ({maxRequestsPerSecond}) => {
-					this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
+				onMetadata: ({isMisdirected, maxRequestsPerSecond}) => {
+					if (!isMisdirected) {
+						this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
+					}
 				},
 				onEvent(events) {
 					if (events === 1) {
--- a/src/quarantine/part-evidence.ts
+++ b/src/quarantine/part-evidence.ts
@@ -6,6 +6,10 @@
  * crashes, which clears what sound requests share: first parts, sessions, documents. Ordinary crashes hit a part seldom and
  * never for long without an answer in between.
  *
+ * Where several parts may explain the same crashes, one that was never written is likelier than one that was, and a later part
+ * of the prompts, which fewer requests share, is likelier than an earlier one. A less likely part needs crashes that the likelier
+ * ones do not explain. A doubtful decision waits until answers that are being written have had time to clear the part.
+ *
  * Designed for up to some crashes a second, several crashing parts at once, and daemons that each see few of the requests.
  */
 
@@ -105,12 +109,6 @@
 		}
 	}
 
-	/** Latest time at which `part` was written; undefined if it was not within the remembered time. */
-	soundAt(part: string, now: number): number | undefined {
-		const at = this.#soundTimes.get(part);
-		return at === undefined || now - at > MEMORY_MS ? undefined : at;
-	}
-
 	/** Latest crash of each part with remembered crashes. */
 	get crashTimes(): ReadonlyMap<string, number> {
 		return this.#crashTimes;
@@ -157,7 +155,7 @@
 					}
 
 					const suspicion: Suspicion = suspicions.get(part) ?? {
-						part, isKnown: this.soundAt(part, now) !== undefined, crashes: new Map(), depth,
+						part, isKnown: now - (this.#soundTimes.get(part) ?? -Infinity) <= MEMORY_MS, crashes: new Map(), depth,
 					};
 					suspicions.set(part, suspicion);
 					suspicion.crashes.set(crash, [...(suspicion.crashes.get(crash) ?? []), request]);
@@ -169,8 +167,10 @@
 		return [...suspicions.values()];
 	}
 
+	/** Whether the crashes that no likelier part explains are enough, not met by chance, and not doubtful any more. */
 	#isProven(suspicion: Suspicion, suspicions: readonly Suspicion[], now: number): boolean {
 		const {part, isKnown} = suspicion;
+		// A part with a single crash explains nothing about several ones.
 		const others = suspicions.filter(other => other !== suspicion && other.crashes.size > 1);
 		const likelier = others.filter(other => isLikelier(other, suspicion));
 		const crashes = withoutCrashesOf(suspicion.crashes, likelier.filter(other => countRequests(other.crashes) >= MIN_REQUESTS));
@@ -181,8 +181,9 @@
 		const rivals = others.filter(other => isKnown || !other.isKnown);
 		const isDoubtful = mayExplain(crashes, rivals);
 		const equalRivals = rivals.filter(other => !isLikelier(other, suspicion) && !isLikelier(suspicion, other) && mayExplain(crashes, [other]));
-		const minCrashes = isKnown || equalRivals.length > 0 || mayExplain(crashes, likelier) ? MIN_CRASHES_IF_DOUBTFUL : MIN_CRASHES;
-		const clearingMs = mayExplain(crashes, likelier) ? LONG_CLEARING_MS : CLEARING_MS;
+		const hasLikelierRival = mayExplain(crashes, likelier);
+		const minCrashes = isKnown || equalRivals.length > 0 || hasLikelierRival ? MIN_CRASHES_IF_DOUBTFUL : MIN_CRASHES;
+		const clearingMs = hasLikelierRival ? LONG_CLEARING_MS : CLEARING_MS;
 		const decidingCause = causes(crashes)[minCrashes - 1];
 		return decidingCause !== undefined
 			&& (!isDoubtful || now - decidingCause >= clearingMs)
--- a/src/quarantine/quarantine-store.ts
+++ b/src/quarantine/quarantine-store.ts
@@ -20,6 +20,8 @@
 	readonly kind: string;
 	readonly store: KindStore;
 	readonly logger: Logger;
+	/** Unix time in ms. */
+	readonly unixTime: () => number;
 	/** Whether this daemon writes on behalf of the others. Asked before each attempt, since it may change. */
 	isWriter(): boolean;
 };
@@ -33,13 +35,16 @@
 
 	private constructor(private readonly options: QuarantineStoreOptions) {}
 
-	/** Saves a part until its quarantine ends at `end`, in Unix time in ms. Retries while the store is unavailable. */
-	async save(part: string, end: number): Promise<void> {
-		const {kind, store, logger, isWriter} = this.options;
+	/** Saves a part whose quarantine ends in `remainingMs`. Retries until then while the store is unavailable. */
+	async save(part: string, remainingMs: number): Promise<void> {
+		const {
+			kind, store, logger, unixTime, isWriter,
+		} = this.options;
 		const {signal} = this.#controller;
+		const end = unixTime() + remainingMs;
 		// A part that is quarantined again needs another object, as the former one is not replaced.
 		const name = `quarantined-${part}-${Math.floor(end / QUARANTINE_MS)}`;
-		while (!signal.aborted) {
+		while (!signal.aborted && unixTime() < end) {
 			if (isWriter()) {
 				const outcome = await store.create(kind, name, {quarantinedPart: part, end: Math.round(end)}, {timeoutMs: CALL_TIMEOUT_MS, signal});
 				if (outcome.kind !== 'unavailable') {
--- a/tests/named-limits.test.ts
+++ b/tests/named-limits.test.ts
@@ -55,6 +55,19 @@
 	});
 });
 
+describe('a server at an address that another one had', () => {
+	it('should not end the limit of the server that it took the place of', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1', limitPerSecond: 0.5});
+		await fixture.waitForLog('server=i-1');
+		expect(await fixture.statusOf('/look/x')).toBe(200);
+		await fixture.waitForLog('event=server_limited server=i-1 per_second=0.5');
+		server.injectFaults({kind: 'reject', status: 421});
+		await delay(2100);
+		expect(await fixture.statusOf('/look/x')).toBe(503);
+		expect(fixture.logs.filter(line => line.includes('event=server_limited') && !line.includes('per_second='))).toEqual([]);
+	});
+});
+
 describe('servers that all named a limit', () => {
 	it('should refuse what exceeds all limits at once, as not run and with the time at which a request fits', async () => {
 		for (const instance of ['i-1', 'i-2']) {
