--- a/tests/decoders.test.ts
+++ b/tests/decoders.test.ts
@@ -8,7 +8,10 @@
 import {parseSettings, SettingsError} from '../platform/settings.js';
 import {wireFormat} from '../platform/wire-format.js';
 import {parseDatagram} from '../src/fleet/load-message.js';
+import {ServerLimits} from '../src/fleet/server-limits.js';
 import {EventSplitter} from '../src/forwarding/event-splitter.js';
+import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
+import {createLogger} from '../src/util/logger.js';
 import {platformConfiguration} from './fixtures/gateway-fixture.js';
 
 const RUNS = {numRuns: 500};
@@ -57,6 +60,49 @@
 		}), RUNS);
 	});
 
+	it('should apply any readable message about prompt parts and limits without an error', () => {
+		const origin = {daemon: 'd', domain: 'braga'};
+		const messages = [
+			{
+				kind: 'crashed', ...origin, server: 'i-1', request: 'r', parts: ['a1', 'b2'],
+			},
+			{kind: 'sound', ...origin, parts: [{part: 'a1', ageMs: 5}]},
+			{kind: 'quarantined', parts: [{part: 'a1', remainingMs: 1000}]},
+			{
+				kind: 'limit', ...origin, server: 'i-1', perSecond: 1.5,
+			},
+		];
+		const valid = {
+			as: 'peer', failureDomain: 'braga', cores: 1, messages,
+		};
+		const limits = ServerLimits.create();
+		const quarantine = PromptQuarantine.create({logger: createLogger('error', {}, () => undefined), publish: () => undefined, save: () => undefined});
+		let now = 0;
+		fc.assert(fc.property(withOneReplacedPart(valid), changed => {
+			for (const message of parseDatagram(Buffer.from(JSON.stringify(changed)))?.messages ?? []) {
+				now += 10;
+				if (message.kind === 'limit') {
+					limits.applyNotice(message, now);
+				} else if (message.kind === 'crashed' || message.kind === 'sound' || message.kind === 'quarantined') {
+					quarantine.receive(message, now);
+				}
+			}
+
+			quarantine.publishDue(now);
+			expect(limits.waitMs('i-1', undefined, now)).toBeGreaterThanOrEqual(0);
+		}), RUNS);
+	});
+
+	it('should read only hexadecimal ids of prompt parts, and never the last part', () => {
+		const entry = fc.oneof(fc.tuple(fc.nat(), fc.nat(9999)).map(([id, tokens]) => `${id.toString(16)}:${tokens}`), fc.string());
+		fc.assert(fc.property(fc.array(entry, {maxLength: 80}), entries => {
+			const {sharedParts} = wireFormat.readClientMetadata({'fireflyport-prompt-prefix': entries.join(',')});
+			expect(sharedParts.every(part => /^[\da-f]{1,64}$/v.test(part))).toBe(true);
+			expect(sharedParts.length).toBeLessThan(Math.max(1, entries.join(',').split(',').length));
+		}), RUNS);
+		expect(wireFormat.readClientMetadata({'fireflyport-prompt-prefix': '5C1e:800,91bd:410,91bd:20,e440:250'}).sharedParts).toEqual(['5c1e', '91bd']);
+	});
+
 	it('should never accept a registration without an address, a service, slots and a known state', () => {
 		const valid = {
 			service: 'desk', address: '10.128.0.9:8080', zone: 'braga', slots: 11, state: 'ready', 'cold-remaining-ms': 400, born: 1_764_800_000_000,
