Notice at once that the store is back, not at its next change

Change: while the store is unavailable, a feed asks for changes without waiting. The new test in tests/kind-feed.test.ts failed before and passes.

--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -9,7 +9,8 @@
 import type {KindEvent, KindObject, KindStore} from './kind-store.js';
 import {WATCH_TIMEOUT_MARGIN_MS} from './read-schedule.js';
 
-const LIST_TIMEOUT_MS = 1000;
+/** Timeout in ms of calls that are answered at once. */
+const READ_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
 
 /** Receives the lists and changes that a feed reads. */
@@ -84,7 +85,7 @@
 		const {store, kind, sink, clock} = this.options;
 		const {signal} = this.#controller;
 		const interruption = this.#interruption.signal;
-		const listed = await store.list(kind, {timeoutMs: LIST_TIMEOUT_MS, signal: interruption});
+		const listed = await store.list(kind, {timeoutMs: READ_TIMEOUT_MS, signal: interruption});
 		if (signal.aborted) {
 			return undefined;
 		}
@@ -105,7 +106,10 @@
 		} = this.options;
 		const {signal} = this.#controller;
 		const interruption = this.#interruption.signal;
-		const outcome = await store.watch(kind, revision, waitMs, {timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal: interruption});
+		// While the store is unavailable, an answer at once shows when it is back; a watch would only answer at the next change.
+		const outcome = this.#isUnavailable
+			? await store.watch(kind, revision, 0, {timeoutMs: READ_TIMEOUT_MS, signal: interruption})
+			: await store.watch(kind, revision, waitMs, {timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal: interruption});
 		if (signal.aborted) {
 			return undefined;
 		}
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -16,6 +16,7 @@
 let knownObjects: Map<string, unknown>;
 let lists: number;
 let outages: number;
+let regained: number;
 
 /** Longest pause in ms between attempts while the store is unavailable. */
 const LONGEST_PAUSE_MS = 600;
@@ -34,6 +35,7 @@
 	knownObjects = new Map();
 	lists = 0;
 	outages = 0;
+	regained = 0;
 	standIn.put('servers', 'a', 1);
 	feed = KindFeed.start({
 		kind: 'servers',
@@ -44,7 +46,9 @@
 		waitMs: 1900,
 		pauseMs: () => 100,
 		retryMs: () => LONGEST_PAUSE_MS,
-		onRegained: () => undefined,
+		onRegained() {
+			regained++;
+		},
 		sink: {
 			onList(objects: readonly KindObject[]) {
 				lists++;
@@ -108,6 +112,14 @@
 		await waitUntil(() => knownObjects.get('e') === 6, 500);
 	});
 
+	it('should notice that the store is back without waiting for a change', async () => {
+		standIn.setMode('silent');
+		await waitUntil(() => outages > 0);
+		standIn.setMode('serving');
+		feed.retry();
+		await waitUntil(() => regained > 0, 500);
+	});
+
 	it('should receive a series of changes with few watches', async () => {
 		const callsBefore = standIn.calls;
 		for (let index = 0; index < 50; index++) {
