--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -161,7 +161,10 @@
 		}
 
 		for (let part = this.#evidence.findCrashingPart(now); part !== undefined; part = this.#evidence.findCrashingPart(now)) {
-			this.add(part, QUARANTINE_MS, now);
+			if (!this.add(part, QUARANTINE_MS, now)) {
+				return;
+			}
+
 			this.options.save(part, QUARANTINE_MS);
 		}
 	}
