--- a/tests/known-red/many-crashing-parts.test.ts
+++ b/tests/known-red/many-crashing-parts.test.ts
@@ -21,3 +21,13 @@
 		expect(lateSends(result, part), part).toBeLessThanOrEqual(MAX_LATE_REQUESTS);
 	}
 });
+
+it.each([
+	{seed: 105, crashingParts: ['dead-1', 'dead-2', 'dead-3'], crashingFrom: 4000},
+	{
+		seed: 102, crashingParts: ['dead-1', 'dead-2'], ordinaryCrashEveryMs: 700, ordinaryCrashes: 2,
+	},
+])('should quarantine no sound part in a fleet with few engines left (seed $seed)', scenario => {
+	const {quarantined} = simulateCrashes({...calmScenario, ...scenario});
+	expect([...quarantined].filter(part => !scenario.crashingParts.includes(part))).toEqual([]);
+});
--- a/tests/part-evidence.test.ts
+++ b/tests/part-evidence.test.ts
@@ -63,7 +63,7 @@
 		play({ordinaryCrashEveryMs: 600, ordinaryCrashes: 2, cutAt: 3000});
 	});
 
-	it('should never suspect the part that a prompt has alone, and clear parts that are written again', () => {
+	it('should clear a part of its crashes each time it is written', () => {
 		const evidence = PartEvidence.create();
 		for (let index = 0; index < 20; index++) {
 			evidence.recordStart(index * 500);
