Log the era of the store, watches that go on in another one, and lists that a relay does not take over

The logs could not tell whether a list or a change came from the history that a daemon had read before. store_era and list_outdated separate the first two hypotheses; the third shows in the server lines after a list. Logic is unchanged.

--- a/src/object-api/json-client.ts
+++ b/src/object-api/json-client.ts
@@ -1,4 +1,5 @@
 /** HTTP client for the JSON interfaces of the platform's services, with a time limit on each call. */
+import type {IncomingHttpHeaders} from 'node:http';
 import {Agent, type Dispatcher} from 'undici';
 import {withTimeLimit, type TimeLimit} from '../util/time-limit.js';
 import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
@@ -15,6 +16,7 @@
 	readonly body: unknown;
 	/** Entity tag of the response, if the server sent one (RFC 9110, section 8.8.3). */
 	readonly etag?: string;
+	readonly headers: IncomingHttpHeaders;
 };
 
 /** One request. `path` includes the query string. */
@@ -78,7 +80,9 @@
 				signal,
 			});
 			const {etag} = res.headers;
-			return {status: res.statusCode, body: await parseBody(res), ...(typeof etag === 'string' ? {etag} : {})};
+			return {
+				status: res.statusCode, body: await parseBody(res), headers: res.headers, ...(typeof etag === 'string' ? {etag} : {}),
+			};
 		});
 	}
 
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -54,6 +54,8 @@
 	/** Aborted to end a call or a pause early: while the store is unavailable, and by `close`. */
 	#interruption = new AbortController();
 	#isUnavailable = false;
+	/** Era of the latest answer of the store, for the log. */
+	#era: number | undefined;
 
 	private constructor(private readonly options: FeedOptions) {
 		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: options.retryMs(), seed: options.seed});
@@ -96,6 +98,7 @@
 		}
 
 		this.#handleAvailable();
+		this.#logEra(listed.era, listed.revision);
 		sink.onList(listed.objects, clock());
 		return {revision: listed.revision};
 	}
@@ -117,6 +120,7 @@
 		switch (outcome.kind) {
 			case 'events': {
 				this.#handleAvailable();
+				this.#logEra(outcome.era, outcome.revision, revision);
 				for (const event of outcome.events) {
 					sink.onEvent(event, clock());
 				}
@@ -129,7 +133,7 @@
 			}
 
 			case 'compacted': {
-				logger.info('feed_compacted', {kind, revision});
+				logger.info('feed_compacted', {kind, revision, era: outcome.era});
 				return undefined;
 			}
 
@@ -157,6 +161,17 @@
 		await pause(this.#backoff.nextMs(this.options.retryMs()), interruption);
 	}
 
+	/** Logs that the store has come back from an older copy, and whether a watch went on from `position`, a revision of the former era. */
+	#logEra(era: number | undefined, revision: number, position?: number): void {
+		if (era !== this.#era) {
+			const {kind, logger} = this.options;
+			logger.info('store_era', {
+				kind, era, before: this.#era, revision, watched_from: position,
+			});
+			this.#era = era;
+		}
+	}
+
 	#handleAvailable(): void {
 		const {
 			kind, sink, clock, logger, onRegained,
--- a/src/store/kind-replica.ts
+++ b/src/store/kind-replica.ts
@@ -32,10 +32,10 @@
 		return this.#changedAt;
 	}
 
-	/** Replaces all objects with a complete list. An older list than the present copy is ignored. */
-	replace(objects: readonly KindObject[], revision: number): void {
+	/** Replaces all objects with a complete list. An older list than the present copy is ignored. Returns whether it was used. */
+	replace(objects: readonly KindObject[], revision: number): boolean {
 		if (this.#revision !== undefined && revision < this.#revision) {
-			return;
+			return false;
 		}
 
 		this.#objects.clear();
@@ -47,6 +47,7 @@
 		this.#compactedRevision = revision;
 		this.#revision = revision;
 		this.#changedAt = revision;
+		return true;
 	}
 
 	/** Applies the changes between `after` and `revision`. */
--- a/src/store/kind-store.ts
+++ b/src/store/kind-store.ts
@@ -17,7 +17,7 @@
 
 /** A complete list of the objects of a kind. Objects may be newer than `revision`, never older. */
 export type KindList =
-	| {readonly kind: 'listed'; readonly objects: readonly KindObject[]; readonly revision: number}
+	| {readonly kind: 'listed'; readonly objects: readonly KindObject[]; readonly revision: number; readonly era?: number}
 	| Unavailable;
 
 export type KindEvent =
@@ -29,8 +29,8 @@
  * again.
  */
 export type KindEvents =
-	| {readonly kind: 'events'; readonly events: readonly KindEvent[]; readonly revision: number}
-	| {readonly kind: 'compacted'}
+	| {readonly kind: 'events'; readonly events: readonly KindEvent[]; readonly revision: number; readonly era?: number}
+	| {readonly kind: 'compacted'; readonly era?: number}
 	| Unavailable;
 
 export type CreateOutcome =
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -135,7 +135,13 @@
 		const isUsable = relayed?.kind === 'listed' && relayed.revision >= (kindState.replica.revision ?? 0);
 		const listed = isUsable ? relayed : await this.options.store.list(kind, options);
 		if (listed.kind === 'listed') {
-			kindState.replica.replace(listed.objects, listed.revision);
+			const {replica} = kindState;
+			if (!replica.replace(listed.objects, listed.revision)) {
+				this.options.logger.info('list_outdated', {
+					kind, revision: listed.revision, era: listed.era, kept_revision: replica.revision, relay: isUsable ? relay : undefined,
+				});
+			}
+
 			this.#confirm(kindState, isUsable);
 		}
 
