List a kind again when the store has come back from an older copy

Cause: a position in the history was a revision only. Revisions are given out again after a restore, so a position at or below the new revision looked valid, and the watch went on in another history: everything up to that revision was missed. Ruled out: a late 410 (none was sent), the applied version (other daemons applied it).

A position now holds the era too, which each answer names (Store-Era).

--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -74,6 +74,12 @@
 					feed.retry();
 				}
 			},
+			// The watches of the other feeds may go on in the new history from a revision of the old one.
+			onRestored: era => {
+				for (const feed of this.#feeds) {
+					feed.checkEra(era);
+				}
+			},
 		}));
 	}
 
--- a/src/store/counted-store.ts
+++ b/src/store/counted-store.ts
@@ -1,7 +1,7 @@
 /** Counts the calls to a store, which operators pay for, by kind of object, operation and result. */
 import type {CallOptions} from '../object-api/object-api.js';
 import type {
-	CreateOutcome, KindEvents, KindList, KindStore,
+	CreateOutcome, KindEvents, KindList, KindStore, StorePosition,
 } from './kind-store.js';
 
 export type StoreOperation = 'list' | 'stale_list' | 'watch' | 'create';
@@ -24,8 +24,8 @@
 		return outcome;
 	}
 
-	async watch(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents> {
-		const outcome = await this.store.watch(kind, revision, waitMs, options);
+	async watch(kind: string, position: StorePosition, waitMs: number, options: CallOptions): Promise<KindEvents> {
+		const outcome = await this.store.watch(kind, position, waitMs, options);
 		this.count(kind, 'watch', outcome.kind === 'events' ? resultOfWatch(outcome.events.length) : outcome.kind);
 		return outcome;
 	}
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -1,12 +1,14 @@
 /**
  * Follows the objects of one kind: lists them, then watches for changes, and lists again when the store has compacted
- * its history.
+ * its history or has come back from an older copy.
  */
 import type {Clock} from '../util/clock.js';
 import {Backoff} from '../util/backoff.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
-import type {KindEvent, KindObject, KindStore} from './kind-store.js';
+import type {
+	KindEvent, KindObject, KindStore, StorePosition,
+} from './kind-store.js';
 import {WATCH_TIMEOUT_MARGIN_MS} from './read-schedule.js';
 
 /** Timeout in ms of calls that are answered at once. */
@@ -38,10 +40,10 @@
 	retryMs(): number;
 	/** Called when the store answers again after it was unavailable. */
 	onRegained(): void;
+	/** Called when this feed finds the store in another era than before. */
+	onRestored(era: number): void;
 };
 
-type Position = {readonly revision: number};
-
 export class KindFeed {
 	static start(options: FeedOptions): KindFeed {
 		const feed = new KindFeed(options);
@@ -54,7 +56,9 @@
 	/** Aborted to end a call or a pause early: while the store is unavailable, and by `close`. */
 	#interruption = new AbortController();
 	#isUnavailable = false;
-	/** Era of the latest answer of the store, for the log. */
+	/** Whether the next watch is to be answered at once, to show the era of the store. */
+	#isEraInDoubt = false;
+	/** Era of the latest list, or of an answer that showed that the store has come back from an older copy. */
 	#era: number | undefined;
 
 	private constructor(private readonly options: FeedOptions) {
@@ -69,21 +73,33 @@
 	/** Tries again at once if the store was unavailable, instead of waiting for a call that may hang or for a pause to end. */
 	retry(): void {
 		if (this.#isUnavailable) {
-			const interrupted = this.#interruption;
-			this.#interruption = new AbortController();
-			interrupted.abort();
+			this.#interrupt();
+		}
+	}
+
+	/** Finds out at once whether the store has come back from an older copy, unless this feed knows that it is in `era`. */
+	checkEra(era: number): void {
+		if (this.#era !== undefined && this.#era !== era) {
+			this.#isEraInDoubt = true;
+			this.#interrupt();
 		}
 	}
 
+	#interrupt(): void {
+		const interrupted = this.#interruption;
+		this.#interruption = new AbortController();
+		interrupted.abort();
+	}
+
 	async #run(): Promise<void> {
 		const {signal} = this.#controller;
-		let position: Position | undefined;
+		let position: StorePosition | undefined;
 		while (!signal.aborted) {
 			position = position ? await this.#watch(position) : await this.#list();
 		}
 	}
 
-	async #list(): Promise<Position | undefined> {
+	async #list(): Promise<StorePosition | undefined> {
 		const {store, kind, sink, clock} = this.options;
 		const {signal} = this.#controller;
 		const interruption = this.#interruption.signal;
@@ -98,21 +114,24 @@
 		}
 
 		this.#handleAvailable();
-		this.#logEra(listed.era, listed.revision);
+		const {era, revision} = listed;
+		this.#recordEra(era);
 		sink.onList(listed.objects, clock());
-		return {revision: listed.revision};
+		return {era, revision};
 	}
 
-	async #watch({revision}: Position): Promise<Position | undefined> {
+	async #watch(position: StorePosition): Promise<StorePosition | undefined> {
 		const {
 			store, kind, sink, clock, logger, waitMs,
 		} = this.options;
 		const {signal} = this.#controller;
 		const interruption = this.#interruption.signal;
 		// While the store is unavailable, an answer at once shows when it is back; a watch would only answer at the next change.
-		const outcome = this.#isUnavailable
-			? await store.watch(kind, revision, 0, {timeoutMs: READ_TIMEOUT_MS, signal: interruption})
-			: await store.watch(kind, revision, waitMs, {timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal: interruption});
+		const isCheck = this.#isUnavailable || this.#isEraInDoubt;
+		this.#isEraInDoubt = false;
+		const outcome = isCheck
+			? await store.watch(kind, position, 0, {timeoutMs: READ_TIMEOUT_MS, signal: interruption})
+			: await store.watch(kind, position, waitMs, {timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal: interruption});
 		if (signal.aborted) {
 			return undefined;
 		}
@@ -120,7 +139,6 @@
 		switch (outcome.kind) {
 			case 'events': {
 				this.#handleAvailable();
-				this.#logEra(outcome.era, outcome.revision, revision);
 				for (const event of outcome.events) {
 					sink.onEvent(event, clock());
 				}
@@ -129,17 +147,22 @@
 					await pause(this.options.pauseMs(), signal);
 				}
 
-				return {revision: Math.max(revision, outcome.revision)};
+				return {era: position.era, revision: Math.max(position.revision, outcome.revision)};
 			}
 
 			case 'compacted': {
-				logger.info('feed_compacted', {kind, revision, era: outcome.era});
+				logger.info('feed_compacted', {kind, ...position});
+				return undefined;
+			}
+
+			case 'restored': {
+				this.#recordEra(outcome.era, position.revision);
 				return undefined;
 			}
 
 			case 'unavailable': {
 				await this.#handleUnavailable(outcome.message, interruption);
-				return {revision};
+				return position;
 			}
 		}
 	}
@@ -161,15 +184,19 @@
 		await pause(this.#backoff.nextMs(this.options.retryMs()), interruption);
 	}
 
-	/** Logs that the store has come back from an older copy, and whether a watch went on from `position`, a revision of the former era. */
-	#logEra(era: number | undefined, revision: number, position?: number): void {
-		if (era !== this.#era) {
-			const {kind, logger} = this.options;
-			logger.info('store_era', {
-				kind, era, before: this.#era, revision, watched_from: position,
-			});
-			this.#era = era;
+	/** `position` is the revision of a watch that showed the change of the era. */
+	#recordEra(era: number, position?: number): void {
+		const before = this.#era;
+		this.#era = era;
+		if (before === undefined || before === era) {
+			return;
 		}
+
+		const {kind, logger, onRestored} = this.options;
+		logger.warn('store_restored', {
+			kind, era, before, position,
+		});
+		onRestored(era);
 	}
 
 	#handleAvailable(): void {
--- a/src/store/kind-replica.ts
+++ b/src/store/kind-replica.ts
@@ -1,6 +1,6 @@
 /** In-memory copy of the objects of one kind and of their latest changes, which this daemon serves to other daemons. */
 import type {
-	KindEvent, KindEvents, KindList, KindObject,
+	KindEvent, KindEvents, KindList, KindObject, StorePosition,
 } from './kind-store.js';
 
 /** Number of changes kept. A daemon that is further behind lists the kind again. */
@@ -18,6 +18,7 @@
 	/** Changes up to and including this revision have been discarded. */
 	#compactedRevision = 0;
 	#revision: number | undefined;
+	#era = 0;
 	#changedAt: number | undefined;
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
@@ -33,7 +34,7 @@
 	}
 
 	/** Replaces all objects with a complete list. An older list than the present copy is ignored. Returns whether it was used. */
-	replace(objects: readonly KindObject[], revision: number): boolean {
+	replace(objects: readonly KindObject[], {era, revision}: StorePosition): boolean {
 		if (this.#revision !== undefined && revision < this.#revision) {
 			return false;
 		}
@@ -44,6 +45,7 @@
 		}
 
 		this.#changes = [];
+		this.#era = era;
 		this.#compactedRevision = revision;
 		this.#revision = revision;
 		this.#changedAt = revision;
@@ -76,7 +78,9 @@
 	list(): KindList {
 		return this.#revision === undefined
 			? {kind: 'unavailable', message: 'this daemon has not listed the kind yet'}
-			: {kind: 'listed', objects: [...this.#objects.values()], revision: this.#revision};
+			: {
+				kind: 'listed', objects: [...this.#objects.values()], era: this.#era, revision: this.#revision,
+			};
 	}
 
 	/** Changes after `revision`, in order. May repeat changes that the caller has already read. */
@@ -90,6 +94,8 @@
 		}
 
 		const events = this.#changes.filter(change => change.revision > revision).map(({event}) => event);
-		return {kind: 'events', events, revision: Math.max(revision, this.#revision)};
+		return {
+			kind: 'events', events, era: this.#era, revision: Math.max(revision, this.#revision),
+		};
 	}
 }
--- a/src/store/kind-store.ts
+++ b/src/store/kind-store.ts
@@ -4,6 +4,12 @@
  */
 import type {CallOptions} from '../object-api/object-api.js';
 
+/**
+ * A point in the history of the store. The era rises each time the store comes back from an older copy. It then gives out
+ * revisions again, so revisions of different eras cannot be compared.
+ */
+export type StorePosition = {readonly era: number; readonly revision: number};
+
 /** An object as read from the store. */
 export type KindObject = {
 	readonly name: string;
@@ -15,9 +21,9 @@
 /** The store, or the daemon that was queried, gave no usable answer. */
 export type Unavailable = {readonly kind: 'unavailable'; readonly message: string};
 
-/** A complete list of the objects of a kind. Objects may be newer than `revision`, never older. */
+/** A complete list of the objects of a kind. Objects may be newer than the position, never older. */
 export type KindList =
-	| {readonly kind: 'listed'; readonly objects: readonly KindObject[]; readonly revision: number; readonly era?: number}
+	| StorePosition & {readonly kind: 'listed'; readonly objects: readonly KindObject[]}
 	| Unavailable;
 
 export type KindEvent =
@@ -25,12 +31,13 @@
 	| {readonly kind: 'deleted'; readonly name: string};
 
 /**
- * Events after a revision. `compacted`: the store has discarded that part of its history, so the kind has to be listed
- * again.
+ * Events after a position. The kind has to be listed again if the store has discarded that part of its history
+ * (`compacted`) or has come back from an older copy since (`restored`).
  */
 export type KindEvents =
-	| {readonly kind: 'events'; readonly events: readonly KindEvent[]; readonly revision: number; readonly era?: number}
-	| {readonly kind: 'compacted'; readonly era?: number}
+	| StorePosition & {readonly kind: 'events'; readonly events: readonly KindEvent[]}
+	| {readonly kind: 'compacted'}
+	| {readonly kind: 'restored'; readonly era: number}
 	| Unavailable;
 
 export type CreateOutcome =
@@ -42,8 +49,8 @@
 export type KindStore = {
 	/** With `isStaleAllowed` the call is cheaper and may return data that is seconds old. */
 	list(kind: string, options: CallOptions & {readonly isStaleAllowed?: boolean}): Promise<KindList>;
-	/** Waits up to `waitMs` for changes after `revision`. */
-	watch(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents>;
+	/** Waits up to `waitMs` for changes after `position`. */
+	watch(kind: string, position: StorePosition, waitMs: number, options: CallOptions): Promise<KindEvents>;
 	create(kind: string, name: string, value: unknown, options: CallOptions): Promise<CreateOutcome>;
 	close(): Promise<void>;
 };
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -14,7 +14,7 @@
 import {pause} from '../util/pause.js';
 import {KindReplica} from './kind-replica.js';
 import type {
-	CreateOutcome, KindEvents, KindList, KindStore,
+	CreateOutcome, KindEvents, KindList, KindStore, StorePosition,
 } from './kind-store.js';
 import type {ReadSchedule} from './read-schedule.js';
 
@@ -136,7 +136,7 @@
 		const listed = isUsable ? relayed : await this.options.store.list(kind, options);
 		if (listed.kind === 'listed') {
 			const {replica} = kindState;
-			if (!replica.replace(listed.objects, listed.revision)) {
+			if (!replica.replace(listed.objects, listed)) {
 				this.options.logger.info('list_outdated', {
 					kind, revision: listed.revision, era: listed.era, kept_revision: replica.revision, relay: isUsable ? relay : undefined,
 				});
@@ -148,22 +148,23 @@
 		return listed;
 	}
 
-	async watch(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents> {
+	async watch(kind: string, position: StorePosition, waitMs: number, options: CallOptions): Promise<KindEvents> {
+		const {revision} = position;
 		const kindState = this.#kinds.get(kind);
 		const relay = this.freshRelay(this.options.clock());
 		this.#logSourceChange(relay);
 		if (!kindState || relay === undefined) {
-			return this.#watchDirectly(kind, revision, waitMs, options);
+			return this.#watchDirectly(kind, position, waitMs, options);
 		}
 
 		if (!await this.#waitForRelayChange(kind, revision, waitMs, options)) {
-			return {kind: 'events', events: [], revision};
+			return {kind: 'events', events: [], ...position};
 		}
 
 		const outcome = await this.options.reader.changesSince(relay, kind, revision, options);
 		if (outcome.kind !== 'events') {
 			// The relay has too little history or did not answer: this one read bypasses it.
-			return this.#watchDirectly(kind, revision, 0, options);
+			return this.#watchDirectly(kind, position, 0, options);
 		}
 
 		kindState.replica.apply(revision, outcome.events, outcome.revision);
@@ -193,13 +194,13 @@
 		return this.freshRelay(clock());
 	}
 
-	async #watchDirectly(kind: string, revision: number, waitMs: number, options: CallOptions): Promise<KindEvents> {
+	async #watchDirectly(kind: string, position: StorePosition, waitMs: number, options: CallOptions): Promise<KindEvents> {
 		const {hasFollowers, schedule} = this.options;
 		const wait = hasFollowers() ? Math.min(waitMs, schedule.relayWatchWaitMs) : waitMs;
-		const outcome = await this.options.store.watch(kind, revision, wait, {...options, timeoutMs: options.timeoutMs - waitMs + wait});
+		const outcome = await this.options.store.watch(kind, position, wait, {...options, timeoutMs: options.timeoutMs - waitMs + wait});
 		const kindState = this.#kinds.get(kind);
 		if (kindState && outcome.kind === 'events') {
-			kindState.replica.apply(revision, outcome.events, outcome.revision);
+			kindState.replica.apply(position.revision, outcome.events, outcome.revision);
 			this.#confirm(kindState, false, outcome.events.length > 0);
 		}
 
--- a/src/store/replica-client.ts
+++ b/src/store/replica-client.ts
@@ -20,8 +20,10 @@
 
 const objectSchema = z.object({name: z.string(), revision: z.number(), value: z.unknown()});
 const unavailableSchema = z.object({kind: z.literal('unavailable'), message: z.string()});
+/** Daemons of earlier versions send no era. */
+const positionFields = {era: z.number().default(0), revision: z.number()};
 const listSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('listed'), objects: z.array(objectSchema), revision: z.number()}),
+	z.object({kind: z.literal('listed'), objects: z.array(objectSchema), ...positionFields}),
 	unavailableSchema,
 ]);
 const eventSchema = z.discriminatedUnion('kind', [
@@ -29,8 +31,9 @@
 	z.object({kind: z.literal('deleted'), name: z.string()}),
 ]);
 const eventsSchema = z.discriminatedUnion('kind', [
-	z.object({kind: z.literal('events'), events: z.array(eventSchema), revision: z.number()}),
+	z.object({kind: z.literal('events'), events: z.array(eventSchema), ...positionFields}),
 	z.object({kind: z.literal('compacted')}),
+	z.object({kind: z.literal('restored'), era: z.number()}),
 	unavailableSchema,
 ]);
 
--- a/testing/stand-ins/platform/store-stand-in.ts
+++ b/testing/stand-ins/platform/store-stand-in.ts
@@ -10,6 +10,12 @@
 	readonly spec: unknown;
 };
 
+/** A copy of the store at one moment. */
+export type StoreCopy = {
+	readonly revision: number;
+	readonly objects: ReadonlyMap<string, ReadonlyMap<string, MetadataObject>>;
+};
+
 type StoreEvent = {readonly kind: string; readonly object: MetadataObject; readonly deleted: boolean};
 
 type PendingWatch = {readonly kind: string; readonly revision: number; readonly res: ServerResponse; readonly timer: NodeJS.Timeout};
@@ -37,12 +43,16 @@
 
 	/** Number of calls so far, including refused ones. */
 	calls = 0;
+	/** Called before each page of a list is sent. */
+	onList: ((page: number) => void) | undefined;
+	#era = 1;
+	#pages = 0;
 	#mode: StoreMode = 'serving';
 	#server!: StandInServer;
 	#revision = 1;
 	#oldestRevision = 0;
 	#events: StoreEvent[] = [];
-	readonly #objects = new Map<string, Map<string, MetadataObject>>();
+	#objects = new Map<string, Map<string, MetadataObject>>();
 	readonly #pendingWatches = new Set<PendingWatch>();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
@@ -86,6 +96,22 @@
 		this.#oldestRevision = this.#revision;
 	}
 
+	copy(): StoreCopy {
+		return {revision: this.#revision, objects: new Map([...this.#objects].map(([kind, objects]) => [kind, new Map(objects)]))};
+	}
+
+	/** Comes back from an older copy, whose revisions after it are given out again. Pending watches are cut. */
+	restore({revision, objects}: StoreCopy): void {
+		const mode = this.#mode;
+		this.setMode('reset');
+		this.#mode = mode;
+		this.#era++;
+		this.#revision = revision;
+		this.#objects = new Map([...objects].map(([kind, copied]) => [kind, new Map(copied)]));
+		this.#events = this.#events.filter(event => event.object.metadata.revision <= revision);
+		this.#oldestRevision = Math.min(this.#oldestRevision, revision);
+	}
+
 	names(kind: string): readonly string[] {
 		return [...this.#objectsOf(kind).keys()];
 	}
@@ -118,6 +144,7 @@
 
 	async #handle({res}: Exchange, answer: () => void | Promise<void>): Promise<void> {
 		this.calls++;
+		res.setHeader('Store-Era', this.#era);
 		switch (this.#mode) {
 			case 'serving': {
 				await answer();
@@ -149,7 +176,7 @@
 		}
 
 		const revision = Number(afterRevision);
-		if (revision < this.#oldestRevision) {
+		if (revision < this.#oldestRevision || revision > this.#revision) {
 			sendJson(res, 410, {});
 			return;
 		}
@@ -169,6 +196,8 @@
 	}
 
 	#list(res: ServerResponse, kind: string, after: string): void {
+		this.onList?.(++this.#pages);
+		res.setHeader('Store-Era', this.#era);
 		const all = [...this.#objectsOf(kind).values()].filter(({metadata}) => metadata.name > after).sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1);
 		sendJson(res, 200, {entries: all.slice(0, MAX_PAGE_ENTRIES), 'has-more': all.length > MAX_PAGE_ENTRIES, 'as-of': this.#revision});
 	}
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -49,6 +49,7 @@
 		onRegained() {
 			regained++;
 		},
+		onRestored: () => undefined,
 		sink: {
 			onList(objects: readonly KindObject[]) {
 				lists++;
--- a/tests/relayed-store.test.ts
+++ b/tests/relayed-store.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
 import {KindReplica} from '../src/store/kind-replica.js';
+import type {StorePosition} from '../src/store/kind-store.js';
 import {ReadSchedule} from '../src/store/read-schedule.js';
 import {RelayedStore} from '../src/store/relayed-store.js';
 import {ReplicaClient} from '../src/store/replica-client.js';
@@ -15,38 +16,39 @@
 const RELAY = '127.0.0.1';
 const schedule = ReadSchedule.create({stableWindowMs: 3000, changeBoundMs: 2000});
 const callOptions = {timeoutMs: 2000};
+const at = (revision: number, era = 1): StorePosition => ({era, revision});
 const createObject = (name: string, revision: number) => ({name, revision, value: revision});
 
 describe('replica of a kind', () => {
 	it('should return the changes after a revision, or report that it does not have them', () => {
 		const replica = KindReplica.create();
 		expect(replica.changesSince(0).kind).toBe('unavailable');
-		replica.replace([createObject('a', 4)], 5);
+		replica.replace([createObject('a', 4)], at(5));
 		expect(replica.changesSince(3)).toEqual({kind: 'compacted'});
 		replica.apply(5, [{kind: 'changed', object: createObject('b', 6)}], 6);
 		replica.apply(6, [{kind: 'deleted', name: 'a'}], 8);
-		expect(replica.changesSince(6)).toEqual({kind: 'events', events: [{kind: 'deleted', name: 'a'}], revision: 8});
-		expect(replica.list()).toEqual({kind: 'listed', objects: [createObject('b', 6)], revision: 8});
+		expect(replica.changesSince(6)).toEqual({kind: 'events', events: [{kind: 'deleted', name: 'a'}], ...at(8)});
+		expect(replica.list()).toEqual({kind: 'listed', objects: [createObject('b', 6)], ...at(8)});
 	});
 
 	it('should keep its newer state when an older list or older changes arrive late', () => {
 		const replica = KindReplica.create();
-		replica.replace([createObject('a', 9)], 9);
-		replica.replace([createObject('a', 2)], 3);
+		replica.replace([createObject('a', 9)], at(9));
+		replica.replace([createObject('a', 2)], at(3));
 		replica.apply(3, [{kind: 'deleted', name: 'a'}], 4);
-		expect(replica.list()).toEqual({kind: 'listed', objects: [createObject('a', 9)], revision: 9});
+		expect(replica.list()).toEqual({kind: 'listed', objects: [createObject('a', 9)], ...at(9)});
 	});
 
 	it('should ignore changes that do not connect to its revision', () => {
 		const replica = KindReplica.create();
-		replica.replace([], 5);
+		replica.replace([], at(5));
 		replica.apply(7, [{kind: 'changed', object: createObject('a', 8)}], 8);
 		expect(replica.revision).toBe(5);
 	});
 
 	it('should announce only revisions that contain changes, so that followers make no needless requests', () => {
 		const replica = KindReplica.create();
-		replica.replace([], 5);
+		replica.replace([], at(5));
 		replica.apply(5, [], 9);
 		expect([replica.revision, replica.lastChangeRevision]).toEqual([9, 5]);
 		replica.apply(9, [{kind: 'changed', object: createObject('a', 11)}], 12);
@@ -55,7 +57,7 @@
 
 	it('should limit its history', () => {
 		const replica = KindReplica.create();
-		replica.replace([], 0);
+		replica.replace([], at(0));
 		for (let revision = 1; revision <= 1500; revision++) {
 			replica.apply(revision - 1, [{kind: 'changed', object: createObject('a', revision)}], revision);
 		}
@@ -71,7 +73,7 @@
 	let follower: RelayedStore;
 	let server: ReplicaServer;
 	let reader: ReplicaClient;
-	let revision: number;
+	let position: StorePosition;
 
 	const createStore = (hasFollowers: boolean): RelayedStore => RelayedStore.create({
 		store: MetadataStoreClient.create(standIn.address, 'front-braga-1'),
@@ -91,8 +93,8 @@
 	};
 
 	const watchFromRelay = async () => {
-		const outcome = await relay.watch('servers', revision, 0, callOptions);
-		revision = outcome.kind === 'events' ? outcome.revision : revision;
+		const outcome = await relay.watch('servers', position, 0, callOptions);
+		position = outcome.kind === 'events' ? at(outcome.revision, outcome.era) : position;
 	};
 
 	beforeEach(async () => {
@@ -104,7 +106,7 @@
 		follower = createStore(false);
 		server = await ReplicaServer.listen(RELAY, port, kind => relay.replica(kind));
 		const listed = await relay.list('servers', callOptions);
-		revision = listed.kind === 'listed' ? listed.revision : 0;
+		position = listed.kind === 'listed' ? at(listed.revision, listed.era) : at(0);
 		sendHeartbeat();
 	});
 
@@ -120,7 +122,7 @@
 		const before = standIn.calls;
 		expect(await follower.list('servers', callOptions)).toMatchObject({kind: 'listed', objects: [{name: 'a', value: 1}]});
 		expect(standIn.calls).toBe(before);
-		const watching = follower.watch('servers', revision, 2000, callOptions);
+		const watching = follower.watch('servers', position, 2000, callOptions);
 		standIn.put('servers', 'b', 2);
 		await watchFromRelay();
 		sendHeartbeat();
@@ -150,12 +152,12 @@
 		standIn.put('servers', 'b', 2);
 		const {revisions} = relay.state(monotonicMs());
 		follower.recordRelayState(RELAY, {storeAgeMs: schedule.maxStoreAgeMs + 1, revisions}, monotonicMs());
-		expect(await follower.watch('servers', revision, 1000, callOptions)).toMatchObject({kind: 'events', events: [{object: {name: 'b'}}]});
+		expect(await follower.watch('servers', position, 1000, callOptions)).toMatchObject({kind: 'events', events: [{object: {name: 'b'}}]});
 	});
 
 	it('should end a watch soon after heartbeats of the relay stop, so that the store is read directly', async () => {
 		const startedAt = monotonicMs();
-		expect(await follower.watch('servers', revision, 10_000, callOptions)).toEqual({kind: 'events', events: [], revision});
+		expect(await follower.watch('servers', position, 10_000, callOptions)).toEqual({kind: 'events', events: [], ...position});
 		expect(monotonicMs() - startedAt).toBeLessThan(schedule.maxStoreAgeMs + 500);
 	});
 
@@ -164,14 +166,14 @@
 		await watchFromRelay();
 		sendHeartbeat();
 		server.close();
-		expect(await follower.watch('servers', revision - 1, 1000, callOptions)).toMatchObject({kind: 'events', events: [{object: {name: 'b'}}]});
+		expect(await follower.watch('servers', at(position.revision - 1), 1000, callOptions)).toMatchObject({kind: 'events', events: [{object: {name: 'b'}}]});
 	});
 
 	it('should not return to an older state that a relay holds', async () => {
 		await follower.list('servers', callOptions);
 		standIn.put('servers', 'b', 2);
 		follower.recordRelayState(RELAY, {storeAgeMs: schedule.maxStoreAgeMs + 1, revisions: {}}, monotonicMs());
-		await follower.watch('servers', revision, 0, callOptions);
+		await follower.watch('servers', position, 0, callOptions);
 		sendHeartbeat();
 		expect(await follower.list('servers', callOptions)).toMatchObject({objects: [{name: 'a'}, {name: 'b'}]});
 	});
