Let relays take over the history of a restored store, and followers compare eras

Cause: a relay ignored lists and changes with a lower revision than its copy's, and followers took the revisions in its heartbeats for those of their own history; meanwhile its heartbeats confirmed their outdated copies as fresh. Ruled out: the relays' own watches (they listed again in time), lost heartbeats.

Heartbeats and calls between daemons name the era of each kind; daemons of earlier versions, which send none, count as era 0. A relay that is in an older era than the follower, or than the store's latest answer, is not used.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -22,7 +22,7 @@
 const HEARTBEAT_INTERVAL_MS = 300;
 
 /** A daemon's copy of the store, as announced to its followers. */
-export type StoreState = Pick<Heartbeat, 'storeAgeMs' | 'revisions'>;
+export type StoreState = Pick<Heartbeat, 'storeAgeMs' | 'revisions' | 'eras'>;
 
 /** Receives what the exchange learns about crashing prompt parts. */
 export type QuarantineListener = {
--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -57,6 +57,8 @@
 		storeAgeMs: z.number().optional(),
 		/** Revision of the sender's copy for each kind. */
 		revisions: z.record(z.string(), z.number()),
+		/** Era of each of these revisions. Daemons of earlier versions send none. */
+		eras: z.record(z.string(), z.number()).default({}),
 		wantsReply: z.boolean(),
 	}),
 	/** A limit that a server named in a response; without a number, its responses no longer name one. */
--- a/src/store/counted-store.ts
+++ b/src/store/counted-store.ts
@@ -1,8 +1,9 @@
 /** Counts the calls to a store, which operators pay for, by kind of object, operation and result. */
 import type {CallOptions} from '../object-api/object-api.js';
 import type {
-	CreateOutcome, KindEvents, KindList, KindStore, StorePosition,
+	CreateOutcome, KindEvents, KindList, KindStore,
 } from './kind-store.js';
+import type {StorePosition} from './store-position.js';
 
 export type StoreOperation = 'list' | 'stale_list' | 'watch' | 'create';
 
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -7,8 +7,9 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {
-	KindEvent, KindObject, KindStore, StorePosition,
+	KindEvent, KindObject, KindStore,
 } from './kind-store.js';
+import type {StorePosition} from './store-position.js';
 import {WATCH_TIMEOUT_MARGIN_MS} from './read-schedule.js';
 
 /** Timeout in ms of calls that are answered at once. */
--- a/src/store/kind-replica.ts
+++ b/src/store/kind-replica.ts
@@ -1,7 +1,8 @@
 /** In-memory copy of the objects of one kind and of their latest changes, which this daemon serves to other daemons. */
 import type {
-	KindEvent, KindEvents, KindList, KindObject, StorePosition,
+	KindEvent, KindEvents, KindList, KindObject,
 } from './kind-store.js';
+import type {StorePosition} from './store-position.js';
 
 /** Number of changes kept. A daemon that is further behind lists the kind again. */
 const MAX_RETAINED_CHANGES = 1000;
@@ -15,7 +16,7 @@
 
 	readonly #objects = new Map<string, KindObject>();
 	#changes: readonly Change[] = [];
-	/** Changes up to and including this revision have been discarded. */
+	/** Changes up to and including this revision have been discarded. Revisions are of the era. */
 	#compactedRevision = 0;
 	#revision: number | undefined;
 	#era = 0;
@@ -23,19 +24,19 @@
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
-	/** Revision of this copy; undefined before the first list. */
-	get revision(): number | undefined {
-		return this.#revision;
+	/** Position of this copy; undefined before the first list. */
+	get position(): StorePosition | undefined {
+		return this.#revision === undefined ? undefined : {era: this.#era, revision: this.#revision};
 	}
 
-	/** Revision of the last change. A daemon that has read up to it has the same objects as this copy. */
-	get lastChangeRevision(): number | undefined {
-		return this.#changedAt;
+	/** Position of the last change. A daemon that has read up to it has the same objects as this copy. */
+	get lastChange(): StorePosition | undefined {
+		return this.#changedAt === undefined ? undefined : {era: this.#era, revision: this.#changedAt};
 	}
 
-	/** Replaces all objects with a complete list. An older list than the present copy is ignored. Returns whether it was used. */
+	/** Replaces all objects with a complete list. A list of an earlier revision of the same era is ignored. Returns whether it was used. */
 	replace(objects: readonly KindObject[], {era, revision}: StorePosition): boolean {
-		if (this.#revision !== undefined && revision < this.#revision) {
+		if (this.#revision !== undefined && era === this.#era && revision < this.#revision) {
 			return false;
 		}
 
@@ -52,10 +53,10 @@
 		return true;
 	}
 
-	/** Applies the changes between `after` and `revision`. */
-	apply(after: number, events: readonly KindEvent[], revision: number): void {
-		if (this.#revision === undefined || after > this.#revision || revision <= this.#revision) {
-			// There is a gap before these changes, or they have been applied already.
+	/** Applies the changes between `after` and `revision`, both of the same era. */
+	apply(after: StorePosition, events: readonly KindEvent[], revision: number): void {
+		if (this.#revision === undefined || after.era !== this.#era || after.revision > this.#revision || revision <= this.#revision) {
+			// There is a gap before these changes, or they have been applied already, or belong to another history.
 			return;
 		}
 
@@ -83,12 +84,16 @@
 			};
 	}
 
-	/** Changes after `revision`, in order. May repeat changes that the caller has already read. */
-	changesSince(revision: number): KindEvents {
+	/** Changes after the position, in order. May repeat changes that the caller has already read. */
+	changesSince({era, revision}: StorePosition): KindEvents {
 		if (this.#revision === undefined) {
 			return {kind: 'unavailable', message: 'this daemon has not listed the kind yet'};
 		}
 
+		if (era !== this.#era) {
+			return {kind: 'restored', era: this.#era};
+		}
+
 		if (revision < this.#compactedRevision) {
 			return {kind: 'compacted'};
 		}
--- a/src/store/kind-store.ts
+++ b/src/store/kind-store.ts
@@ -3,12 +3,7 @@
  * implements it.
  */
 import type {CallOptions} from '../object-api/object-api.js';
-
-/**
- * A point in the history of the store. The era rises each time the store comes back from an older copy. It then gives out
- * revisions again, so revisions of different eras cannot be compared.
- */
-export type StorePosition = {readonly era: number; readonly revision: number};
+import type {StorePosition} from './store-position.js';
 
 /** An object as read from the store. */
 export type KindObject = {
--- a/src/store/relayed-store.ts
+++ b/src/store/relayed-store.ts
@@ -14,8 +14,9 @@
 import {pause} from '../util/pause.js';
 import {KindReplica} from './kind-replica.js';
 import type {
-	CreateOutcome, KindEvents, KindList, KindStore, StorePosition,
+	CreateOutcome, KindEvents, KindList, KindStore,
 } from './kind-store.js';
+import {isLater, type StorePosition} from './store-position.js';
 import type {ReadSchedule} from './read-schedule.js';
 
 /**
@@ -27,7 +28,7 @@
 /** Reads another daemon's copy of the store. Methods do not throw; they return failures. */
 export type ReplicaReader = {
 	list(relay: string, kind: string, options: CallOptions): Promise<KindList>;
-	changesSince(relay: string, kind: string, revision: number, options: CallOptions): Promise<KindEvents>;
+	changesSince(relay: string, kind: string, position: StorePosition, options: CallOptions): Promise<KindEvents>;
 };
 
 export type RelayedStoreOptions = {
@@ -45,12 +46,12 @@
 	onChanged(now: number): void;
 };
 
-type RelayState = {readonly relay: string; readonly confirmedAt: number; readonly revisions: Readonly<Record<string, number>>};
+type RelayState = {readonly relay: string; readonly confirmedAt: number; readonly positions: ReadonlyMap<string, StorePosition>};
 
-/** A watch that waits for the relay to announce a revision after `revision`. */
+/** A watch that waits for the relay to announce a later position. */
 type RelayWaiter = {
 	readonly kind: string;
-	readonly revision: number;
+	readonly position: StorePosition;
 	readonly finish: (isChanged: boolean) => void;
 	readonly checkAge: () => void;
 };
@@ -69,6 +70,8 @@
 	readonly #firstHeartbeat = new AbortController();
 	#relayState: RelayState | undefined;
 	#loggedRelay: string | undefined;
+	/** Era of the store's latest answer to this daemon itself. */
+	#storeEra = 0;
 
 	private constructor(private readonly options: RelayedStoreOptions) {
 		this.#kinds = new Map(options.kinds.map(kind => [kind, {replica: KindReplica.create(), confirmedAt: -Infinity}]));
@@ -83,35 +86,42 @@
 	state(now: number): StoreState {
 		const confirmedAt = Math.min(...[...this.#kinds.values()].map(known => known.confirmedAt));
 		const revisions: Record<string, number> = {};
-		for (const [kind, {replica}] of this.#kinds) {
-			if (replica.lastChangeRevision !== undefined) {
-				revisions[kind] = replica.lastChangeRevision;
+		const eras: Record<string, number> = {};
+		for (const [kind, {replica: {lastChange}}] of this.#kinds) {
+			if (lastChange) {
+				revisions[kind] = lastChange.revision;
+				eras[kind] = lastChange.era;
 			}
 		}
 
-		return {storeAgeMs: confirmedAt === -Infinity ? undefined : Math.round(now - confirmedAt), revisions};
+		return {storeAgeMs: confirmedAt === -Infinity ? undefined : Math.round(now - confirmedAt), revisions, eras};
 	}
 
 	/** Records the state that the relay of this daemon announced in a heartbeat. */
-	recordRelayState(relay: string, {storeAgeMs, revisions}: StoreState, now: number): void {
+	recordRelayState(relay: string, {storeAgeMs, revisions, eras}: StoreState, now: number): void {
 		if (storeAgeMs === undefined) {
 			return;
 		}
 
 		const confirmedAt = now - storeAgeMs;
 		const isOlder = this.#relayState !== undefined && confirmedAt < this.#relayState.confirmedAt;
-		this.#relayState = {relay, confirmedAt, revisions};
+		const positions = new Map(Object.entries(revisions).map(([kind, revision]) => [kind, {era: eras[kind] ?? 0, revision}]));
+		this.#relayState = {relay, confirmedAt, positions};
 		this.#firstHeartbeat.abort();
 		for (const [kind, kindState] of this.#kinds) {
 			// The relay's confirmation also covers this daemon's copy when that is at least as new as the relay's.
-			if (kindState.replica.revision !== undefined && kindState.replica.revision >= (revisions[kind] ?? Infinity)) {
+			const own = kindState.replica.position;
+			const announced = positions.get(kind);
+			if (own && announced?.era === own.era && own.revision >= announced.revision) {
 				kindState.confirmedAt = Math.max(kindState.confirmedAt, confirmedAt);
 			}
 		}
 
 		for (const waiter of this.#waiters) {
-			if (this.#isAnnounced(waiter.kind, waiter.revision)) {
+			if (this.#isAnnounced(waiter.kind, waiter.position)) {
 				waiter.finish(true);
+			} else if (!this.#hasRelayReached(waiter.kind, waiter.position.era)) {
+				waiter.finish(false);
 			} else if (isOlder) {
 				waiter.checkAge();
 			}
@@ -126,19 +136,20 @@
 	async list(kind: string, options: CallOptions & {readonly isStaleAllowed?: boolean}): Promise<KindList> {
 		const kindState = this.#kinds.get(kind);
 		if (!kindState) {
-			return this.options.store.list(kind, options);
+			return this.#listDirectly(kind, options);
 		}
 
 		const relay = await this.#relayForList(kindState, options);
 		const relayed = relay === undefined ? undefined : await this.options.reader.list(relay, kind, options);
 		// A relay may be behind this daemon. An older list is not used, so that applied data never goes back to an older revision.
-		const isUsable = relayed?.kind === 'listed' && relayed.revision >= (kindState.replica.revision ?? 0);
-		const listed = isUsable ? relayed : await this.options.store.list(kind, options);
+		const known = kindState.replica.position;
+		const isUsable = relayed?.kind === 'listed' && relayed.era >= this.#storeEra && (!known || !isLater(known, relayed));
+		const listed = isUsable ? relayed : await this.#listDirectly(kind, options);
 		if (listed.kind === 'listed') {
 			const {replica} = kindState;
 			if (!replica.replace(listed.objects, listed)) {
 				this.options.logger.info('list_outdated', {
-					kind, revision: listed.revision, era: listed.era, kept_revision: replica.revision, relay: isUsable ? relay : undefined,
+					kind, revision: listed.revision, era: listed.era, kept_revision: replica.position?.revision, relay: isUsable ? relay : undefined,
 				});
 			}
 
@@ -149,25 +160,28 @@
 	}
 
 	async watch(kind: string, position: StorePosition, waitMs: number, options: CallOptions): Promise<KindEvents> {
-		const {revision} = position;
 		const kindState = this.#kinds.get(kind);
 		const relay = this.freshRelay(this.options.clock());
 		this.#logSourceChange(relay);
-		if (!kindState || relay === undefined) {
+		if (!kindState || relay === undefined || !this.#hasRelayReached(kind, position.era)) {
 			return this.#watchDirectly(kind, position, waitMs, options);
 		}
 
-		if (!await this.#waitForRelayChange(kind, revision, waitMs, options)) {
+		if (!await this.#waitForRelayChange(kind, position, waitMs, options)) {
 			return {kind: 'events', events: [], ...position};
 		}
 
-		const outcome = await this.options.reader.changesSince(relay, kind, revision, options);
+		const outcome = await this.options.reader.changesSince(relay, kind, position, options);
+		if (outcome.kind === 'restored' && outcome.era > position.era) {
+			return outcome;
+		}
+
 		if (outcome.kind !== 'events') {
 			// The relay has too little history or did not answer: this one read bypasses it.
 			return this.#watchDirectly(kind, position, 0, options);
 		}
 
-		kindState.replica.apply(revision, outcome.events, outcome.revision);
+		kindState.replica.apply(position, outcome.events, outcome.revision);
 		this.#confirm(kindState, true);
 		return outcome;
 	}
@@ -187,7 +201,7 @@
 	/** The relay to list from. Before its first list, a daemon that knows of a relay waits for a heartbeat of it. */
 	async #relayForList({replica}: KindState, {signal}: CallOptions): Promise<string | undefined> {
 		const {clock, hasRelay} = this.options;
-		if (replica.revision === undefined && this.freshRelay(clock()) === undefined && hasRelay()) {
+		if (replica.position === undefined && this.freshRelay(clock()) === undefined && hasRelay()) {
 			await pause(FIRST_HEARTBEAT_WAIT_MS, signal ? AbortSignal.any([signal, this.#firstHeartbeat.signal]) : this.#firstHeartbeat.signal);
 		}
 
@@ -198,9 +212,13 @@
 		const {hasFollowers, schedule} = this.options;
 		const wait = hasFollowers() ? Math.min(waitMs, schedule.relayWatchWaitMs) : waitMs;
 		const outcome = await this.options.store.watch(kind, position, wait, {...options, timeoutMs: options.timeoutMs - waitMs + wait});
+		if (outcome.kind === 'events' || outcome.kind === 'restored') {
+			this.#storeEra = outcome.era;
+		}
+
 		const kindState = this.#kinds.get(kind);
 		if (kindState && outcome.kind === 'events') {
-			kindState.replica.apply(position.revision, outcome.events, outcome.revision);
+			kindState.replica.apply(position, outcome.events, outcome.revision);
 			this.#confirm(kindState, false, outcome.events.length > 0);
 		}
 
@@ -208,12 +226,11 @@
 	}
 
 	/**
-	 * Waits up to `waitMs`, as long as the relay is fresh, until it announces a revision after `revision`. Returns whether
-	 * it did.
+	 * Waits up to `waitMs`, as long as the relay is fresh, until it announces a later position. Returns whether it did.
 	 */
-	async #waitForRelayChange(kind: string, revision: number, waitMs: number, {signal}: CallOptions): Promise<boolean> {
+	async #waitForRelayChange(kind: string, position: StorePosition, waitMs: number, {signal}: CallOptions): Promise<boolean> {
 		const {clock} = this.options;
-		if (this.#isAnnounced(kind, revision)) {
+		if (this.#isAnnounced(kind, position)) {
 			return true;
 		}
 
@@ -233,7 +250,7 @@
 
 			const waiter: RelayWaiter = {
 				kind,
-				revision,
+				position,
 				finish,
 				/** Waits until the relay's copy becomes too old, which each heartbeat postpones. */
 				checkAge: () => {
@@ -254,8 +271,21 @@
 		});
 	}
 
-	#isAnnounced(kind: string, revision: number): boolean {
-		return (this.#relayState?.revisions[kind] ?? 0) > revision;
+	#isAnnounced(kind: string, position: StorePosition): boolean {
+		const announced = this.#relayState?.positions.get(kind);
+		return announced !== undefined && isLater(announced, position);
+	}
+
+	/** Whether the relay has read the history of `era`. If not, it cannot tell about changes in it. */
+	#hasRelayReached(kind: string, era: number): boolean {
+		const announced = this.#relayState?.positions.get(kind);
+		return announced !== undefined && announced.era >= era;
+	}
+
+	async #listDirectly(kind: string, options: CallOptions & {readonly isStaleAllowed?: boolean}): Promise<KindList> {
+		const listed = await this.options.store.list(kind, options);
+		this.#storeEra = listed.kind === 'listed' ? listed.era : this.#storeEra;
+		return listed;
 	}
 
 	/** Monotonic time in ms after which the relay's copy is too old to be used. */
--- a/src/store/replica-client.ts
+++ b/src/store/replica-client.ts
@@ -8,7 +8,9 @@
 import type {Logger} from '../util/logger.js';
 import {withTimeLimit} from '../util/time-limit.js';
 import type {KindEvents, KindList, Unavailable} from './kind-store.js';
+import {positionFields} from './replica-messages.js';
 import type {ReplicaReader} from './relayed-store.js';
+import type {StorePosition} from './store-position.js';
 import type {ReplicaRouter} from './replica-server.js';
 
 /** Time limit of a call in ms, many times the round trip within a failure domain. After it the store is read directly. */
@@ -20,8 +22,6 @@
 
 const objectSchema = z.object({name: z.string(), revision: z.number(), value: z.unknown()});
 const unavailableSchema = z.object({kind: z.literal('unavailable'), message: z.string()});
-/** Daemons of earlier versions send no era. */
-const positionFields = {era: z.number().default(0), revision: z.number()};
 const listSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('listed'), objects: z.array(objectSchema), ...positionFields}),
 	unavailableSchema,
@@ -55,9 +55,9 @@
 		return this.#call('list', relay, signal, async options => listSchema.parse(await this.#client(relay).list.query({kind}, options)) as KindList);
 	}
 
-	async changesSince(relay: string, kind: string, revision: number, {signal}: CallOptions): Promise<KindEvents> {
+	async changesSince(relay: string, kind: string, {era, revision}: StorePosition, {signal}: CallOptions): Promise<KindEvents> {
 		return this.#call('since', relay, signal, async options =>
-			eventsSchema.parse(await this.#client(relay).since.query({kind, revision}, options)) as KindEvents);
+			eventsSchema.parse(await this.#client(relay).since.query({kind, era, revision}, options)) as KindEvents);
 	}
 
 	async close(): Promise<void> {
--- a/src/store/replica-server.ts
+++ b/src/store/replica-server.ts
@@ -5,6 +5,7 @@
 import {z} from 'zod';
 import {listen} from '../util/listen.js';
 import type {KindReplica} from './kind-replica.js';
+import {positionFields} from './replica-messages.js';
 import type {KindEvents, KindList, Unavailable} from './kind-store.js';
 
 const t = initTRPC.create();
@@ -13,8 +14,8 @@
 
 export const createReplicaRouter = (replica: (kind: string) => KindReplica | undefined) => t.router({
 	list: t.procedure.input(z.object({kind: z.string()})).query(({input}): KindList => replica(input.kind)?.list() ?? kindNotReplicated),
-	since: t.procedure.input(z.object({kind: z.string(), revision: z.number()}))
-		.query(({input}): KindEvents => replica(input.kind)?.changesSince(input.revision) ?? kindNotReplicated),
+	since: t.procedure.input(z.object({kind: z.string(), ...positionFields}))
+		.query(({input}): KindEvents => replica(input.kind)?.changesSince(input) ?? kindNotReplicated),
 });
 
 export type ReplicaRouter = ReturnType<typeof createReplicaRouter>;
--- a/tests/load-exchange.test.ts
+++ b/tests/load-exchange.test.ts
@@ -50,7 +50,7 @@
 		onServerLost(server) {
 			lostServers.push(server);
 		},
-		storeState: () => ({storeAgeMs: 7, revisions: {servers: 3}}),
+		storeState: () => ({storeAgeMs: 7, revisions: {servers: 3}, eras: {servers: 1}}),
 		onRelayHeartbeat(_relay, {storeAgeMs}) {
 			storeAges.push(storeAgeMs!);
 		},
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -199,6 +199,7 @@
 		placement: fc.anything(),
 		storeAgeMs: fc.double(),
 		revisions: fc.dictionary(fc.string(), fc.double()),
+		eras: fc.dictionary(fc.string(), fc.double()),
 		wantsReply: fc.boolean(),
 	}), {maxLength: 4}),
 }).map(datagram => Buffer.from(JSON.stringify(datagram, (_key, value: unknown) => typeof value === 'bigint' ? String(value) : value)));
