Let what is known of a server go before its registration in an older copy of the store

After the store came back from an older copy, requests could be sent to servers that had left, to draining ones that the copy contains as ready, and at full rate to ones that had become cold since; a later start of a server was replaced by its earlier one; new servers were dropped by a daemon that had noticed no outage. Cause: a list is taken as newer than everything before it. Ruled out: the existing pause for servers that register again, which covers only missing ones.

A list of a restored store is merged: a start stays draining and cold, a server that has left counts only when it writes again or when the store would have removed it, and so does an earlier start.

--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -85,7 +85,7 @@
 
 	#configurationSink(): FeedSink {
 		return {
-			onList: objects => {
+			onList: ({objects}) => {
 				for (const object of objects) {
 					this.#applyConfiguration(object);
 				}
@@ -115,10 +115,14 @@
 
 	#serversSink(): FeedSink {
 		return {
-			onList: (objects, now) => {
+			onList: ({objects, isRestored}, now) => {
+				if (isRestored) {
+					this.options.fleet.recordOutage(now);
+				}
+
 				this.options.fleet.retain(new Set(objects.map(({name}) => name)), now);
 				for (const object of objects) {
-					this.#applyServer(object, now);
+					this.#applyServer(object, isRestored, now);
 				}
 
 				const serverIds = this.options.fleet.serverIds();
@@ -127,7 +131,7 @@
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
-					this.#applyServer(event.object, now);
+					this.#applyServer(event.object, false, now);
 				} else {
 					this.options.fleet.unregister(event.name, now);
 					this.options.logger.info('server_gone', {server: event.name});
@@ -139,11 +143,13 @@
 		};
 	}
 
-	#applyServer(object: KindObject, now: number): void {
-		const {adapter, logger} = this.options;
+	#applyServer(object: KindObject, isCopied: boolean, now: number): void {
+		const {adapter, fleet, logger} = this.options;
 		try {
 			const server = adapter.decodeServer(object, now);
-			const previous = this.options.fleet.register(object.name, server);
+			const previous = isCopied
+				? fleet.registerCopied(object.name, server, object.revision, now)
+				: fleet.register(object.name, server, object.revision);
 			// Cold servers renew their registration with every heartbeat; only actual changes are logged.
 			const isChanged = previous?.id !== server.id || previous.isDraining !== server.isDraining || (previous.coldUntil <= now && server.coldUntil > now);
 			if (!isChanged) {
@@ -157,9 +163,10 @@
 				draining: server.isDraining,
 				cold_ms: Math.max(0, Math.round(server.coldUntil - now)),
 				revision: object.revision,
+				copied: isCopied || undefined,
 			});
 		} catch (err) {
-			this.options.fleet.unregister(object.name, now);
+			fleet.unregister(object.name, now);
 			logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
 		}
 	}
@@ -171,7 +178,7 @@
 		};
 
 		return {
-			onList: objects => {
+			onList: ({objects}) => {
 				this.#domainsOut.clear();
 				for (const {name} of objects) {
 					this.#domainsOut.add(name);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -62,6 +62,9 @@
 const RETRY_MS_PER_DAEMON = 7;
 const MAX_RETRY_MS = 1500;
 
+/** Heartbeats after which the store has removed a server that sends none: three, and one for their jitter. */
+const CONFIRMATION_HEARTBEATS = 4;
+
 export type GatewayDaemonDependencies = {
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
@@ -90,7 +93,7 @@
 		const {adapter, clock, logger} = dependencies;
 		const metrics = GatewayMetrics.create({droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size});
 		const placements = PlacementTable.create();
-		const fleet = FleetView.create();
+		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
 		const limits = ServerLimits.create();
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -22,6 +22,8 @@
 	readonly changeBoundMs: number;
 	/** Time in ms between SIGTERM and SIGKILL. */
 	readonly stopGraceMs: number;
+	/** Interval in ms at which backend servers renew their registrations. */
+	readonly serverHeartbeatMs: number;
 	/** Limits on retries at backend servers: a share of the requests, and a number that all daemons share. */
 	readonly retryShare: number;
 	readonly retrySlack: number;
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -16,10 +16,13 @@
 const READ_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
 
+/** A complete list. `isRestored`: the store has come back from an older copy since the objects before it were read. */
+export type FeedList = {readonly objects: readonly KindObject[]; readonly isRestored: boolean};
+
 /** Receives the lists and changes that a feed reads. */
 export type FeedSink = {
 	/** A complete list, which replaces everything before it. */
-	onList(objects: readonly KindObject[], now: number): void;
+	onList(list: FeedList, now: number): void;
 	onEvent(event: KindEvent, now: number): void;
 	/** The store could not be read until `now`. A sink without this method keeps using the data it received last. */
 	onOutage?(now: number): void;
@@ -61,6 +64,8 @@
 	#isEraInDoubt = false;
 	/** Era of the latest list, or of an answer that showed that the store has come back from an older copy. */
 	#era: number | undefined;
+	/** Era of the latest list that was applied. */
+	#listedEra: number | undefined;
 
 	private constructor(private readonly options: FeedOptions) {
 		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: options.retryMs(), seed: options.seed});
@@ -117,7 +122,9 @@
 		this.#handleAvailable();
 		const {era, revision} = listed;
 		this.#recordEra(era);
-		sink.onList(listed.objects, clock());
+		const isRestored = this.#listedEra !== undefined && this.#listedEra !== era;
+		this.#listedEra = era;
+		sink.onList({objects: listed.objects, isRestored}, clock());
 		return {era, revision};
 	}
 
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -4,7 +4,7 @@
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
 import {KindFeed} from '../src/store/kind-feed.js';
-import type {KindEvent, KindObject} from '../src/store/kind-store.js';
+import type {KindEvent} from '../src/store/kind-store.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {createLogger} from '../src/util/logger.js';
 import {StoreStandIn} from '../testing/stand-ins/platform/store-stand-in.js';
@@ -51,7 +51,7 @@
 		},
 		onRestored: () => undefined,
 		sink: {
-			onList(objects: readonly KindObject[]) {
+			onList({objects}) {
 				lists++;
 				knownObjects = new Map(objects.map(({name, value}) => [name, value]));
 			},
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -49,6 +49,7 @@
 				stableWindowMs: 3000,
 				changeBoundMs: 2000,
 				stopGraceMs: 8000,
+				serverHeartbeatMs: 1200,
 				retryShare: 0.2,
 				retrySlack: 106,
 			},
--- a/tests/restored-store.test.ts
+++ b/tests/restored-store.test.ts
@@ -3,7 +3,6 @@
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
 import {KindFeed} from '../src/store/kind-feed.js';
-import type {KindObject} from '../src/store/kind-store.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {createLogger} from '../src/util/logger.js';
 import {StoreStandIn, type StoreCopy} from '../testing/stand-ins/platform/store-stand-in.js';
@@ -55,7 +54,7 @@
 			onRegained: () => undefined,
 			onRestored: () => undefined,
 			sink: {
-				onList(objects: readonly KindObject[]) {
+				onList({objects}) {
 					known = new Map(objects.map(({name, value}) => [name, value]));
 				},
 				onEvent(event) {
