Keep a failure domain out of service that an older copy of the store lacks

Cause: the copy was taken as the operators' latest word. Ruled out: the gateway's choice of servers, which follows the list.

Domains out of service are a table of their own.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -7,6 +7,7 @@
  */
 import {ExpiringSet} from '../util/expiring-set.js';
 import type {BackendServer} from './backend-server.js';
+import {DomainsOut} from './domains-out.js';
 
 /**
  * Time in ms for which a registration found missing after a store outage is kept: servers whose registration expired
@@ -37,12 +38,12 @@
 		return new FleetView(confirmationMs);
 	}
 
+	readonly domainsOut = DomainsOut.create();
 	readonly #servers = new Map<string, RegisteredServer>();
 	/** Ids of servers that do not answer at their registered address. */
 	readonly #lost = ExpiringSet.create();
 	/** Ids of servers that have left. */
 	readonly #departed = ExpiringSet.create();
-	#domainsOut: ReadonlySet<string> = new Set();
 	#outageEndedAt = -Infinity;
 
 	private constructor(private readonly confirmationMs: number) {}
@@ -101,10 +102,6 @@
 		this.#outageEndedAt = now;
 	}
 
-	setDomainsOut(domains: ReadonlySet<string>): void {
-		this.#domainsOut = domains;
-	}
-
 	/**
 	 * Records that a server does not answer at its registered address although its registration has not expired yet. Returns
 	 * whether this was not known. The id changes with each start, so a restarted server is not affected.
@@ -119,7 +116,7 @@
 		const lost: BackendServer[] = [];
 		for (const [name, known] of this.#servers) {
 			const server = this.#removeExpired(name, now) ? undefined : currentServer(known, now);
-			if (server?.service === service && !server.isDraining && !this.#domainsOut.has(server.failureDomain)) {
+			if (server?.service === service && !server.isDraining && !this.domainsOut.has(server.failureDomain, now)) {
 				(this.#lost.has(server.id, now) ? lost : available).push(server);
 			}
 		}
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -38,7 +38,6 @@
 	}
 
 	readonly #feeds: KindFeed[] = [];
-	readonly #domainsOut = new Set<string>();
 	#routeTable: RouteTable | undefined;
 
 	private constructor(private readonly options: FleetFeedsOptions) {}
@@ -172,28 +171,24 @@
 	}
 
 	#domainsOutSink(): FeedSink {
-		const apply = () => {
-			this.options.fleet.setDomainsOut(new Set(this.#domainsOut));
-			this.options.logger.info('domains_out', {domains: [...this.#domainsOut].join(',')});
+		const {fleet: {domainsOut}, logger} = this.options;
+		const logDomains = (now: number, isRestored = false) => {
+			logger.info('domains_out', {domains: domainsOut.list(now).join(','), restored: isRestored || undefined});
 		};
 
 		return {
-			onList: ({objects}) => {
-				this.#domainsOut.clear();
-				for (const {name} of objects) {
-					this.#domainsOut.add(name);
-				}
-
-				apply();
+			onList({objects, isRestored}, now) {
+				domainsOut.replace(objects.map(({name}) => name), isRestored, now);
+				logDomains(now, isRestored);
 			},
-			onEvent: event => {
+			onEvent(event, now) {
 				if (event.kind === 'changed') {
-					this.#domainsOut.add(event.object.name);
+					domainsOut.add(event.object.name);
 				} else {
-					this.#domainsOut.delete(event.name);
+					domainsOut.remove(event.name);
 				}
 
-				apply();
+				logDomains(now);
 			},
 		};
 	}
--- a/tests/fleet.test.ts
+++ b/tests/fleet.test.ts
@@ -65,7 +65,7 @@
 		fleet.register('i-2', server('i-2', {service: 'model'}), 1);
 		fleet.register('i-3', server('i-3', {failureDomain: 'famalicao'}), 1);
 		fleet.register('i-4', server('i-4'), 1);
-		fleet.setDomainsOut(new Set(['famalicao']));
+		fleet.domainsOut.add('famalicao');
 		expect(ids(fleet.usableServers('desk', 0))).toEqual(['i-4']);
 	});
 });
--- a/tests/restored-store.test.ts
+++ b/tests/restored-store.test.ts
@@ -115,24 +115,54 @@
 });
 
 describe('gateway on a store that came back from an older copy', () => {
-	it('should serve a route that was added at a revision that had been given out before', async () => {
-		const gateway = await GatewayFixture.create();
-		const withRoute = (version: number, path: string) => platformConfiguration(version, {
-			routes: [...platformConfiguration(version).routes, {...platformConfiguration(version).routes[0], name: path, 'path-prefix': `/${path}/`}],
-		});
+	let gateway: GatewayFixture;
+
+	beforeEach(async () => {
+		gateway = await GatewayFixture.create();
 		gateway.store.put('config', 'main', platformConfiguration(1));
 		await gateway.addServer('desk', {instance: 'i-1'});
+		await gateway.addServer('desk', {instance: 'i-2', zone: 'famalicao'});
 		await gateway.start();
 		await gateway.waitForLog('event=registered');
 		await gateway.waitForLog('event=configuration version=1');
-		const copy = gateway.store.copy();
-		gateway.store.put('config', 'main', withRoute(2, 'added'));
-		await gateway.waitForLog('event=configuration version=2');
+	});
+
+	afterEach(async () => {
+		await gateway.close();
+	});
+
+	const restore = (copy: StoreCopy, change: () => void = () => undefined) => {
 		gateway.store.setMode('reset');
 		gateway.store.restore(copy);
-		gateway.store.put('config', 'main', withRoute(4, 'later'));
+		change();
 		gateway.store.setMode('serving');
+	};
+
+	it('should serve a route that was added at a revision that had been given out before', async () => {
+		const withRoute = (version: number, path: string) => {
+			const {routes} = platformConfiguration(version);
+			return platformConfiguration(version, {routes: [...routes, {...routes[0], name: path, 'path-prefix': `/${path}/`}]});
+		};
+
+		const copy = gateway.store.copy();
+		gateway.store.put('config', 'main', withRoute(2, 'added'));
+		await gateway.waitForLog('event=configuration version=2');
+		restore(copy, () => {
+			gateway.store.put('config', 'main', withRoute(4, 'later'));
+		});
 		await waitUntil(async () => await gateway.statusOf('/later/1', {method: 'GET'}) === 200, 2500);
-		await gateway.close();
+	});
+
+	it('should send nothing to a failure domain out of service that the copy lacks', async () => {
+		const copy = gateway.store.copy();
+		gateway.store.put('evacuations', 'braga', {});
+		await gateway.waitForLog('event=domains_out domains=braga');
+		restore(copy);
+		await waitUntil(() => gateway.logs.filter(line => line.includes('event=domains_out')).length === 3, 2500);
+		for (let index = 0; index < 10; index++) {
+			expect(await gateway.statusOf('/look/1', {method: 'GET'})).toBe(200);
+		}
+
+		expect(gateway.servers.map(({runs}) => runs)).toEqual([0, 10]);
 	});
 });
