Write registrations of daemons and quarantined parts again after the store came back from an older copy

Daemons that start after such a restore could not find those whose registration the copy lacks, and a part that crashes engines was tried again after a restart of all daemons. Cause: a daemon wrote its registration and quarantined parts once and took the store's word as lasting. Ruled out: the exchange between running daemons, which repeats parts every second.

A daemon that finds the store in another era, by its feeds or by its own lists, reads the list of daemons without stale answers, once for each era, and writes what is missing.

--- a/src/fleet/daemon-registry.ts
+++ b/src/fleet/daemon-registry.ts
@@ -1,4 +1,4 @@
-/** Registers this daemon in the store and discovers the other daemons there. */
+/** Registers this daemon in the store, again after the store has come back from an older copy, and discovers the other daemons there. */
 import {z} from 'zod';
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Clock} from '../util/clock.js';
@@ -12,6 +12,9 @@
 /** Longest pause in ms. Daemons also discover each other by messages, so later reads only serve those that were cut off. */
 const MAX_REFRESH_MS = 10_000;
 
+/** Pause in ms between attempts to read the list of a restored store. */
+const RECHECK_RETRY_MS = 300;
+
 const memberSchema = z.object({address: z.ipv4(), failureDomain: z.string(), cores: z.number().positive()}).readonly();
 
 export type DaemonRegistryOptions = {
@@ -23,6 +26,8 @@
 	onMembers(members: readonly Member[], now: number): void;
 	/** Reads an object of the same kind that does not describe a daemon. Returns whether it could be read. */
 	readOther(object: KindObject, now: number): boolean;
+	/** Called with the names of all objects of the kind after the store has come back from an older copy, which may lack some. */
+	onRestored(names: ReadonlySet<string>): void;
 };
 
 export class DaemonRegistry {
@@ -36,6 +41,12 @@
 	readonly firstRead: Promise<void>;
 	readonly #controller = new AbortController();
 	#isRegistered = false;
+	/** Aborted to end a call or a pause early, by `recheck` and `close`. */
+	#interruption = new AbortController();
+	/** Era in which the registration was found, or is being looked for. */
+	#era: number | undefined;
+	/** The next list has to be of the restored store. */
+	#isRecheckDue = false;
 	#finishFirstRead!: () => void;
 
 	private constructor(private readonly options: DaemonRegistryOptions) {
@@ -46,6 +57,21 @@
 
 	close(): void {
 		this.#controller.abort();
+		this.#interruption.abort();
+	}
+
+	/** Reads the list of a store that has come back from an older copy in `era`, and registers again if this daemon is not in it. */
+	recheck(era: number): void {
+		if (this.#era === era) {
+			return;
+		}
+
+		this.#era = era;
+		this.#isRegistered = false;
+		this.#isRecheckDue = true;
+		const interrupted = this.#interruption;
+		this.#interruption = new AbortController();
+		interrupted.abort();
 	}
 
 	async #run(): Promise<void> {
@@ -60,7 +86,7 @@
 				isListed = await this.#refresh();
 			}
 
-			await pause(refreshMs, signal);
+			await pause(this.#isRecheckDue ? RECHECK_RETRY_MS : refreshMs, this.#interruption.signal);
 			refreshMs = this.#isRegistered && isListed ? Math.min(MAX_REFRESH_MS, 2 * refreshMs) : FIRST_REFRESH_MS;
 		}
 	}
@@ -69,7 +95,7 @@
 		const {
 			store, kind, self, logger,
 		} = this.options;
-		const outcome = await store.create(kind, self.address, self, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#controller.signal});
+		const outcome = await store.create(kind, self.address, self, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#interruption.signal});
 		if (outcome.kind === 'unavailable') {
 			logger.warn('register_failed', {message: outcome.message});
 			return false;
@@ -83,15 +109,33 @@
 		const {
 			store, kind, clock, logger,
 		} = this.options;
-		const listed = await store.list(kind, {timeoutMs: CALL_TIMEOUT_MS, signal: this.#controller.signal, isStaleAllowed: true});
+		const {signal} = this.#interruption;
+		const isRecheck = this.#isRecheckDue;
+		const listed = await store.list(kind, {timeoutMs: CALL_TIMEOUT_MS, signal, isStaleAllowed: !isRecheck});
+		if (signal.aborted) {
+			return false;
+		}
+
 		if (listed.kind === 'unavailable') {
 			logger.warn('peers_unknown', {message: listed.message});
 			return false;
 		}
 
+		if (this.#era !== undefined && listed.era !== this.#era) {
+			this.recheck(listed.era);
+			return false;
+		}
+
+		this.#era = listed.era;
 		const members = listed.objects.map(object => this.#decode(object, clock())).filter(member => member !== undefined);
 		this.#isRegistered ||= members.some(member => isSame(member, this.options.self));
 		this.options.onMembers(members, clock());
+		if (isRecheck) {
+			this.#isRecheckDue = false;
+			logger.info('registration_checked', {era: this.#era, is_registered: this.#isRegistered});
+			this.options.onRestored(new Set(listed.objects.map(({name}) => name)));
+		}
+
 		// A stale list may predate the daemons that started together with this one.
 		return members.length > 1;
 	}
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -23,6 +23,8 @@
 	/** Pause of a watch in ms after changes, and the longest pause in ms between attempts while the store is unavailable. */
 	pauseMs(): number;
 	retryMs(): number;
+	/** Called when the store has come back from an older copy. */
+	onRestored(era: number): void;
 	/** Called when a newer configuration takes effect. */
 	onConfiguration(): void;
 };
@@ -78,6 +80,8 @@
 				for (const feed of this.#feeds) {
 					feed.checkEra(era);
 				}
+
+				this.options.onRestored(era);
 			},
 		}));
 	}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -221,7 +221,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, quarantine,
+				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -266,6 +266,9 @@
 
 				return known !== undefined;
 			},
+			onRestored(names) {
+				quarantineStore.saveMissing(quarantine.list(clock()), names);
+			},
 		});
 		await Promise.race([this.#registry.firstRead, pause(MAX_DISCOVERY_WAIT_MS)]);
 		this.#feeds = FleetFeeds.start({
@@ -284,6 +287,9 @@
 			retryMs: () => loadExchange.storeRelay === undefined
 				? Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, loadExchange.daemons * RETRY_MS_PER_DAEMON))
 				: MAX_RETRY_MS,
+			onRestored: era => {
+				this.#registry?.recheck(era);
+			},
 			onConfiguration: () => {
 				this.#gateway.applyLimits();
 			},
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -49,6 +49,11 @@
 		return this.#ends.size;
 	}
 
+	/** All quarantined parts. */
+	list(now: number): ReadonlyArray<{readonly part: string; readonly remainingMs: number}> {
+		return [...this.#ends].filter(([, end]) => end > now).map(([part, end]) => ({part, remainingMs: Math.round(end - now)}));
+	}
+
 	/** Returns the first of `parts` that is quarantined, and the time in ms until its end. */
 	findQuarantined(parts: readonly string[], now: number): {readonly part: string; readonly remainingMs: number} | undefined {
 		for (const part of parts) {
@@ -186,17 +191,14 @@
 	}
 
 	#publishQuarantined(now: number): void {
-		const parts = [];
 		for (const [part, end] of this.#ends) {
-			if (end > now) {
-				parts.push({part, remainingMs: Math.round(end - now)});
-			} else {
+			if (end <= now) {
 				this.#ends.delete(part);
 				this.options.logger.info('part_released', {part});
 			}
 		}
 
-		this.#publishBatches(parts, batch => ({kind: 'quarantined', parts: batch}));
+		this.#publishBatches(this.list(now), batch => ({kind: 'quarantined', parts: batch}));
 	}
 
 	#publishBatches<T>(parts: readonly T[], toMessage: (batch: readonly T[]) => QuarantineMessage): void {
--- a/src/quarantine/quarantine-store.ts
+++ b/src/quarantine/quarantine-store.ts
@@ -42,8 +42,7 @@
 		} = this.options;
 		const {signal} = this.#controller;
 		const end = unixTime() + remainingMs;
-		// A part that is quarantined again needs another object, as the former one is not replaced.
-		const name = `quarantined-${part}-${Math.floor(end / QUARANTINE_MS)}`;
+		const name = objectName(part, end);
 		while (!signal.aborted && unixTime() < end) {
 			if (isWriter()) {
 				const outcome = await store.create(kind, name, {quarantinedPart: part, end: Math.round(end)}, {timeoutMs: CALL_TIMEOUT_MS, signal});
@@ -59,11 +58,23 @@
 		}
 	}
 
+	/** Saves those of the parts that are not among the objects `names` of a store that has come back from an older copy. */
+	saveMissing(parts: ReadonlyArray<{readonly part: string; readonly remainingMs: number}>, names: ReadonlySet<string>): void {
+		for (const {part, remainingMs} of parts) {
+			if (!names.has(objectName(part, this.options.unixTime() + remainingMs))) {
+				void this.save(part, remainingMs);
+			}
+		}
+	}
+
 	close(): void {
 		this.#controller.abort();
 	}
 }
 
+/** A part that is quarantined again needs another object, as the former one is not replaced. */
+const objectName = (part: string, end: number): string => `quarantined-${part}-${Math.floor(end / QUARANTINE_MS)}`;
+
 /** Returns undefined for an object that is no quarantined part. `unixTime` is in ms. */
 export function readQuarantinedPart({value}: KindObject, unixTime: number): {readonly part: string; readonly remainingMs: number} | undefined {
 	const parsed = recordSchema.safeParse(value);
--- a/tests/daemon-registry.test.ts
+++ b/tests/daemon-registry.test.ts
@@ -15,6 +15,7 @@
 let store: StoreStandIn;
 let client: MetadataStoreClient;
 let members: readonly Member[];
+let restoredNames: ReadonlySet<string> | undefined;
 
 function startRegistry(): DaemonRegistry {
 	return DaemonRegistry.start({
@@ -24,6 +25,9 @@
 		clock: monotonicMs,
 		logger: createLogger('error'),
 		readOther: () => false,
+		onRestored(names) {
+			restoredNames = names;
+		},
 		onMembers(listed) {
 			members = listed;
 		},
@@ -32,6 +36,7 @@
 
 beforeEach(async () => {
 	members = [];
+	restoredNames = undefined;
 	store = await StoreStandIn.create();
 	client = MetadataStoreClient.create(store.address, 'front-1');
 });
@@ -66,4 +71,42 @@
 		await waitUntil(() => store.calls === 3);
 		registry.close();
 	});
+
+	it('should register again when an older copy of the store lacks it, also after a failed attempt', async () => {
+		const copy = store.copy();
+		const registry = startRegistry();
+		await waitUntil(() => store.names(KIND).includes(self.address));
+		store.restore(copy);
+		store.setMode('busy');
+		registry.recheck(2);
+		const {calls} = store;
+		await waitUntil(() => store.calls > calls);
+		store.setMode('serving');
+		await waitUntil(() => store.names(KIND).includes(self.address));
+		registry.close();
+	});
+
+	it('should read the list once for each era, and write nothing when the copy has it', async () => {
+		store.put(KIND, self.address, self);
+		const registry = startRegistry();
+		await registry.firstRead;
+		store.restore(store.copy());
+		const {calls} = store;
+		registry.recheck(2);
+		registry.recheck(2);
+		await waitUntil(() => restoredNames !== undefined);
+		expect(restoredNames).toEqual(new Set([self.address]));
+		expect(store.calls).toBe(calls + 1);
+		registry.close();
+	});
+
+	it('should register again when only its own list shows that the store came back from an older copy', async () => {
+		const copy = store.copy();
+		const registry = startRegistry();
+		await waitUntil(() => store.names(KIND).includes(self.address));
+		await waitUntil(() => members.length === 1);
+		store.restore(copy);
+		await waitUntil(() => store.names(KIND).includes(self.address));
+		registry.close();
+	});
 });
--- a/tests/restored-store.test.ts
+++ b/tests/restored-store.test.ts
@@ -9,6 +9,7 @@
 import {GatewayFixture, platformConfiguration} from './fixtures/gateway-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 
+const DAEMONS = 'fireflyport-daemons';
 const CALL_OPTIONS = {timeoutMs: 2000};
 /** Number of changes that the copy lacks. */
 const LOST_CHANGES = 3;
@@ -122,6 +123,7 @@
 		gateway.store.put('config', 'main', platformConfiguration(1));
 		await gateway.addServer('desk', {instance: 'i-1'});
 		await gateway.addServer('desk', {instance: 'i-2', zone: 'famalicao'});
+		gateway.store.put(DAEMONS, 'quarantined-deadbeef-1', {quarantinedPart: 'deadbeef', end: Date.now() + 600_000});
 		await gateway.start();
 		await gateway.waitForLog('event=registered');
 		await gateway.waitForLog('event=configuration version=1');
@@ -165,4 +167,11 @@
 
 		expect(gateway.servers.map(({runs}) => runs)).toEqual([0, 10]);
 	});
+
+	it('should write its registration and the quarantined parts again when the copy lacks them', async () => {
+		const {revision, objects} = gateway.store.copy();
+		restore({revision, objects: new Map([...objects].filter(([kind]) => kind !== DAEMONS))});
+		await waitUntil(() => gateway.store.names(DAEMONS).includes('127.0.0.1'), 4000);
+		await waitUntil(() => gateway.store.names(DAEMONS).some(name => name.startsWith('quarantined-deadbeef-')), 4000);
+	});
 });
