Believe a refusal only if it names the request that was sent

Cause: the refusal was read before the id of the response was compared; so were the limit that it names and, with 421, the word that the address belongs to another server. Ruled out: connections in use again, since each request has its own.

The id is compared first. A refusal without an id does not count either; the stand-ins echo the id now, as servers do.

Evidence: three tests failed before (seven runs for six bookings), all pass.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -173,12 +173,18 @@
 	#onHead(head: ExchangeHead): void {
 		const {wire, request} = this.options;
 		const metadata = wire.readResponseMetadata(head.status, head.headers);
+		// A server may repeat the response to an earlier request, whose refusal says nothing about this one.
+		if (metadata.attemptId !== request.metadata.attemptId) {
+			this.#abortBroken(`response with status ${head.status} names the request ${metadata.attemptId ?? 'none'}`);
+			return;
+		}
+
 		this.options.onMetadata(metadata);
 		if (metadata.isNotExecuted) {
 			// The head decides; the body may never end.
 			this.#abort(rejection(metadata, head.status));
-		} else if (metadata.attemptId !== request.metadata.attemptId || !metadata.isSigned) {
-			this.#abortBroken(`response with status ${head.status} lacks a signature or the request id`);
+		} else if (!metadata.isSigned) {
+			this.#abortBroken(`response with status ${head.status} lacks a signature`);
 		} else if (request.route.kind.kind === 'stream' && head.status === OK_STATUS) {
 			this.#phase = {
 				kind: 'relaying', head: wire.clientHeaders(head.headers), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
--- a/testing/stand-ins/platform/endless-server-stand-in.ts
+++ b/testing/stand-ins/platform/endless-server-stand-in.ts
@@ -120,7 +120,7 @@
 			}
 
 			case 'refusal body': {
-				return ['HTTP/1.1 503 Service Unavailable\r\nfireflyport-not-executed: 1\r\n\r\n', 'x'];
+				return [`HTTP/1.1 503 Service Unavailable\r\nfireflyport-attempt-id: ${attemptId}\r\nfireflyport-not-executed: 1\r\n\r\n`, 'x'];
 			}
 
 			case 'event': {
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -125,6 +125,7 @@
 		});
 		if (fault?.kind === 'reject') {
 			res.writeHead(fault.status, {
+				'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
 				...(fault.status === 421 ? {} : {'fireflyport-not-executed': '1'}),
 				...('helper' in fault ? {'at-server': fault.helper} : {}),
 			}).end();
