Send nothing more to a server that says in a response that it leaves

A server that leaves says so in its responses (Server-Leaving), often before its registration does or while the store is away; it went on getting requests, which end with it (rule DRAIN). Cause: the header was not read. Ruled out: nothing else tells a daemon so while the store is away.

The others are told to prefer other servers, by the message about lost ones.

--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -15,6 +15,8 @@
  */
 const REREGISTRATION_MS = 2300;
 
+/** Time in ms for which a leaving server is remembered. It stops within many seconds. */
+const LEAVING_MS = 600_000;
 /** Time in ms for which this daemon remembers that a server has left. Copies are some seconds old. */
 const DEPARTED_MS = 60_000;
 
@@ -42,6 +44,8 @@
 	readonly #servers = new Map<string, RegisteredServer>();
 	/** Ids of servers that do not answer at their registered address. */
 	readonly #lost = ExpiringSet.create();
+	/** Ids of servers that said in a response that they leave. It holds until they have started anew, whatever their registration says. */
+	readonly #leaving = ExpiringSet.create();
 	/** Ids of servers that have left. */
 	readonly #departed = ExpiringSet.create();
 	#outageEndedAt = -Infinity;
@@ -110,13 +114,18 @@
 		return this.#lost.add(id, until, now);
 	}
 
+	/** Records that a server said in a response that it leaves. Returns whether this was not known. */
+	markLeaving(id: string, now: number): boolean {
+		return this.#leaving.add(id, now + LEAVING_MS, now);
+	}
+
 	/** Servers of a service that may receive new requests. Lost ones are returned only if there are no others. */
 	usableServers(service: string, now: number): readonly BackendServer[] {
 		const available: BackendServer[] = [];
 		const lost: BackendServer[] = [];
 		for (const [name, known] of this.#servers) {
 			const server = this.#removeExpired(name, now) ? undefined : currentServer(known, now);
-			if (server?.service === service && !server.isDraining && !this.domainsOut.has(server.failureDomain, now)) {
+			if (server?.service === service && !server.isDraining && !this.#leaving.has(server.id, now) && !this.domainsOut.has(server.failureDomain, now)) {
 				(this.#lost.has(server.id, now) ? lost : available).push(server);
 			}
 		}
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -220,10 +220,14 @@
 				buffers: parts.buffers,
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
-				onMetadata: ({isMisdirected, maxRequestsPerSecond}) => {
+				onMetadata: ({isMisdirected, isLeaving, maxRequestsPerSecond}) => {
 					if (!isMisdirected) {
 						this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
 					}
+
+					if (isLeaving) {
+						this.#recordLeaving(choice.server, parts.clock());
+					}
 				},
 				onEvent(events) {
 					if (events === 1) {
@@ -276,6 +280,15 @@
 		}
 	}
 
+	/** Other daemons prefer other servers; this one, which has the server's own word, sends it nothing. */
+	#recordLeaving({id, instanceId, isDraining}: BackendServer, now: number): void {
+		const {fleet, loadExchange, logger} = this.parts;
+		if (fleet.markLeaving(id, now)) {
+			loadExchange.broadcastLost(id, MOVED_EXCLUSION_MS);
+			logger.info('server_leaving', {server: instanceId, source: 'response', was_draining: isDraining});
+		}
+	}
+
 	/** Reports whether the server wrote the answer or ended before. */
 	#reportPrompt({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
 		const {quarantine} = this.parts;
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -41,6 +41,8 @@
 	readonly isNotExecuted: boolean;
 	/** The address belongs to another server than the intended one. */
 	readonly isMisdirected: boolean;
+	/** The server is about to stop and takes no new requests. */
+	readonly isLeaving: boolean;
 	/** IP:PORT of the server that caused the failure, if it is another one. */
 	readonly faultyAddress: string | undefined;
 	/** Requests per second that the server takes from all daemons together, for as long as its responses say so. */
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -68,6 +68,10 @@
 	readonly orders: MemoryOrder[] = [];
 	/** Addresses of helpers that this server cannot reach. */
 	unreachableHelpers: ReadonlySet<string> = new Set();
+	/** Whether responses say that the server leaves. */
+	isLeaving = false;
+	/** Value of `Retry-After` in rejections. */
+	retryAfter: string | undefined;
 	/** Reserved tokens by reservation id. */
 	readonly reserved = new Map<string, number>();
 	readonly #reservationTimers = new Map<string, NodeJS.Timeout>();
@@ -127,6 +131,8 @@
 			res.writeHead(fault.status, {
 				'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
 				...(fault.status === 421 ? {} : {'fireflyport-not-executed': '1'}),
+				...this.#stateHeaders(),
+				...(this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter}),
 				...('helper' in fault ? {'at-server': fault.helper} : {}),
 			}).end();
 		} else if (this.options.events === undefined) {
@@ -238,10 +244,15 @@
 		return {
 			'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
 			'fireflyport-response-seal': `seal-${this.instance}`,
+			...this.#stateHeaders(),
 			...(this.options.limitPerSecond === undefined ? {} : {'server-limit': String(this.options.limitPerSecond)}),
 		};
 	}
 
+	#stateHeaders(): Record<string, string> {
+		return this.isLeaving ? {'server-leaving': '1'} : {};
+	}
+
 	async #waitPace(): Promise<void> {
 		await pause(this.options.paceMs ?? 0);
 	}
