Send nothing to a server for the time that its refusal names

Cause: the header of a server was not read. Ruled out: the retry policy, which uses another server already.

A closed server helps with no prompt either.

--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps the requests of all daemons to a server within the limit that the server names in its responses, and within the rate that
- * it bears while it is cold.
+ * it bears while it is cold. A server that refused a request of this daemon for some time gets none of its requests until then.
  *
  * Each daemon counts the requests of all daemons, which tell each other of each placement, in a token bucket for each limited
  * server. A limit that one daemon reads is told to the others, so that it binds those that got no response from the server.
@@ -39,6 +39,8 @@
 	}
 
 	readonly #buckets = new Map<string, Bucket>();
+	/** Times until which servers take no requests of this daemon. */
+	readonly #closedUntil = new Map<string, number>();
 	/** Times of the requests of the last second by server, oldest first. */
 	readonly #recentSends = new Map<string, number[]>();
 
@@ -76,6 +78,16 @@
 		return {server, perSecond};
 	}
 
+	/** Records that the server refused a request of this daemon and takes none until `until`. An earlier refusal may have named a later time. */
+	recordClosed(server: string, until: number): void {
+		this.#closedUntil.set(server, Math.max(until, this.#closedUntil.get(server) ?? -Infinity));
+	}
+
+	/** Whether the server takes no requests of this daemon at all. */
+	isClosed(server: string, now: number): boolean {
+		return now < (this.#closedUntil.get(server) ?? -Infinity);
+	}
+
 	/** Applies what another daemon tells. */
 	applyNotice({server, perSecond}: LimitNotice, now: number): void {
 		if (perSecond === undefined) {
@@ -106,12 +118,13 @@
 	 * undefined when it is not.
 	 */
 	waitMs(server: string, coldPerSecond: number | undefined, now: number): number {
-		return Math.max(this.#limitWaitMs(server, now), coldPerSecond === undefined ? 0 : this.#coldWaitMs(server, coldPerSecond, now));
+		const closedMs = Math.ceil((this.#closedUntil.get(server) ?? -Infinity) - now);
+		return Math.max(closedMs, this.#limitWaitMs(server, now), coldPerSecond === undefined ? 0 : this.#coldWaitMs(server, coldPerSecond, now));
 	}
 
 	/** Removes servers that are not in `known`. */
 	retain(known: ReadonlySet<string>): void {
-		for (const servers of [this.#buckets, this.#recentSends]) {
+		for (const servers of [this.#buckets, this.#closedUntil, this.#recentSends]) {
 			for (const server of servers.keys()) {
 				if (!known.has(server)) {
 					servers.delete(server);
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -220,11 +220,15 @@
 				buffers: parts.buffers,
 				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
 				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
-				onMetadata: ({isMisdirected, isLeaving, maxRequestsPerSecond}) => {
+				onMetadata: ({isMisdirected, isLeaving, closedForMs, maxRequestsPerSecond}) => {
 					if (!isMisdirected) {
 						this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
 					}
 
+					if (closedForMs !== undefined) {
+						this.#recordClosed(choice.server, closedForMs, parts.clock());
+					}
+
 					if (isLeaving) {
 						this.#recordLeaving(choice.server, parts.clock());
 					}
@@ -280,6 +284,12 @@
 		}
 	}
 
+	#recordClosed({id, instanceId}: BackendServer, ms: number, now: number): void {
+		const {limits, logger} = this.parts;
+		limits.recordClosed(id, now + ms);
+		logger.info('server_closed', {server: instanceId, ms: Math.round(ms)});
+	}
+
 	/** Other daemons prefer other servers; this one, which has the server's own word, sends it nothing. */
 	#recordLeaving({id, instanceId, isDraining}: BackendServer, now: number): void {
 		const {fleet, loadExchange, logger} = this.parts;
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -47,7 +47,7 @@
 /** Returns the server for the next attempt, or undefined if none can take the request. */
 export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, sends}: EarlierAttempts, now: number): ServerChoice | undefined {
 	const servers = parts.fleet.usableServers(request.service.name, now)
-		.filter(server => !excluded.has(server.id) && isAllowedRegion(parts, request, server));
+		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedRegion(parts, request, server));
 	const id = `${request.id}#${sends}`;
 	const targetMs = request.arrivedAt + request.route.targetLatencyMs - now;
 	const {engine} = request.service;
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -41,6 +41,8 @@
 	readonly isNotExecuted: boolean;
 	/** The address belongs to another server than the intended one. */
 	readonly isMisdirected: boolean;
+	/** Time in ms for which the server, which refused this request, takes no requests of this daemon. */
+	readonly closedForMs: number | undefined;
 	/** The server is about to stop and takes no new requests. */
 	readonly isLeaving: boolean;
 	/** IP:PORT of the server that caused the failure, if it is another one. */
