Let the soak bring the store back from an older copy

Restores overlap with the other faults of a soak; operators and servers write again half a second later.

--- a/testing/soak/fault-plan.ts
+++ b/testing/soak/fault-plan.ts
@@ -6,6 +6,8 @@
 	| {readonly kind: 'kill' | 'pause'; readonly daemon: number; readonly ms: number}
 	| {readonly kind: 'store'; readonly mode: 'busy' | 'silent' | 'reset'; readonly ms: number}
 	| {readonly kind: 'compact'}
+	/** The store is away for `ms` and comes back from a copy that is `ageMs` old. */
+	| {readonly kind: 'restore'; readonly ageMs: number; readonly ms: number}
 	| {readonly kind: 'store_path'; readonly daemon: number; readonly mode: PathMode; readonly ms: number}
 	| {readonly kind: 'server_path'; readonly server: number; readonly mode: PathMode; readonly ms: number}
 	| {readonly kind: 'server_fault'; readonly server: number; readonly fault: ServerFault}
@@ -33,7 +35,7 @@
 const pathModes = ['delay', 'one_way', 'silent', 'reset'] as const;
 const serverFaults = ['break', 'reset', 'mute', 'error', 'foreign', 'unsigned', 'reject'] as const;
 const storeModes = ['busy', 'silent', 'reset'] as const;
-const mixedPhaseKinds = ['kill', 'pause', 'store', 'compact', 'store_path', 'server_path', 'server_fault', 'server_fault', 'crash', 'stop', 'configure', 'leave'] as const;
+const mixedPhaseKinds = ['kill', 'pause', 'store', 'compact', 'restore', 'store_path', 'server_path', 'server_fault', 'server_fault', 'crash', 'stop', 'configure', 'leave'] as const;
 const plannedPhaseKinds = ['stop', 'leave', 'configure'] as const;
 
 export function planFaults(seed: number, durationMs: number): readonly PlannedFault[] {
@@ -52,6 +54,10 @@
 				return {kind, mode: pick(storeModes), ms: drawInRange(FAULT_DURATION_MS)};
 			}
 
+			case 'restore': {
+				return {kind, ageMs: drawInRange(FAULT_DURATION_MS), ms: drawInRange(FAULT_DURATION_MS)};
+			}
+
 			case 'store_path': {
 				return {
 					kind, daemon: drawIndex(), mode: pick(pathModes), ms: drawInRange(FAULT_DURATION_MS),
--- a/testing/soak/run-soak.ts
+++ b/testing/soak/run-soak.ts
@@ -26,6 +26,8 @@
 const RECOVERY_CHECK_MS = 2500;
 /** Time after the last request by which memory has to be free: the 3.5 s lease of a reservation that a killed daemon held, and a margin. */
 const MEMORY_RELEASE_TIMEOUT_MS = 4500;
+/** Time in ms after which operators and servers have written again what a restored store lacks. */
+const REWRITE_MS = 500;
 /** Time that a draining server keeps serving before its registration is removed; also the expiry of a crashed server's registration. */
 const DRAINING_MS = 3500;
 const PATH_DELAY_MS = 120;
@@ -258,6 +260,20 @@
 				break;
 			}
 
+			case 'restore': {
+				this.#runFault(async () => {
+					const copy = fleet.store.copy();
+					await pause(fault.ageMs);
+					fleet.store.setMode('reset');
+					await pause(fault.ms);
+					fleet.store.restore(copy);
+					fleet.store.setMode('serving');
+					await pause(REWRITE_MS);
+					fleet.rewrite(this.#versions.length);
+				});
+				break;
+			}
+
 			case 'store_path': {
 				this.#runFault(async () => applyPathFault(daemon!.options.storeProxy, fault.mode, fault.ms));
 				break;
@@ -350,7 +366,7 @@
 		fleet.register(server);
 		this.#departures.push({server: server.standIn.instance, at: this.#now()});
 		await pause(DRAINING_MS);
-		fleet.store.remove('servers', server.standIn.instance);
+		fleet.unregister(server);
 	}
 
 	/** Closes the connections of a server without notice and adds a new one; its registration is removed later, as on expiry. */
@@ -363,9 +379,10 @@
 		server.isDraining = true;
 		fleet.servers.splice(fleet.servers.indexOf(server), 1);
 		await fleet.addServer(server.service, server.failureDomain);
+		server.hasLeft = true;
 		await server.proxy.close();
 		await pause(DRAINING_MS);
-		fleet.store.remove('servers', server.standIn.instance);
+		fleet.unregister(server);
 	}
 }
 
--- a/testing/soak/soak-fleet.ts
+++ b/testing/soak/soak-fleet.ts
@@ -23,6 +23,8 @@
 	readonly standIn: PlatformServerStandIn;
 	readonly proxy: FaultProxy;
 	isDraining: boolean;
+	/** Whether it no longer writes its registration. */
+	hasLeft: boolean;
 };
 
 export type FleetOptions = {
@@ -74,7 +76,7 @@
 		const standIn = await PlatformServerStandIn.create({instance, ...(service === 'model' ? {events: EVENTS_PER_STREAM, paceMs: EVENT_INTERVAL_MS} : {paceMs: RESPONSE_DELAY_MS})});
 		const proxy = await FaultProxy.create(standIn.address);
 		const server: SoakServer = {
-			service, failureDomain, standIn, proxy, isDraining: false,
+			service, failureDomain, standIn, proxy, isDraining: false, hasLeft: false,
 		};
 		this.servers.push(server);
 		this.allServers.push(server);
@@ -95,6 +97,23 @@
 		});
 	}
 
+	unregister(server: SoakServer): void {
+		server.hasLeft = true;
+		this.store.remove('servers', server.standIn.instance);
+	}
+
+	/** Writes what operators and servers had written again, after the store has come back from an older copy. */
+	rewrite(version: number): void {
+		this.configure(version);
+		for (const server of this.allServers) {
+			if (server.hasLeft) {
+				this.store.remove('servers', server.standIn.instance);
+			} else {
+				this.register(server);
+			}
+		}
+	}
+
 	/** Stores configuration `version`; each version adds one route to those of the version before. */
 	configure(version: number): void {
 		const route = (name: string, kind: string, service: string, overrides: Record<string, unknown> = {}) => ({
