Send a response to its end before its connection is closed as idle

What callers saw: during a planned stop, from 2.8 s on, a client that was still reading a large response found its connection closed in the middle of it.

Cause: closeIdleConnections of Node's HTTP server counts a connection as idle once the response has been ended by the program, also while its bytes wait for the client, and destroys it; close of the HTTP server does the same.

Evidence: the new test failed before: 'expected 3919872 to be greater than 4000000'. Fix: the gateway counts the open responses of each connection itself and closes those that have none and from which nothing has come since, after a turn in which arrived bytes are read.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -187,7 +187,7 @@
 		this.#gateway.stopAccepting();
 		const endAt = startedAt + this.settings.stopGraceMs - EXIT_MARGIN_MS;
 		while (this.#gateway.openRequests > 0 && clock() < endAt) {
-			this.#gateway.closeIdleConnections();
+			await this.#gateway.closeIdleConnections();
 			await pause(DRAIN_POLL_MS);
 		}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
 import {chooseWeighted} from '../util/weighted-choice.js';
+import {ClientConnections} from './client-connections.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
 import {RequestFlow, type FlowParts, type FlowResult} from './request-flow.js';
@@ -40,6 +41,7 @@
 	}
 
 	readonly #server: Server;
+	readonly #connections: ClientConnections;
 	readonly #bodies: BodyReader;
 	#phase: GatewayPhase = 'serving';
 	#openRequests = 0;
@@ -52,6 +54,7 @@
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
 			void this.#handle(req, res);
 		});
+		this.#connections = ClientConnections.create(this.#server);
 	}
 
 	/** Number of requests without a complete response. */
@@ -81,13 +84,12 @@
 		this.#phase = 'refusing';
 	}
 
-	closeIdleConnections(): void {
-		this.#server.closeIdleConnections();
+	async closeIdleConnections(): Promise<void> {
+		await this.#connections.closeIdle();
 	}
 
 	close(): void {
-		this.#server.close();
-		this.#server.closeAllConnections();
+		this.#connections.close();
 	}
 
 	async #listen(address: string): Promise<void> {
@@ -98,6 +100,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {parts} = this;
 		const arrivedAt = parts.clock();
+		this.#connections.startRequest(req, res);
 		this.#openRequests++;
 		res.on('close', () => {
 			this.#openRequests--;
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -47,6 +47,8 @@
 	readonly events?: number;
 	/** Delay in ms before the response to a call and after each event. */
 	readonly paceMs?: number;
+	/** Size of the body of a call in bytes. When undefined, the body is a short text. */
+	readonly bodyBytes?: number;
 	/** Requests per second that the server names in its responses. */
 	readonly limitPerSecond?: number;
 	/** Ids of prompt parts on which the server crashes when it begins to write: it closes all connections without a response. */
@@ -202,7 +204,7 @@
 			delete headers['fireflyport-response-seal'];
 		}
 
-		res.writeHead(status, headers).end(`${this.instance} answered`);
+		res.writeHead(status, headers).end(this.options.bodyBytes === undefined ? `${this.instance} answered` : 'x'.repeat(this.options.bodyBytes));
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
--- /dev/null
+++ b/tests/client-connections.test.ts
@@ -0,0 +1,79 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {GatewayFixture, platformConfiguration} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
+import {RawConnection, rawRequest} from './fixtures/raw-connection.js';
+
+/** More than the buffers of a loopback connection hold, so that a client that does not read stops the response midway. */
+const LARGE_RESPONSE_BYTES = 4_000_000;
+/** Time in ms after the start of a drain at which new requests are refused and idle connections are closed. */
+const DRAIN_LAG_MS = 2800;
+
+let fixture: GatewayFixture;
+const connections: RawConnection[] = [];
+
+beforeEach(async () => {
+	fixture = await GatewayFixture.create();
+	fixture.store.put('config', 'main', platformConfiguration(3));
+	await fixture.start();
+	await fixture.waitForLog('event=configuration');
+});
+
+afterEach(async () => {
+	for (const connection of connections.splice(0)) {
+		connection.close();
+	}
+
+	await fixture.close();
+});
+
+async function openConnection(): Promise<RawConnection> {
+	const connection = await RawConnection.open(fixture.ports.port);
+	connections.push(connection);
+	return connection;
+}
+
+describe('connections of clients', () => {
+	it('should deliver a response that a slow client is still reading when idle connections are closed', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1', bodyBytes: LARGE_RESPONSE_BYTES});
+		const slow = await fixture.addServer('model', {instance: 'e-1', events: 80, paceMs: 40});
+		await fixture.waitForLog('server=i-1');
+		await fixture.waitForLog('server=e-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'large'));
+		await waitUntil(() => server.arrivals.length === 1);
+		connection.socket.pause();
+		const drained = fixture.daemon.drain();
+		await delay(DRAIN_LAG_MS - 1500);
+		void fixture.send('/once/x');
+		await waitUntil(() => slow.arrivals.length === 1);
+		await delay(1500 + 300);
+		connection.socket.resume();
+		await connection.waitForClose();
+		await drained;
+		expect(connection.text.length).toBeGreaterThan(LARGE_RESPONSE_BYTES);
+	});
+
+	it('should forward a request that offers an upgrade, without it', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1'});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'upgrading', {headers: {connection: 'upgrade', upgrade: 'websocket'}}));
+		await connection.waitForText('i-1 answered');
+		expect(connection.statuses).toEqual([200]);
+		expect(server.arrivals[0]!.headers.upgrade).toBeUndefined();
+	});
+
+	it('should read a body that waits for 100 Continue', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1'});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'expecting', {headers: {expect: '100-continue', 'content-length': '4'}}));
+		await connection.waitForText('100 Continue');
+		connection.write('body');
+		await connection.waitForText('i-1 answered');
+		expect(server.arrivals[0]!.body).toBe('body');
+	});
+});
