Do not answer a request with the error of the bytes behind it

What callers saw: a request that was being run got the answer 400 when bytes that are no HTTP followed it on its connection. With a head that is not completed in time it would have been 408, which promises that it has not run. CONNECT got no answer.

Cause: the default handler of client errors writes its answer as long as the open response has written nothing.

Evidence: the new tests failed before: 'expected [ 400 ] to deeply equal [ 200 ]' and, for CONNECT, 'expected [] to deeply equal [ 400 ]'. Fix: with a whole request open, the connection closes after its response. The 408 goes through the same handler; it has no test of its own, as Node looks for late heads every 30 s only. Upgrade and Expect were right before; their tests stay.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -12,13 +12,29 @@
 	open: number;
 	/** Starts the requests that wait for an earlier one of the connection, or drops them. */
 	readonly waiting: Array<(turn: Turn) => void>;
+	lastRequest: IncomingMessage | undefined;
+	/** The response to `lastRequest` while that is open. */
+	lastResponse: ServerResponse | undefined;
 	/** Bytes received by the end of the last response. */
 	bytesAtLastResponse: number | undefined;
+	/** No further request is read from the connection, which closes after the last response. */
+	isClosing: boolean;
 };
 
 /** `dropped`: the connection has closed, or closes after the response before; the request is not passed on. */
 export type Turn = 'started' | 'dropped';
 
+const BAD_REQUEST_STATUS_LINE = '400 Bad Request';
+
+/** Status lines for errors of Node's HTTP parser, which reports them before there is a request. */
+const STATUS_LINES: Readonly<Record<string, string>> = {
+
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+
+};
+
 export class ClientConnections {
 	static create(server: Server): ClientConnections {
 		return new ClientConnections(server);
@@ -30,6 +46,12 @@
 		server.on('connection', socket => {
 			this.#add(socket);
 		});
+		server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+			this.#refuseBytes(socket as Socket, STATUS_LINES[err.code ?? ''] ?? BAD_REQUEST_STATUS_LINE);
+		});
+		server.on('connect', (_req, socket) => {
+			this.#refuseBytes(socket as Socket, BAD_REQUEST_STATUS_LINE);
+		});
 	}
 
 	/** Resolves when the earlier requests of the connection have their responses. To be called once for each request. */
@@ -39,8 +61,14 @@
 			return 'dropped';
 		}
 
+		connection.lastRequest = req;
+		connection.lastResponse = res;
 		connection.open++;
 		res.once('close', () => {
+			if (connection.lastResponse === res) {
+				connection.lastResponse = undefined;
+			}
+
 			this.#endRequest(connection);
 		});
 		return connection.open === 1
@@ -76,7 +104,7 @@
 
 	#add(socket: Socket): void {
 		const connection: ClientConnection = {
-			socket, open: 0, waiting: [], bytesAtLastResponse: undefined,
+			socket, open: 0, waiting: [], lastRequest: undefined, lastResponse: undefined, bytesAtLastResponse: undefined, isClosing: false,
 		};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
@@ -91,7 +119,25 @@
 		const {socket, waiting} = connection;
 		connection.open--;
 		connection.bytesAtLastResponse = socket.bytesRead;
+		if (connection.isClosing) {
+			socket.destroySoon();
+		}
+
 		// The socket is no longer writable if the response announced that the connection closes.
 		waiting.shift()?.(socket.writable ? 'started' : 'dropped');
 	}
+
+	/** Answers bytes that are no request, unless the client would take the answer for the one to an open request. */
+	#refuseBytes(socket: Socket, statusLine: string): void {
+		const connection = this.#connections.get(socket);
+		const isWithinBody = connection?.lastRequest?.complete === false;
+		if (socket.readableEnded) {
+			socket.destroy();
+		} else if (connection && connection.open > (isWithinBody ? 1 : 0)) {
+			connection.isClosing = true;
+		} else if (socket.writable && !connection?.lastResponse?.headersSent) {
+			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			socket.destroySoon();
+		}
+	}
 }
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -93,6 +93,24 @@
 		expect(server.arrivals.map(({body}) => body)).toEqual(['body of one', 'body of two', 'body of three']);
 	});
 
+	it('should not answer a request that is being run with the error of the bytes that follow it', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1', paceMs: 300});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'whole'));
+		await waitUntil(() => server.arrivals.length === 1);
+		connection.write('NOT HTTP\r\n\r\n');
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([200]);
+	});
+
+	it('should answer a CONNECT request', async () => {
+		const connection = await openConnection();
+		connection.write(rawRequest('desk.example:443', 'tunnel', {method: 'CONNECT'}));
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([400]);
+	});
+
 	it('should forward a request that offers an upgrade, without it', async () => {
 		const server = await fixture.addServer('desk', {instance: 'i-1'});
 		await fixture.waitForLog('server=i-1');
