Keep a connection open for the time that its response announced

What callers saw: a kept connection was closed earlier than its Keep-Alive field had said.

Cause: Node announces the idle timeout when a response is created and applies the one of the moment at which it ends; a configuration with a shorter one may come between.

Evidence: the new test failed before: 'expected true to be false' (closed within 2 s where 15 s were announced). Fix: the announced time is set once the response has ended. Limits out of range are now rounded to what Node's timers take; requests were served with all of them before, one with a warning of Node, so their tests passed already.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -61,6 +61,7 @@
 			return 'dropped';
 		}
 
+		this.#keepOpenAsAnnounced(connection, res);
 		connection.lastRequest = req;
 		connection.lastResponse = res;
 		connection.open++;
@@ -140,4 +141,14 @@
 			socket.destroySoon();
 		}
 	}
+
+	/** A new configuration may shorten the idle timeout after a response has announced a longer one. */
+	#keepOpenAsAnnounced(connection: ClientConnection, res: ServerResponse): void {
+		const announcedMs = this.server.keepAliveTimeout;
+		res.once('finish', () => {
+			if (this.server.keepAliveTimeout < announcedMs && connection.open === 1) {
+				connection.socket.setTimeout(announcedMs);
+			}
+		});
+	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,12 @@
 /** Length of the accept queue: the number of connections that the clients of a failure domain may open at once. */
 const ACCEPT_BACKLOG = 1024;
 
+/** Longest time in ms that a timer of Node takes. */
+const MAX_TIMER_MS = 2_147_483_647;
+
+/** The nearest time that Node's HTTP server accepts: 0 would turn its timeout off. */
+const toTimerMs = (ms: number): number => Math.min(MAX_TIMER_MS, Math.max(1, Math.ceil(ms)));
+
 /** `serving`; `leaving`: serves, but closes each connection after the response; `refusing`: rejects new requests. */
 export type GatewayPhase = 'serving' | 'leaving' | 'refusing';
 
@@ -71,8 +77,8 @@
 	applyLimits(): void {
 		const limits = this.parts.routeTable()?.configuration.limits;
 		if (limits) {
-			this.#server.headersTimeout = limits.headerTimeoutMs;
-			this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+			this.#server.headersTimeout = toTimerMs(limits.headerTimeoutMs);
+			this.#server.keepAliveTimeout = toTimerMs(limits.idleTimeoutMs);
 		}
 	}
 
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -132,3 +132,39 @@
 		expect(server.arrivals[0]!.body).toBe('body');
 	});
 });
+
+describe('limits of a new configuration', () => {
+	const putLimits = async (version: number, limits: Record<string, number>): Promise<void> => {
+		fixture.store.put('config', 'main', platformConfiguration(version, {
+			limits: {
+				'max-body-bytes': 1_000_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000, ...limits,
+			},
+		}));
+		await fixture.waitForLog(`event=configuration version=${version}`);
+	};
+
+	it('should keep a connection open for the time that the response announced, also when a configuration shortens it meanwhile', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1', paceMs: 600});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'first'));
+		await waitUntil(() => server.arrivals.length === 1);
+		await putLimits(4, {'idle-timeout-ms': 100});
+		await connection.waitForText('i-1 answered');
+		expect(connection.text).toContain('timeout=15');
+		await delay(2000);
+		expect(connection.isClosed).toBe(false);
+	});
+
+	it.each([
+		['idle-timeout-ms', 0.25], ['idle-timeout-ms', 1e300], ['header-timeout-ms', 0.25], ['header-timeout-ms', 1e300], ['header-timeout-ms', 4_294_967_296],
+	])('should serve with %s out of range: %d', async (limit, value) => {
+		await fixture.addServer('desk', {instance: 'i-1', paceMs: 10});
+		await fixture.waitForLog('server=i-1');
+		await putLimits(4, {[limit]: value});
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'one'));
+		await connection.waitForText('i-1 answered');
+		expect(connection.statuses).toEqual([200]);
+	});
+});
