Give each request one owner of its answer, which can be stopped from outside

The answer is 503 with not_run only if no connection to a server was opened for the request, otherwise 502 (shutdown) or 504 (overdue) with ran unknown; a begun stream is broken off. run() resolves once, from whichever end comes first, and nothing is sent afterwards.

The deadline now belongs to the request instead of each attempt, so a request also ends in time while it waits for memory. A request whose connection was still being opened at its deadline is refused as not run, since nothing was sent; it was reported as unknown.

Attempt is started as an object, so that its owner can ask whether a server may run the request and can abort it.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -49,6 +49,8 @@
 
 /** A running exchange. `abort` closes its connection; the handler is then called with `aborted`, once. */
 export type Exchange = {
+	/** Whether a connection was opened, so that the backend server may have received the request. */
+	readonly isConnected: boolean;
 	abort(): void;
 	/** Pauses and resumes reading from the backend server. */
 	pause(): void;
@@ -59,12 +61,14 @@
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
 	let isEnded = false;
 	let connectionError: Error | undefined;
+	let isConnected = false;
 	let isDisconnected = false;
 	let bodyBytes = 0;
 	const client = new Client(`http://${req.address}`, {
 		connect: createCheckedConnector(() => undefined, {
 			timeoutMs: connectTimeoutMs,
 			onOpen(socket) {
+				isConnected = true;
 				watchReset(socket, err => {
 					connectionError = err;
 					isDisconnected = true;
@@ -124,6 +128,9 @@
 		},
 	});
 	return {
+		get isConnected() {
+			return isConnected;
+		},
 		abort() {
 			end({kind: 'aborted'});
 		},
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -70,8 +70,6 @@
 	readonly buffers: ResponseBuffers;
 	/** Time in ms without a new event after which the attempt is aborted if `canRetry` allows it. */
 	readonly silenceTimeoutMs: number;
-	/** Aborted when the client disconnects. */
-	readonly signal: AbortSignal;
 	/** Whether another attempt is possible. */
 	canRetry(): boolean;
 	/** Called with the metadata of the response head. */
@@ -105,29 +103,48 @@
 
 const OK_STATUS = 200;
 
-/** Runs one attempt until it ends. */
-export async function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
-	return new Promise(resolve => {
-		new Attempt(options, resolve).start();
-	});
-}
+/** One running attempt. It has no deadline of its own: the request aborts it. */
+export class Attempt {
+	static start(options: AttemptOptions): Attempt {
+		const attempt = new Attempt(options);
+		attempt.#start();
+		return attempt;
+	}
 
-class Attempt {
+	/** Resolves when the attempt has ended. */
+	readonly result: Promise<AttemptResult>;
+	#resolve!: (result: AttemptResult) => void;
 	#phase: Phase = {kind: 'waiting'};
-	#exchange!: Exchange;
+	#exchange: Exchange | undefined;
 	#silenceTimer: NodeJS.Timeout | undefined;
-	#deadlineTimer: NodeJS.Timeout | undefined;
-	#isFinished = false;
+	#finished: AttemptResult | undefined;
 	#events = 0;
 	#isPaused = false;
 
-	constructor(private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
+	private constructor(private readonly options: AttemptOptions) {
+		this.result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+	}
+
+	/** Whether the backend server may have run the request, as far as is known now. */
+	get mayHaveRun(): boolean {
+		return this.#finished?.mayHaveRun ?? this.#exchange?.isConnected ?? false;
+	}
+
+	/** Ends the attempt because its request has ended. Does nothing if the attempt has ended. */
+	abort(reason: 'request_ended' | 'expired'): void {
+		const {mayHaveRun} = this;
+		this.#abort({
+			outcome: reason === 'expired' ? {kind: 'expired', wasSent: mayHaveRun} : {kind: 'aborted'}, mayHaveRun, isUnsent: !mayHaveRun,
+		});
+	}
 
-	start(): void {
-		const {request, signal, clock} = this.options;
+	#start(): void {
+		const {request, clock} = this.options;
 		const timeLeftMs = request.deadline - clock();
-		if (signal.aborted || timeLeftMs <= 0) {
-			this.#finish({outcome: signal.aborted ? {kind: 'left'} : {kind: 'expired', wasSent: false}, mayHaveRun: false});
+		if (timeLeftMs <= 0) {
+			this.#finish({outcome: {kind: 'expired', wasSent: false}, mayHaveRun: false, isUnsent: true});
 			return;
 		}
 
@@ -142,10 +159,6 @@
 				this.#finish(this.#resultOf(end));
 			},
 		}, Math.min(CONNECT_TIMEOUT_MS, timeLeftMs));
-		signal.addEventListener('abort', this.#onDisconnect);
-		this.#deadlineTimer = setTimeout(() => {
-			this.#abort({outcome: {kind: 'expired', wasSent: true}, mayHaveRun: true});
-		}, timeLeftMs);
 		this.#restartSilenceTimer();
 	}
 
@@ -215,7 +228,7 @@
 
 	#onData(chunk: Uint8Array): void {
 		const phase = this.#phase;
-		if (this.#isFinished) {
+		if (this.#finished) {
 			return;
 		}
 
@@ -235,7 +248,7 @@
 		phase.stalledBytes += chunk.length;
 		for (const event of phase.splitter.push(chunk)) {
 			this.#relayEvent(phase, event);
-			if (this.#isFinished) {
+			if (this.#finished) {
 				return;
 			}
 		}
@@ -284,13 +297,13 @@
 		}
 
 		this.#isPaused = true;
-		this.#exchange.pause();
+		this.#exchange?.pause();
 		// The client is slow, not the server.
 		clearTimeout(this.#silenceTimer);
 		sink.onceDrained(() => {
 			this.#isPaused = false;
-			if (!this.#isFinished) {
-				this.#exchange.resume();
+			if (!this.#finished) {
+				this.#exchange?.resume();
 				this.#restartSilenceTimer();
 			}
 		});
@@ -313,7 +326,7 @@
 			}
 
 			case 'aborted': {
-				return {outcome: {kind: 'left'}, mayHaveRun: true};
+				return {outcome: {kind: 'aborted'}, mayHaveRun: true};
 			}
 		}
 	}
@@ -354,31 +367,27 @@
 		}, this.options.silenceTimeoutMs);
 	}
 
-	readonly #onDisconnect = (): void => {
-		this.#abort({outcome: {kind: 'left'}, mayHaveRun: true});
-	};
-
 	#abortBroken(reason: string): void {
 		this.#abort({outcome: {kind: 'broken', reason}, mayHaveRun: true});
 	}
 
 	#abort(result: AttemptResult): void {
 		this.#finish(result);
-		this.#exchange.abort();
+		this.#exchange?.abort();
 	}
 
 	#finish(result: AttemptResult): void {
-		if (!this.#isFinished) {
-			this.#isFinished = true;
-			clearTimeout(this.#silenceTimer);
-			clearTimeout(this.#deadlineTimer);
-			this.options.signal.removeEventListener('abort', this.#onDisconnect);
-			if (this.#phase.kind !== 'waiting' && !result.response) {
-				this.#phase.account.close();
-			}
+		if (this.#finished) {
+			return;
+		}
 
-			this.resolve({...result, events: this.#events});
+		this.#finished = {...result, events: this.#events};
+		clearTimeout(this.#silenceTimer);
+		if (this.#phase.kind !== 'waiting' && !result.response) {
+			this.#phase.account.close();
 		}
+
+		this.#resolve(this.#finished);
 	}
 }
 
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -8,9 +8,7 @@
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
-import {
-	runAttempt, type BufferedResponse, type AttemptResult,
-} from './attempt.js';
+import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
@@ -39,9 +37,12 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
+/** Status in logs of a request whose client has disconnected. */
+const CLIENT_LEFT_STATUS = 499;
+
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
-	readonly loadExchange: LoadExchange;
+	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
 	/** Memory of responses, shared by all requests of this daemon. */
@@ -64,6 +65,9 @@
 	readonly failure?: Failure;
 };
 
+/** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
+export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
+
 export class RequestFlow {
 	static create(parts: FlowParts, request: GatewayRequest): RequestFlow {
 		return new RequestFlow(parts, request);
@@ -71,57 +75,141 @@
 
 	readonly #excluded = new Set<string>();
 	readonly #response: ClientResponse;
+	readonly #result: Promise<FlowResult>;
+	#resolve!: (result: FlowResult) => void;
+	#isEnded = false;
+	#deadlineTimer: NodeJS.Timeout | undefined;
+	#running: Attempt | undefined;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
 		this.#response = ClientResponse.create(request, parts.clock);
+		this.#result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
 	}
 
+	/** Resolves when the response has been handed to the client's connection, or the client has disconnected. */
 	async run(): Promise<FlowResult> {
+		const {parts: {clock}, request} = this;
+		const {signal} = this.#response;
+		signal.addEventListener('abort', () => {
+			this.#leave();
+		}, {once: true});
+		if (signal.aborted) {
+			this.#leave();
+		} else {
+			this.#deadlineTimer = setTimeout(() => {
+				this.stop({kind: 'overdue'}, clock());
+			}, request.deadline - clock());
+			void this.#runAttempts();
+		}
+
+		return this.#result;
+	}
+
+	/**
+	 * Ends the request at once with a failure, or breaks its stream off if that has begun. `run` resolves with it. Does nothing if the
+	 * request has ended.
+	 */
+	stop(reason: StopReason, now: number): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
+		const running = this.#running;
+		if (reason.kind === 'shutdown') {
+			this.#response.closeConnection();
+		}
+
+		this.#fail(failure({
+			...stopFailure(reason, ran),
+			ran,
+			step: 'send',
+			retryAfterMs: ran === 'not_run' ? this.#retryAdviceMs({kind: reason.kind === 'shutdown' ? 'shutdown' : 'full'}, now) : undefined,
+		}));
+		running?.abort(reason.kind === 'overdue' ? 'expired' : 'request_ended');
+	}
+
+	/** Whether a backend server may have run the request, or may do so from what was sent. */
+	get #mayHaveRun(): boolean {
+		return this.#runs > 0 || (this.#running?.mayHaveRun ?? false);
+	}
+
+	#leave(): void {
+		const running = this.#running;
+		this.#end({
+			outcome: 'left', status: CLIENT_LEFT_STATUS, sends: this.#sends, ...this.#response.timing,
+		});
+		running?.abort('request_ended');
+	}
+
+	#end(result: FlowResult): void {
+		if (!this.#isEnded) {
+			this.#isEnded = true;
+			clearTimeout(this.#deadlineTimer);
+			this.#resolve(result);
+		}
+	}
+
+	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
-		for (;;) {
+		while (!this.#isEnded) {
 			const now = parts.clock();
 			const choice = this.#choose(now);
 			if (choice.kind === 'refused') {
-				return this.#fail(choice.failure);
+				this.#fail(choice.failure);
+				return;
 			}
 
 			const result = await this.#attempt(choice.choice, now);
-			const next = nextStep(result.outcome, this.#retryState(parts.clock()));
-			if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'left') {
-				this.#recordAttempt(choice.choice, result, next.kind);
-			}
+			this.#continueAfter(choice.choice, result);
+		}
+	}
 
-			if (next.kind !== 'deliver') {
-				result.response?.account.close();
-			}
+	/** Records an attempt, and ends the request unless another attempt follows. */
+	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
+		const next = nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
+			this.#recordAttempt(choice, result, next.kind);
+		}
 
-			switch (next.kind) {
-				case 'repeat': {
-					continue;
-				}
+		if (next.kind !== 'deliver' || this.#isEnded) {
+			result.response?.account.close();
+		}
 
-				case 'finished': {
-					return this.#finish(result.outcome.kind === 'left' ? 'left' : 'delivered');
-				}
+		if (this.#isEnded) {
+			return;
+		}
 
-				case 'deliver': {
-					return this.#deliver(result.response!);
-				}
+		switch (next.kind) {
+			case 'repeat': {
+				return;
+			}
 
-				case 'fail': {
-					return this.#fail(failure({
-						code: failureCode(next),
-						message: next.reason,
-						ran: next.ran,
-						step: 'send',
-						peer: choice.choice.server.instanceId,
-						retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, parts.clock()) : undefined,
-					}));
-				}
+			case 'finished': {
+				this.#finish();
+				return;
+			}
+
+			case 'deliver': {
+				this.#deliver(result.response!);
+				return;
+			}
+
+			case 'fail': {
+				this.#fail(failure({
+					code: failureCode(next),
+					message: next.reason,
+					ran: next.ran,
+					step: 'send',
+					peer: choice.server.instanceId,
+					retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, this.parts.clock()) : undefined,
+				}));
 			}
 		}
 	}
@@ -210,7 +298,11 @@
 				memory = acquired.reservation;
 			}
 
-			const result = await runAttempt({
+			if (this.#isEnded) {
+				return {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true};
+			}
+
+			this.#running = Attempt.start({
 				memory,
 				wire: parts.wire,
 				clock: parts.clock,
@@ -242,8 +334,9 @@
 						parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
 					}
 				},
-				signal: this.#response.signal,
 			});
+			const result = await this.#running.result;
+			this.#running = undefined;
 			this.#runs += result.mayHaveRun ? 1 : 0;
 			this.#receivedSends += result.isUnsent ? 0 : 1;
 			this.#reportPrompt(choice, result, parts.clock());
@@ -354,26 +447,35 @@
 		}
 	}
 
-	#finish(outcome: 'delivered' | 'left'): FlowResult {
-		if (outcome === 'delivered') {
-			this.#response.end();
-		}
-
-		return {
-			outcome, status: outcome === 'delivered' ? 200 : 499, sends: this.#sends, ...this.#response.timing,
-		};
+	#finish(): void {
+		this.#response.end();
+		this.#end({
+			outcome: 'delivered', status: 200, sends: this.#sends, ...this.#response.timing,
+		});
 	}
 
-	#deliver(response: BufferedResponse): FlowResult {
+	#deliver(response: BufferedResponse): void {
 		this.#response.sendBuffered(response);
-		return {outcome: 'answered', status: response.status, sends: this.#sends};
+		this.#end({outcome: 'answered', status: response.status, sends: this.#sends});
 	}
 
-	#fail(failed: Failure): FlowResult {
+	#fail(failed: Failure): void {
 		const status = this.#response.fail(failed, this.parts.wire.formatRetryAfter);
-		return {
+		this.#end({
 			outcome: 'failed', status, sends: this.#sends, ...this.#response.timing, failure: failed,
-		};
+		});
+	}
+}
+
+function stopFailure(reason: StopReason, ran: 'not_run' | 'unknown'): {readonly code: FailureCode; readonly message: string} {
+	switch (reason.kind) {
+		case 'shutdown': {
+			return {code: ran === 'not_run' ? 'draining' : 'backend_failed', message: 'this daemon is shutting down'};
+		}
+
+		case 'overdue': {
+			return {code: ran === 'not_run' ? 'no_capacity' : 'deadline_exceeded', message: 'the deadline of the request has passed'};
+		}
 	}
 }
 
--- a/src/gateway/retry-advice.ts
+++ b/src/gateway/retry-advice.ts
@@ -8,6 +8,8 @@
 
 /** A typical response ends and frees a slot in this time, in ms. */
 const SLOT_TIME_MS = 700;
+/** Another daemon can serve the request at once. */
+const OTHER_DAEMON_MS = 200;
 /** Registrations of restarted servers need about this time in ms. */
 const REGISTRATION_MS = 2000;
 /** Clients honour advice up to this share of the time that they have left. */
@@ -17,6 +19,8 @@
 
 /** Why a request that has not run is refused. */
 export type RefusalCause =
+	/** This daemon is shutting down. */
+	| {readonly kind: 'shutdown'}
 	/** No usable server is registered. */
 	| {readonly kind: 'no_server'}
 	/** All servers have got as many requests as they take, and one takes the next in `waitMs`. */
@@ -34,6 +38,10 @@
 
 function earliestMs(cause: RefusalCause): number {
 	switch (cause.kind) {
+		case 'shutdown': {
+			return OTHER_DAEMON_MS;
+		}
+
 		case 'no_server': {
 			return REGISTRATION_MS;
 		}
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -13,8 +13,8 @@
 	| {readonly kind: 'broken'; readonly reason: string}
 	/** The deadline has passed. `wasSent` is true if anything was sent to a backend server. */
 	| {readonly kind: 'expired'; readonly wasSent: boolean}
-	/** The client has disconnected. */
-	| {readonly kind: 'left'};
+	/** The request has ended otherwise, for example because its client has disconnected. */
+	| {readonly kind: 'aborted'};
 
 /** State of a request after an attempt. */
 export type RetryState = {
@@ -55,7 +55,7 @@
 export function nextStep(outcome: AttemptOutcome, state: RetryState): NextStep {
 	switch (outcome.kind) {
 		case 'delivered':
-		case 'left': {
+		case 'aborted': {
 			return {kind: 'finished'};
 		}
 
