Answer every request that is open at the end of a planned stop

What callers saw: a call that may not be repeated, taken 2.5 s after SIGTERM with 5 s of grace and running 2.8 s, had its connection closed with no answer. So had calls that were running when the stop began, and requests whose bodies were still coming.

Cause: everything was taken in the first 2.8 s, whatever time it needed; then all was refused; and at the end close() destroyed the connections of what was left. With a grace below 2.8 s the process would have been killed while it waited for the balancer.

Fix: stop-policy.ts plans the moments of the stop from the grace and decides on each late request from the time left, its timeout, the longest of the last requests on its route (else its target) and whether it may be repeated. What is taken has no more time than is left, and the server gets that deadline. No stream is begun after the balancer has reacted unless its whole timeout fits, since a begun stream can't be given a final response. In the last sixth of the grace each open request gets its answer: 503 where nothing was sent, otherwise 502 or 504, and a begun stream is broken off; the process exits when the answers are sent.

Evidence: of the new tests in planned-stop.test.ts these failed before: "should answer a call that is still running" and "should answer a call that began before the stop" with 'SocketError: other side closed', "should refuse a request whose body is still being read" with 'expected [] to deeply equal [ 503 ]', "should serve late calls that fit" with 'connect ECONNREFUSED' (the daemon had ended by then). The tests of a begun stream and of a store that does not answer passed before.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -29,11 +29,8 @@
 import {Gateway} from './gateway.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import type {PlatformAdapter} from './platform-adapter.js';
+import {planStop} from './stop-policy.js';
 
-/** The balancer stops sending new connections after two failed checks, one per second; the rest is a margin. */
-const BALANCER_LAG_MS = 2800;
-/** Time in ms before SIGKILL at which the process exits by itself. */
-const EXIT_MARGIN_MS = 300;
 const DRAIN_POLL_MS = 50;
 /** Longest wait in ms for the list of daemons, which names the relay to read from, before the store is read directly. */
 const MAX_DISCOVERY_WAIT_MS = 150;
@@ -177,18 +174,25 @@
 		return this.parts.loadExchange.ownPlacements;
 	}
 
-	/** Fails readiness checks, serves until the balancer has reacted, then waits for open requests up to the time limit. */
+	/**
+	 * Fails readiness checks, serves until the balancer has reacted, then waits for open requests up to the time limit, and
+	 * gives those that remain their final responses.
+	 */
 	async drain(): Promise<void> {
 		const {clock, logger} = this.dependencies;
 		const startedAt = clock();
+		const plan = planStop(this.settings.stopGraceMs, startedAt);
 		logger.info('draining', {open_requests: this.#gateway.openRequests});
-		this.#gateway.startDraining();
-		await pause(BALANCER_LAG_MS);
-		this.#gateway.stopAccepting();
-		const endAt = startedAt + this.settings.stopGraceMs - EXIT_MARGIN_MS;
-		while (this.#gateway.openRequests > 0 && clock() < endAt) {
+		this.#gateway.startStopping(plan);
+		await pause(plan.balancedUntil - startedAt);
+		while (this.#gateway.openRequests > 0 && clock() < plan.answersAt) {
 			await this.#gateway.closeIdleConnections();
-			await pause(DRAIN_POLL_MS);
+			await pause(Math.min(DRAIN_POLL_MS, plan.answersAt - clock()));
+		}
+
+		await this.#gateway.endRequests();
+		while (this.#gateway.openRequests > 0 && clock() < plan.exitAt) {
+			await pause(Math.min(DRAIN_POLL_MS, plan.exitAt - clock()));
 		}
 
 		logger.info('drained', {open_requests: this.#gateway.openRequests, ms: Math.round(clock() - startedAt)});
@@ -291,7 +295,7 @@
 				this.#registry?.recheck(era);
 			},
 			onConfiguration: () => {
-				this.#gateway.applyLimits();
+				this.#gateway.applyConfiguration();
 			},
 		});
 		logger.info('started', {listen: settings.listen, failure_domain: settings.failureDomain});
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -33,6 +33,10 @@
 		name: 'fireflyport_refusals_total', help: 'Requests refused before a server was chosen, by code', labelNames: ['code'], registers: [this.#registry],
 	});
 
+	readonly #endedByStop = new Counter({
+		name: 'fireflyport_requests_ended_by_stop_total', help: 'Requests without a response at the end of a planned stop', labelNames: ['phase', 'sent'], registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'fireflyport_store_calls_total', help: 'Calls of this daemon to the store', labelNames: ['kind', 'operation', 'result'], registers: [this.#registry],
 	});
@@ -58,6 +62,10 @@
 		this.#refusals.inc({code});
 	}
 
+	countEndedByStop(phase: string, isSent: boolean): void {
+		this.#endedByStop.inc({phase, sent: String(isSent)});
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,8 +10,12 @@
 import {ClientConnections} from './client-connections.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
+import {describeOpenRequest, type OpenRequest} from './open-request.js';
 import {RequestFlow, type FlowParts, type FlowResult} from './request-flow.js';
+import {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
+import type {Route} from './serving-configuration.js';
+import {isTakenDuringStop, type StopPlan} from './stop-policy.js';
 
 /** Retry advice while a daemon has no configuration yet or is draining. Another daemon can serve the request. */
 const OTHER_DAEMON_RETRY_MS = 200;
@@ -28,8 +32,11 @@
 /** The nearest time that Node's HTTP server accepts: 0 would turn its timeout off. */
 const toTimerMs = (ms: number): number => Math.min(MAX_TIMER_MS, Math.max(1, Math.ceil(ms)));
 
-/** `serving`; `leaving`: serves, but closes each connection after the response; `refusing`: rejects new requests. */
-export type GatewayPhase = 'serving' | 'leaving' | 'refusing';
+/** `stopping`: serves what fits into the time left, and closes each connection after the response; `stopped`: rejects new requests. */
+type GatewayPhase =
+	| {readonly kind: 'serving'}
+	| {readonly kind: 'stopping'; readonly plan: StopPlan}
+	| {readonly kind: 'stopped'};
 
 export type GatewayParts = FlowParts & {
 	readonly metrics: GatewayMetrics;
@@ -49,8 +56,9 @@
 	readonly #server: Server;
 	readonly #connections: ClientConnections;
 	readonly #bodies: BodyReader;
-	#phase: GatewayPhase = 'serving';
-	#openRequests = 0;
+	readonly #openRequests = new Set<OpenRequest>();
+	readonly #durations = RouteDurations.create();
+	#phase: GatewayPhase = {kind: 'serving'};
 
 	private constructor(private readonly parts: GatewayParts) {
 		this.#bodies = BodyReader.create({
@@ -65,36 +73,67 @@
 
 	/** Number of requests without a complete response. */
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#openRequests.size;
 	}
 
 	/** Whether the balancer should send new connections to this daemon. */
 	get isReady(): boolean {
-		return this.#phase === 'serving' && this.parts.routeTable() !== undefined;
+		return this.#phase.kind === 'serving' && this.parts.routeTable() !== undefined;
 	}
 
 	/** Applies the client limits of a new configuration. */
-	applyLimits(): void {
-		const limits = this.parts.routeTable()?.configuration.limits;
-		if (limits) {
-			this.#server.headersTimeout = toTimerMs(limits.headerTimeoutMs);
-			this.#server.keepAliveTimeout = toTimerMs(limits.idleTimeoutMs);
+	applyConfiguration(): void {
+		const configuration = this.parts.routeTable()?.configuration;
+		if (configuration) {
+			this.#server.headersTimeout = toTimerMs(configuration.limits.headerTimeoutMs);
+			this.#server.keepAliveTimeout = toTimerMs(configuration.limits.idleTimeoutMs);
+			this.#durations.keepOnly(new Set(configuration.routes.map(({name}) => name)));
 		}
 	}
 
-	startDraining(): void {
-		this.#phase = 'leaving';
+	startStopping(plan: StopPlan): void {
+		this.#phase = {kind: 'stopping', plan};
 	}
 
-	stopAccepting(): void {
-		this.#phase = 'refusing';
+	async closeIdleConnections(): Promise<void> {
+		await this.#connections.closeIdle();
 	}
 
-	async closeIdleConnections(): Promise<void> {
+	/** Takes no further request, and gives each open one its final response. They remain open until it has been sent. */
+	async endRequests(): Promise<void> {
+		this.#phase = {kind: 'stopped'};
+		this.#connections.stopListening();
 		await this.#connections.closeIdle();
+		const {clock, logger, metrics} = this.parts;
+		for (const open of this.#openRequests) {
+			const description = describeOpenRequest(open, clock());
+			if (description.phase === 'answered') {
+				continue;
+			}
+
+			logger.warn('request_ended_by_stop', description);
+			metrics.countEndedByStop(description.phase, description.sent);
+			switch (open.state.kind) {
+				case 'reading': {
+					open.state.cancel(this.#stoppingFailure());
+					break;
+				}
+
+				case 'running': {
+					open.state.flow.stop({kind: 'shutdown'}, clock());
+					break;
+				}
+			}
+		}
 	}
 
+	/** Closes all connections at once. */
 	close(): void {
+		const {clock, logger} = this.parts;
+		for (const open of this.#openRequests) {
+			logger.warn('request_cut', describeOpenRequest(open, clock()));
+		}
+
 		this.#connections.close();
 	}
 
@@ -110,11 +149,16 @@
 			return;
 		}
 
-		this.#openRequests++;
+		const open: OpenRequest = {
+			req, res, arrivedAt, id: parts.wire.readClientMetadata(req.headers).attemptId ?? 'none', state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+		};
+		this.#openRequests.add(open);
 		res.on('close', () => {
-			this.#openRequests--;
+			this.#openRequests.delete(open);
+		});
+		const body = await this.#bodies.read(req, cancel => {
+			open.state = {kind: 'reading', cancel};
 		});
-		const body = await this.#bodies.read(req);
 		if (body.kind === 'failure') {
 			if (body.code !== 'caller_left') {
 				// The rest of the body is not read, so the connection cannot be used again.
@@ -128,7 +172,7 @@
 		res.on('close', () => {
 			body.release();
 		});
-		if (this.#phase !== 'serving') {
+		if (this.#phase.kind !== 'serving') {
 			res.setHeader('connection', 'close');
 		}
 
@@ -139,7 +183,9 @@
 		}
 
 		try {
-			this.#recordResult(request, await RequestFlow.create(parts, request).run());
+			const flow = RequestFlow.create(parts, request);
+			open.state = {kind: 'running', flow};
+			this.#recordResult(request, await flow.run());
 		} catch (err) {
 			parts.logger.error('unexpected_error', {request: request.id, message: err instanceof Error ? (err.stack ?? err.message) : String(err)});
 			res.destroy();
@@ -149,13 +195,9 @@
 	#admit(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: number): GatewayRequest | Failure {
 		const {parts} = this;
 		const table = parts.routeTable();
-		if (!table || this.#phase === 'refusing') {
+		if (!table) {
 			return failure({
-				code: table ? 'draining' : 'not_ready',
-				message: table ? 'this daemon is shutting down' : 'this daemon has no configuration yet',
-				ran: 'not_run',
-				step: 'admit',
-				retryAfterMs: OTHER_DAEMON_RETRY_MS,
+				code: 'not_ready', message: 'this daemon has no configuration yet', ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
 			});
 		}
 
@@ -182,6 +224,11 @@
 			});
 		}
 
+		const deadline = this.#findDeadline(route, Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs), arrivedAt);
+		if (deadline === undefined) {
+			return this.#stoppingFailure();
+		}
+
 		return {
 			req,
 			res,
@@ -192,17 +239,46 @@
 			service,
 			workspace: access.kind === 'workspace' ? access.workspace : undefined,
 			arrivedAt,
-			deadline: arrivedAt + Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs),
+			deadline,
 		};
 	}
 
+	/** Returns the time at which a request needs its final response, or undefined if this daemon stops before. */
+	#findDeadline(route: Route, timeoutMs: number, arrivedAt: number): number | undefined {
+		const phase = this.#phase;
+		const deadline = arrivedAt + timeoutMs;
+		switch (phase.kind) {
+			case 'serving': {
+				return deadline;
+			}
+
+			case 'stopping': {
+				const now = this.parts.clock();
+				const isTaken = isTakenDuringStop({
+					kind: route.kind, timeoutMs: deadline - now, targetLatencyMs: route.targetLatencyMs, usualMs: this.#durations.longestMs(route.name),
+				}, phase.plan, now);
+				return isTaken ? Math.min(deadline, phase.plan.answersAt) : undefined;
+			}
+
+			case 'stopped': {
+				return undefined;
+			}
+		}
+	}
+
+	#stoppingFailure(): Failure {
+		return failure({
+			code: 'draining', message: 'this daemon is shutting down', ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
+		});
+	}
+
 	#refuse(req: IncomingMessage, res: ServerResponse, failed: Failure): void {
 		const {parts} = this;
 		sendFailure(res, failed, parts.wire.formatRetryAfter);
 		const status = httpStatusOf(failed.code);
 		parts.metrics.countRefusal(failed.code);
 		parts.logger.warn('request_refused', {
-			request: parts.wire.readClientMetadata(req.headers).attemptId, status, code: failed.code, reason: failed.message, config: parts.routeTable()?.version, phase: this.#phase,
+			request: parts.wire.readClientMetadata(req.headers).attemptId, status, code: failed.code, reason: failed.message, config: parts.routeTable()?.version, phase: this.#phase.kind,
 		});
 	}
 
@@ -210,6 +286,10 @@
 		const {parts} = this;
 		const ms = parts.clock() - request.arrivedAt;
 		parts.metrics.observe(request.service.name, result.outcome, ms);
+		if (result.sends > 0 && result.outcome !== 'left') {
+			this.#durations.record(request.route.name, ms);
+		}
+
 		parts.logger.info('request_done', {
 			request: request.id,
 			route: request.route.name,
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -80,6 +80,7 @@
 	#isEnded = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#running: Attempt | undefined;
+	#server: string | undefined;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
@@ -91,6 +92,11 @@
 		});
 	}
 
+	/** Whether a backend server may have got the request, and the last one chosen, for logs. */
+	get progress(): {readonly isSent: boolean; readonly server: string | undefined} {
+		return {isSent: this.#mayHaveRun || this.#receivedSends > 0, server: this.#server};
+	}
+
 	/** Resolves when the response has been handed to the client's connection, or the client has disconnected. */
 	async run(): Promise<FlowResult> {
 		const {parts: {clock}, request} = this;
@@ -274,6 +280,7 @@
 		const {parts, request} = this;
 		const {placement} = choice;
 		this.#sends++;
+		this.#server = choice.server.instanceId;
 		parts.logger.info('placed', {
 			request: request.id,
 			server: choice.server.instanceId,
--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -39,9 +39,10 @@
 
 	/**
 	 * Reads a whole body. Returns a failure when it is too large, not received in time, or incomplete; the connection then
-	 * has to be closed after the response, as the rest of the body is not read.
+	 * has to be closed after the response, as the rest of the body is not read. `onStart` gets a function that ends reading
+	 * with a failure.
 	 */
-	async read(req: IncomingMessage): Promise<RequestBody | Failure> {
+	async read(req: IncomingMessage, onStart?: (cancel: (failed: Failure) => void) => void): Promise<RequestBody | Failure> {
 		if (Number(req.headers['content-length'] ?? 0) > this.options.maxBodyBytes()) {
 			return this.#createTooLargeFailure();
 		}
@@ -85,6 +86,7 @@
 				req.off('close', onDisconnect);
 				resolve({kind: 'body', bytes: buffer.bytes, release});
 			});
+			onStart?.(fail);
 		});
 	}
 
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -3,10 +3,14 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {GatewayFixture, platformConfiguration, promptHeaders} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
+import {RawConnection, rawRequest} from './fixtures/raw-connection.js';
 
 const CLIENTS = 12;
 /** Time in ms under load before the stop begins. */
 const LOAD_BEFORE_STOP_MS = 300;
+/** Time in ms between SIGTERM and SIGKILL in the fixture. */
+const GRACE_MS = 5000;
 
 let fixture: GatewayFixture;
 
@@ -61,3 +65,88 @@
 		expect(unanswered.filter(id => arrived.includes(id))).toEqual([]);
 	});
 });
+
+describe('end of a planned stop', () => {
+	it('should answer a call that is still running', async () => {
+		const desk = await fixture.addServer('desk', {instance: 'i-1', paceMs: 2800});
+		await fixture.waitForLog('server=i-1');
+		const drained = fixture.daemon.drain();
+		await delay(2500);
+		const response = await fixture.send('/book/x', {headers: {'fireflyport-attempt-id': 'late'}});
+		await drained;
+		expect(desk.runs).toBe(1);
+		expect(response).toMatchObject({status: 504, isBroken: false});
+		expect(JSON.parse(response.body)).toMatchObject({error: {ran: 'unknown'}});
+		expect(Number(desk.arrivals[0]!.headers['fireflyport-deadline-ms'])).toBeLessThan(GRACE_MS - 2500);
+	});
+
+	it('should answer a call that began before the stop, and name it in the log', async () => {
+		const startedAt = performance.now();
+		fixture.store.put('config', 'main', platformConfiguration(4, {
+			routes: [{
+				name: 'book', host: 'desk.example', 'path-prefix': '/book/', kind: 'unsafe', 'timeout-ms': 20_000, 'target-latency-ms': 200, service: 'desk',
+			}],
+		}));
+		await fixture.waitForLog('event=configuration version=4');
+		const desk = await fixture.addServer('desk', {instance: 'i-1', paceMs: 10_000});
+		await fixture.waitForLog('server=i-1');
+		const response = fixture.send('/book/x', {headers: {'fireflyport-attempt-id': 'long', 'fireflyport-deadline-ms': '20000'}});
+		await waitUntil(() => desk.arrivals.length === 1);
+		await fixture.daemon.drain();
+		const {status, headers, body} = await response;
+		expect(status).toBe(502);
+		expect(headers.connection).toBe('close');
+		expect(JSON.parse(body)).toMatchObject({error: {ran: 'unknown'}});
+		expect(performance.now() - startedAt).toBeLessThan(GRACE_MS + 1000);
+		const line = fixture.logs.find(text => text.includes('event=request_ended_by_stop'));
+		expect(line).toMatch(/request=long phase=running sent=true server=i-1 age_ms=\d+/v);
+		expect(await fixture.daemon.metrics.text()).toContain('fireflyport_requests_ended_by_stop_total{phase="running",sent="true"} 1');
+	});
+
+	it('should refuse a request whose body is still being read', async () => {
+		const desk = await fixture.addServer('desk', {instance: 'i-1'});
+		await fixture.waitForLog('server=i-1');
+		const connection = await RawConnection.open(fixture.ports.port);
+		connection.write(rawRequest('/book/x', 'slow', {headers: {'content-length': '10'}, body: 'half'}));
+		await fixture.daemon.drain();
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([503]);
+		expect(connection.text).toContain('"ran":"not_run"');
+		expect(desk.arrivals).toEqual([]);
+	});
+
+	it('should break off a stream that is still running, so that it does not look complete', async () => {
+		const engine = await fixture.addServer('model', {instance: 'e-1', events: 200, paceMs: 40});
+		await fixture.waitForLog('server=e-1');
+		const drained = fixture.daemon.drain();
+		await delay(2500);
+		const {status, isBroken} = await fixture.send('/once/x', {headers: promptHeaders(1000)});
+		await drained;
+		expect({status, isBroken, runs: engine.runs}).toEqual({status: 200, isBroken: true, runs: 1});
+	});
+
+	it('should serve late calls that fit into the time left, and refuse late streams', async () => {
+		const desk = await fixture.addServer('desk', {instance: 'i-1', paceMs: 30});
+		const engine = await fixture.addServer('model', {instance: 'e-1', events: 200, paceMs: 40});
+		await fixture.waitForLog('server=i-1');
+		await fixture.waitForLog('server=e-1');
+		const keptOpen = await RawConnection.open(fixture.ports.port);
+		keptOpen.write(rawRequest('/book/x', 'unfinished', {headers: {'content-length': '10'}}));
+		const drained = fixture.daemon.drain();
+		await delay(3200);
+		const [call, stream] = await Promise.all([fixture.send('/book/x'), fixture.send('/once/x')]);
+		await drained;
+		expect(call.status).toBe(200);
+		expect(call.headers.connection).toBe('close');
+		expect(stream.status).toBe(503);
+		expect(stream.headers['retry-after']).toBeDefined();
+		expect({calls: desk.runs, streams: engine.runs}).toEqual({calls: 1, streams: 0});
+	});
+
+	it('should exit within the grace while the store does not answer', async () => {
+		fixture.store.setMode('silent');
+		const startedAt = performance.now();
+		await fixture.daemon.drain();
+		expect(performance.now() - startedAt).toBeLessThan(GRACE_MS);
+	});
+});
