End requests with an answer when something throws on their way

What callers saw: with a registration whose address can't be connected to (127.0.0.1:99999, 999.1.1.1:80), requests ended with a closed connection and no answer, although a sound server stood beside it.

Cause: undici's Client throws for such an address. The exception passed by the code that records a failed attempt, so the server was not excluded and was chosen again for the next request. Class: an exception between the last byte of a request and its answer had no owner. Those in callbacks of connections, timers and clients reached process.on('uncaughtException') and left the request open; the others closed its connection.

Change: the callbacks of an attempt go through one guard, which ends the attempt as rejected if nothing was sent, otherwise as broken, logs the stack with the id of the request, and leaves the rest to the usual retry policy. Bookkeeping that no answer depends on (placements, limits, quarantine, health) is logged and costs neither the attempt nor the answer. Everything else ends in a failure `internal` with a truthful `ran`, or in a broken stream. An exchange reports every error before its connection is open as not connected, and never before it has been returned. Orders for memory that throw count as unanswered. A failure contains no header of a response that could not be sent.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -57,14 +57,16 @@
 	resume(): void;
 };
 
-/** Starts an exchange. The handler's `onEnd` is called exactly once. */
+/** Starts an exchange. The handler's `onEnd` is called exactly once, and not before this function has returned. */
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
 	let isEnded = false;
+	let isStarting = true;
 	let connectionError: Error | undefined;
 	let isConnected = false;
 	let isDisconnected = false;
 	let bodyBytes = 0;
-	const client = new Client(`http://${req.address}`, {
+	let client: Client | undefined;
+	const openClient = (): Client => new Client(`http://${req.address}`, {
 		connect: createCheckedConnector(() => undefined, {
 			timeoutMs: connectTimeoutMs,
 			onOpen(socket) {
@@ -94,39 +96,63 @@
 	const end = (result: ExchangeEnd): void => {
 		if (!isEnded) {
 			isEnded = true;
-			client.destroy(new Error('exchange ended'), () => undefined);
+			client?.destroy(new Error('exchange ended'), () => undefined);
 			handler.onEnd(result);
 		}
 	};
 
-	client.dispatch({
-		path: req.path,
-		method: req.method,
-		headers: [...req.headers],
-		body: req.body === undefined || req.body.length === 0 ? null : Buffer.from(req.body),
-		reset: true,
-	}, {
-		onRequestStart(started) {
-			controller = started;
-		},
-		onResponseStart(_controller, status, headers) {
-			if (!isEnded && status >= 200) {
-				handler.onHead({status, headers});
-			}
-		},
-		onResponseData(_controller, chunk) {
-			bodyBytes += chunk.length;
-			if (!isEnded) {
-				handler.onData(chunk);
-			}
-		},
-		onResponseEnd() {
-			end(connectionError ? {kind: 'broken', message: connectionError.message, isDisconnected} : {kind: 'complete', isDisconnected});
-		},
-		onResponseError(_controller, err) {
-			end(err instanceof NotConnectedError ? {kind: 'not_connected', message: err.message, isRefused: err.isRefused} : {kind: 'broken', message: err.message, isDisconnected});
-		},
-	});
+	const fail = (err: Error): void => {
+		if (isStarting) {
+			queueMicrotask(() => {
+				fail(err);
+			});
+			return;
+		}
+
+		end(isConnected
+			? {kind: 'broken', message: err.message, isDisconnected}
+			: {kind: 'not_connected', message: err.message, isRefused: err instanceof NotConnectedError && err.isRefused});
+	};
+
+	const dispatch = (): void => {
+		client = openClient();
+		client.dispatch({
+			path: req.path,
+			method: req.method,
+			headers: [...req.headers],
+			body: req.body === undefined || req.body.length === 0 ? null : Buffer.from(req.body),
+			reset: true,
+		}, {
+			onRequestStart(started) {
+				controller = started;
+			},
+			onResponseStart(_controller, status, headers) {
+				if (!isEnded && status >= 200) {
+					handler.onHead({status, headers});
+				}
+			},
+			onResponseData(_controller, chunk) {
+				bodyBytes += chunk.length;
+				if (!isEnded) {
+					handler.onData(chunk);
+				}
+			},
+			onResponseEnd() {
+				end(connectionError ? {kind: 'broken', message: connectionError.message, isDisconnected} : {kind: 'complete', isDisconnected});
+			},
+			onResponseError(_controller, err) {
+				fail(err);
+			},
+		});
+	};
+
+	try {
+		dispatch();
+	} catch (err) {
+		fail(err as Error);
+	}
+
+	isStarting = false;
 	return {
 		get isConnected() {
 			return isConnected;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -76,6 +76,8 @@
 	onMetadata(metadata: ResponseMetadata): void;
 	/** Called with the number of new events after each one. */
 	onEvent(events: number): void;
+	/** Called with an unexpected error, which ends the attempt. */
+	onError(err: unknown): void;
 };
 
 type Phase =
@@ -107,7 +109,9 @@
 export class Attempt {
 	static start(options: AttemptOptions): Attempt {
 		const attempt = new Attempt(options);
-		attempt.#start();
+		attempt.#guard(() => {
+			attempt.#start();
+		})();
 		return attempt;
 	}
 
@@ -149,15 +153,15 @@
 		}
 
 		this.#exchange = startExchange(this.#createRequest(timeLeftMs), {
-			onHead: head => {
+			onHead: this.#guard(head => {
 				this.#onHead(head);
-			},
-			onData: chunk => {
+			}),
+			onData: this.#guard(chunk => {
 				this.#onData(chunk);
-			},
-			onEnd: end => {
+			}),
+			onEnd: this.#guard(end => {
 				this.#finish(this.#resultOf(end));
-			},
+			}),
 		}, Math.min(CONNECT_TIMEOUT_MS, timeLeftMs));
 		this.#restartSilenceTimer();
 	}
@@ -221,9 +225,9 @@
 
 	#openAccount(): ResponseAccount {
 		const {buffers} = this.options;
-		return buffers.open(() => {
+		return buffers.open(this.#guard(() => {
 			this.#abortBroken(`this response is the largest of the buffered ones, which exceed ${buffers.maxBytes} bytes in total`);
-		});
+		}));
 	}
 
 	#onData(chunk: Uint8Array): void {
@@ -300,13 +304,13 @@
 		this.#exchange?.pause();
 		// The client is slow, not the server.
 		clearTimeout(this.#silenceTimer);
-		sink.onceDrained(() => {
+		sink.onceDrained(this.#guard(() => {
 			this.#isPaused = false;
 			if (!this.#finished) {
 				this.#exchange?.resume();
 				this.#restartSilenceTimer();
 			}
-		});
+		}));
 	}
 
 	#resultOf(end: ExchangeEnd): AttemptResult {
@@ -360,11 +364,29 @@
 			return;
 		}
 
-		this.#silenceTimer = setTimeout(() => {
+		this.#silenceTimer = setTimeout(this.#guard(() => {
 			if (this.options.canRetry()) {
 				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
 			}
-		}, this.options.silenceTimeoutMs);
+		}), this.options.silenceTimeoutMs);
+	}
+
+	/**
+	 * Wraps a callback so that an exception in it ends the attempt. All calls from connections, timers and clients go through it; there
+	 * an exception would otherwise leave the request without an end.
+	 */
+	#guard<A extends readonly unknown[]>(callback: (...args: A) => void): (...args: A) => void {
+		return (...args) => {
+			try {
+				callback(...args);
+			} catch (err) {
+				this.options.onError(err);
+				const reason = `unexpected error: ${String(err)}`;
+				this.#abort(this.mayHaveRun
+					? {outcome: {kind: 'broken', reason}, mayHaveRun: true}
+					: {outcome: {kind: 'rejected', reason}, mayHaveRun: false, isUnsent: true});
+			}
+		};
 	}
 
 	#abortBroken(reason: string): void {
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -1,6 +1,6 @@
 /** The response to one client: a whole response, a failure, or the events of a stream over several attempts. */
 import type {RawEvent} from '../forwarding/event-splitter.js';
-import {sendFailure, httpStatusOf} from '../http/error-response.js';
+import {sendFailure} from '../http/error-response.js';
 import type {Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
 import type {BufferedResponse, EventSink} from './attempt.js';
@@ -60,6 +60,11 @@
 		this.request.res.once('drain', callback);
 	}
 
+	/** Closes the connection, which leaves an incomplete response. */
+	destroy(): void {
+		this.request.res.destroy();
+	}
+
 	end(): void {
 		this.request.res.end();
 	}
@@ -92,16 +97,25 @@
 		}
 	}
 
-	/** Sends a failure, or closes the connection if a stream has begun. Returns the status for the log. */
-	fail(failed: Failure, formatRetryAfter: (ms: number) => string): number {
+	/** Sends a failure, or closes the connection if a stream has begun. */
+	fail(failed: Failure, formatRetryAfter: (ms: number) => string): void {
 		const {res} = this.request;
 		if (res.headersSent) {
 			res.destroy();
 		} else {
+			this.#removeHeaders();
 			sendFailure(res, failed, formatRetryAfter);
 		}
+	}
 
-		return httpStatusOf(failed.code);
+	/** Removes what an attempt to send the response of a server may have left. */
+	#removeHeaders(): void {
+		const {res} = this.request;
+		for (const name of res.getHeaderNames()) {
+			if (name !== 'connection') {
+				res.removeHeader(name);
+			}
+		}
 	}
 
 	#recordEvent(now: number): void {
--- a/src/gateway/memory-reservation.ts
+++ b/src/gateway/memory-reservation.ts
@@ -8,6 +8,7 @@
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {stackOf} from '../util/stack-of.js';
 import {pause} from '../util/pause.js';
 
 /** Lifetime of a reservation in ms: below the four seconds after which memory without a request counts as leaked. */
@@ -91,7 +92,7 @@
 
 	async #reserve({server, tokens}: MemoryShare): Promise<OrderOutcome> {
 		const {orders, clock, logger} = this.parts;
-		const outcome = await orders.reserve(server, {id: this.id, tokens, holdMs: RESERVATION_TTL_MS}, ORDER_TIMEOUT_MS);
+		const outcome = await this.#send(server, async () => orders.reserve(server, {id: this.id, tokens, holdMs: RESERVATION_TTL_MS}, ORDER_TIMEOUT_MS));
 		if (outcome !== 'done') {
 			logger.warn('memory_not_reserved', {
 				request: this.request, server: server.instanceId, reservation: this.id, tokens, outcome,
@@ -105,11 +106,21 @@
 		return outcome;
 	}
 
+	/** Returns `unknown` for an order that could not be sent or whose outcome could not be read. */
+	async #send(server: BackendServer, order: () => Promise<OrderOutcome>): Promise<OrderOutcome> {
+		try {
+			return await order();
+		} catch (err) {
+			this.parts.logger.error('unexpected_error', {request: this.request, server: server.instanceId, message: stackOf(err)});
+			return 'unknown';
+		}
+	}
+
 	async #releaseAt(server: BackendServer): Promise<void> {
 		const {orders, clock, logger} = this.parts;
 		const startedAt = clock();
 		for (;;) {
-			const outcome = await orders.release(server, this.id, ORDER_TIMEOUT_MS);
+			const outcome = await this.#send(server, async () => orders.release(server, this.id, ORDER_TIMEOUT_MS));
 			const now = clock();
 			if (now - this.#unansweredAt > MAX_ORDER_DELAY_MS && (outcome !== 'unknown' || now - startedAt > MAX_ORDER_DELAY_MS)) {
 				logger.info('memory_released', {
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -2,12 +2,14 @@
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {LoadExchange} from '../fleet/load-exchange.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
+import {httpStatusOf} from '../http/error-response.js';
 import {SOUND_EVENTS} from '../quarantine/part-evidence.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
+import {stackOf} from '../util/stack-of.js';
 import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
@@ -19,7 +21,7 @@
 import {
 	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
 } from './server-choice.js';
-import type {WireFormat} from './wire-format.js';
+import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
 /** A retryable request without a stream is sent to another server after this multiple of its target latency. */
 const NON_STREAM_SILENCE_TARGETS = 2;
@@ -104,7 +106,7 @@
 			this.#deadlineTimer = setTimeout(() => {
 				this.stop({kind: 'overdue'}, clock());
 			}, request.deadline - clock());
-			void this.#runAttempts();
+			void this.#runToEnd();
 		}
 
 		return this.#result;
@@ -155,6 +157,30 @@
 		}
 	}
 
+	async #runToEnd(): Promise<void> {
+		try {
+			await this.#runAttempts();
+		} catch (err) {
+			this.#logError(err);
+			this.#fail(failure({
+				code: 'internal', message: 'this daemon failed to handle the request', ran: this.#mayHaveRun ? 'unknown' : 'not_run', step: 'send',
+			}));
+		}
+	}
+
+	#logError(err: unknown): void {
+		this.parts.logger.error('unexpected_error', {request: this.request.id, message: stackOf(err)});
+	}
+
+	/** Runs a step that no answer depends on. An exception in it is logged. */
+	#record(step: () => void): void {
+		try {
+			step();
+		} catch (err) {
+			this.#logError(err);
+		}
+	}
+
 	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
@@ -175,7 +201,11 @@
 	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
 		const next = nextStep(result.outcome, this.#retryState(this.parts.clock()));
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
-			this.#recordAttempt(choice, result, next.kind);
+			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
+			this.#excluded.add(faultyServer.id);
+			this.#record(() => {
+				this.#recordAttempt(choice, result, faultyServer, next.kind);
+			});
 		}
 
 		if (next.kind !== 'deliver' || this.#isEnded) {
@@ -284,7 +314,9 @@
 			considered: choice.considered,
 			send: this.#sends,
 		});
-		parts.loadExchange.openPlacement(placement, now);
+		this.#record(() => {
+			parts.loadExchange.openPlacement(placement, now);
+		});
 		let memory: MemoryReservation | undefined;
 		try {
 			if (choice.reserved.length > 0) {
@@ -298,55 +330,77 @@
 				memory = acquired.reservation;
 			}
 
-			if (this.#isEnded) {
-				return {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true};
-			}
-
-			this.#running = Attempt.start({
-				memory,
-				wire: parts.wire,
-				clock: parts.clock,
-				request,
-				choice,
-				sink: this.#response,
-				buffers: parts.buffers,
-				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
-				onMetadata: ({isMisdirected, isLeaving, closedForMs, maxRequestsPerSecond}) => {
-					if (!isMisdirected) {
-						this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
-					}
-
-					if (closedForMs !== undefined) {
-						this.#recordClosed(choice.server, closedForMs, parts.clock());
-					}
-
-					if (isLeaving) {
-						this.#recordLeaving(choice.server, parts.clock());
-					}
-				},
-				onEvent(events) {
-					if (events === 1) {
-						parts.loadExchange.startPlacement(placement.id, parts.clock());
-					}
-
-					if (events === SOUND_EVENTS) {
-						parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
-					}
-				},
-			});
-			const result = await this.#running.result;
-			this.#running = undefined;
-			this.#runs += result.mayHaveRun ? 1 : 0;
-			this.#receivedSends += result.isUnsent ? 0 : 1;
-			this.#reportPrompt(choice, result, parts.clock());
-			return result;
+			return this.#isEnded ? {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true} : await this.#send(choice, memory, now);
 		} finally {
-			parts.loadExchange.closePlacement(placement.id);
+			this.#record(() => {
+				parts.loadExchange.closePlacement(placement.id);
+			});
 			void memory?.release();
 		}
 	}
 
+	async #send(choice: ServerChoice, memory: MemoryReservation | undefined, now: number): Promise<AttemptResult> {
+		const {parts, request} = this;
+		this.#running = Attempt.start({
+			memory,
+			wire: parts.wire,
+			clock: parts.clock,
+			request,
+			choice,
+			sink: this.#response,
+			buffers: parts.buffers,
+			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
+			canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
+			onMetadata: metadata => {
+				this.#record(() => {
+					this.#recordMetadata(choice.server, metadata, now);
+				});
+			},
+			onEvent: events => {
+				this.#record(() => {
+					this.#recordEvents(choice, events);
+				});
+			},
+			onError: err => {
+				this.#logError(err);
+			},
+		});
+		const result = await this.#running.result;
+		this.#running = undefined;
+		this.#runs += result.mayHaveRun ? 1 : 0;
+		this.#receivedSends += result.isUnsent ? 0 : 1;
+		this.#record(() => {
+			this.#reportPrompt(choice, result, parts.clock());
+		});
+		return result;
+	}
+
+	#recordMetadata(server: BackendServer, {isMisdirected, isLeaving, closedForMs, maxRequestsPerSecond}: ResponseMetadata, sentAt: number): void {
+		const now = this.parts.clock();
+		if (!isMisdirected) {
+			this.#recordLimit(server, maxRequestsPerSecond, {sentAt, now});
+		}
+
+		if (closedForMs !== undefined) {
+			this.#recordClosed(server, closedForMs, now);
+		}
+
+		if (isLeaving) {
+			this.#recordLeaving(server, now);
+		}
+	}
+
+	#recordEvents({placement}: ServerChoice, events: number): void {
+		const {parts, request} = this;
+		if (events === 1) {
+			parts.loadExchange.startPlacement(placement.id, parts.clock());
+		}
+
+		if (events === SOUND_EVENTS) {
+			parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
+		}
+	}
+
 	#silenceTimeoutMs(choice: ServerChoice): number {
 		const {route} = this.request;
 		return route.kind.kind === 'stream'
@@ -403,11 +457,10 @@
 		}
 	}
 
-	/** Records the outcome in the health of the server at fault, and excludes that server from further attempts. */
-	#recordAttempt(choice: ServerChoice, result: AttemptResult, next: string): void {
+	/** Records the outcome in the health of the server at fault. */
+	#recordAttempt(choice: ServerChoice, result: AttemptResult, faultyServer: BackendServer, next: string): void {
 		const {parts, request} = this;
-		const {outcome, faultyAddress, lostReason} = result;
-		const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === faultyAddress) ?? choice.server;
+		const {outcome, lostReason} = result;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
 		parts.health.recordOutcome(faultyServer.id, isSuccess, now);
@@ -419,7 +472,6 @@
 			this.#excludeLost(faultyServer, lostReason, now);
 		}
 
-		this.#excluded.add(faultyServer.id);
 		if (!isSuccess) {
 			parts.logger.warn('attempt_failed', {
 				request: request.id,
@@ -460,9 +512,19 @@
 	}
 
 	#fail(failed: Failure): void {
-		const status = this.#response.fail(failed, this.parts.wire.formatRetryAfter);
+		if (this.#isEnded) {
+			return;
+		}
+
+		try {
+			this.#response.fail(failed, this.parts.wire.formatRetryAfter);
+		} catch (err) {
+			this.#logError(err);
+			this.#response.destroy();
+		}
+
 		this.#end({
-			outcome: 'failed', status, sends: this.#sends, ...this.#response.timing, failure: failed,
+			outcome: 'failed', status: httpStatusOf(failed.code), sends: this.#sends, ...this.#response.timing, failure: failed,
 		});
 	}
 }
