Keep requests open whose time limits exceed the range of timers

Cause: Node fires a timer with a longer delay at once. The delays of the deadline and of the silence limit are limited to what it accepts.

Before: the new tests got a 503 "the deadline of the request has passed" instead of "{ status: 200, body: 'whole' }".

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,6 +6,7 @@
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {Clock} from '../util/clock.js';
 import {GrowingBuffer} from '../util/growing-buffer.js';
+import {timerDelay} from '../util/timer-delay.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryReservation} from './memory-reservation.js';
 import type {AttemptOutcome} from './retry-policy.js';
@@ -368,7 +369,7 @@
 			if (this.options.canRetry()) {
 				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
 			}
-		}), this.options.silenceTimeoutMs);
+		}), timerDelay(this.options.silenceTimeoutMs));
 	}
 
 	/**
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -10,6 +10,7 @@
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
 import {stackOf} from '../util/stack-of.js';
+import {timerDelay} from '../util/timer-delay.js';
 import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
@@ -105,7 +106,7 @@
 		} else {
 			this.#deadlineTimer = setTimeout(() => {
 				this.stop({kind: 'overdue'}, clock());
-			}, request.deadline - clock());
+			}, timerDelay(request.deadline - clock()));
 			void this.#runToEnd();
 		}
 
--- a/tests/unexpected-errors.test.ts
+++ b/tests/unexpected-errors.test.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
@@ -162,3 +163,18 @@
 		expect(headers['fireflyport-response-seal']).toBeUndefined();
 	});
 });
+
+describe('times beyond the range of timers', () => {
+	it.each([
+		['time limit of the route', {timeoutMs: 3e9}],
+		['target latency', {timeoutMs: 3e9, targetLatencyMs: 3e9}],
+	])('should not end a request at once (%s)', async (_name, route) => {
+		fixture = await FlowFixture.create({route});
+		await fixture.addServer('i-1', async (_req, res) => {
+			await delay(100);
+			res.writeHead(200, signedHeaders()).end('whole');
+		});
+		expect(await fixture.send({'fireflyport-deadline-ms': '1e300'})).toMatchObject({status: 200, body: 'whole'});
+		expect(fixture.results).toMatchObject([{sends: 1}]);
+	});
+});
