--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -6,6 +6,7 @@
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {Clock} from '../util/clock.js';
 import {GrowingBuffer} from '../util/growing-buffer.js';
+import {timerDelay} from '../util/timer-delay.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryReservation} from './memory-reservation.js';
 import type {AttemptOutcome} from './retry-policy.js';
@@ -70,14 +71,14 @@
 	readonly buffers: ResponseBuffers;
 	/** Time in ms without a new event after which the attempt is aborted if `canRetry` allows it. */
 	readonly silenceTimeoutMs: number;
-	/** Aborted when the client disconnects. */
-	readonly signal: AbortSignal;
 	/** Whether another attempt is possible. */
 	canRetry(): boolean;
 	/** Called with the metadata of the response head. */
 	onMetadata(metadata: ResponseMetadata): void;
 	/** Called with the number of new events after each one. */
 	onEvent(events: number): void;
+	/** Called with an unexpected error, which ends the attempt. */
+	onError(err: unknown): void;
 };
 
 type Phase =
@@ -105,47 +106,64 @@
 
 const OK_STATUS = 200;
 
-/** Runs one attempt until it ends. */
-export async function runAttempt(options: AttemptOptions): Promise<AttemptResult> {
-	return new Promise(resolve => {
-		new Attempt(options, resolve).start();
-	});
-}
+/** One running attempt. It has no deadline of its own: the request aborts it. */
+export class Attempt {
+	static start(options: AttemptOptions): Attempt {
+		const attempt = new Attempt(options);
+		attempt.#guard(() => {
+			attempt.#start();
+		})();
+		return attempt;
+	}
 
-class Attempt {
+	/** Resolves when the attempt has ended. */
+	readonly result: Promise<AttemptResult>;
+	#resolve!: (result: AttemptResult) => void;
 	#phase: Phase = {kind: 'waiting'};
-	#exchange!: Exchange;
+	#exchange: Exchange | undefined;
 	#silenceTimer: NodeJS.Timeout | undefined;
-	#deadlineTimer: NodeJS.Timeout | undefined;
-	#isFinished = false;
+	#finished: AttemptResult | undefined;
 	#events = 0;
 	#isPaused = false;
 
-	constructor(private readonly options: AttemptOptions, private readonly resolve: (result: AttemptResult) => void) {}
+	private constructor(private readonly options: AttemptOptions) {
+		this.result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+	}
+
+	/** Whether the backend server may have run the request, as far as is known now. */
+	get mayHaveRun(): boolean {
+		return this.#finished?.mayHaveRun ?? this.#exchange?.isConnected ?? false;
+	}
+
+	/** Ends the attempt because its request has ended. Does nothing if the attempt has ended. */
+	abort(reason: 'request_ended' | 'expired'): void {
+		const {mayHaveRun} = this;
+		this.#abort({
+			outcome: reason === 'expired' ? {kind: 'expired', wasSent: mayHaveRun} : {kind: 'aborted'}, mayHaveRun, isUnsent: !mayHaveRun,
+		});
+	}
 
-	start(): void {
-		const {request, signal, clock} = this.options;
+	#start(): void {
+		const {request, clock} = this.options;
 		const timeLeftMs = request.deadline - clock();
-		if (signal.aborted || timeLeftMs <= 0) {
-			this.#finish({outcome: signal.aborted ? {kind: 'left'} : {kind: 'expired', wasSent: false}, mayHaveRun: false});
+		if (timeLeftMs <= 0) {
+			this.#finish({outcome: {kind: 'expired', wasSent: false}, mayHaveRun: false, isUnsent: true});
 			return;
 		}
 
 		this.#exchange = startExchange(this.#createRequest(timeLeftMs), {
-			onHead: head => {
+			onHead: this.#guard(head => {
 				this.#onHead(head);
-			},
-			onData: chunk => {
+			}),
+			onData: this.#guard(chunk => {
 				this.#onData(chunk);
-			},
-			onEnd: end => {
+			}),
+			onEnd: this.#guard(end => {
 				this.#finish(this.#resultOf(end));
-			},
+			}),
 		}, Math.min(CONNECT_TIMEOUT_MS, timeLeftMs));
-		signal.addEventListener('abort', this.#onDisconnect);
-		this.#deadlineTimer = setTimeout(() => {
-			this.#abort({outcome: {kind: 'expired', wasSent: true}, mayHaveRun: true});
-		}, timeLeftMs);
 		this.#restartSilenceTimer();
 	}
 
@@ -208,14 +226,14 @@
 
 	#openAccount(): ResponseAccount {
 		const {buffers} = this.options;
-		return buffers.open(() => {
+		return buffers.open(this.#guard(() => {
 			this.#abortBroken(`this response is the largest of the buffered ones, which exceed ${buffers.maxBytes} bytes in total`);
-		});
+		}));
 	}
 
 	#onData(chunk: Uint8Array): void {
 		const phase = this.#phase;
-		if (this.#isFinished) {
+		if (this.#finished) {
 			return;
 		}
 
@@ -235,7 +253,7 @@
 		phase.stalledBytes += chunk.length;
 		for (const event of phase.splitter.push(chunk)) {
 			this.#relayEvent(phase, event);
-			if (this.#isFinished) {
+			if (this.#finished) {
 				return;
 			}
 		}
@@ -284,16 +302,16 @@
 		}
 
 		this.#isPaused = true;
-		this.#exchange.pause();
+		this.#exchange?.pause();
 		// The client is slow, not the server.
 		clearTimeout(this.#silenceTimer);
-		sink.onceDrained(() => {
+		sink.onceDrained(this.#guard(() => {
 			this.#isPaused = false;
-			if (!this.#isFinished) {
-				this.#exchange.resume();
+			if (!this.#finished) {
+				this.#exchange?.resume();
 				this.#restartSilenceTimer();
 			}
-		});
+		}));
 	}
 
 	#resultOf(end: ExchangeEnd): AttemptResult {
@@ -313,7 +331,7 @@
 			}
 
 			case 'aborted': {
-				return {outcome: {kind: 'left'}, mayHaveRun: true};
+				return {outcome: {kind: 'aborted'}, mayHaveRun: true};
 			}
 		}
 	}
@@ -347,16 +365,30 @@
 			return;
 		}
 
-		this.#silenceTimer = setTimeout(() => {
+		this.#silenceTimer = setTimeout(this.#guard(() => {
 			if (this.options.canRetry()) {
 				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
 			}
-		}, this.options.silenceTimeoutMs);
+		}), timerDelay(this.options.silenceTimeoutMs));
 	}
 
-	readonly #onDisconnect = (): void => {
-		this.#abort({outcome: {kind: 'left'}, mayHaveRun: true});
-	};
+	/**
+	 * Wraps a callback so that an exception in it ends the attempt. All calls from connections, timers and clients go through it; there
+	 * an exception would otherwise leave the request without an end.
+	 */
+	#guard<A extends readonly unknown[]>(callback: (...args: A) => void): (...args: A) => void {
+		return (...args) => {
+			try {
+				callback(...args);
+			} catch (err) {
+				this.options.onError(err);
+				const reason = `unexpected error: ${String(err)}`;
+				this.#abort(this.mayHaveRun
+					? {outcome: {kind: 'broken', reason}, mayHaveRun: true}
+					: {outcome: {kind: 'rejected', reason}, mayHaveRun: false, isUnsent: true});
+			}
+		};
+	}
 
 	#abortBroken(reason: string): void {
 		this.#abort({outcome: {kind: 'broken', reason}, mayHaveRun: true});
@@ -364,21 +396,21 @@
 
 	#abort(result: AttemptResult): void {
 		this.#finish(result);
-		this.#exchange.abort();
+		this.#exchange?.abort();
 	}
 
 	#finish(result: AttemptResult): void {
-		if (!this.#isFinished) {
-			this.#isFinished = true;
-			clearTimeout(this.#silenceTimer);
-			clearTimeout(this.#deadlineTimer);
-			this.options.signal.removeEventListener('abort', this.#onDisconnect);
-			if (this.#phase.kind !== 'waiting' && !result.response) {
-				this.#phase.account.close();
-			}
+		if (this.#finished) {
+			return;
+		}
 
-			this.resolve({...result, events: this.#events});
+		this.#finished = {...result, events: this.#events};
+		clearTimeout(this.#silenceTimer);
+		if (this.#phase.kind !== 'waiting' && !result.response) {
+			this.#phase.account.close();
 		}
+
+		this.#resolve(this.#finished);
 	}
 }
 
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -2,15 +2,16 @@
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {LoadExchange} from '../fleet/load-exchange.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
+import {httpStatusOf} from '../http/error-response.js';
 import {SOUND_EVENTS} from '../quarantine/part-evidence.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
-import {
-	runAttempt, type BufferedResponse, type AttemptResult,
-} from './attempt.js';
+import {stackOf} from '../util/stack-of.js';
+import {timerDelay} from '../util/timer-delay.js';
+import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
@@ -21,7 +22,7 @@
 import {
 	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
 } from './server-choice.js';
-import type {WireFormat} from './wire-format.js';
+import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
 /** A retryable request without a stream is sent to another server after this multiple of its target latency. */
 const NON_STREAM_SILENCE_TARGETS = 2;
@@ -39,9 +40,12 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
+/** Status in logs of a request whose client has disconnected. */
+const CLIENT_LEFT_STATUS = 499;
+
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
-	readonly loadExchange: LoadExchange;
+	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
 	/** Memory of responses, shared by all requests of this daemon. */
@@ -64,6 +68,9 @@
 	readonly failure?: Failure;
 };
 
+/** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
+export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
+
 export class RequestFlow {
 	static create(parts: FlowParts, request: GatewayRequest): RequestFlow {
 		return new RequestFlow(parts, request);
@@ -71,57 +78,175 @@
 
 	readonly #excluded = new Set<string>();
 	readonly #response: ClientResponse;
+	readonly #result: Promise<FlowResult>;
+	#resolve!: (result: FlowResult) => void;
+	#isEnded = false;
+	#deadlineTimer: NodeJS.Timeout | undefined;
+	#running: Attempt | undefined;
+	#server: string | undefined;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
 		this.#response = ClientResponse.create(request, parts.clock);
+		this.#result = new Promise(resolve => {
+			this.#resolve = resolve;
+		});
+	}
+
+	/** Whether a backend server may have got the request, and the last one chosen, for logs. */
+	get progress(): {readonly isSent: boolean; readonly server: string | undefined} {
+		return {isSent: this.#mayHaveRun || this.#receivedSends > 0, server: this.#server};
 	}
 
+	/** Resolves when the response has been handed to the client's connection, or the client has disconnected. */
 	async run(): Promise<FlowResult> {
+		const {parts: {clock}, request} = this;
+		const {signal} = this.#response;
+		signal.addEventListener('abort', () => {
+			this.#leave();
+		}, {once: true});
+		if (signal.aborted) {
+			this.#leave();
+		} else {
+			this.#deadlineTimer = setTimeout(() => {
+				this.stop({kind: 'overdue'}, clock());
+			}, timerDelay(request.deadline - clock()));
+			void this.#runToEnd();
+		}
+
+		return this.#result;
+	}
+
+	/**
+	 * Ends the request at once with a failure, or breaks its stream off if that has begun. `run` resolves with it. Does nothing if the
+	 * request has ended.
+	 */
+	stop(reason: StopReason, now: number): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
+		const running = this.#running;
+		if (reason.kind === 'shutdown') {
+			this.#response.closeConnection();
+		}
+
+		this.#fail(failure({
+			...stopFailure(reason, ran),
+			ran,
+			step: 'send',
+			retryAfterMs: ran === 'not_run' ? this.#retryAdviceMs({kind: reason.kind === 'shutdown' ? 'shutdown' : 'full'}, now) : undefined,
+		}));
+		running?.abort(reason.kind === 'overdue' ? 'expired' : 'request_ended');
+	}
+
+	/** Whether a backend server may have run the request, or may do so from what was sent. */
+	get #mayHaveRun(): boolean {
+		return this.#runs > 0 || (this.#running?.mayHaveRun ?? false);
+	}
+
+	#leave(): void {
+		const running = this.#running;
+		this.#end({
+			outcome: 'left', status: CLIENT_LEFT_STATUS, sends: this.#sends, ...this.#response.timing,
+		});
+		running?.abort('request_ended');
+	}
+
+	#end(result: FlowResult): void {
+		if (!this.#isEnded) {
+			this.#isEnded = true;
+			clearTimeout(this.#deadlineTimer);
+			this.#resolve(result);
+		}
+	}
+
+	async #runToEnd(): Promise<void> {
+		try {
+			await this.#runAttempts();
+		} catch (err) {
+			this.#logError(err);
+			this.#fail(failure({
+				code: 'internal', message: 'this daemon failed to handle the request', ran: this.#mayHaveRun ? 'unknown' : 'not_run', step: 'send',
+			}));
+		}
+	}
+
+	#logError(err: unknown): void {
+		this.parts.logger.error('unexpected_error', {request: this.request.id, message: stackOf(err)});
+	}
+
+	/** Runs a step that no answer depends on. An exception in it is logged. */
+	#record(step: () => void): void {
+		try {
+			step();
+		} catch (err) {
+			this.#logError(err);
+		}
+	}
+
+	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
-		for (;;) {
+		while (!this.#isEnded) {
 			const now = parts.clock();
 			const choice = this.#choose(now);
 			if (choice.kind === 'refused') {
-				return this.#fail(choice.failure);
+				this.#fail(choice.failure);
+				return;
 			}
 
 			const result = await this.#attempt(choice.choice, now);
-			const next = nextStep(result.outcome, this.#retryState(parts.clock()));
-			if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'left') {
-				this.#recordAttempt(choice.choice, result, next.kind);
-			}
+			this.#continueAfter(choice.choice, result);
+		}
+	}
 
-			if (next.kind !== 'deliver') {
-				result.response?.account.close();
-			}
+	/** Records an attempt, and ends the request unless another attempt follows. */
+	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
+		const next = nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
+			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
+			this.#excluded.add(faultyServer.id);
+			this.#record(() => {
+				this.#recordAttempt(choice, result, faultyServer, next.kind);
+			});
+		}
 
-			switch (next.kind) {
-				case 'repeat': {
-					continue;
-				}
+		if (next.kind !== 'deliver' || this.#isEnded) {
+			result.response?.account.close();
+		}
 
-				case 'finished': {
-					return this.#finish(result.outcome.kind === 'left' ? 'left' : 'delivered');
-				}
+		if (this.#isEnded) {
+			return;
+		}
 
-				case 'deliver': {
-					return this.#deliver(result.response!);
-				}
+		switch (next.kind) {
+			case 'repeat': {
+				return;
+			}
 
-				case 'fail': {
-					return this.#fail(failure({
-						code: failureCode(next),
-						message: next.reason,
-						ran: next.ran,
-						step: 'send',
-						peer: choice.choice.server.instanceId,
-						retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, parts.clock()) : undefined,
-					}));
-				}
+			case 'finished': {
+				this.#finish();
+				return;
+			}
+
+			case 'deliver': {
+				this.#deliver(result.response!);
+				return;
+			}
+
+			case 'fail': {
+				this.#fail(failure({
+					code: failureCode(next),
+					message: next.reason,
+					ran: next.ran,
+					step: 'send',
+					peer: choice.server.instanceId,
+					retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, this.parts.clock()) : undefined,
+				}));
 			}
 		}
 	}
@@ -186,6 +311,7 @@
 		const {parts, request} = this;
 		const {placement} = choice;
 		this.#sends++;
+		this.#server = choice.server.instanceId;
 		parts.logger.info('placed', {
 			request: request.id,
 			server: choice.server.instanceId,
@@ -196,7 +322,9 @@
 			considered: choice.considered,
 			send: this.#sends,
 		});
-		parts.loadExchange.openPlacement(placement, now);
+		this.#record(() => {
+			parts.loadExchange.openPlacement(placement, now);
+		});
 		let memory: MemoryReservation | undefined;
 		try {
 			if (choice.reserved.length > 0) {
@@ -210,50 +338,77 @@
 				memory = acquired.reservation;
 			}
 
-			const result = await runAttempt({
-				memory,
-				wire: parts.wire,
-				clock: parts.clock,
-				request,
-				choice,
-				sink: this.#response,
-				buffers: parts.buffers,
-				silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-				canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
-				onMetadata: ({isMisdirected, isLeaving, closedForMs, maxRequestsPerSecond}) => {
-					if (!isMisdirected) {
-						this.#recordLimit(choice.server, maxRequestsPerSecond, {sentAt: now, now: parts.clock()});
-					}
-
-					if (closedForMs !== undefined) {
-						this.#recordClosed(choice.server, closedForMs, parts.clock());
-					}
-
-					if (isLeaving) {
-						this.#recordLeaving(choice.server, parts.clock());
-					}
-				},
-				onEvent(events) {
-					if (events === 1) {
-						parts.loadExchange.startPlacement(placement.id, parts.clock());
-					}
-
-					if (events === SOUND_EVENTS) {
-						parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
-					}
-				},
-				signal: this.#response.signal,
-			});
-			this.#runs += result.mayHaveRun ? 1 : 0;
-			this.#receivedSends += result.isUnsent ? 0 : 1;
-			this.#reportPrompt(choice, result, parts.clock());
-			return result;
+			return this.#isEnded ? {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true} : await this.#send(choice, memory, now);
 		} finally {
-			parts.loadExchange.closePlacement(placement.id);
+			this.#record(() => {
+				parts.loadExchange.closePlacement(placement.id);
+			});
 			void memory?.release();
 		}
 	}
 
+	async #send(choice: ServerChoice, memory: MemoryReservation | undefined, now: number): Promise<AttemptResult> {
+		const {parts, request} = this;
+		this.#running = Attempt.start({
+			memory,
+			wire: parts.wire,
+			clock: parts.clock,
+			request,
+			choice,
+			sink: this.#response,
+			buffers: parts.buffers,
+			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
+			canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
+			onMetadata: metadata => {
+				this.#record(() => {
+					this.#recordMetadata(choice.server, metadata, now);
+				});
+			},
+			onEvent: events => {
+				this.#record(() => {
+					this.#recordEvents(choice, events);
+				});
+			},
+			onError: err => {
+				this.#logError(err);
+			},
+		});
+		const result = await this.#running.result;
+		this.#running = undefined;
+		this.#runs += result.mayHaveRun ? 1 : 0;
+		this.#receivedSends += result.isUnsent ? 0 : 1;
+		this.#record(() => {
+			this.#reportPrompt(choice, result, parts.clock());
+		});
+		return result;
+	}
+
+	#recordMetadata(server: BackendServer, {isMisdirected, isLeaving, closedForMs, maxRequestsPerSecond}: ResponseMetadata, sentAt: number): void {
+		const now = this.parts.clock();
+		if (!isMisdirected) {
+			this.#recordLimit(server, maxRequestsPerSecond, {sentAt, now});
+		}
+
+		if (closedForMs !== undefined) {
+			this.#recordClosed(server, closedForMs, now);
+		}
+
+		if (isLeaving) {
+			this.#recordLeaving(server, now);
+		}
+	}
+
+	#recordEvents({placement}: ServerChoice, events: number): void {
+		const {parts, request} = this;
+		if (events === 1) {
+			parts.loadExchange.startPlacement(placement.id, parts.clock());
+		}
+
+		if (events === SOUND_EVENTS) {
+			parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
+		}
+	}
+
 	#silenceTimeoutMs(choice: ServerChoice): number {
 		const {route} = this.request;
 		return route.kind.kind === 'stream'
@@ -310,11 +465,10 @@
 		}
 	}
 
-	/** Records the outcome in the health of the server at fault, and excludes that server from further attempts. */
-	#recordAttempt(choice: ServerChoice, result: AttemptResult, next: string): void {
+	/** Records the outcome in the health of the server at fault. */
+	#recordAttempt(choice: ServerChoice, result: AttemptResult, faultyServer: BackendServer, next: string): void {
 		const {parts, request} = this;
-		const {outcome, faultyAddress, lostReason} = result;
-		const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === faultyAddress) ?? choice.server;
+		const {outcome, lostReason} = result;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
 		parts.health.recordOutcome(faultyServer.id, isSuccess, now);
@@ -326,7 +480,6 @@
 			this.#excludeLost(faultyServer, lostReason, now);
 		}
 
-		this.#excluded.add(faultyServer.id);
 		if (!isSuccess) {
 			parts.logger.warn('attempt_failed', {
 				request: request.id,
@@ -354,26 +507,45 @@
 		}
 	}
 
-	#finish(outcome: 'delivered' | 'left'): FlowResult {
-		if (outcome === 'delivered') {
-			this.#response.end();
-		}
-
-		return {
-			outcome, status: outcome === 'delivered' ? 200 : 499, sends: this.#sends, ...this.#response.timing,
-		};
+	#finish(): void {
+		this.#response.end();
+		this.#end({
+			outcome: 'delivered', status: 200, sends: this.#sends, ...this.#response.timing,
+		});
 	}
 
-	#deliver(response: BufferedResponse): FlowResult {
+	#deliver(response: BufferedResponse): void {
 		this.#response.sendBuffered(response);
-		return {outcome: 'answered', status: response.status, sends: this.#sends};
+		this.#end({outcome: 'answered', status: response.status, sends: this.#sends});
 	}
 
-	#fail(failed: Failure): FlowResult {
-		const status = this.#response.fail(failed, this.parts.wire.formatRetryAfter);
-		return {
-			outcome: 'failed', status, sends: this.#sends, ...this.#response.timing, failure: failed,
-		};
+	#fail(failed: Failure): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		try {
+			this.#response.fail(failed, this.parts.wire.formatRetryAfter);
+		} catch (err) {
+			this.#logError(err);
+			this.#response.destroy();
+		}
+
+		this.#end({
+			outcome: 'failed', status: httpStatusOf(failed.code), sends: this.#sends, ...this.#response.timing, failure: failed,
+		});
+	}
+}
+
+function stopFailure(reason: StopReason, ran: 'not_run' | 'unknown'): {readonly code: FailureCode; readonly message: string} {
+	switch (reason.kind) {
+		case 'shutdown': {
+			return {code: ran === 'not_run' ? 'draining' : 'backend_failed', message: 'this daemon is shutting down'};
+		}
+
+		case 'overdue': {
+			return {code: ran === 'not_run' ? 'no_capacity' : 'deadline_exceeded', message: 'the deadline of the request has passed'};
+		}
 	}
 }
 
