Give each request an answer when something throws outside its flow

What callers saw: an exception before or after the forwarding of a request left it without any answer until its client gave up, and in the log an error without the id of the request. With such an error while its body was read the same.

Cause: Gateway.#handle was called without an owner: what it threw became an unhandled rejection, and what a 'data' callback of the body threw an uncaught exception; both are only logged. Around the forwarding itself an exception closed the connection.

Fix: one owner around each request. It answers 500 'internal' with a truthful `ran` first and then logs id, phase, server, age, what came of the request and the stack; it breaks the connection off only if a response has begun. A body whose reading throws rejects.

Evidence: with a route table, header decoder, body limit, Retry-After format and counter that throw, the new tests failed before: four with 'condition did not hold within 2000 ms: () => this.text.includes(text)' (no answer), the counter (answered, but not logged) with 'condition did not hold within 5000 ms', and all five with 'Unhandled Errors: planned fault'.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,16 +6,19 @@
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
+import {stackOf} from '../util/stack-of.js';
+import {timerDelay} from '../util/timer-delay.js';
 import {chooseWeighted} from '../util/weighted-choice.js';
 import {ClientConnections} from './client-connections.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
-import {describeOpenRequest, type OpenRequest} from './open-request.js';
+import {describeOpenRequest, requestId, type OpenRequest} from './open-request.js';
 import {RequestFlow, type FlowParts, type FlowResult} from './request-flow.js';
 import {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
 import type {Route} from './serving-configuration.js';
 import {isTakenDuringStop, type StopPlan} from './stop-policy.js';
+import type {ClientMetadata} from './wire-format.js';
 
 /** Retry advice while a daemon has no configuration yet or is draining. Another daemon can serve the request. */
 const OTHER_DAEMON_RETRY_MS = 200;
@@ -26,11 +29,8 @@
 /** Length of the accept queue: the number of connections that the clients of a failure domain may open at once. */
 const ACCEPT_BACKLOG = 1024;
 
-/** Longest time in ms that a timer of Node takes. */
-const MAX_TIMER_MS = 2_147_483_647;
-
 /** The nearest time that Node's HTTP server accepts: 0 would turn its timeout off. */
-const toTimerMs = (ms: number): number => Math.min(MAX_TIMER_MS, Math.max(1, Math.ceil(ms)));
+const toTimerMs = (ms: number): number => timerDelay(Math.max(1, Math.ceil(ms)));
 
 /** `stopping`: serves what fits into the time left, and closes each connection after the response; `stopped`: rejects new requests. */
 type GatewayPhase =
@@ -66,7 +66,7 @@
 			maxBufferedBytes: parts.maxBufferedBodyBytes,
 		});
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
-			void this.#handle(req, res);
+			void this.#own(req, res);
 		});
 		this.#connections = ClientConnections.create(this.#server);
 	}
@@ -142,20 +142,29 @@
 		await listen(this.#server, {host, port: Number(port), backlog: ACCEPT_BACKLOG});
 	}
 
-	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {parts} = this;
-		const arrivedAt = parts.clock();
+	/** Handles a request and owns its response: whatever throws, the request gets one. */
+	async #own(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const open: OpenRequest = {
+			req, res, arrivedAt: this.parts.clock(), metadata: undefined, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+		};
+		try {
+			await this.#handle(open);
+		} catch (err) {
+			this.#failUnexpectedly(open, err);
+		}
+	}
+
+	async #handle(open: OpenRequest): Promise<void> {
+		const {req, res} = open;
 		if (await this.#connections.startRequest(req, res) === 'dropped') {
 			return;
 		}
 
-		const open: OpenRequest = {
-			req, res, arrivedAt, id: parts.wire.readClientMetadata(req.headers).attemptId ?? 'none', state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
-		};
 		this.#openRequests.add(open);
 		res.on('close', () => {
 			this.#openRequests.delete(open);
 		});
+		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		const body = await this.#bodies.read(req, cancel => {
 			open.state = {kind: 'reading', cancel};
 		});
@@ -163,7 +172,7 @@
 			if (body.code !== 'caller_left') {
 				// The rest of the body is not read, so the connection cannot be used again.
 				res.setHeader('connection', 'close');
-				this.#refuse(req, res, body);
+				this.#refuse(open, body);
 			}
 
 			return;
@@ -176,23 +185,48 @@
 			res.setHeader('connection', 'close');
 		}
 
-		const request = this.#admit(req, res, body.bytes, arrivedAt);
+		const request = this.#admit(open, open.metadata, body.bytes);
 		if ('code' in request) {
-			this.#refuse(req, res, request);
+			this.#refuse(open, request);
 			return;
 		}
 
-		try {
-			const flow = RequestFlow.create(parts, request);
-			open.state = {kind: 'running', flow};
-			this.#recordResult(request, await flow.run());
-		} catch (err) {
-			parts.logger.error('unexpected_error', {request: request.id, message: err instanceof Error ? (err.stack ?? err.message) : String(err)});
-			res.destroy();
+		const flow = RequestFlow.create(this.parts, request);
+		open.state = {kind: 'running', flow};
+		this.#recordResult(request, await flow.run());
+	}
+
+	/** Answers a request whose handling has thrown, before anything else that might throw again. */
+	#failUnexpectedly(open: OpenRequest, err: unknown): void {
+		const {clock, logger} = this.parts;
+		const description = describeOpenRequest(open, clock());
+		const result = this.#answer(open.res, failure({
+			code: 'internal', message: 'an unexpected error ended the request', ran: description.sent ? 'unknown' : 'not_run', step: 'admit',
+		}));
+		logger.error('unexpected_error', {...description, result, message: stackOf(err)});
+	}
+
+	/** Sends a response unless there is one, and breaks the connection off if that is no longer possible. */
+	#answer(res: ServerResponse, failed: Failure): 'answered' | 'answered_before' | 'broken_off' {
+		if (res.writableEnded || res.destroyed) {
+			return 'answered_before';
 		}
+
+		if (!res.headersSent) {
+			try {
+				res.setHeader('connection', 'close');
+				sendFailure(res, failed, this.parts.wire.formatRetryAfter);
+				return 'answered';
+			} catch (err) {
+				this.parts.logger.error('unexpected_error', {message: stackOf(err)});
+			}
+		}
+
+		res.destroy();
+		return 'broken_off';
 	}
 
-	#admit(req: IncomingMessage, res: ServerResponse, body: Uint8Array, arrivedAt: number): GatewayRequest | Failure {
+	#admit({req, res, arrivedAt}: OpenRequest, metadata: ClientMetadata, body: Uint8Array): GatewayRequest | Failure {
 		const {parts} = this;
 		const table = parts.routeTable();
 		if (!table) {
@@ -209,7 +243,6 @@
 			});
 		}
 
-		const metadata = parts.wire.readClientMetadata(req.headers);
 		const access = table.checkAccess(route, metadata.apiKey);
 		if (access.kind === 'denied') {
 			return failure({
@@ -272,13 +305,12 @@
 		});
 	}
 
-	#refuse(req: IncomingMessage, res: ServerResponse, failed: Failure): void {
+	#refuse(open: OpenRequest, failed: Failure): void {
 		const {parts} = this;
-		sendFailure(res, failed, parts.wire.formatRetryAfter);
-		const status = httpStatusOf(failed.code);
+		sendFailure(open.res, failed, parts.wire.formatRetryAfter);
 		parts.metrics.countRefusal(failed.code);
 		parts.logger.warn('request_refused', {
-			request: parts.wire.readClientMetadata(req.headers).attemptId, status, code: failed.code, reason: failed.message, config: parts.routeTable()?.version, phase: this.#phase.kind,
+			request: requestId(open), status: httpStatusOf(failed.code), code: failed.code, reason: failed.message, config: parts.routeTable()?.version, phase: this.#phase.kind,
 		});
 	}
 
--- a/src/gateway/open-request.ts
+++ b/src/gateway/open-request.ts
@@ -2,6 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Failure} from '../util/failure.js';
 import type {RequestFlow} from './request-flow.js';
+import type {ClientMetadata} from './wire-format.js';
 
 export type OpenRequestState =
 	/** The body is being read. `cancel` ends the request with a failure. */
@@ -11,22 +12,24 @@
 export type OpenRequest = {
 	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
-	/** Id in logs. */
-	readonly id: string;
+	/** Undefined until the headers have been decoded. */
+	metadata: ClientMetadata | undefined;
 	/** Time on the monotonic clock, in ms. */
 	readonly arrivedAt: number;
 	state: OpenRequestState;
 };
 
-/** What the log tells of an open request that is ended from outside. `answered`: its response waits for the client to read. */
-export function describeOpenRequest({
-	id, res, arrivedAt, state,
-}: OpenRequest, now: number): {
-		readonly request: string; readonly phase: 'reading' | 'running' | 'answered'; readonly sent: boolean; readonly server: string | undefined; readonly age_ms: number;
-	} {
+/** What the log tells of an open request that is not ended by its owner. `answered`: its response waits for the client to read. */
+/** Id of a request in logs. */
+export const requestId = ({metadata}: OpenRequest): string => metadata?.attemptId ?? 'none';
+
+export function describeOpenRequest(open: OpenRequest, now: number): {
+	readonly request: string; readonly phase: 'reading' | 'running' | 'answered'; readonly sent: boolean; readonly server: string | undefined; readonly age_ms: number;
+} {
+	const {res, arrivedAt, state} = open;
 	const progress = state.kind === 'running' ? state.flow.progress : undefined;
 	return {
-		request: id,
+		request: requestId(open),
 		phase: res.writableEnded ? 'answered' : state.kind,
 		sent: progress?.isSent ?? false,
 		server: progress?.server,
--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -39,7 +39,7 @@
 
 	/**
 	 * Reads a whole body. Returns a failure when it is too large, not received in time, or incomplete; the connection then
-	 * has to be closed after the response, as the rest of the body is not read. `onStart` gets a function that ends reading
+	 * has to be closed after the response, as the rest of the body is not read. Rejects when reading throws. `onStart` gets a function that ends reading
 	 * with a failure.
 	 */
 	async read(req: IncomingMessage, onStart?: (cancel: (failed: Failure) => void) => void): Promise<RequestBody | Failure> {
@@ -47,23 +47,32 @@
 			return this.#createTooLargeFailure();
 		}
 
-		return new Promise(resolve => {
+		return new Promise((resolve, reject) => {
 			const buffer = GrowingBuffer.create();
 			const release = this.#createRelease(buffer);
-			const fail = (failed: Failure): void => {
+			const stop = (): void => {
 				release();
 				clearTimeout(timer);
 				req.off('data', onData);
 				req.pause();
+			};
+
+			const fail = (failed: Failure): void => {
+				stop();
 				resolve(failed);
 			};
 
 			const onData = (chunk: Uint8Array): void => {
-				this.#bufferedBytes += chunk.length;
-				buffer.append(chunk);
-				const refusal = this.#findRefusal(buffer.length);
-				if (refusal) {
-					fail(refusal);
+				try {
+					buffer.append(chunk);
+					this.#bufferedBytes += chunk.length;
+					const refusal = this.#findRefusal(buffer.length);
+					if (refusal) {
+						fail(refusal);
+					}
+				} catch (err) {
+					stop();
+					reject(err); // eslint-disable-line @typescript-eslint/prefer-promise-reject-errors
 				}
 			};
 
--- /dev/null
+++ b/tests/gateway-boundary.test.ts
@@ -0,0 +1,94 @@
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {decodeConfiguration} from '../platform/configuration.js';
+import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
+import {Gateway, type GatewayParts} from '../src/gateway/gateway.js';
+import {RouteTable} from '../src/gateway/route-table.js';
+import {freePort} from '../testing/free-port.js';
+import {FlowFixture} from './fixtures/flow-fixture.js';
+import {platformConfiguration} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
+import {RawConnection, rawRequest} from './fixtures/raw-connection.js';
+
+let flows: FlowFixture;
+let gateway: Gateway;
+let metrics: GatewayMetrics;
+let connection: RawConnection;
+
+beforeEach(async () => {
+	flows = await FlowFixture.create();
+	metrics = GatewayMetrics.create({droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0});
+});
+
+afterEach(async () => {
+	connection.close();
+	gateway.close();
+	await flows.close();
+});
+
+async function start(parts: Partial<GatewayParts> = {}): Promise<void> {
+	const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1})!);
+	const port = await freePort();
+	gateway = await Gateway.listen(`127.0.0.1:${port}`, {
+		...flows.parts, metrics, maxBufferedBodyBytes: 1_000_000, routeTable: () => table, ...parts,
+	});
+	connection = await RawConnection.open(port);
+}
+
+async function expectInternalError(id: string): Promise<void> {
+	await connection.waitForText('"ran":"not_run"', 2000);
+	expect(connection.statuses).toEqual([500]);
+	expect(connection.text).toContain('"code":"internal"');
+	const line = flows.logs.find(text => text.includes('event=unexpected_error'))!;
+	expect(line).toContain(`request=${id}`);
+	expect(line).toContain('planned fault');
+	await waitUntil(() => gateway.openRequests === 0);
+}
+
+const fail = (): never => {
+	throw new Error('planned fault');
+};
+
+describe('exceptions around a request', () => {
+	it('should answer a request when its route cannot be looked up', async () => {
+		const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1})!);
+		table.match = fail;
+		await start({routeTable: () => table});
+		connection.write(rawRequest('/look/x', 'routed'));
+		await expectInternalError('routed');
+	});
+
+	it('should answer a request when its headers cannot be decoded', async () => {
+		await start({wire: {...flows.parts.wire, readClientMetadata: fail}});
+		connection.write(rawRequest('/look/x', 'decoded'));
+		await expectInternalError('none');
+	});
+
+	it('should answer a request when reading its body throws', async () => {
+		let calls = 0;
+		await start({
+			routeTable() {
+				calls++;
+				return calls > 1 ? fail() : undefined;
+			},
+		});
+		connection.write(rawRequest('/look/x', 'read', {body: 'body'}));
+		await expectInternalError('read');
+	});
+
+	it('should answer a request when its refusal cannot be formatted', async () => {
+		await start({routeTable: () => undefined, wire: {...flows.parts.wire, formatRetryAfter: fail}});
+		connection.write(rawRequest('/look/x', 'refused'));
+		await expectInternalError('refused');
+	});
+
+	it('should give one answer when counting a refusal throws', async () => {
+		metrics.countRefusal = fail;
+		await start();
+		connection.write(rawRequest('/nowhere/', 'counted'));
+		await connection.waitForText('unknown_service');
+		expect(connection.statuses).toEqual([404]);
+		await waitUntil(() => flows.logs.some(line => line.includes('event=unexpected_error')));
+	});
+});
