End requests that stay open past their deadline, and count them

What callers saw: a request whose owner was lost (a timer or promise that never came, whatever the reason) hung until its client left, and no log line or counter told of it.

Fix: the gateway checks its open requests every 100 ms. One that has no response at the second check past its deadline gets one from its flow, or else from the gateway, with a truthful `ran`; `request_without_owner` is an error line with id, phase, whether it was sent, server and age, and fireflyport_requests_without_owner_total counts them. A response that waits for its client to read is left alone.

Evidence: with a clock that runs ahead of the timers of the owner, the new tests failed before, one for a request at a server and one for a body: 'condition did not hold within 1000 ms: () => this.text.includes(text)'. That a slow reader is left alone held before.

--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -37,6 +37,10 @@
 		name: 'fireflyport_requests_ended_by_stop_total', help: 'Requests without a response at the end of a planned stop', labelNames: ['phase', 'sent'], registers: [this.#registry],
 	});
 
+	readonly #withoutOwner = new Counter({
+		name: 'fireflyport_requests_without_owner_total', help: 'Requests that were ended past their deadline without an answer of their owner', labelNames: ['phase'], registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'fireflyport_store_calls_total', help: 'Calls of this daemon to the store', labelNames: ['kind', 'operation', 'result'], registers: [this.#registry],
 	});
@@ -66,6 +70,10 @@
 		this.#endedByStop.inc({phase, sent: String(isSent)});
 	}
 
+	countWithoutOwner(phase: string): void {
+		this.#withoutOwner.inc({phase});
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {BodyReader} from '../http/body-reader.js';
+import {BODY_TIMEOUT_MS, BodyReader} from '../http/body-reader.js';
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
@@ -29,6 +29,14 @@
 /** Length of the accept queue: the number of connections that the clients of a failure domain may open at once. */
 const ACCEPT_BACKLOG = 1024;
 
+/**
+ * Interval in ms at which requests are checked that their owner has left open. One ends at the second check past its deadline, since
+ * after a pause of the process the first one may come before the owner's own timer.
+ */
+const OWNER_CHECK_MS = 100;
+/** Time in ms after the deadline in which the owner may still answer. */
+const OWNER_MARGIN_MS = 100;
+
 /** The nearest time that Node's HTTP server accepts: 0 would turn its timeout off. */
 const toTimerMs = (ms: number): number => timerDelay(Math.max(1, Math.ceil(ms)));
 
@@ -56,6 +64,7 @@
 	readonly #server: Server;
 	readonly #connections: ClientConnections;
 	readonly #bodies: BodyReader;
+	readonly #ownerTimer: NodeJS.Timeout;
 	readonly #openRequests = new Set<OpenRequest>();
 	readonly #durations = RouteDurations.create();
 	#phase: GatewayPhase = {kind: 'serving'};
@@ -69,6 +78,9 @@
 			void this.#own(req, res);
 		});
 		this.#connections = ClientConnections.create(this.#server);
+		this.#ownerTimer = setInterval(() => {
+			this.#endOverdue(parts.clock());
+		}, OWNER_CHECK_MS);
 	}
 
 	/** Number of requests without a complete response. */
@@ -134,6 +146,7 @@
 			logger.warn('request_cut', describeOpenRequest(open, clock()));
 		}
 
+		clearInterval(this.#ownerTimer);
 		this.#connections.close();
 	}
 
@@ -144,8 +157,9 @@
 
 	/** Handles a request and owns its response: whatever throws, the request gets one. */
 	async #own(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const arrivedAt = this.parts.clock();
 		const open: OpenRequest = {
-			req, res, arrivedAt: this.parts.clock(), metadata: undefined, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+			req, res, arrivedAt, metadata: undefined, deadline: arrivedAt + BODY_TIMEOUT_MS, isOverdue: false, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		};
 		try {
 			await this.#handle(open);
@@ -193,9 +207,40 @@
 
 		const flow = RequestFlow.create(this.parts, request);
 		open.state = {kind: 'running', flow};
+		open.deadline = request.deadline;
 		this.#recordResult(request, await flow.run());
 	}
 
+	/** Ends requests whose owner has left them without a response at their deadline. */
+	#endOverdue(now: number): void {
+		for (const open of this.#openRequests) {
+			const {res, isOverdue} = open;
+			open.isOverdue = now > open.deadline + OWNER_MARGIN_MS && !res.writableEnded && !res.destroyed;
+			if (isOverdue && open.isOverdue) {
+				this.#endWithoutOwner(open, now);
+			}
+		}
+	}
+
+	#endWithoutOwner(open: OpenRequest, now: number): void {
+		const {logger, metrics} = this.parts;
+		const {res, state} = open;
+		const description = describeOpenRequest(open, now);
+		logger.error('request_without_owner', description);
+		metrics.countWithoutOwner(description.phase);
+		if (state.kind === 'running') {
+			try {
+				state.flow.stop({kind: 'overdue'}, now);
+			} catch (err) {
+				logger.error('unexpected_error', {request: description.request, message: stackOf(err)});
+			}
+		}
+
+		this.#answer(res, failure({
+			code: 'deadline_exceeded', message: 'the deadline of the request has passed', ran: description.sent ? 'unknown' : 'not_run', step: state.kind === 'running' ? 'send' : 'parse',
+		}));
+	}
+
 	/** Answers a request whose handling has thrown, before anything else that might throw again. */
 	#failUnexpectedly(open: OpenRequest, err: unknown): void {
 		const {clock, logger} = this.parts;
--- a/src/gateway/open-request.ts
+++ b/src/gateway/open-request.ts
@@ -16,6 +16,10 @@
 	metadata: ClientMetadata | undefined;
 	/** Time on the monotonic clock, in ms. */
 	readonly arrivedAt: number;
+	/** Time at which its owner gives it a final response at the latest. */
+	deadline: number;
+	/** The deadline had passed at the last check. */
+	isOverdue: boolean;
 	state: OpenRequestState;
 };
 
--- a/src/http/body-reader.ts
+++ b/src/http/body-reader.ts
@@ -5,7 +5,7 @@
 import {GrowingBuffer} from '../util/growing-buffer.js';
 
 /** Timeout for receiving a body, because a slow one occupies memory while it arrives. */
-const BODY_TIMEOUT_MS = 30_000;
+export const BODY_TIMEOUT_MS = 30_000;
 const RETRY_AFTER_MS = 1000;
 
 export type BodyReaderOptions = {
--- a/tests/gateway-boundary.test.ts
+++ b/tests/gateway-boundary.test.ts
@@ -5,8 +5,9 @@
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
 import {Gateway, type GatewayParts} from '../src/gateway/gateway.js';
 import {RouteTable} from '../src/gateway/route-table.js';
+import {monotonicMs} from '../src/util/clock.js';
 import {freePort} from '../testing/free-port.js';
-import {FlowFixture} from './fixtures/flow-fixture.js';
+import {FlowFixture, signedHeaders} from './fixtures/flow-fixture.js';
 import {platformConfiguration} from './fixtures/gateway-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 import {RawConnection, rawRequest} from './fixtures/raw-connection.js';
@@ -15,9 +16,11 @@
 let gateway: Gateway;
 let metrics: GatewayMetrics;
 let connection: RawConnection;
+let clockOffsetMs = 0;
 
 beforeEach(async () => {
-	flows = await FlowFixture.create();
+	clockOffsetMs = 0;
+	flows = await FlowFixture.create({parts: {clock: () => monotonicMs() + clockOffsetMs}});
 	metrics = GatewayMetrics.create({droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0});
 });
 
@@ -92,3 +95,48 @@
 		await waitUntil(() => flows.logs.some(line => line.includes('event=unexpected_error')));
 	});
 });
+
+describe('requests without an owner', () => {
+	it('should answer a request that is open past its deadline, and count it', async () => {
+		let isReceived = false;
+		await flows.addServer('i-1', () => {
+			isReceived = true;
+		});
+		await start();
+		connection.write(rawRequest('/book/x', 'overdue'));
+		await waitUntil(() => isReceived);
+		clockOffsetMs = 10_000;
+		await connection.waitForText('"ran":"unknown"', 1000);
+		expect(connection.statuses).toEqual([504]);
+		expect(flows.logs.find(line => line.includes('event=request_without_owner'))).toMatch(/level=error .*request=overdue phase=running sent=true server=i-1 age_ms=\d+/v);
+		expect(await metrics.text()).toContain('fireflyport_requests_without_owner_total{phase="running"} 1');
+	});
+
+	it('should answer a request whose body is read for longer than its timeout', async () => {
+		await start();
+		connection.write(rawRequest('/book/x', 'unread', {headers: {'content-length': '10'}, body: 'half'}));
+		await waitUntil(() => gateway.openRequests === 1);
+		clockOffsetMs = 60_000;
+		await connection.waitForText('"ran":"not_run"', 1000);
+		expect(connection.statuses).toEqual([504]);
+		expect(await metrics.text()).toContain('fireflyport_requests_without_owner_total{phase="reading"} 1');
+	});
+
+	it('should leave a response alone that waits for its client to read', async () => {
+		const body = 'x'.repeat(4_000_000);
+		await flows.addServer('i-1', (req, res) => {
+			res.writeHead(200, signedHeaders(String(req.headers['fireflyport-attempt-id']))).end(body);
+		});
+		await start();
+		connection.socket.pause();
+		connection.write(rawRequest('/book/x', 'slow'));
+		await waitUntil(() => flows.logs.some(line => line.includes('event=request_done')));
+		clockOffsetMs = 10_000;
+		await new Promise(resolve => {
+			setTimeout(resolve, 500);
+		});
+		connection.socket.resume();
+		await waitUntil(() => connection.text.length > body.length);
+		expect(flows.logs.some(line => line.includes('event=request_without_owner'))).toBe(false);
+	});
+});
