Give a silent server up only once another attempt is ready

What callers saw: a stream ended, broken off, after 1 of 4 events, or a call got 502, though its server was sound and went on after 1.5 s.

Cause: after half of the client's silence limit (twice the target latency of a call) the attempt was aborted first. Only then a server and a token of the retry budget were looked for.

Change: a silent attempt asks its request for another one. Only then the silent attempt ends, and the prepared one, which has its token, follows. Otherwise it goes on, and looks again every 250 ms until the deadline. If the server goes on while memory is being reserved, memory, placement and token are given back. Whether the client still waits is the client's decision: its silence limit ends nothing here.

Placement ids count the choices of a request instead of its sends, so that one that was given back shares no id with a later one.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -23,6 +23,9 @@
  */
 const MAX_STALLED_STREAM_BYTES = 262_144;
 
+/** Interval in ms at which a silent attempt looks again for another one: several times before a client leaves after two seconds. */
+const HAND_OVER_INTERVAL_MS = 250;
+
 /** A complete response that has not been sent to the client. */
 export type BufferedResponse = {
 	readonly status: number;
@@ -60,6 +63,13 @@
 	onceDrained(callback: () => void): void;
 };
 
+/** Another attempt that is ready. Exactly one of the methods is called. */
+export type HandOver = {
+	/** Makes it the next attempt of the request. The current one ends. */
+	accept(): void;
+	discard(): void;
+};
+
 export type AttemptOptions = {
 	readonly wire: WireFormat;
 	readonly clock: Clock;
@@ -69,10 +79,10 @@
 	readonly memory: MemoryReservation | undefined;
 	readonly sink: EventSink;
 	readonly buffers: ResponseBuffers;
-	/** Time in ms without a new event after which the attempt is aborted if `canRetry` allows it. */
+	/** Time in ms without a new event or response after which the attempt is given up as soon as another one is ready. */
 	readonly silenceTimeoutMs: number;
-	/** Whether another attempt is possible. */
-	canRetry(): boolean;
+	/** Prepares another attempt. Resolves with undefined if none is possible now; never rejects. */
+	prepareHandOver(): Promise<HandOver | undefined>;
 	/** Called with the metadata of the response head. */
 	onMetadata(metadata: ResponseMetadata): void;
 	/** Called with the number of new events after each one. */
@@ -360,16 +370,35 @@
 	}
 
 	#restartSilenceTimer(): void {
+		this.#waitForSilence(this.options.silenceTimeoutMs);
+	}
+
+	#waitForSilence(ms: number): void {
 		clearTimeout(this.#silenceTimer);
-		if (this.#isPaused) {
+		if (this.#isPaused || this.#finished) {
 			return;
 		}
 
-		this.#silenceTimer = setTimeout(this.#guard(() => {
-			if (this.options.canRetry()) {
+		this.#silenceTimer = setTimeout(() => {
+			void this.#handOver();
+		}, timerDelay(ms));
+	}
+
+	/** Gives the silent attempt up if another one is ready, unless it has gone on meanwhile. Otherwise looks again later. */
+	async #handOver(): Promise<void> {
+		const timer = this.#silenceTimer;
+		const handOver = await this.options.prepareHandOver();
+		this.#guard(() => {
+			const isSilent = !this.#finished && !this.#isPaused && this.#silenceTimer === timer;
+			if (!isSilent) {
+				handOver?.discard();
+			} else if (handOver) {
+				handOver.accept();
 				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
+			} else {
+				this.#waitForSilence(HAND_OVER_INTERVAL_MS);
 			}
-		}), timerDelay(this.options.silenceTimeoutMs));
+		})();
 	}
 
 	/**
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -11,7 +11,9 @@
 import type {RetryBudget} from '../util/retry-budget.js';
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
-import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
+import {
+	Attempt, type AttemptResult, type BufferedResponse, type HandOver,
+} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
@@ -68,6 +70,17 @@
 	readonly failure?: Failure;
 };
 
+/** An attempt whose placement is open and whose memory is reserved. */
+type PreparedAttempt = {
+	readonly choice: ServerChoice;
+	readonly memory: MemoryReservation | undefined;
+	readonly placedAt: number;
+};
+
+type Preparation =
+	| {readonly kind: 'prepared'; readonly attempt: PreparedAttempt}
+	| {readonly kind: 'refused'; readonly result: AttemptResult};
+
 /** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
 export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
 
@@ -83,6 +96,9 @@
 	#isEnded = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#running: Attempt | undefined;
+	/** Takes over from the attempt that has just ended. */
+	#next: PreparedAttempt | undefined;
+	#choices = 0;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
@@ -186,21 +202,90 @@
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
 		while (!this.#isEnded) {
-			const now = parts.clock();
-			const choice = this.#choose(now);
-			if (choice.kind === 'refused') {
-				this.#fail(choice.failure);
-				return;
+			const prepared = this.#takeNext() ?? await this.#prepareNext();
+			if (prepared) {
+				await this.#attempt(prepared);
+			}
+		}
+
+		this.#close(this.#takeNext());
+	}
+
+	#takeNext(): PreparedAttempt | undefined {
+		const next = this.#next;
+		this.#next = undefined;
+		return next;
+	}
+
+	/** Chooses a server and prepares an attempt. Returns undefined if that failed; the request has then ended, or another server may do. */
+	async #prepareNext(): Promise<PreparedAttempt | undefined> {
+		const now = this.parts.clock();
+		const choice = this.#choose(now);
+		if (choice.kind === 'refused') {
+			this.#fail(choice.failure);
+			return undefined;
+		}
+
+		const prepared = await this.#prepare(choice.choice, now);
+		if (prepared.kind === 'refused') {
+			this.#sends++;
+			this.#continueAfter(choice.choice, prepared.result);
+			return undefined;
+		}
+
+		return prepared.attempt;
+	}
+
+	/** Prepares an attempt at another server for a request whose server is silent, and takes its token of the retry budget. */
+	async #prepareHandOver(current: BackendServer): Promise<HandOver | undefined> {
+		const budget = this.parts.retryBudget(this.request.service.name);
+		let hasToken = false;
+		try {
+			const now = this.parts.clock();
+			hasToken = canRunAgain({...this.#retryState(now), runs: this.#runs + 1}) && budget.tryRetry();
+			const choice = hasToken ? this.#chooseOther(current, now) : undefined;
+			const prepared = choice && await this.#prepare(choice, now);
+			if (prepared?.kind === 'prepared') {
+				hasToken = false;
+				return {
+					accept: () => {
+						this.#next = prepared.attempt;
+					},
+					discard: () => {
+						budget.giveBack();
+						this.#close(prepared.attempt);
+					},
+				};
 			}
+		} catch (err) {
+			this.#logError(err);
+		}
+
+		if (hasToken) {
+			budget.giveBack();
+		}
+
+		return undefined;
+	}
 
-			const result = await this.#attempt(choice.choice, now);
-			this.#continueAfter(choice.choice, result);
+	/** Returns another server than `current` that can be expected to respond before the client leaves. */
+	#chooseOther(current: BackendServer, now: number): ServerChoice | undefined {
+		const {parts, request} = this;
+		if (parts.quarantine.findQuarantined(request.metadata.sharedParts, now)) {
+			return undefined;
 		}
+
+		const choice = this.#chooseServer(new Set([...this.#excluded, current.id]), now);
+		return choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route) ? choice : undefined;
+	}
+
+	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
+		return chooseServer(this.parts, this.request, {excluded, count: this.#choices++}, now);
 	}
 
 	/** Records an attempt, and ends the request unless another attempt follows. */
 	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
-		const next = nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		const next: NextStep = this.#next ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
 			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
 			this.#excluded.add(faultyServer.id);
@@ -252,7 +337,7 @@
 			return {kind: 'refused', failure: this.#quarantineFailure(quarantined)};
 		}
 
-		const choice = chooseServer(parts, request, {excluded: this.#excluded, sends: this.#sends}, now);
+		const choice = this.#chooseServer(this.#excluded, now);
 		const ran = this.#runs === 0 ? 'not_run' : 'unknown';
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
@@ -301,47 +386,73 @@
 		return retryAdviceMs(cause, this.request.deadline - now, this.parts.random());
 	}
 
-	async #attempt(choice: ServerChoice, now: number): Promise<AttemptResult> {
+	/** Opens the placement of an attempt and reserves memory on its helpers. */
+	async #prepare(choice: ServerChoice, placedAt: number): Promise<Preparation> {
 		const {parts, request} = this;
-		const {placement} = choice;
-		this.#sends++;
-		parts.logger.info('placed', {
-			request: request.id,
-			server: choice.server.instanceId,
-			helpers: choice.helpers.length,
-			prompt_tokens: request.metadata.promptTokens,
-			reserved_tokens: choice.reserved.reduce((sum, {tokens}) => sum + tokens, 0),
-			expected_ms: Math.round(choice.expectedMs),
-			considered: choice.considered,
-			send: this.#sends,
+		this.#record(() => {
+			parts.loadExchange.openPlacement(choice.placement, placedAt);
 		});
+		if (choice.reserved.length === 0) {
+			return {kind: 'prepared', attempt: {choice, memory: undefined, placedAt}};
+		}
+
+		const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
+		if (acquired.kind === 'reserved') {
+			return {kind: 'prepared', attempt: {choice, memory: acquired.reservation, placedAt}};
+		}
+
+		this.#closePlacement(choice);
+		return {
+			kind: 'refused',
+			result: {
+				outcome: {kind: 'rejected', reason: acquired.reason}, mayHaveRun: false, isUnsent: true, faultyAddress: acquired.server.address,
+			},
+		};
+	}
+
+	#close(prepared: PreparedAttempt | undefined): void {
+		if (prepared) {
+			this.#closePlacement(prepared.choice);
+			void prepared.memory?.release();
+		}
+	}
+
+	#closePlacement({placement}: ServerChoice): void {
 		this.#record(() => {
-			parts.loadExchange.openPlacement(placement, now);
+			this.parts.loadExchange.closePlacement(placement.id);
 		});
-		let memory: MemoryReservation | undefined;
+	}
+
+	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
+	async #attempt(prepared: PreparedAttempt): Promise<void> {
+		const {choice} = prepared;
+		let result: AttemptResult;
 		try {
-			if (choice.reserved.length > 0) {
-				const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
-				if (acquired.kind === 'refused') {
-					return {
-						outcome: {kind: 'rejected', reason: acquired.reason}, mayHaveRun: false, isUnsent: true, faultyAddress: acquired.server.address,
-					};
-				}
-
-				memory = acquired.reservation;
+			if (this.#isEnded) {
+				return;
 			}
 
-			return this.#isEnded ? {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true} : await this.#send(choice, memory, now);
+			result = await this.#send(prepared);
 		} finally {
-			this.#record(() => {
-				parts.loadExchange.closePlacement(placement.id);
-			});
-			void memory?.release();
+			this.#close(prepared);
 		}
+
+		this.#continueAfter(choice, result);
 	}
 
-	async #send(choice: ServerChoice, memory: MemoryReservation | undefined, now: number): Promise<AttemptResult> {
+	async #send({choice, memory, placedAt}: PreparedAttempt): Promise<AttemptResult> {
 		const {parts, request} = this;
+		this.#sends++;
+		parts.logger.info('placed', {
+			request: request.id,
+			server: choice.server.instanceId,
+			helpers: choice.helpers.length,
+			prompt_tokens: request.metadata.promptTokens,
+			reserved_tokens: choice.reserved.reduce((sum, {tokens}) => sum + tokens, 0),
+			expected_ms: Math.round(choice.expectedMs),
+			considered: choice.considered,
+			send: this.#sends,
+		});
 		this.#running = Attempt.start({
 			memory,
 			wire: parts.wire,
@@ -351,10 +462,10 @@
 			sink: this.#response,
 			buffers: parts.buffers,
 			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-			canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
+			prepareHandOver: async () => this.#prepareHandOver(choice.server),
 			onMetadata: metadata => {
 				this.#record(() => {
-					this.#recordMetadata(choice.server, metadata, now);
+					this.#recordMetadata(choice.server, metadata, placedAt);
 				});
 			},
 			onEvent: events => {
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -38,17 +38,17 @@
 	regionOf(failureDomain: string): string | undefined;
 };
 
-/** Earlier attempts of the request: their number, and the servers that are excluded from further ones. */
-export type EarlierAttempts = {
+/** Earlier choices for the request: their number, and the servers that are excluded from further ones. */
+export type EarlierChoices = {
 	readonly excluded: ReadonlySet<string>;
-	readonly sends: number;
+	readonly count: number;
 };
 
 /** Returns the server for the next attempt, or undefined if none can take the request. */
-export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, sends}: EarlierAttempts, now: number): ServerChoice | undefined {
+export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count}: EarlierChoices, now: number): ServerChoice | undefined {
 	const servers = parts.fleet.usableServers(request.service.name, now)
 		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedRegion(parts, request, server));
-	const id = `${request.id}#${sends}`;
+	const id = `${request.id}#${count}`;
 	const targetMs = request.arrivedAt + request.route.targetLatencyMs - now;
 	const {engine} = request.service;
 	return engine && request.metadata.promptTokens !== undefined
--- a/src/util/retry-budget.ts
+++ b/src/util/retry-budget.ts
@@ -34,4 +34,9 @@
 		this.#tokens--;
 		return true;
 	}
+
+	/** Returns the token of a retry that was not made. */
+	giveBack(): void {
+		this.#tokens = Math.min(this.capacity(), this.#tokens + 1);
+	}
 }
