Resume a begun stream elsewhere when a server answers it with a status

What callers saw: a stream that had begun was broken off, although another server could have finished it, when the server that was asked to go on answered with 4xx or another status than 200. The request was logged and counted as answered.

Cause: such a response was collected and counted as the answer, which can't follow events, so the connection was closed. It now ends the attempt as broken at its head, and the usual retry policy decides. If nothing follows, the stream is broken off and recorded as failed.

Before: "expected { Object (status, headers, ...) } to match object { status: 200, …(2) }" for 404 and 204, and an outcome "answered" instead of "failed". 5xx was retried before, too.

--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -57,6 +57,8 @@
 export type EventSink = {
 	/** Id of the last event that the client has received. */
 	readonly lastEventId: number | undefined;
+	/** Whether the client has received the head of a stream, so that nothing but its events can follow. */
+	readonly hasBegun: boolean;
 	/** Sends an event, and `head` before the first one; later heads are ignored. Returns false if the buffer is full. */
 	writeEvent(head: readonly string[], event: RawEvent): boolean;
 	/** Calls `callback` once the client reads again. */
@@ -217,6 +219,8 @@
 			this.#phase = {
 				kind: 'relaying', head: wire.clientHeaders(head.headers), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
 			};
+		} else if (this.options.sink.hasBegun) {
+			this.#abortBroken(`response with status ${head.status} instead of the rest of the stream`);
 		} else {
 			this.#collect(head);
 		}
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -39,6 +39,10 @@
 		return this.#lastEventId;
 	}
 
+	get hasBegun(): boolean {
+		return this.request.res.headersSent;
+	}
+
 	/** Time in ms from the arrival of the request to its first event, and the longest pause between events. */
 	get timing(): {readonly firstEventMs: number | undefined; readonly longestGapMs: number} {
 		const firstEventMs = this.#firstEventAt === undefined ? undefined : this.#firstEventAt - this.request.arrivedAt;
@@ -79,12 +83,6 @@
 		res.once('close', () => {
 			account.close();
 		});
-		if (res.headersSent) {
-			// A stream has begun. Bytes of another response would look like its end.
-			res.destroy();
-			return;
-		}
-
 		res.writeHead(status, [...headers, 'content-length', String(body.length)]);
 		res.end(body);
 	}
