Keep a begun stream open until a server can resume it

What callers saw: a resumable stream was broken off at once when its server failed at a moment at which no other server was registered, the retry budget was empty, or the other servers refused it. A server or a token that came half a second later was of no use. A stream that had been taken from a silent server was lost if the next one refused it.

Cause: the decision after a failed attempt knows only "now or never". That is right before the first event, when a truthful answer can still be given. Afterwards a closed connection is all that is left to say.

Change: such a stream looks for a server and a token again every 250 ms until its deadline, within its attempts. Servers that were silent or refused it are asked again if there is no other; those that broke off are not. A quarantined prompt and a stream that may not be resumed still end at once. Requests without an event are answered at once as before.

Before: 4 of the 9 new tests, each "expected { Object (status, headers, ...) } to match object { status: 200, …(2) }" (isBroken). The others guard what has to stay.

--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -8,6 +8,7 @@
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
+import {pause} from '../util/pause.js';
 import type {RetryBudget} from '../util/retry-budget.js';
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
@@ -42,6 +43,8 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
+/** Interval in ms at which an interrupted stream looks for another server: several times before its client leaves after two seconds. */
+const RESUME_INTERVAL_MS = 250;
 /** Status in logs of a request whose client has disconnected. */
 const CLIENT_LEFT_STATUS = 499;
 
@@ -89,7 +92,9 @@
 		return new RequestFlow(parts, request);
 	}
 
+	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
 	readonly #excluded = new Set<string>();
+	readonly #broken = new Set<string>();
 	readonly #response: ClientResponse;
 	readonly #result: Promise<FlowResult>;
 	#resolve!: (result: FlowResult) => void;
@@ -99,6 +104,8 @@
 	/** Takes over from the attempt that has just ended. */
 	#next: PreparedAttempt | undefined;
 	#choices = 0;
+	/** The stream has begun, and no server has it now. */
+	#isInterrupted = false;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
@@ -201,14 +208,45 @@
 	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
-		while (!this.#isEnded) {
-			const prepared = this.#takeNext() ?? await this.#prepareNext();
-			if (prepared) {
-				await this.#attempt(prepared);
+		try {
+			while (!this.#isEnded) {
+				const prepared = this.#takeNext() ?? await (this.#isInterrupted ? this.#awaitNext() : this.#prepareNext());
+				if (prepared) {
+					this.#isInterrupted = false;
+					await this.#attempt(prepared);
+				}
 			}
+		} finally {
+			this.#close(this.#takeNext());
+		}
+	}
+
+	/** Ends the request, or keeps its stream open if that has begun and may be resumed as soon as a server or a retry is available. */
+	#failOrAwait(failed: Failure): void {
+		this.#isInterrupted = this.#response.hasBegun && canRunAgain(this.#retryState(this.parts.clock()));
+		if (this.#isInterrupted) {
+			this.parts.logger.info('stream_interrupted', {request: this.request.id, last_event: this.#response.lastEventId, reason: failed.message});
+		} else {
+			this.#fail(failed);
+		}
+	}
+
+	/** Looks for another attempt at an interrupted stream, after a pause. Servers that were silent or refused the request may take it now. */
+	async #awaitNext(): Promise<PreparedAttempt | undefined> {
+		await pause(RESUME_INTERVAL_MS);
+		if (this.#isEnded) {
+			return undefined;
+		}
+
+		const quarantined = this.parts.quarantine.findQuarantined(this.request.metadata.sharedParts, this.parts.clock());
+		if (quarantined) {
+			this.#fail(this.#quarantineFailure(quarantined));
+			return undefined;
 		}
 
-		this.#close(this.#takeNext());
+		const next = await this.#prepareAnother(this.#runs, [this.#excluded, this.#broken]);
+		next?.accept();
+		return this.#takeNext();
 	}
 
 	#takeNext(): PreparedAttempt | undefined {
@@ -222,7 +260,7 @@
 		const now = this.parts.clock();
 		const choice = this.#choose(now);
 		if (choice.kind === 'refused') {
-			this.#fail(choice.failure);
+			this.#failOrAwait(choice.failure);
 			return undefined;
 		}
 
@@ -236,14 +274,17 @@
 		return prepared.attempt;
 	}
 
-	/** Prepares an attempt at another server for a request whose server is silent, and takes its token of the retry budget. */
-	async #prepareHandOver(current: BackendServer): Promise<HandOver | undefined> {
+	/**
+	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, and takes its token of the retry budget.
+	 * `runs` counts the attempts that may have run or are running.
+	 */
+	async #prepareAnother(runs: number, exclusions: ReadonlyArray<ReadonlySet<string>>): Promise<HandOver | undefined> {
 		const budget = this.parts.retryBudget(this.request.service.name);
 		let hasToken = false;
 		try {
 			const now = this.parts.clock();
-			hasToken = canRunAgain({...this.#retryState(now), runs: this.#runs + 1}) && budget.tryRetry();
-			const choice = hasToken ? this.#chooseOther(current, now) : undefined;
+			hasToken = canRunAgain({...this.#retryState(now), runs}) && budget.tryRetry();
+			const choice = hasToken ? this.#chooseAnother(exclusions, now) : undefined;
 			const prepared = choice && await this.#prepare(choice, now);
 			if (prepared?.kind === 'prepared') {
 				hasToken = false;
@@ -268,15 +309,21 @@
 		return undefined;
 	}
 
-	/** Returns another server than `current` that can be expected to respond before the client leaves. */
-	#chooseOther(current: BackendServer, now: number): ServerChoice | undefined {
+	/** Returns a server that can be expected to respond before the client leaves. */
+	#chooseAnother(exclusions: ReadonlyArray<ReadonlySet<string>>, now: number): ServerChoice | undefined {
 		const {parts, request} = this;
 		if (parts.quarantine.findQuarantined(request.metadata.sharedParts, now)) {
 			return undefined;
 		}
 
-		const choice = this.#chooseServer(new Set([...this.#excluded, current.id]), now);
-		return choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route) ? choice : undefined;
+		for (const excluded of exclusions) {
+			const choice = this.#chooseServer(excluded, now);
+			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
+				return choice;
+			}
+		}
+
+		return undefined;
 	}
 
 	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
@@ -289,6 +336,10 @@
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
 			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
 			this.#excluded.add(faultyServer.id);
+			if (result.outcome.kind === 'broken' && !this.#next) {
+				this.#broken.add(faultyServer.id);
+			}
+
 			this.#record(() => {
 				this.#recordAttempt(choice, result, faultyServer, next.kind);
 			});
@@ -318,14 +369,19 @@
 			}
 
 			case 'fail': {
-				this.#fail(failure({
+				const failed = failure({
 					code: failureCode(next),
 					message: next.reason,
 					ran: next.ran,
 					step: 'send',
 					peer: choice.server.instanceId,
 					retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, this.parts.clock()) : undefined,
-				}));
+				});
+				if (next.isExpired) {
+					this.#fail(failed);
+				} else {
+					this.#failOrAwait(failed);
+				}
 			}
 		}
 	}
@@ -462,7 +518,7 @@
 			sink: this.#response,
 			buffers: parts.buffers,
 			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-			prepareHandOver: async () => this.#prepareHandOver(choice.server),
+			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, [new Set([...this.#excluded, choice.server.id])]),
 			onMetadata: metadata => {
 				this.#record(() => {
 					this.#recordMetadata(choice.server, metadata, placedAt);
--- a/tests/resumed-streams.test.ts
+++ b/tests/resumed-streams.test.ts
@@ -3,7 +3,9 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {RetryBudget} from '../src/util/retry-budget.js';
 import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
+import {waitUntil} from './fixtures/http.js';
 
 const whole = [1, 2, 3, 4].map(id => `id: ${id}\ndata: x\n\n`).join('');
 const route = {kind: {kind: 'stream', resumable: true, gapTargetMs: 200}, timeoutMs: 3000, maxAttempts: 3} as const;
@@ -50,6 +52,14 @@
 	res.end();
 };
 
+const stall: Serve = (res, firstId) => {
+	events(res, firstId, 2);
+};
+
+const refuse: Serve = res => {
+	res.writeHead(503, {...signedHeaders(), 'fireflyport-not-executed': '1'}).end();
+};
+
 const respond = (status: number): Serve => res => {
 	res.writeHead(status, signedHeaders()).end('no stream');
 };
@@ -66,4 +76,79 @@
 		expect(await fixture.send()).toMatchObject({status: 200, isBroken: true});
 		expect(fixture.results).toMatchObject([{outcome: 'failed', sends: 2}]);
 	});
+
+	it('should be resumed on a server that registers after the only one has crashed', async () => {
+		const serve = [breakOff, finish];
+		await start([breakOff]);
+		const response = fixture.send();
+		await delay(500);
+		await addServer('i-new', serve);
+		expect(await response).toMatchObject({status: 200, body: whole, isBroken: false});
+	});
+
+	it('should be resumed once the retry budget allows it', async () => {
+		let isRefilled = false;
+		const budget = RetryBudget.create(0, () => isRefilled ? 1 : 0);
+		await start([breakOff, finish], {parts: {retryBudget: () => budget}});
+		const response = fixture.send();
+		await delay(500);
+		expect(arrivals).toHaveLength(1);
+		isRefilled = true;
+		budget.giveBack();
+		expect(await response).toMatchObject({status: 200, body: whole, isBroken: false});
+		expect(budget.tryRetry()).toBe(false);
+	});
+
+	it('should be resumed on the server that refused it as soon as that takes requests again', async () => {
+		await start([breakOff, refuse, finish]);
+		fixture.fleet.unregister('i-2', fixture.parts.clock());
+		expect(await fixture.send()).toMatchObject({status: 200, body: whole, isBroken: false});
+		expect(fixture.results).toMatchObject([{outcome: 'delivered', sends: 3}]);
+	});
+
+	it('should be resumed on the server that was silent when no other one takes it', async () => {
+		await start([stall, refuse, finish]);
+		fixture.fleet.unregister('i-2', fixture.parts.clock());
+		expect(await fixture.send()).toMatchObject({status: 200, body: whole, isBroken: false});
+		expect(new Set(arrivals).size).toBe(2);
+	});
+
+	it('should be broken off at its deadline when no server turns up', async () => {
+		await start([breakOff], {route: {...route, timeoutMs: 1000}});
+		const startedAt = performance.now();
+		expect(await fixture.send()).toMatchObject({status: 200, isBroken: true});
+		expect(performance.now() - startedAt).toBeLessThan(1400);
+		expect(fixture.results).toMatchObject([{outcome: 'failed', sends: 1}]);
+	});
+
+	it.each([
+		['it has used up its attempts', {...route, maxAttempts: 1}],
+		['it may not be resumed', {...route, kind: {...route.kind, resumable: false}}],
+	])('should be broken off at once when %s', async (_name, changedRoute) => {
+		await start([breakOff, finish], {route: changedRoute});
+		const startedAt = performance.now();
+		expect(await fixture.send()).toMatchObject({status: 200, isBroken: true});
+		expect(performance.now() - startedAt).toBeLessThan(500);
+	});
+
+	it('should be broken off at once when its prompt is quarantined', async () => {
+		await start([breakOff, finish]);
+		const response = fixture.send({'fireflyport-prompt-prefix': 'aa:100,bb:10'});
+		await waitUntil(() => arrivals.length === 1);
+		fixture.parts.quarantine.add('aa', 60_000, fixture.parts.clock());
+		const startedAt = performance.now();
+		expect(await response).toMatchObject({status: 200, isBroken: true});
+		expect(performance.now() - startedAt).toBeLessThan(500);
+	});
+});
+
+describe('a stream that has not begun', () => {
+	it('should be answered at once when no server is left', async () => {
+		await start([res => {
+			res.destroy();
+		}]);
+		const startedAt = performance.now();
+		expect(await fixture.send()).toMatchObject({status: 502});
+		expect(performance.now() - startedAt).toBeLessThan(500);
+	});
 });
