Let a feed of the store end only when it is closed

What operators saw: a daemon stopped following the store, and only a line `unexpected_error` in its log told. It went on with old registrations, routes and evacuations, so its requests reached servers that had left.

Cause: `KindFeed.#run` had no handling of exceptions. One that the sink, the store client or a callback of the feed threw rejected its promise, which nobody awaits, and the loop was over for the life of the process.

An exception in the sink for one change now skips this object with a line `object_skipped` that names it, and the others are applied. Any other exception is logged as `feed_failed` and counts as a failed read: the kind is listed again after the usual back-off. The back-off is reset by a watch that succeeds and no longer by a list, so neither a sink that throws at each list nor a store that discards its history after each list makes the feed spin.

Ruled out: exceptions of `pauseMs` after changes and of decoders of servers and configurations, which the sinks handled for each object already.

--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -1,6 +1,6 @@
 /**
  * Follows the objects of one kind: lists them, then watches for changes, and lists again when the store has compacted
- * its history or has come back from an older copy.
+ * its history or has come back from an older copy. Only `close` ends a feed; after an exception it lists again.
  */
 import type {Clock} from '../util/clock.js';
 import {Backoff} from '../util/backoff.js';
@@ -15,14 +15,17 @@
 /** Timeout in ms of calls that are answered at once. */
 const READ_TIMEOUT_MS = 1000;
 const BACKOFF_BASE_MS = 150;
+/** Upper limit in ms of the back-off after an exception, which may have come from `retryMs`. */
+const FAILURE_RETRY_MS = 1500;
 
 /** A complete list. `isRestored`: the store has come back from an older copy since the objects before it were read. */
 export type FeedList = {readonly objects: readonly KindObject[]; readonly isRestored: boolean};
 
 /** Receives the lists and changes that a feed reads. */
 export type FeedSink = {
-	/** A complete list, which replaces everything before it. */
+	/** A complete list, which replaces everything before it. The store is listed again if this throws. */
 	onList(list: FeedList, now: number): void;
+	/** A change. It is skipped if this throws. */
 	onEvent(event: KindEvent, now: number): void;
 	/** The store could not be read until `now`. A sink without this method keeps using the data it received last. */
 	onOutage?(now: number): void;
@@ -66,9 +69,11 @@
 	#era: number | undefined;
 	/** Era of the latest list that was applied. */
 	#listedEra: number | undefined;
+	/** Whether a watch has succeeded since the latest list. */
+	#hasWatched = true;
 
 	private constructor(private readonly options: FeedOptions) {
-		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: options.retryMs(), seed: options.seed});
+		this.#backoff = Backoff.create({baseMs: BACKOFF_BASE_MS, maxMs: FAILURE_RETRY_MS, seed: options.seed});
 	}
 
 	close(): void {
@@ -101,7 +106,13 @@
 		const {signal} = this.#controller;
 		let position: StorePosition | undefined;
 		while (!signal.aborted) {
-			position = position ? await this.#watch(position) : await this.#list();
+			try {
+				position = position ? await this.#watch(position) : await this.#list();
+			} catch (err) {
+				position = undefined;
+				this.options.logger.error('feed_failed', {kind: this.options.kind, message: describeException(err)});
+				await pause(this.#backoff.nextMs(), this.#interruption.signal);
+			}
 		}
 	}
 
@@ -123,14 +134,15 @@
 		const {era, revision} = listed;
 		this.#recordEra(era);
 		const isRestored = this.#listedEra !== undefined && this.#listedEra !== era;
-		this.#listedEra = era;
 		sink.onList({objects: listed.objects, isRestored}, clock());
+		this.#listedEra = era;
+		this.#hasWatched = false;
 		return {era, revision};
 	}
 
 	async #watch(position: StorePosition): Promise<StorePosition | undefined> {
 		const {
-			store, kind, sink, clock, logger, waitMs,
+			store, kind, logger, waitMs,
 		} = this.options;
 		const {signal} = this.#controller;
 		const interruption = this.#interruption.signal;
@@ -147,8 +159,10 @@
 		switch (outcome.kind) {
 			case 'events': {
 				this.#handleAvailable();
+				this.#hasWatched = true;
+				this.#backoff.reset();
 				for (const event of outcome.events) {
-					sink.onEvent(event, clock());
+					this.#apply(event);
 				}
 
 				if (outcome.events.length > 0) {
@@ -160,11 +174,13 @@
 
 			case 'compacted': {
 				logger.info('feed_compacted', {kind, ...position});
+				await this.#pauseBeforeRelisting(interruption);
 				return undefined;
 			}
 
 			case 'restored': {
 				this.#recordEra(outcome.era, position.revision);
+				await this.#pauseBeforeRelisting(interruption);
 				return undefined;
 			}
 
@@ -175,6 +191,27 @@
 		}
 	}
 
+	#apply(event: KindEvent): void {
+		const {
+			kind, sink, clock, logger,
+		} = this.options;
+		try {
+			sink.onEvent(event, clock());
+		} catch (err) {
+			const {name, revision} = event.kind === 'changed' ? event.object : {...event, revision: undefined};
+			logger.error('object_skipped', {
+				kind, object: name, revision, message: describeException(err),
+			});
+		}
+	}
+
+	/** Lists at once, unless no watch from the previous list has succeeded: the next one may fail in the same way. */
+	async #pauseBeforeRelisting(interruption: AbortSignal): Promise<void> {
+		if (!this.#hasWatched) {
+			await pause(this.#backoff.nextMs(), interruption);
+		}
+	}
+
 	async #handleUnavailable(message: string, interruption: AbortSignal): Promise<void> {
 		if (interruption.aborted) {
 			return;
@@ -211,7 +248,6 @@
 		const {
 			kind, sink, clock, logger, onRegained,
 		} = this.options;
-		this.#backoff.reset();
 		if (this.#isUnavailable) {
 			this.#isUnavailable = false;
 			sink.onOutage?.(clock());
@@ -220,3 +256,5 @@
 		}
 	}
 }
+
+const describeException = (err: unknown): string => err instanceof Error ? (err.stack ?? err.message) : String(err);
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -151,3 +151,150 @@
 		expect(await store.create('daemons', '10.0.0.1', {}, {timeoutMs: 1000})).toMatchObject({kind: 'unavailable'});
 	});
 });
+
+describe('feed whose store, sink or callbacks throw', () => {
+	type Thrower = 'list' | 'watch' | 'onList' | 'onEvent' | 'onOutage' | 'pauseMs' | 'retryMs' | 'onRegained' | 'onRestored';
+	let logs: string[];
+	let thrower: Thrower | undefined;
+	let names: Set<string>;
+	let brokenFeed: KindFeed;
+
+	const throwIf = (name: Thrower): void => {
+		if (thrower === name) {
+			throw new TypeError(`${name} is broken`);
+		}
+	};
+
+	const startFeed = (): KindFeed => KindFeed.start({
+		kind: 'servers',
+		store: {
+			async list(kind, options) {
+				throwIf('list');
+				return store.list(kind, options);
+			},
+			async watch(kind, position, waitMs, options) {
+				throwIf('watch');
+				return store.watch(kind, position, waitMs, options);
+			},
+			create: async () => ({kind: 'created'}),
+			close: async () => undefined,
+		},
+		clock: monotonicMs,
+		logger: createLogger('info', {}, line => {
+			logs.push(line);
+		}),
+		seed: 1,
+		waitMs: 300,
+		pauseMs() {
+			throwIf('pauseMs');
+			return 10;
+		},
+		retryMs() {
+			throwIf('retryMs');
+			return LONGEST_PAUSE_MS;
+		},
+		onRegained() {
+			throwIf('onRegained');
+		},
+		onRestored() {
+			throwIf('onRestored');
+		},
+		sink: {
+			onList({objects}) {
+				throwIf('onList');
+				names = new Set(objects.map(({name}) => name));
+			},
+			onEvent(event) {
+				if (event.kind === 'changed' && event.object.name === 'odd') {
+					throwIf('onEvent');
+				}
+
+				if (event.kind === 'changed') {
+					names.add(event.object.name);
+				}
+			},
+			onOutage() {
+				throwIf('onOutage');
+			},
+		},
+	});
+
+	beforeEach(() => {
+		logs = [];
+		thrower = undefined;
+		names = new Set();
+		brokenFeed = startFeed();
+	});
+
+	afterEach(() => {
+		brokenFeed.close();
+	});
+
+	it.each(['list', 'watch', 'onList', 'onOutage', 'pauseMs', 'retryMs', 'onRegained', 'onRestored'] as const)(
+		'should go on following the store after an exception of `%s`',
+		async name => {
+			await waitUntil(() => names.has('a'));
+			thrower = name;
+			standIn.restore(standIn.copy());
+			standIn.put('servers', 'b', 2);
+			standIn.setMode('busy');
+			await delay(500);
+			standIn.setMode('serving');
+			standIn.put('servers', 'c', 3);
+			await delay(700);
+			const callsBefore = standIn.calls;
+			await delay(500);
+			// The feed of the other tests makes calls too.
+			expect(standIn.calls - callsBefore).toBeLessThan(12);
+			thrower = undefined;
+			standIn.put('servers', 'd', 4);
+			await waitUntil(() => ['a', 'b', 'c', 'd'].every(item => names.has(item)), 3000);
+		},
+	);
+
+	it('should skip an object that the sink cannot apply, with a log line, and apply the others', async () => {
+		await waitUntil(() => names.has('a'));
+		standIn.setMode('busy');
+		thrower = 'onEvent';
+		standIn.put('servers', 'odd', 1);
+		standIn.put('servers', 'b', 2);
+		standIn.setMode('serving');
+		await waitUntil(() => names.has('b'), 3000);
+		expect(logs.filter(line => line.includes('event=object_skipped'))).toEqual([
+			expect.stringMatching(/kind=servers object=odd revision=3 message="TypeError: onEvent is broken/v),
+		]);
+		expect(logs.join('\n')).not.toContain('event=feed_failed');
+	});
+
+	it('should back off while the store discards its history after each list', async () => {
+		brokenFeed.close();
+		let calls = 0;
+		const spinning = KindFeed.start({
+			kind: 'servers',
+			store: {
+				async list() {
+					calls++;
+					await delay(0);
+					return {
+						kind: 'listed', objects: [], era: 1, revision: 1,
+					};
+				},
+				watch: async () => ({kind: 'compacted'}),
+				create: async () => ({kind: 'created'}),
+				close: async () => undefined,
+			},
+			clock: monotonicMs,
+			logger: createLogger('error'),
+			seed: 1,
+			waitMs: 300,
+			pauseMs: () => 10,
+			retryMs: () => LONGEST_PAUSE_MS,
+			onRegained: () => undefined,
+			onRestored: () => undefined,
+			sink: {onList: () => undefined, onEvent: () => undefined},
+		});
+		await delay(1000);
+		spinning.close();
+		expect(calls).toBeLessThan(12);
+	});
+});
