--- a/src/object-api/json-client.ts
+++ b/src/object-api/json-client.ts
@@ -98,5 +98,46 @@
 
 async function parseBody(res: Dispatcher.ResponseData): Promise<unknown> {
 	const text = await res.body.text();
-	return text === '' ? undefined : JSON.parse(text);
+	return text === '' ? undefined : parseJson(text);
+}
+
+/** Numbers that JSON does not have are read as null, so that one of them in an answer does not hide the rest of it. */
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return JSON.parse(replaceNonNumbers(text));
+	}
+}
+
+/** Replaces the numbers outside of strings that JSON does not have and that the encoders of some languages write. */
+function replaceNonNumbers(text: string): string {
+	const tokens = /"|-?Infinity|NaN/gv;
+	const parts: string[] = [];
+	let copiedTo = 0;
+	for (let match = tokens.exec(text); match; match = tokens.exec(text)) {
+		if (match[0] === '"') {
+			tokens.lastIndex = findStringEnd(text, match.index);
+		} else {
+			parts.push(text.slice(copiedTo, match.index), 'null');
+			copiedTo = tokens.lastIndex;
+		}
+	}
+
+	return parts.join('') + text.slice(copiedTo);
+}
+
+/** Index after the closing quote of the JSON string that begins at `start`. */
+function findStringEnd(text: string, start: number): number {
+	const specials = /["\\]/gv;
+	specials.lastIndex = start + 1;
+	for (let match = specials.exec(text); match; match = specials.exec(text)) {
+		if (match[0] === '"') {
+			return specials.lastIndex;
+		}
+
+		specials.lastIndex++;
+	}
+
+	return text.length;
 }
--- a/tests/daemon-registry.test.ts
+++ b/tests/daemon-registry.test.ts
@@ -38,7 +38,7 @@
 	members = [];
 	restoredNames = undefined;
 	store = await StoreStandIn.create();
-	client = MetadataStoreClient.create(store.address, 'front-1');
+	client = MetadataStoreClient.create(store.address, 'front-1', createLogger('error'));
 });
 
 afterEach(async () => {
--- a/tests/endless-requests.test.ts
+++ b/tests/endless-requests.test.ts
@@ -5,6 +5,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
+import {createLogger} from '../src/util/logger.js';
 import {HttpStandIn} from './fixtures/http-stand-in.js';
 import {GatewayFixture, HOST, platformConfiguration} from './fixtures/gateway-fixture.js';
 import {waitUntil} from './fixtures/http.js';
@@ -106,7 +107,7 @@
 			res.write('{"entries": "');
 			write();
 		});
-		const client = MetadataStoreClient.create(new URL(store.url).host, 'front-1');
+		const client = MetadataStoreClient.create(new URL(store.url).host, 'front-1', createLogger('error'));
 		const startedAt = performance.now();
 		expect(await client.list('servers', options)).toMatchObject({kind: 'unavailable'});
 		expect(performance.now() - startedAt).toBeLessThan(options.timeoutMs);
@@ -122,7 +123,7 @@
 			res.writeHead(200, {'content-type': 'application/json'});
 			res.end(JSON.stringify({entries, 'has-more': true, 'as-of': 1}));
 		});
-		const client = MetadataStoreClient.create(new URL(store.url).host, 'front-1');
+		const client = MetadataStoreClient.create(new URL(store.url).host, 'front-1', createLogger('error'));
 		const listed = await client.list('servers', options);
 		expect(listed).toMatchObject({kind: 'unavailable', message: expect.stringContaining('did not end') as string});
 		expect(pages).toBeLessThan(50);
--- a/tests/kind-feed.test.ts
+++ b/tests/kind-feed.test.ts
@@ -31,7 +31,7 @@
 
 beforeEach(async () => {
 	standIn = await StoreStandIn.create();
-	store = MetadataStoreClient.create(standIn.address, 'front-braga-1');
+	store = MetadataStoreClient.create(standIn.address, 'front-braga-1', createLogger('error'));
 	knownObjects = new Map();
 	lists = 0;
 	outages = 0;
--- a/tests/relayed-store.test.ts
+++ b/tests/relayed-store.test.ts
@@ -92,7 +92,7 @@
 	let position: StorePosition;
 
 	const createStore = (hasFollowers: boolean): RelayedStore => RelayedStore.create({
-		store: MetadataStoreClient.create(standIn.address, 'front-braga-1'),
+		store: MetadataStoreClient.create(standIn.address, 'front-braga-1', createLogger('error')),
 		reader,
 		clock: monotonicMs,
 		logger: createLogger('error'),
--- a/tests/restored-store.test.ts
+++ b/tests/restored-store.test.ts
@@ -19,7 +19,7 @@
 
 beforeEach(async () => {
 	standIn = await StoreStandIn.create();
-	store = MetadataStoreClient.create(standIn.address, 'front-braga-1');
+	store = MetadataStoreClient.create(standIn.address, 'front-braga-1', createLogger('error'));
 });
 
 afterEach(async () => {
