--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -5,6 +5,7 @@
 import type {ServerHealth} from '../fleet/server-health.js';
 import {KindFeed, type FeedSink} from '../store/kind-feed.js';
 import type {KindObject, KindStore} from '../store/kind-store.js';
+import {ChangeFilter} from '../util/change-filter.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {PlatformAdapter} from './platform-adapter.js';
@@ -40,6 +41,7 @@
 	}
 
 	readonly #feeds: KindFeed[] = [];
+	readonly #unreadable = ChangeFilter.create();
 	#routeTable: RouteTable | undefined;
 
 	private constructor(private readonly options: FleetFeedsOptions) {}
@@ -169,8 +171,11 @@
 				copied: isCopied || undefined,
 			});
 		} catch (err) {
+			// The entry names no server any more. One that is there writes it again with its next heartbeat.
 			fleet.unregister(object.name, now);
-			logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
+			if (this.#unreadable.isChanged(object.name, String(object.revision))) {
+				logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
+			}
 		}
 	}
 
--- a/src/util/logger.ts
+++ b/src/util/logger.ts
@@ -20,6 +20,9 @@
 /** Receives log lines without their line terminator. */
 export type LineSink = (line: string) => void;
 
+/** Longest value in characters that is written. A stack is shorter; values from outside may be of any length. */
+const MAX_VALUE_LENGTH = 4000;
+
 /**
  * Formats fields as `key=value`. Empty values and values with whitespace, quotes, backslashes, equals signs or control
  * characters are quoted.
@@ -28,7 +31,7 @@
 	const pairs: string[] = [];
 	for (const [key, value] of Object.entries(fields)) {
 		if (value !== undefined) {
-			const text = String(value);
+			const text = truncate(String(value));
 			pairs.push(`${key}=${/^[^\s"=\\\p{Cc}]+$/v.test(text) ? text : JSON.stringify(text)}`);
 		}
 	}
@@ -36,6 +39,8 @@
 	return pairs.join(' ');
 }
 
+const truncate = (text: string): string => text.length > MAX_VALUE_LENGTH ? `${text.slice(0, MAX_VALUE_LENGTH)}…` : text;
+
 const writeToStdout: LineSink = line => {
 	process.stdout.write(`${line}\n`);
 };
--- a/tests/decoders.test.ts
+++ b/tests/decoders.test.ts
@@ -1,4 +1,6 @@
 import {Buffer} from 'node:buffer';
+import {validateHeaderValue} from 'node:http';
+import {isIPv4} from 'node:net';
 import fc from 'fast-check';
 import {
 	describe, expect, it,
@@ -111,6 +113,11 @@
 			const server = decodeOrRefuse(() => decodeServer({name: 'i-1', revision: 1, value}, 100));
 			if (!(server instanceof Error)) {
 				expect(server.address).toMatch(/^\d+\.\d+\.\d+\.\d+:\d+$/v);
+				const [ip, port] = server.address.split(':');
+				expect(isIPv4(ip!)).toBe(true);
+				expect(Number(port) >= 1 && Number(port) <= 65_535).toBe(true);
+				expect(server.slots).toBeLessThan(1e6);
+				expect(server.startedAt === undefined || Number.isSafeInteger(server.startedAt)).toBe(true);
 				expect(server.service).not.toBe('');
 				expect(server.slots).toBeGreaterThan(0);
 				expect(server.coldUntil).toBeGreaterThanOrEqual(100);
@@ -118,6 +125,22 @@
 		}), RUNS);
 	});
 
+	it('should accept only names of servers that a request header can hold', () => {
+		const value = {
+			service: 'desk', address: '10.128.0.9:8080', zone: 'braga', slots: 11, state: 'ready',
+		};
+		const name = fc.oneof(fc.string(), fc.string({unit: 'binary'}), fc.constantFrom('', ' ', 'i-1\r\n', 'jo\u0142', 'i'.repeat(300)));
+		fc.assert(fc.property(name, chosen => {
+			const server = decodeOrRefuse(() => decodeServer({name: chosen, revision: 1, value}, 100));
+			if (!(server instanceof Error)) {
+				expect(() => {
+					validateHeaderValue('fireflyport-target-instance', server.instanceId);
+				}).not.toThrow();
+				expect(server.instanceId.length > 0 && server.instanceId.length < 300 && server.instanceId === server.instanceId.trim()).toBe(true);
+			}
+		}), RUNS);
+	});
+
 	it('should decode a configuration to usable routes or refuse it', () => {
 		fc.assert(fc.property(withOneReplacedPart(platformConfiguration(7)), value => {
 			const configuration = decodeOrRefuse(() => decodeConfiguration({name: 'main', revision: 1, value}));
--- a/tests/odd-entries.test.ts
+++ b/tests/odd-entries.test.ts
@@ -3,6 +3,8 @@
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
 import {createLogger} from '../src/util/logger.js';
+import {GatewayFixture, platformConfiguration} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
 import {HttpStandIn} from './fixtures/http-stand-in.js';
 
 const options = {timeoutMs: 2000};
@@ -94,3 +96,85 @@
 		expect(await store.watch('servers', {era: 0, revision: 3}, 0, options)).toMatchObject({kind: 'unavailable'});
 	});
 });
+
+describe('odd registrations beside a sound server', () => {
+	let world: GatewayFixture;
+
+	const fields = {
+		service: 'desk', address: '10.128.0.9:8080', zone: 'braga', slots: 6, state: 'ready', 'cold-remaining-ms': 0, born: 1,
+	};
+	const oddAddresses = [
+		'127.0.0.1:0', '127.0.0.1:65536', '127.0.0.1:99999', '127.0.0.1:1e3', '256.1.1.1:80', '127.0.0.1.1:80', '0.0.0.0:80', '224.0.0.1:80', '255.255.255.255:80', '[::1]:80',
+	];
+	const oddValues: ReadonlyArray<readonly [string, unknown]> = [
+		...oddAddresses.map(address => [address, {...fields, address}] as const),
+		['slots 1e308', {...fields, slots: 1e308}],
+		['slots 0', {...fields, slots: 0}],
+		['slots NaN', {...fields, slots: 'NaN'}],
+		['cold 1e308', {...fields, 'cold-remaining-ms': 1e308}],
+		['cold -1', {...fields, 'cold-remaining-ms': -1}],
+		['born 1e308', {...fields, born: 1e308}],
+		['born -1', {...fields, born: -1}],
+		['empty zone', {...fields, zone: ''}],
+		['huge zone', {...fields, zone: 'z'.repeat(100_000)}],
+		['null', null],
+		['nested', JSON.parse('['.repeat(2000) + ']'.repeat(2000))],
+	];
+	const oddNames = [' ', 'a\r\nfireflyport-tenant: other', 'jo\u0142', '\u0000', 'x'.repeat(100_000)];
+
+	beforeEach(async () => {
+		world = await GatewayFixture.create();
+		world.store.put('config', 'main', platformConfiguration(3));
+	});
+
+	afterEach(async () => {
+		await world.close();
+	});
+
+	const putOdd = (): void => {
+		for (const [name, value] of oddValues) {
+			world.store.put('servers', name, value);
+		}
+
+		for (const name of oddNames) {
+			world.store.put('servers', name, fields);
+		}
+
+		world.store.put('servers', '__proto__', null);
+		world.store.put('servers', 'constructor', {...fields, address: '127.0.0.1:0'});
+	};
+
+	it.each(['listed', 'watched'] as const)('should not cost a single request: %s', async source => {
+		if (source === 'listed') {
+			putOdd();
+		}
+
+		await world.addServer('desk', {instance: 'i-1'});
+		await world.start();
+		await world.waitForLog('server=i-1');
+		if (source === 'watched') {
+			putOdd();
+			await world.waitForLog('name=constructor');
+		}
+
+		const statuses = await Promise.all(Array.from({length: 40}, async (_, index) => world.statusOf(index % 2 === 0 ? '/look/x' : '/book/x')));
+		expect(statuses.filter(status => status !== 200)).toEqual([]);
+		world.store.put('servers', 'later', {...fields, address: world.servers[0]!.address});
+		await world.waitForLog('server=later');
+		expect(world.logs.filter(line => line.includes('event=unexpected_error') || line.includes('event=feed_failed'))).toEqual([]);
+		expect(world.logs.filter(line => line.includes('event=server_unreadable'))).toHaveLength(oddValues.length + oddNames.length + 2);
+		expect(Math.max(...world.logs.map(line => line.length))).toBeLessThan(10_000);
+	});
+
+	it('should end a registration that they replace, until the server writes it again', async () => {
+		const server = await world.addServer('desk', {instance: 'i-1'});
+		await world.start();
+		await world.waitForLog('server=i-1');
+		expect(await world.statusOf('/look/x')).toBe(200);
+		world.register('desk', server, {address: '127.0.0.1:99999'});
+		await world.waitForLog('event=server_unreadable');
+		expect(await world.statusOf('/look/x')).toBe(503);
+		world.register('desk', server, {sequence: 3});
+		await waitUntil(async () => await world.statusOf('/look/x') === 200);
+	});
+});
