Log the identity of a request in attempt_failed

When one request crashes engine after engine, each of its repeats has another attempt id, and the log line names only the parts of its prompt, which sound requests share. Operators could not tell a request that crashes engines from a part that does, or from engines that crash by load.

`identity` is a digest of route, method, path with query, workspace and body, and is the same for all repeats. The API key is not part of it.

--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -1,5 +1,6 @@
 /** A client request that has been read and matched to a route. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {RequestIdentity} from '../quarantine/request-identity.js';
 import type {Route, Service, Workspace} from './serving-configuration.js';
 import type {ClientMetadata} from './wire-format.js';
 
@@ -9,6 +10,7 @@
 	/** Id in logs and in the placement table. */
 	readonly id: string;
 	readonly metadata: ClientMetadata;
+	readonly identity: RequestIdentity;
 	readonly body: Uint8Array;
 	readonly route: Route;
 	readonly service: Service;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import {BodyReader} from '../http/body-reader.js';
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
+import {RequestIdentity} from '../quarantine/request-identity.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
 import {chooseWeighted} from '../util/weighted-choice.js';
@@ -170,15 +171,19 @@
 			});
 		}
 
+		const workspace = access.kind === 'workspace' ? access.workspace : undefined;
 		return {
 			req,
 			res,
 			id: metadata.attemptId ?? 'none',
 			metadata,
+			identity: RequestIdentity.create({
+				route: route.name, method: req.method!, path: req.url!, workspace: workspace?.name, body,
+			}),
 			body,
 			route,
 			service,
-			workspace: access.kind === 'workspace' ? access.workspace : undefined,
+			workspace,
 			arrivedAt,
 			deadline: arrivedAt + Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs),
 		};
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -330,6 +330,7 @@
 		if (!isSuccess) {
 			parts.logger.warn('attempt_failed', {
 				request: request.id,
+				identity: request.identity.digest,
 				server: faultyServer.instanceId,
 				outcome: outcome.kind,
 				reason: 'reason' in outcome ? outcome.reason : undefined,
--- /dev/null
+++ b/src/quarantine/request-identity.ts
@@ -0,0 +1,34 @@
+/** Identity that a request shares with its repeats: the same route, method, path with query, caller and body. */
+import {createHash} from 'node:crypto';
+
+/** Hexadecimal digits of a digest; 128 bits exclude collisions. */
+const DIGEST_DIGITS = 32;
+
+export type RequestIdentityFields = {
+	readonly route: string;
+	readonly method: string;
+	/** Path with query. */
+	readonly path: string;
+	/** Name of the caller's workspace, never its API key; undefined for anonymous requests. */
+	readonly workspace: string | undefined;
+	readonly body: Uint8Array;
+};
+
+export class RequestIdentity {
+	static create(fields: RequestIdentityFields): RequestIdentity {
+		return new RequestIdentity(fields);
+	}
+
+	#digest: string | undefined;
+
+	private constructor(private readonly fields: RequestIdentityFields) {}
+
+	/** Computed when it is first needed, since bodies may be long. */
+	get digest(): string {
+		const {
+			route, method, path, workspace, body,
+		} = this.fields;
+		this.#digest ??= createHash('sha256').update(JSON.stringify([route, method, path, workspace])).update(body).digest('hex').slice(0, DIGEST_DIGITS);
+		return this.#digest;
+	}
+}
