Refuse a request that has crashed three servers

Each attempt of its client crashed two engines, the second by a retry.

Cause: the evidence of crashes knew parts of prompts only. The parts of this request are shared by sound ones, whose answers clear them. Nothing connected the repeats of a request, which have other attempt ids.

A crash now has subjects of two kinds, parts and the whole request, with the same evidence, messages, store entries and refusals. The request is a digest of route, method, path, workspace and body. Three crashes without an answer in between hold the request back at all daemons (503 request_quarantined, not run); after 1.5 s, in which answers that are being written can clear it, it is quarantined. After two crashes it is not sent to a further server within the same attempt of its client. A crash that another subject with more crashes explains does not count. Whole answers of plain services count as well, which "closed" tells the other daemons. Answers with 5xx, 408 or 429 clear nothing, since the request may not have begun to run. The crashes of one request count for its parts as those of one attempt.

Daemons of earlier versions read the new messages and store entries: a request is one more id among the parts there.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -24,10 +24,10 @@
 /** A daemon's copy of the store, as announced to its followers. */
 export type StoreState = Pick<Heartbeat, 'storeAgeMs' | 'revisions' | 'eras'>;
 
-/** Receives what the exchange learns about crashing prompt parts. */
+/** Receives what the exchange learns about parts of prompts and requests that crash servers. */
 export type QuarantineListener = {
 	receive(message: QuarantineMessage, now: number): void;
-	/** Called when any daemon reports the first event of an answer. */
+	/** Called when any daemon reports the first event of an answer, or a whole one. */
 	recordStart(now: number): void;
 	/** Called several times a second. */
 	publishDue(now: number): void;
@@ -127,7 +127,7 @@
 		}
 	}
 
-	/** Sends a message about crashing prompt parts to the other daemons. */
+	/** Sends a message about subjects that crash servers to the other daemons. */
 	publish(message: QuarantineMessage): void {
 		switch (message.kind) {
 			case 'crashed':
@@ -162,11 +162,12 @@
 		});
 	}
 
-	closePlacement(id: string): void {
+	/** `isAnswered`: a server has run the request and sent a whole answer that is no stream. */
+	closePlacement(id: string, isAnswered = false): void {
 		const {placements, daemon} = this.options;
 		placements.close(daemon, id);
 		this.#broadcast({
-			kind: 'closed', daemon, domain: this.#domain, id,
+			kind: 'closed', daemon, domain: this.#domain, id, isAnswered: isAnswered || undefined,
 		});
 	}
 
@@ -272,6 +273,10 @@
 
 			case 'closed': {
 				placements.close(message.daemon, message.id);
+				if (message.isAnswered) {
+					quarantine.recordStart(now);
+				}
+
 				this.#links.forward(message, from);
 				break;
 			}
--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -35,7 +35,12 @@
 		kind: z.literal('started'), daemon: z.string(), domain: z.string(), id: z.string(),
 	}),
 	z.object({
-		kind: z.literal('closed'), daemon: z.string(), domain: z.string(), id: z.string(),
+		kind: z.literal('closed'),
+		daemon: z.string(),
+		domain: z.string(),
+		id: z.string(),
+		/** A server has run the request and sent a whole answer that is no stream. Daemons of earlier versions do not tell. */
+		isAnswered: z.boolean().optional(),
 	}),
 	/** A backend server does not answer at its registered address. */
 	z.object({
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -13,7 +13,7 @@
 import type {Member} from '../fleet/fleet-topology.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
-import {QuarantineStore, readQuarantinedPart} from '../quarantine/quarantine-store.js';
+import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -121,8 +121,8 @@
 			publish(message) {
 				loadExchange.publish(message);
 			},
-			save(part, remainingMs) {
-				void quarantineStore.save(part, remainingMs);
+			save(subject, remainingMs) {
+				void quarantineStore.save(subject, remainingMs);
 			},
 		});
 		const loadExchange = await LoadExchange.create({
@@ -259,9 +259,9 @@
 				loadExchange.addPeers(members, now);
 			},
 			readOther(object, now) {
-				const known = readQuarantinedPart(object, wallClockMs());
+				const known = readQuarantined(object, wallClockMs());
 				if (known) {
-					quarantine.add(known.part, known.remainingMs, now);
+					quarantine.add(known.subject, known.remainingMs, now);
 				}
 
 				return known !== undefined;
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -2,8 +2,9 @@
 import type {BackendServer} from '../fleet/backend-server.js';
 import type {LoadExchange} from '../fleet/load-exchange.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
-import {SOUND_EVENTS} from '../quarantine/part-evidence.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import {SOUND_EVENTS} from '../quarantine/crash-evidence.js';
+import {parseSubject, type RequestSubjects} from '../quarantine/crash-subject.js';
+import type {PromptQuarantine, RefusedSubject} from '../quarantine/prompt-quarantine.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
@@ -16,7 +17,7 @@
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
 import {retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	canRunAgain, nextStep, type NextStep, type RetryState,
+	canRunAgain, nextStep, type AttemptOutcome, type NextStep, type RetryState,
 } from './retry-policy.js';
 import {
 	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
@@ -38,6 +39,9 @@
 const MOVED_EXCLUSION_MS = 6000;
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
+const FIRST_SERVER_ERROR_STATUS = 500;
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429]);
 
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
@@ -69,6 +73,7 @@
 		return new RequestFlow(parts, request);
 	}
 
+	readonly #subjects: RequestSubjects;
 	readonly #excluded = new Set<string>();
 	readonly #response: ClientResponse;
 	#runs = 0;
@@ -76,6 +81,7 @@
 	#receivedSends = 0;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
+		this.#subjects = {parts: request.metadata.sharedParts, identity: request.identity};
 		this.#response = ClientResponse.create(request, parts.clock);
 	}
 
@@ -128,9 +134,9 @@
 
 	#choose(now: number): {readonly kind: 'chosen'; readonly choice: ServerChoice} | {readonly kind: 'refused'; readonly failure: Failure} {
 		const {parts, request} = this;
-		const quarantined = parts.quarantine.findQuarantined(request.metadata.sharedParts, now);
-		if (quarantined) {
-			return {kind: 'refused', failure: this.#quarantineFailure(quarantined)};
+		const refused = parts.quarantine.findRefused(this.#subjects, now);
+		if (refused) {
+			return {kind: 'refused', failure: this.#quarantineFailure(refused)};
 		}
 
 		const choice = chooseServer(parts, request, {excluded: this.#excluded, sends: this.#sends}, now);
@@ -167,15 +173,28 @@
 		return {kind: 'chosen', choice};
 	}
 
-	#quarantineFailure({part, remainingMs}: {readonly part: string; readonly remainingMs: number}): Failure {
+	#quarantineFailure({subject: id, remainingMs}: RefusedSubject): Failure {
+		const subject = parseSubject(id);
 		const hasRun = this.#runs > 0;
-		return failure({
-			code: hasRun ? 'backend_failed' : 'prompt_quarantined',
-			message: `the prompt contains the part ${part}, on which engines crash; requests with it are refused for another ${Math.ceil(remainingMs / 1000)} s`,
-			ran: hasRun ? 'unknown' : 'not_run',
-			step: 'reserve',
-			retryAfterMs: hasRun ? undefined : remainingMs,
-		});
+		const fields = {ran: hasRun ? 'unknown' : 'not_run', step: 'reserve', retryAfterMs: hasRun ? undefined : remainingMs} as const;
+		const seconds = Math.ceil(remainingMs / 1000);
+		switch (subject.kind) {
+			case 'part': {
+				return failure({
+					...fields,
+					code: hasRun ? 'backend_failed' : 'prompt_quarantined',
+					message: `the prompt contains the part ${subject.part}, on which engines crash; requests with it are refused for another ${seconds} s`,
+				});
+			}
+
+			case 'request': {
+				return failure({
+					...fields,
+					code: hasRun ? 'backend_failed' : 'request_quarantined',
+					message: `backend servers crash on this request, whose identity is ${subject.identity}; its repeats are refused for another ${seconds} s`,
+				});
+			}
+		}
 	}
 
 	#retryAdviceMs(cause: RefusalCause, now: number): number {
@@ -184,6 +203,7 @@
 
 	async #attempt(choice: ServerChoice, now: number): Promise<AttemptResult> {
 		const {parts, request} = this;
+		const subjects = this.#subjects;
 		const {placement} = choice;
 		this.#sends++;
 		parts.logger.info('placed', {
@@ -198,6 +218,7 @@
 		});
 		parts.loadExchange.openPlacement(placement, now);
 		let memory: MemoryReservation | undefined;
+		let isAnswered = false;
 		try {
 			if (choice.reserved.length > 0) {
 				const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
@@ -239,17 +260,18 @@
 					}
 
 					if (events === SOUND_EVENTS) {
-						parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
+						parts.quarantine.reportWritten(subjects, parts.clock());
 					}
 				},
 				signal: this.#response.signal,
 			});
 			this.#runs += result.mayHaveRun ? 1 : 0;
 			this.#receivedSends += result.isUnsent ? 0 : 1;
-			this.#reportPrompt(choice, result, parts.clock());
+			isAnswered = hasRun(result.outcome);
+			this.#reportSubjects(choice, result, parts.clock());
 			return result;
 		} finally {
-			parts.loadExchange.closePlacement(placement.id);
+			parts.loadExchange.closePlacement(placement.id, isAnswered);
 			void memory?.release();
 		}
 	}
@@ -265,7 +287,7 @@
 		const {route, deadline, service} = this.request;
 		return {
 			kind: route.kind,
-			maxAttempts: route.maxAttempts,
+			maxAttempts: this.parts.quarantine.allowsRetry(this.#subjects, now) ? route.maxAttempts : this.#runs,
 			runs: this.#runs,
 			sends: this.#sends,
 			receivedSends: this.#receivedSends,
@@ -300,13 +322,14 @@
 	}
 
 	/** Reports whether the server wrote the answer or ended before. */
-	#reportPrompt({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
+	#reportSubjects({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
 		const {quarantine} = this.parts;
-		const {id, metadata: {sharedParts}} = this.request;
 		if (outcome.kind === 'delivered') {
-			quarantine.reportSound(sharedParts, now);
+			quarantine.reportWritten(this.#subjects, now);
+		} else if (hasRun(outcome)) {
+			quarantine.reportAnswered(this.#subjects, now);
 		} else if (isDisconnected && events < SOUND_EVENTS) {
-			quarantine.reportCrash({server: server.id, request: id, parts: sharedParts}, now);
+			quarantine.reportCrash({server: server.id, request: this.request.id, subjects: this.#subjects}, now);
 		}
 	}
 
@@ -385,3 +408,7 @@
 
 	return isExpired ? 'deadline_exceeded' : 'backend_failed';
 }
+
+/** Whether the answer shows that the server has run the request. It may fail requests before it begins to run them. */
+const hasRun = (outcome: AttemptOutcome): boolean =>
+	outcome.kind === 'answered' && outcome.status < FIRST_SERVER_ERROR_STATUS && !NOT_RUN_STATUSES.has(outcome.status);
--- a/src/http/error-response.ts
+++ b/src/http/error-response.ts
@@ -17,6 +17,7 @@
 	overloaded: {status: 503, type: 'server_error'},
 	no_capacity: {status: 503, type: 'server_error'},
 	prompt_quarantined: {status: 503, type: 'server_error'},
+	request_quarantined: {status: 503, type: 'server_error'},
 	too_large: {status: 413, type: 'invalid_request_error'},
 	deadline_unreachable: {status: 503, type: 'server_error'},
 	deadline_exceeded: {status: 504, type: 'server_error'},
@@ -69,9 +70,9 @@
 		res.setHeader('retry-after', formatRetryAfter(failure.retryAfterMs));
 	}
 
-	if (failure.ran !== 'not_run' || failure.code === 'prompt_quarantined') {
+	if (failure.ran !== 'not_run' || failure.code === 'prompt_quarantined' || failure.code === 'request_quarantined') {
 		// OpenAI clients retry 409 and 5xx by default. A request that may have run is retried only by decision of the caller, and a
-		// quarantined prompt is refused again.
+		// quarantined one is refused again.
 		res.setHeader('x-should-retry', 'false');
 	}
 
--- /dev/null
+++ b/src/quarantine/crash-evidence.ts
@@ -0,0 +1,367 @@
+/**
+ * Decides which parts of prompts and which requests crash servers, from the crashes and the written answers of all daemons.
+ *
+ * Each request of the crashed server that had not written yet is a suspect, as a whole and with all its shared parts. A subject
+ * that is written anywhere is cleared of all its earlier crashes, which clears requests that stood beside the reason and what
+ * sound requests share: first parts, sessions, documents. Ordinary crashes hit a subject seldom and never for long without an
+ * answer in between.
+ *
+ * Where several parts may explain the same crashes, one that was never written is likelier than one that was, and a later part
+ * of the prompts, which fewer requests share, is likelier than an earlier one. A less likely part needs crashes that the likelier
+ * ones do not explain. A doubtful decision waits until answers that are being written have had time to clear the part. A request
+ * is found to crash servers by crashes that no other subject with more of them explains; it is held back while answers that are
+ * being written may still clear it. A part needs crashes of several requests, of which none is the likelier reason by itself.
+ *
+ * Designed for up to some crashes a second, several reasons at once, and daemons that each see few of the requests.
+ */
+import {isRequest} from './crash-subject.js';
+import {setNewest} from './subject-times.js';
+
+/** Events after which an answer is sound. Most answers have more, and shorter ones count when they are complete. */
+export const SOUND_EVENTS = 8;
+
+/** Crashes without an answer in between after which a subject is found to crash servers. */
+const MIN_CRASHES = 3;
+/** The same for a part that has been written before, or where the crashes may be due to another subject. */
+const MIN_CRASHES_IF_DOUBTFUL = 5;
+/** Crashes after which a request is no longer sent to another server within the same attempt of its client. */
+const MIN_CRASHES_OF_SUSPECT = 2;
+/** Time in ms after which answers that are being written have cleared the other subjects of the crashed requests. */
+const CLEARING_MS = 1500;
+/** The same where a part that is shared by fewer requests may be the reason. */
+const LONG_CLEARING_MS = 2500;
+/** One request may meet several ordinary crashes, since it is retried. */
+const MIN_REQUESTS = 2;
+/** Crashed runs of one request that count for its parts: those of one attempt of its client. */
+const MAX_RUNS_PER_REQUEST = 2;
+/** Crashes within this time in ms have a common cause, such as a failure domain without power, and count once. */
+const COMMON_CAUSE_MS = 100;
+/** Largest probability that a sound part has met its crashes by chance, and the same for parts that have been written before. */
+const MAX_CHANCE = 1e-5;
+const MAX_CHANCE_IF_KNOWN = 1e-8;
+/** The same for a request: a wrong decision only concerns its repeats. */
+const MAX_CHANCE_OF_REQUEST = 1e-3;
+/** Time in ms for which crashes and written answers are remembered; the crashes of one subject may come minutes apart. */
+const MEMORY_MS = 600_000;
+/** Length of the periods in ms over which begun answers are counted. */
+const START_PERIOD_MS = 250;
+/** Bounds on the memory of the evidence. */
+const MAX_CRASHES = 200;
+const MAX_RUNS_PER_CRASH = 64;
+
+/** A request whose server closed the connection before the answer was sound. */
+export type CrashReport = {
+	/** Id of one start of the server. */
+	readonly server: string;
+	/** Id of the client's attempt. */
+	readonly request: string;
+	/** Parts that the prompt may share with others, in order, and the request itself; daemons of earlier versions report only parts. */
+	readonly subjects: readonly string[];
+};
+
+/** What the evidence says about a request. `held`: crashes servers unless an answer that is being written clears it within `remainingMs`. */
+export type RequestFinding =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'suspect'}
+	| {readonly kind: 'held'; readonly remainingMs: number}
+	| {readonly kind: 'crashing'};
+
+type Run = {
+	readonly request: string;
+	readonly subjects: readonly string[];
+	/** The request as a subject, the same for all its repeats; undefined in reports of daemons of earlier versions. */
+	readonly whole: string | undefined;
+	readonly at: number;
+};
+type Crash = {readonly server: string; readonly at: number; readonly runs: Map<string, Run>};
+
+/** The crashes of one subject that no written answer has cleared. */
+type Suspicion = {
+	readonly subject: string;
+	/** The subject has been written before its crashes. */
+	readonly isKnown: boolean;
+	/** Identities of the crashed requests with the subject, by crash. */
+	readonly crashes: Map<Crash, string[]>;
+	/** Number of runs in `crashes` by identity. */
+	readonly runs: Map<string, number>;
+	/** Largest position of a part in a prompt. Parts further back are shared by fewer requests. */
+	depth: number;
+};
+
+export class CrashEvidence {
+	static create(): CrashEvidence {
+		return new CrashEvidence();
+	}
+
+	/** Crashes by server, oldest first. */
+	readonly #crashes = new Map<string, Crash>();
+	/** Latest time at which a subject was written, oldest first. */
+	readonly #soundTimes = new Map<string, number>();
+	/** Latest crash of each subject that is remembered. */
+	readonly #crashTimes = new Map<string, number>();
+	/** Number of begun answers by period, while there are crashes. */
+	readonly #starts = new Map<number, number>();
+
+	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+
+	recordCrash({server, request, subjects}: CrashReport, now: number): void {
+		this.#dropOld(now);
+		let crash = this.#crashes.get(server);
+		if (!crash) {
+			crash = {server, at: now, runs: new Map()};
+			this.#crashes.set(server, crash);
+		}
+
+		if (crash.runs.size < MAX_RUNS_PER_CRASH && !crash.runs.has(request)) {
+			crash.runs.set(request, {
+				request, subjects, whole: subjects.find(subject => isRequest(subject)), at: now,
+			});
+			for (const subject of subjects) {
+				setNewest(this.#crashTimes, subject, now);
+			}
+		}
+	}
+
+	/** Records that an answer to a request with `subject` was written at `at`. */
+	recordSound(subject: string, at: number): void {
+		setNewest(this.#soundTimes, subject, at);
+	}
+
+	/** Records that any server has begun an answer. */
+	recordStart(now: number): void {
+		if (this.#crashes.size > 0) {
+			const period = Math.floor(now / START_PERIOD_MS);
+			this.#starts.set(period, (this.#starts.get(period) ?? 0) + 1);
+		}
+	}
+
+	/** Latest crash of each subject with remembered crashes. */
+	get crashTimes(): ReadonlyMap<string, number> {
+		return this.#crashTimes;
+	}
+
+	/** Removes the crashes that `subject` explains, except for subjects that are likely to have crashed other servers as well. */
+	removeCrashesWith(subject: string, now: number): void {
+		const suspicions = this.#suspicions(now);
+		const explained = suspicions.find(suspicion => suspicion.subject === subject);
+		const alsoLikely = new Set(explained ? suspicions.filter(other => other !== explained && isLikelyBeside(other, explained)).map(other => other.subject) : []);
+		for (const [server, {runs}] of this.#crashes) {
+			if (![...runs.values()].some(({subjects}) => subjects.includes(subject))) {
+				continue;
+			}
+
+			for (const [request, run] of runs) {
+				const remaining = run.subjects.filter(id => id !== subject);
+				const isExplained = remaining.length < run.subjects.length && !isRequest(subject);
+				if (isExplained || !remaining.some(id => alsoLikely.has(id))) {
+					runs.delete(request);
+				} else {
+					runs.set(request, {...run, subjects: remaining});
+				}
+			}
+
+			if (runs.size === 0) {
+				this.#crashes.delete(server);
+			}
+		}
+	}
+
+	/** Returns a part or a request that crashes servers according to the evidence, or undefined. */
+	findCrashing(now: number): string | undefined {
+		this.#dropOld(now);
+		const suspicions = this.#suspicions(now);
+		return suspicions.find(suspicion => isRequest(suspicion.subject)
+			? this.#judgeRequest(suspicion, suspicions, now).kind === 'crashing'
+			: hasEnoughCrashes(suspicion.crashes) && this.#isProvenPart(suspicion, suspicions, now))?.subject;
+	}
+
+	/** What the evidence says about the request `subject` at this moment. */
+	judgeRequest(subject: string, now: number): RequestFinding {
+		const crashedAt = this.#crashTimes.get(subject);
+		if (crashedAt === undefined || (this.#soundTimes.get(subject) ?? -Infinity) >= crashedAt || !this.#repeatedRequests().has(subject)) {
+			return {kind: 'none'};
+		}
+
+		const suspicions = this.#suspicions(now);
+		const suspicion = suspicions.find(other => other.subject === subject);
+		return suspicion ? this.#judgeRequest(suspicion, suspicions, now) : {kind: 'none'};
+	}
+
+	#suspicions(now: number): readonly Suspicion[] {
+		const suspicions = new Map<string, Suspicion>();
+		const repeated = this.#repeatedRequests();
+		for (const crash of this.#crashes.values()) {
+			for (const run of crash.runs.values()) {
+				const {subjects, at} = run;
+				const identity = this.#identityOf(run, now);
+				for (const [depth, subject] of subjects.entries()) {
+					if ((this.#soundTimes.get(subject) ?? -Infinity) >= at || (subject === run.whole && !repeated.has(subject))) {
+						continue;
+					}
+
+					const suspicion: Suspicion = suspicions.get(subject) ?? {
+						subject, isKnown: this.#isKnown(subject, now), crashes: new Map(), runs: new Map(), depth,
+					};
+					suspicions.set(subject, suspicion);
+					const runs = suspicion.runs.get(identity) ?? 0;
+					if (runs < MAX_RUNS_PER_REQUEST || isRequest(subject)) {
+						suspicion.runs.set(identity, runs + 1);
+						suspicion.crashes.set(crash, [...(suspicion.crashes.get(crash) ?? []), identity]);
+					}
+
+					suspicion.depth = Math.max(suspicion.depth, depth);
+				}
+			}
+		}
+
+		return [...suspicions.values()];
+	}
+
+	/** Requests that crashed more than once; most did not, and nothing follows from a single crash. */
+	#repeatedRequests(): ReadonlySet<string> {
+		const seen = new Set<string>();
+		const repeated = new Set<string>();
+		for (const {runs} of this.#crashes.values()) {
+			for (const {whole} of runs.values()) {
+				if (whole !== undefined) {
+					(seen.has(whole) ? repeated : seen).add(whole);
+				}
+			}
+		}
+
+		return repeated;
+	}
+
+	#isKnown(subject: string, now: number): boolean {
+		return now - (this.#soundTimes.get(subject) ?? -Infinity) <= MEMORY_MS;
+	}
+
+	/** Tells requests apart. Repeats of a request that is written at other times may differ in their prompts. */
+	#identityOf({request, whole}: Run, now: number): string {
+		return whole === undefined || this.#isKnown(whole, now) ? request : whole;
+	}
+
+	#judgeRequest({subject, crashes}: Suspicion, suspicions: readonly Suspicion[], now: number): RequestFinding {
+		const crashCount = causes(crashes).length;
+		if (crashCount < MIN_CRASHES) {
+			return {kind: crashCount < MIN_CRASHES_OF_SUSPECT ? 'none' : 'suspect'};
+		}
+
+		const ownSubjects = new Set([...crashes.keys()].flatMap(({runs}) => [...runs.values()].filter(run => run.subjects.includes(subject)).flatMap(run => run.subjects)));
+		const stronger = suspicions.filter(other => !ownSubjects.has(other.subject) && other.crashes.size > crashes.size
+			&& (isRequest(other.subject) || countRequests(other.crashes) >= MIN_REQUESTS));
+		const unexplained = causes(withoutCrashesOf(crashes, stronger));
+		const decidingCause = unexplained[MIN_CRASHES - 1];
+		if (decidingCause === undefined || this.#chance(subject, crashes, unexplained.length) > MAX_CHANCE_OF_REQUEST) {
+			return {kind: 'suspect'};
+		}
+
+		const remainingMs = decidingCause + CLEARING_MS - now;
+		return remainingMs > 0 ? {kind: 'held', remainingMs} : {kind: 'crashing'};
+	}
+
+	/** Whether the crashes that no likelier part explains are enough, not met by chance, and not doubtful any more. */
+	#isProvenPart(suspicion: Suspicion, suspicions: readonly Suspicion[], now: number): boolean {
+		const {subject, isKnown} = suspicion;
+		// A part with a single crash explains nothing about several ones.
+		const others = suspicions.filter(other => other !== suspicion && !isRequest(other.subject) && other.crashes.size > 1);
+		const likelier = others.filter(other => isLikelier(other, suspicion));
+		const crashes = withoutCrashesOf(suspicion.crashes, likelier.filter(other => countRequests(other.crashes) >= MIN_REQUESTS));
+		const runs = [...crashes.values()].flat().length;
+		if (!hasEnoughCrashes(crashes) || this.#chance(subject, crashes, runs) > (isKnown ? MAX_CHANCE_IF_KNOWN : MAX_CHANCE)) {
+			return false;
+		}
+
+		const rivals = others.filter(other => isKnown || !other.isKnown);
+		const hasRivalRequest = suspicions.some(other => isRequest(other.subject) && other.crashes.size >= MIN_CRASHES && mayExplain(crashes, [other]));
+		const isDoubtful = hasRivalRequest || mayExplain(crashes, rivals);
+		const equalRivals = rivals.filter(other => !isLikelier(other, suspicion) && !isLikelier(suspicion, other) && mayExplain(crashes, [other]));
+		const hasLikelierRival = mayExplain(crashes, likelier);
+		const minCrashes = isKnown || hasRivalRequest || equalRivals.length > 0 || hasLikelierRival ? MIN_CRASHES_IF_DOUBTFUL : MIN_CRASHES;
+		const clearingMs = hasLikelierRival ? LONG_CLEARING_MS : CLEARING_MS;
+		const decidingCause = causes(crashes)[minCrashes - 1];
+		return decidingCause !== undefined
+			&& (!isDoubtful || now - decidingCause >= clearingMs)
+			&& equalRivals.every(rival => crashes.size >= rival.crashes.size);
+	}
+
+	/**
+	 * Probability that `runs` runs of a sound subject crashed by chance: the share of the other runs since its first crash that
+	 * crashed, to the power of its own runs. Adds one crash and one answer to the others, so that few of them prove little.
+	 */
+	#chance(subject: string, crashes: ReadonlyMap<Crash, readonly string[]>, runs: number): number {
+		const firstAt = Math.min(...[...crashes.keys()].map(({at}) => at));
+		let starts = 0;
+		for (const [period, count] of this.#starts) {
+			starts += (period + 1) * START_PERIOD_MS > firstAt ? count : 0;
+		}
+
+		let others = 0;
+		for (const crash of this.#crashes.values()) {
+			// Runs on a server that the subject may have crashed say nothing about the other servers.
+			others += crash.at >= firstAt && !crashes.has(crash) ? [...crash.runs.values()].filter(({subjects}) => !subjects.includes(subject)).length : 0;
+		}
+
+		return ((others + 1) / (others + starts + 2)) ** runs;
+	}
+
+	#dropOld(now: number): void {
+		for (const [server, {at}] of this.#crashes) {
+			if (now - at > MEMORY_MS || this.#crashes.size > MAX_CRASHES) {
+				this.#crashes.delete(server);
+			}
+		}
+
+		for (const [subject, at] of this.#crashTimes) {
+			if (now - at > MEMORY_MS) {
+				this.#crashTimes.delete(subject);
+			}
+		}
+
+		if (this.#crashes.size === 0) {
+			this.#starts.clear();
+		}
+
+		for (const period of this.#starts.keys()) {
+			if (now - (period * START_PERIOD_MS) > MEMORY_MS) {
+				this.#starts.delete(period);
+			}
+		}
+	}
+}
+
+const countRequests = (crashes: ReadonlyMap<Crash, readonly string[]>): number => new Set([...crashes.values()].flat()).size;
+
+const hasEnoughCrashes = (crashes: Suspicion['crashes']): boolean => crashes.size >= MIN_CRASHES && countRequests(crashes) >= MIN_REQUESTS;
+
+/** Times of the crashes without those that have a common cause with an earlier one. */
+function causes(crashes: ReadonlyMap<Crash, unknown>): readonly number[] {
+	const times: number[] = [];
+	for (const at of [...crashes.keys()].map(crash => crash.at).sort((a, b) => a - b)) {
+		if (at - (times.at(-1) ?? -Infinity) >= COMMON_CAUSE_MS) {
+			times.push(at);
+		}
+	}
+
+	return times;
+}
+
+/** Whether part `a` is the likelier reason of a crash that part `b` may explain too: it was never written, or is shared by fewer requests. */
+const isLikelier = (a: Suspicion, b: Suspicion): boolean => a.isKnown === b.isKnown ? a.depth > b.depth : b.isKnown;
+
+/** Whether `other` remains a suspect although `explained` crashes servers: because of enough crashes, some of them on other servers. */
+function isLikelyBeside(other: Suspicion, explained: Suspicion): boolean {
+	const otherCrashes = withoutCrashesOf(other.crashes, [explained]);
+	if (isRequest(other.subject)) {
+		return otherCrashes.size >= MIN_CRASHES_OF_SUSPECT;
+	}
+
+	const isLessLikely = !isRequest(explained.subject) && isLikelier(explained, other);
+	return !isLessLikely && hasEnoughCrashes(other.crashes) && countRequests(otherCrashes) >= MIN_REQUESTS;
+}
+
+const withoutCrashesOf = (crashes: Suspicion['crashes'], others: readonly Suspicion[]): Suspicion['crashes'] =>
+	new Map([...crashes].filter(([crash]) => !others.some(other => other.crashes.has(crash))));
+
+/** Whether `others` may together explain half or more of the crashes. */
+const mayExplain = (crashes: Suspicion['crashes'], others: readonly Suspicion[]): boolean => 2 * withoutCrashesOf(crashes, others).size <= crashes.size;
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -1,42 +1,50 @@
 /**
- * Quarantine of prompt parts that crash engines, shared by all daemons.
+ * Quarantine of parts of prompts and of requests that crash servers, shared by all daemons.
  *
- * Daemons send each other the crashes that their requests met, and answers that clear a suspected part. Each daemon decides
- * on all of that. Quarantined parts are repeated to the linked daemons every second and saved in the store, so they reach
+ * Daemons send each other the crashes that their requests met, and answers that clear a suspected subject. Each daemon decides
+ * on all of that. Quarantined subjects are repeated to the linked daemons every second and saved in the store, so they reach
  * daemons that missed a message, were cut off or have restarted, also when all have.
  */
 import type {Logger} from '../util/logger.js';
-import {PartEvidence, type CrashReport} from './part-evidence.js';
-import {setNewest} from './part-times.js';
-import type {QuarantineMessage} from './quarantine-messages.js';
-
-/** Time in ms after which requests with a quarantined part are tried again; engines may have been repaired by then. */
+import {CrashEvidence, type CrashReport} from './crash-evidence.js';
+import {
+	isRequest, parseSubject, requestSubject, type RequestSubjects,
+} from './crash-subject.js';
+import {MAX_REPORTED_SUBJECTS, type QuarantineMessage} from './quarantine-messages.js';
+import {setNewest} from './subject-times.js';
+
+/** Time in ms after which requests with a quarantined subject are tried again; servers may have been repaired by then. */
 export const QUARANTINE_MS = 3_600_000;
-/** Bound on the number of quarantined parts, so that the repeated lists stay small. The oldest ones are dropped. */
-const MAX_PARTS = 200;
+/** Bound on the number of quarantined subjects, so that the repeated lists stay small. The oldest ones are dropped. */
+const MAX_SUBJECTS = 200;
 /** Time in ms after a crash for which its reason may still be decided. */
 const DECISION_MS = 5000;
-/** Number of parts in one message, so that it fits into one datagram. */
-const PARTS_PER_MESSAGE = 12;
+/** Number of subjects in one message, so that it fits into one datagram. */
+const SUBJECTS_PER_MESSAGE = 12;
 const REPEAT_INTERVAL_MS = 1000;
 
 export type PromptQuarantineOptions = {
 	readonly logger: Logger;
 	/** Sends a message to the other daemons. */
 	publish(message: QuarantineMessage): void;
-	/** Called when this daemon quarantines a part or learns of one from another daemon, with the time in ms for which it stays. */
-	save(part: string, remainingMs: number): void;
+	/** Called when this daemon quarantines a subject or learns of one from another daemon, with the time in ms for which it stays. */
+	save(subject: string, remainingMs: number): void;
 };
 
+/** A subject whose requests are refused, and the time in ms until its end. */
+export type RefusedSubject = {readonly subject: string; readonly remainingMs: number};
+
 export class PromptQuarantine {
 	static create(options: PromptQuarantineOptions): PromptQuarantine {
 		return new PromptQuarantine(options);
 	}
 
-	readonly #evidence = PartEvidence.create();
-	/** Ends of the quarantine by part, on the monotonic clock. */
+	readonly #evidence = CrashEvidence.create();
+	/** Ends of the quarantine by subject, on the monotonic clock. */
 	readonly #ends = new Map<string, number>();
-	/** Latest time at which an answer to a prompt with the part was written, by requests of this daemon and as any daemon announced it. */
+	/** Number of quarantined requests; the others are parts. */
+	#requests = 0;
+	/** Latest time at which an answer with the subject was written, by requests of this daemon and as any daemon announced it. */
 	readonly #ownSound = new Map<string, number>();
 	readonly #announcedSound = new Map<string, number>();
 	#repeatedAt = -Infinity;
@@ -49,37 +57,70 @@
 		return this.#ends.size;
 	}
 
-	/** All quarantined parts. */
-	list(now: number): ReadonlyArray<{readonly part: string; readonly remainingMs: number}> {
-		return [...this.#ends].filter(([, end]) => end > now).map(([part, end]) => ({part, remainingMs: Math.round(end - now)}));
+	/** All quarantined subjects. */
+	list(now: number): readonly RefusedSubject[] {
+		return [...this.#ends].filter(([, end]) => end > now).map(([subject, end]) => ({subject, remainingMs: Math.round(end - now)}));
 	}
 
-	/** Returns the first of `parts` that is quarantined, and the time in ms until its end. */
-	findQuarantined(parts: readonly string[], now: number): {readonly part: string; readonly remainingMs: number} | undefined {
-		for (const part of parts) {
-			const end = this.#ends.get(part);
-			if (end !== undefined && end > now) {
-				return {part, remainingMs: end - now};
+	/** Returns a subject for which a request must not be sent to a server now: a quarantined one, or a request that is held until answers have cleared it. */
+	findRefused(subjects: RequestSubjects, now: number): RefusedSubject | undefined {
+		const quarantinedPart = this.#findQuarantined(subjects.parts, now);
+		if (quarantinedPart !== undefined || (!this.#hasEvidence && this.#requests === 0)) {
+			return quarantinedPart;
+		}
+
+		const subject = requestSubject(subjects);
+		const quarantined = this.#findQuarantined([subject], now);
+		if (quarantined) {
+			return quarantined;
+		}
+
+		const finding = this.#evidence.judgeRequest(subject, now);
+		switch (finding.kind) {
+			case 'none':
+			case 'suspect': {
+				return undefined;
+			}
+
+			case 'held': {
+				return {subject, remainingMs: finding.remainingMs};
+			}
+
+			case 'crashing': {
+				this.#quarantine(subject, now);
+				return {subject, remainingMs: QUARANTINE_MS};
 			}
 		}
+	}
 
-		return undefined;
+	/** Whether a request that has met a crash may be sent to another server before its client repeats it. */
+	allowsRetry(subjects: RequestSubjects, now: number): boolean {
+		return !this.#hasEvidence || this.#evidence.judgeRequest(requestSubject(subjects), now).kind === 'none';
 	}
 
 	/** Records that the server of a request of this daemon closed the connection before the answer was sound. */
-	reportCrash(report: CrashReport, now: number): void {
-		if (report.parts.length > 0) {
-			this.options.publish({kind: 'crashed', ...report});
-			this.#recordCrash(report, now);
-		}
+	reportCrash({server, request, subjects}: {readonly server: string; readonly request: string; readonly subjects: RequestSubjects}, now: number): void {
+		// The first parts of a prompt are shared by most requests.
+		const report = {server, request, subjects: [...subjects.parts.slice(1 - MAX_REPORTED_SUBJECTS), requestSubject(subjects)]};
+		this.options.publish({
+			kind: 'crashed', server, request, parts: report.subjects,
+		});
+		this.#recordCrash(report, now);
 	}
 
-	/** Records that a request of this daemon with `parts` is being written. */
-	reportSound(parts: readonly string[], now: number): void {
-		for (const part of parts) {
-			this.#evidence.recordSound(part, now);
-			setNewest(this.#ownSound, part, now);
+	/** Records that a stream of this daemon is being written. */
+	reportWritten(subjects: RequestSubjects, now: number): void {
+		for (const part of subjects.parts) {
+			this.#recordOwnSound(part, now);
 		}
+
+		this.#recordOwnRequest(subjects, now);
+	}
+
+	/** Records that a server has run a request of this daemon and sent a whole answer that is no stream, which says nothing about parts of prompts. */
+	reportAnswered(subjects: RequestSubjects, now: number): void {
+		this.#evidence.recordStart(now);
+		this.#recordOwnRequest(subjects, now);
 	}
 
 	/** Records that any server has begun an answer. */
@@ -91,7 +132,8 @@
 	receive(message: QuarantineMessage, now: number): void {
 		switch (message.kind) {
 			case 'crashed': {
-				this.#recordCrash(message, now);
+				const {server, request, parts} = message;
+				this.#recordCrash({server, request, subjects: parts}, now);
 				break;
 			}
 
@@ -116,27 +158,28 @@
 		}
 	}
 
-	/** Quarantines a part and tells the linked daemons. Returns whether it was not quarantined. */
-	add(part: string, remainingMs: number, now: number): boolean {
+	/** Quarantines a subject and tells the linked daemons. Returns whether it was not quarantined. */
+	add(subject: string, remainingMs: number, now: number): boolean {
 		const end = now + Math.min(remainingMs, QUARANTINE_MS);
-		const known = this.#ends.get(part) ?? -Infinity;
+		const known = this.#ends.get(subject) ?? -Infinity;
 		// Repeated lists differ by their delays.
 		if (end <= known + REPEAT_INTERVAL_MS || end <= now) {
 			return false;
 		}
 
-		this.#ends.set(part, end);
-		this.#evidence.removeCrashesWith(part, now);
+		this.#ends.set(subject, end);
+		this.#evidence.removeCrashesWith(subject, now);
 		if (known > now) {
 			return false;
 		}
 
-		if (this.#ends.size > MAX_PARTS) {
+		if (this.#ends.size > MAX_SUBJECTS) {
 			this.#ends.delete(this.#ends.keys().next().value!);
 		}
 
-		this.options.logger.warn('part_quarantined', {part, ms: Math.round(end - now)});
-		this.options.publish({kind: 'quarantined', parts: [{part, remainingMs: Math.round(end - now)}]});
+		this.#requests = [...this.#ends.keys()].filter(id => isRequest(id)).length;
+		this.#log('quarantined', subject, {ms: Math.round(end - now)});
+		this.options.publish({kind: 'quarantined', parts: [{part: subject, remainingMs: Math.round(end - now)}]});
 		return true;
 	}
 
@@ -150,8 +193,35 @@
 		}
 	}
 
+	/** Whether any crash is remembered. Without one, no digest of a request is needed. */
+	get #hasEvidence(): boolean {
+		return this.#evidence.crashTimes.size > 0;
+	}
+
+	#findQuarantined(subjects: readonly string[], now: number): RefusedSubject | undefined {
+		for (const subject of subjects) {
+			const end = this.#ends.get(subject);
+			if (end !== undefined && end > now) {
+				return {subject, remainingMs: end - now};
+			}
+		}
+
+		return undefined;
+	}
+
+	#recordOwnRequest(subjects: RequestSubjects, now: number): void {
+		if (this.#hasEvidence) {
+			this.#recordOwnSound(requestSubject(subjects), now);
+		}
+	}
+
+	#recordOwnSound(subject: string, now: number): void {
+		this.#evidence.recordSound(subject, now);
+		setNewest(this.#ownSound, subject, now);
+	}
+
 	#recordCrash(report: CrashReport, now: number): void {
-		if (this.findQuarantined(report.parts, now)) {
+		if (this.#findQuarantined(report.subjects, now)) {
 			return;
 		}
 
@@ -165,16 +235,24 @@
 			return;
 		}
 
-		for (let part = this.#evidence.findCrashingPart(now); part !== undefined; part = this.#evidence.findCrashingPart(now)) {
-			if (!this.add(part, QUARANTINE_MS, now)) {
+		for (let subject = this.#evidence.findCrashing(now); subject !== undefined; subject = this.#evidence.findCrashing(now)) {
+			if (!this.#quarantine(subject, now)) {
 				return;
 			}
+		}
+	}
 
-			this.options.save(part, QUARANTINE_MS);
+	/** Quarantines a subject by decision of this daemon. Returns whether it was not quarantined. */
+	#quarantine(subject: string, now: number): boolean {
+		const isNew = this.add(subject, QUARANTINE_MS, now);
+		if (isNew) {
+			this.options.save(subject, QUARANTINE_MS);
 		}
+
+		return isNew;
 	}
 
-	/** Announces suspected parts that this daemon's requests have shown to be sound. */
+	/** Announces suspects that this daemon's requests have shown to be sound. */
 	#publishSound(now: number): void {
 		const parts = [];
 		for (const [part, crashedAt] of this.#evidence.crashTimes) {
@@ -191,19 +269,25 @@
 	}
 
 	#publishQuarantined(now: number): void {
-		for (const [part, end] of this.#ends) {
+		for (const [subject, end] of this.#ends) {
 			if (end <= now) {
-				this.#ends.delete(part);
-				this.options.logger.info('part_released', {part});
+				this.#ends.delete(subject);
+				this.#requests -= isRequest(subject) ? 1 : 0;
+				this.#log('released', subject);
 			}
 		}
 
-		this.#publishBatches(this.list(now), batch => ({kind: 'quarantined', parts: batch}));
+		this.#publishBatches(this.list(now).map(({subject, remainingMs}) => ({part: subject, remainingMs})), batch => ({kind: 'quarantined', parts: batch}));
+	}
+
+	#log(event: 'quarantined' | 'released', id: string, fields: {readonly ms?: number} = {}): void {
+		const {kind, ...subject} = parseSubject(id);
+		this.options.logger[event === 'quarantined' ? 'warn' : 'info'](`${kind}_${event}`, {...subject, ...fields});
 	}
 
-	#publishBatches<T>(parts: readonly T[], toMessage: (batch: readonly T[]) => QuarantineMessage): void {
-		for (let index = 0; index < parts.length; index += PARTS_PER_MESSAGE) {
-			this.options.publish(toMessage(parts.slice(index, index + PARTS_PER_MESSAGE)));
+	#publishBatches<T>(items: readonly T[], toMessage: (batch: readonly T[]) => QuarantineMessage): void {
+		for (let index = 0; index < items.length; index += SUBJECTS_PER_MESSAGE) {
+			this.options.publish(toMessage(items.slice(index, index + SUBJECTS_PER_MESSAGE)));
 		}
 	}
 }
--- a/src/quarantine/quarantine-store.ts
+++ b/src/quarantine/quarantine-store.ts
@@ -1,5 +1,5 @@
 /**
- * Saves quarantined prompt parts in the store, for daemons that start when no other one runs.
+ * Saves quarantined subjects in the store, for daemons that start when no other one runs.
  *
  * The objects are of the kind of the registrations of daemons, so that one read returns both.
  */
@@ -7,13 +7,13 @@
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
-import {QUARANTINE_MS} from './prompt-quarantine.js';
+import {QUARANTINE_MS, type RefusedSubject} from './prompt-quarantine.js';
 
 const CALL_TIMEOUT_MS = 1000;
 /** Pause in ms between attempts while the store is unavailable. */
 const RETRY_MS = 1000;
 
-/** The end is in Unix time in ms. */
+/** The end is in Unix time in ms. Daemons of earlier versions, which know no other subjects, read the field `quarantinedPart`. */
 const recordSchema = z.object({quarantinedPart: z.string().min(1).max(64), end: z.number()}).readonly();
 
 export type QuarantineStoreOptions = {
@@ -35,34 +35,34 @@
 
 	private constructor(private readonly options: QuarantineStoreOptions) {}
 
-	/** Saves a part whose quarantine ends in `remainingMs`. Retries until then while the store is unavailable. */
-	async save(part: string, remainingMs: number): Promise<void> {
+	/** Saves a subject whose quarantine ends in `remainingMs`. Retries until then while the store is unavailable. */
+	async save(subject: string, remainingMs: number): Promise<void> {
 		const {
 			kind, store, logger, unixTime, isWriter,
 		} = this.options;
 		const {signal} = this.#controller;
 		const end = unixTime() + remainingMs;
-		const name = objectName(part, end);
+		const name = objectName(subject, end);
 		while (!signal.aborted && unixTime() < end) {
 			if (isWriter()) {
-				const outcome = await store.create(kind, name, {quarantinedPart: part, end: Math.round(end)}, {timeoutMs: CALL_TIMEOUT_MS, signal});
+				const outcome = await store.create(kind, name, {quarantinedPart: subject, end: Math.round(end)}, {timeoutMs: CALL_TIMEOUT_MS, signal});
 				if (outcome.kind !== 'unavailable') {
-					logger.info('quarantine_saved', {part, outcome: outcome.kind});
+					logger.info('quarantine_saved', {subject, outcome: outcome.kind});
 					return;
 				}
 
-				logger.warn('quarantine_not_saved', {part, message: outcome.message});
+				logger.warn('quarantine_not_saved', {subject, message: outcome.message});
 			}
 
 			await pause(RETRY_MS, signal);
 		}
 	}
 
-	/** Saves those of the parts that are not among the objects `names` of a store that has come back from an older copy. */
-	saveMissing(parts: ReadonlyArray<{readonly part: string; readonly remainingMs: number}>, names: ReadonlySet<string>): void {
-		for (const {part, remainingMs} of parts) {
-			if (!names.has(objectName(part, this.options.unixTime() + remainingMs))) {
-				void this.save(part, remainingMs);
+	/** Saves those of the subjects that are not among the objects `names` of a store that has come back from an older copy. */
+	saveMissing(subjects: readonly RefusedSubject[], names: ReadonlySet<string>): void {
+		for (const {subject, remainingMs} of subjects) {
+			if (!names.has(objectName(subject, this.options.unixTime() + remainingMs))) {
+				void this.save(subject, remainingMs);
 			}
 		}
 	}
@@ -72,11 +72,11 @@
 	}
 }
 
-/** A part that is quarantined again needs another object, as the former one is not replaced. */
-const objectName = (part: string, end: number): string => `quarantined-${part}-${Math.floor(end / QUARANTINE_MS)}`;
+/** A subject that is quarantined again needs another object, as the former one is not replaced. */
+const objectName = (subject: string, end: number): string => `quarantined-${subject}-${Math.floor(end / QUARANTINE_MS)}`;
 
-/** Returns undefined for an object that is no quarantined part. `unixTime` is in ms. */
-export function readQuarantinedPart({value}: KindObject, unixTime: number): {readonly part: string; readonly remainingMs: number} | undefined {
+/** Returns undefined for an object that is no quarantined subject. `unixTime` is in ms. */
+export function readQuarantined({value}: KindObject, unixTime: number): RefusedSubject | undefined {
 	const parsed = recordSchema.safeParse(value);
-	return parsed.success ? {part: parsed.data.quarantinedPart, remainingMs: parsed.data.end - unixTime} : undefined;
+	return parsed.success ? {subject: parsed.data.quarantinedPart, remainingMs: parsed.data.end - unixTime} : undefined;
 }
--- a/src/service-levels/observation.ts
+++ b/src/service-levels/observation.ts
@@ -40,6 +40,7 @@
 	caller_left: 'not_counted',
 	overloaded: 'refused',
 	prompt_quarantined: 'not_counted',
+	request_quarantined: 'not_counted',
 	no_capacity: 'refused',
 	deadline_unreachable: 'refused',
 	not_ready: 'refused',
--- a/src/util/failure.ts
+++ b/src/util/failure.ts
@@ -17,6 +17,7 @@
 	| 'overloaded'
 	| 'no_capacity'
 	| 'prompt_quarantined'
+	| 'request_quarantined'
 	| 'too_large'
 	| 'deadline_unreachable'
 	| 'deadline_exceeded'
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -51,7 +51,9 @@
 	readonly limitPerSecond?: number;
 	/** Ids of prompt parts on which the server crashes when it begins to write: it closes all connections without a response. */
 	readonly crashingParts?: readonly string[];
-	/** Called after a crash. The server accepts requests again at once, but loses all streams. */
+	/** Bodies of requests on which the server crashes when it begins to run them. */
+	readonly crashingBodies?: readonly string[];
+	/** Called after a crash. The server accepts requests again at once, but loses all that run. */
 	readonly onCrash?: () => void;
 };
 
@@ -135,6 +137,9 @@
 				...(this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter}),
 				...('helper' in fault ? {'at-server': fault.helper} : {}),
 			}).end();
+		} else if (this.#crashesOn(req, body.toString())) {
+			this.#server.closeAllConnections();
+			this.options.onCrash?.();
 		} else if (this.options.events === undefined) {
 			await this.#answerCall(req, res, fault);
 		} else {
@@ -142,6 +147,11 @@
 		}
 	}
 
+	#crashesOn(req: IncomingMessage, body: string): boolean {
+		const {crashingParts = [], crashingBodies = []} = this.options;
+		return hasPart(req, crashingParts) || crashingBodies.includes(body);
+	}
+
 	#takeFault({headers}: IncomingMessage): InjectedFault | undefined {
 		if (headers['fireflyport-target-instance'] !== this.instance) {
 			return {kind: 'reject', status: 421};
@@ -206,12 +216,6 @@
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
-		if (hasPart(req, this.options.crashingParts ?? [])) {
-			this.#server.closeAllConnections();
-			this.options.onCrash?.();
-			return;
-		}
-
 		if (fault?.kind === 'error') {
 			res.writeHead(fault.status, this.#headers(req)).end('failed');
 			return;
--- a/tests/part-evidence.test.ts
+++ b/tests/crash-evidence.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {PartEvidence} from '../src/quarantine/part-evidence.js';
+import {CrashEvidence} from '../src/quarantine/crash-evidence.js';
 import {lateSends, MAX_LATE_REQUESTS, STABLE_WINDOW_MS} from './fixtures/crash-rules.js';
 import {calmScenario, simulateCrashes, type CrashScenario} from './fixtures/crash-simulation.js';
 
@@ -64,13 +64,13 @@
 	});
 
 	it('should clear a part of its crashes each time it is written', () => {
-		const evidence = PartEvidence.create();
+		const evidence = CrashEvidence.create();
 		for (let index = 0; index < 20; index++) {
 			evidence.recordStart(index * 500);
-			evidence.recordCrash({server: `i-${index}`, request: `r-${index}`, parts: ['a']}, index * 500);
+			evidence.recordCrash({server: `i-${index}`, request: `r-${index}`, subjects: ['a']}, index * 500);
 			evidence.recordSound('a', (index * 500) + 200);
 		}
 
-		expect(evidence.findCrashingPart(10_000)).toBeUndefined();
+		expect(evidence.findCrashing(10_000)).toBeUndefined();
 	});
 });
