--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -3,8 +3,9 @@
 import type {LoadExchange} from '../fleet/load-exchange.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {httpStatusOf} from '../http/error-response.js';
-import {SOUND_EVENTS} from '../quarantine/part-evidence.js';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
+import {SOUND_EVENTS} from '../quarantine/crash-evidence.js';
+import {parseSubject, type RequestSubjects} from '../quarantine/crash-subject.js';
+import type {PromptQuarantine, RefusedSubject} from '../quarantine/prompt-quarantine.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
@@ -20,7 +21,7 @@
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
 import {retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	canRunAgain, nextStep, type NextStep, type RetryState,
+	canRunAgain, nextStep, type AttemptOutcome, type NextStep, type RetryState,
 } from './retry-policy.js';
 import {
 	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
@@ -42,6 +43,9 @@
 const MOVED_EXCLUSION_MS = 6000;
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
+const FIRST_SERVER_ERROR_STATUS = 500;
+/** Statuses that promise that the request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 429]);
 
 /** Interval in ms at which an interrupted stream looks for another server: several times before its client leaves after two seconds. */
 const RESUME_INTERVAL_MS = 250;
@@ -92,6 +96,7 @@
 		return new RequestFlow(parts, request);
 	}
 
+	readonly #subjects: RequestSubjects;
 	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
 	readonly #excluded = new Set<string>();
 	readonly #broken = new Set<string>();
@@ -112,6 +117,7 @@
 	#receivedSends = 0;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
+		this.#subjects = {parts: request.metadata.sharedParts, identity: request.identity};
 		this.#response = ClientResponse.create(request, parts.clock);
 		this.#result = new Promise(resolve => {
 			this.#resolve = resolve;
@@ -244,9 +250,9 @@
 			return undefined;
 		}
 
-		const quarantined = this.parts.quarantine.findQuarantined(this.request.metadata.sharedParts, this.parts.clock());
-		if (quarantined) {
-			this.#fail(this.#quarantineFailure(quarantined));
+		const refused = this.parts.quarantine.findRefused(this.#subjects, this.parts.clock());
+		if (refused) {
+			this.#fail(this.#quarantineFailure(refused));
 			return undefined;
 		}
 
@@ -318,7 +324,7 @@
 	/** Returns a server that can be expected to respond before the client leaves. */
 	#chooseAnother(exclusions: ReadonlyArray<ReadonlySet<string>>, now: number): ServerChoice | undefined {
 		const {parts, request} = this;
-		if (parts.quarantine.findQuarantined(request.metadata.sharedParts, now)) {
+		if (parts.quarantine.findRefused(this.#subjects, now)) {
 			return undefined;
 		}
 
@@ -394,9 +400,9 @@
 
 	#choose(now: number): {readonly kind: 'chosen'; readonly choice: ServerChoice} | {readonly kind: 'refused'; readonly failure: Failure} {
 		const {parts, request} = this;
-		const quarantined = parts.quarantine.findQuarantined(request.metadata.sharedParts, now);
-		if (quarantined) {
-			return {kind: 'refused', failure: this.#quarantineFailure(quarantined)};
+		const refused = parts.quarantine.findRefused(this.#subjects, now);
+		if (refused) {
+			return {kind: 'refused', failure: this.#quarantineFailure(refused)};
 		}
 
 		const choice = this.#chooseServer(this.#excluded, now);
@@ -433,15 +439,28 @@
 		return {kind: 'chosen', choice};
 	}
 
-	#quarantineFailure({part, remainingMs}: {readonly part: string; readonly remainingMs: number}): Failure {
+	#quarantineFailure({subject: id, remainingMs}: RefusedSubject): Failure {
+		const subject = parseSubject(id);
 		const hasRun = this.#runs > 0;
-		return failure({
-			code: hasRun ? 'backend_failed' : 'prompt_quarantined',
-			message: `the prompt contains the part ${part}, on which engines crash; requests with it are refused for another ${Math.ceil(remainingMs / 1000)} s`,
-			ran: hasRun ? 'unknown' : 'not_run',
-			step: 'reserve',
-			retryAfterMs: hasRun ? undefined : remainingMs,
-		});
+		const fields = {ran: hasRun ? 'unknown' : 'not_run', step: 'reserve', retryAfterMs: hasRun ? undefined : remainingMs} as const;
+		const seconds = Math.ceil(remainingMs / 1000);
+		switch (subject.kind) {
+			case 'part': {
+				return failure({
+					...fields,
+					code: hasRun ? 'backend_failed' : 'prompt_quarantined',
+					message: `the prompt contains the part ${subject.part}, on which engines crash; requests with it are refused for another ${seconds} s`,
+				});
+			}
+
+			case 'request': {
+				return failure({
+					...fields,
+					code: hasRun ? 'backend_failed' : 'request_quarantined',
+					message: `backend servers crash on this request, whose identity is ${subject.identity}; its repeats are refused for another ${seconds} s`,
+				});
+			}
+		}
 	}
 
 	#retryAdviceMs(cause: RefusalCause, now: number): number {
@@ -472,23 +491,23 @@
 		};
 	}
 
-	#close(prepared: PreparedAttempt | undefined): void {
+	#close(prepared: PreparedAttempt | undefined, isAnswered = false): void {
 		if (prepared) {
-			this.#closePlacement(prepared.choice);
+			this.#closePlacement(prepared.choice, isAnswered);
 			void prepared.memory?.release();
 		}
 	}
 
-	#closePlacement({placement}: ServerChoice): void {
+	#closePlacement({placement}: ServerChoice, isAnswered = false): void {
 		this.#record(() => {
-			this.parts.loadExchange.closePlacement(placement.id);
+			this.parts.loadExchange.closePlacement(placement.id, isAnswered);
 		});
 	}
 
 	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
 	async #attempt(prepared: PreparedAttempt): Promise<void> {
 		const {choice} = prepared;
-		let result: AttemptResult;
+		let result: AttemptResult | undefined;
 		try {
 			if (this.#isEnded) {
 				return;
@@ -496,7 +515,7 @@
 
 			result = await this.#send(prepared);
 		} finally {
-			this.#close(prepared);
+			this.#close(prepared, result !== undefined && hasRun(result.outcome));
 		}
 
 		this.#continueAfter(choice, result);
@@ -545,7 +564,7 @@
 		this.#runs += result.mayHaveRun ? 1 : 0;
 		this.#receivedSends += result.isUnsent ? 0 : 1;
 		this.#record(() => {
-			this.#reportPrompt(choice, result, parts.clock());
+			this.#reportSubjects(choice, result, parts.clock());
 		});
 		return result;
 	}
@@ -572,7 +591,7 @@
 		}
 
 		if (events === SOUND_EVENTS) {
-			parts.quarantine.reportSound(request.metadata.sharedParts, parts.clock());
+			parts.quarantine.reportWritten(this.#subjects, parts.clock());
 		}
 	}
 
@@ -587,7 +606,7 @@
 		const {route, deadline, service} = this.request;
 		return {
 			kind: route.kind,
-			maxAttempts: route.maxAttempts,
+			maxAttempts: this.parts.quarantine.allowsRetry(this.#subjects, now) ? route.maxAttempts : this.#runs,
 			runs: this.#runs,
 			sends: this.#sends,
 			receivedSends: this.#receivedSends,
@@ -622,13 +641,14 @@
 	}
 
 	/** Reports whether the server wrote the answer or ended before. */
-	#reportPrompt({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
+	#reportSubjects({server}: ServerChoice, {outcome, isDisconnected, events = 0}: AttemptResult, now: number): void {
 		const {quarantine} = this.parts;
-		const {id, metadata: {sharedParts}} = this.request;
 		if (outcome.kind === 'delivered') {
-			quarantine.reportSound(sharedParts, now);
+			quarantine.reportWritten(this.#subjects, now);
+		} else if (hasRun(outcome)) {
+			quarantine.reportAnswered(this.#subjects, now);
 		} else if (isDisconnected && events < SOUND_EVENTS) {
-			quarantine.reportCrash({server: server.id, request: id, parts: sharedParts}, now);
+			quarantine.reportCrash({server: server.id, request: this.request.id, subjects: this.#subjects}, now);
 		}
 	}
 
@@ -650,6 +670,7 @@
 		if (!isSuccess) {
 			parts.logger.warn('attempt_failed', {
 				request: request.id,
+				identity: request.identity.digest,
 				server: faultyServer.instanceId,
 				outcome: outcome.kind,
 				reason: 'reason' in outcome ? outcome.reason : undefined,
@@ -723,3 +744,7 @@
 
 	return isExpired ? 'deadline_exceeded' : 'backend_failed';
 }
+
+/** Whether the answer shows that the server has run the request. It may fail requests before it begins to run them. */
+const hasRun = (outcome: AttemptOutcome): boolean =>
+	outcome.kind === 'answered' && outcome.status < FIRST_SERVER_ERROR_STATUS && !NOT_RUN_STATUSES.has(outcome.status);
