--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -13,7 +13,13 @@
 /** Fault to apply to one request. Requests without a fault are served normally. */
 export type InjectedFault =
 	/** Rejects the request as not executed; `helper` is the address of a helper that did not respond. */
-	| {readonly kind: 'reject'; readonly status: 503 | 421; readonly helper?: string}
+	| {readonly kind: 'reject'; readonly status: 503 | 421; readonly helper?: string; readonly retryAfter?: string}
+	/** Is silent for `ms` before the response to a call, or after `events` events of a stream, and goes on. */
+	| {readonly kind: 'pause'; readonly ms: number; readonly events?: number}
+	/** Answers a call with a body of `bytes` bytes. */
+	| {readonly kind: 'large'; readonly bytes: number}
+	/** Runs the request, sends a response that is written byte for byte, and closes or resets the connection. */
+	| RawResponse
 	/** Runs the request and closes the connection, for streams after `events` events and `bytes` bytes of the next event. */
 	| {readonly kind: 'break'; readonly events?: number; readonly bytes?: number}
 	/** Runs the request, sends part of a response without a length or in chunked encoding, and resets the connection. */
@@ -27,6 +33,21 @@
 	/** Responds without a signature. */
 	| {readonly kind: 'unsigned'};
 
+export type RawResponse = {
+	readonly kind: 'raw';
+	/** Replaces the status line `HTTP/1.1 200 OK`. */
+	readonly statusLine?: string;
+	/** Further header lines, each ending with CRLF, in Latin-1. */
+	readonly fields?: string;
+	readonly framing: 'length' | 'chunks' | 'close';
+	/** Number of bytes after which the connection ends; all of them by default. */
+	readonly bytes?: number;
+	readonly isReset: boolean;
+};
+
+/** Header of a request that names the time in ms that its run takes in addition. */
+export const WORK_HEADER = 'stand-in-work-ms';
+
 /** A request as received. */
 export type ReceivedRequest = {
 	readonly method: string;
@@ -34,6 +55,7 @@
 	readonly headers: IncomingMessage['headers'];
 	readonly body: string;
 	readonly hasRun: boolean;
+	readonly fault: InjectedFault | undefined;
 	/** Time of arrival on the monotonic clock, in ms. */
 	readonly at: number;
 };
@@ -100,6 +122,11 @@
 		this.#pendingFaults.push(...faults);
 	}
 
+	/** Cancels the faults that no request has met yet. */
+	clearFaults(): void {
+		this.#pendingFaults.length = 0;
+	}
+
 	async close(): Promise<void> {
 		for (const timer of this.#reservationTimers.values()) {
 			clearTimeout(timer);
@@ -122,19 +149,22 @@
 
 		const fault = this.#takeFault(req);
 		this.arrivals.push({
-			method: req.method!, path: req.url!, headers: req.headers, body: body.toString(), hasRun: fault?.kind !== 'reject', at: monotonicMs(),
+			method: req.method!, path: req.url!, headers: req.headers, body: body.toString(), hasRun: fault?.kind !== 'reject', fault, at: monotonicMs(),
 		});
 		res.on('close', () => {
 			this.abortedRequests += res.writableFinished ? 0 : 1;
 		});
 		if (fault?.kind === 'reject') {
-			res.writeHead(fault.status, {
-				'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
-				...(fault.status === 421 ? {} : {'fireflyport-not-executed': '1'}),
-				...this.#stateHeaders(),
-				...(this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter}),
-				...('helper' in fault ? {'at-server': fault.helper} : {}),
-			}).end();
+			this.#reject(req, res, fault);
+			return;
+		}
+
+		if (req.headers[WORK_HEADER] !== undefined) {
+			await pause(Number(req.headers[WORK_HEADER]));
+		}
+
+		if (fault?.kind === 'raw') {
+			this.#answerRaw(req, res, fault);
 		} else if (this.options.events === undefined) {
 			await this.#answerCall(req, res, fault);
 		} else {
@@ -142,6 +172,44 @@
 		}
 	}
 
+	#reject(req: IncomingMessage, res: ServerResponse, fault: Extract<InjectedFault, {kind: 'reject'}>): void {
+		const retryAfter = fault.retryAfter ?? this.retryAfter;
+		res.writeHead(fault.status, {
+			'fireflyport-attempt-id': String(req.headers['fireflyport-attempt-id']),
+			...(fault.status === 421 ? {} : {'fireflyport-not-executed': '1'}),
+			...this.#stateHeaders(),
+			...(retryAfter === undefined ? {} : {'retry-after': retryAfter}),
+			...('helper' in fault ? {'at-server': fault.helper} : {}),
+		}).end();
+	}
+
+	#answerRaw(req: IncomingMessage, res: ServerResponse, {statusLine, fields, framing, bytes, isReset}: RawResponse): void {
+		const firstId = Number(req.headers['last-event-id'] ?? 0) + 1;
+		let body = `${this.instance} answered`;
+		if (this.options.events !== undefined) {
+			body = Array.from({length: this.options.events - firstId + 1}, (_, index) => eventText(firstId + index)).join('');
+		}
+
+		const head = Object.entries(this.#headers(req)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+		const framings = {
+			length: `content-length: ${body.length}\r\n\r\n${body}`,
+			chunks: `transfer-encoding: chunked\r\n\r\n${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`,
+			close: `connection: close\r\n\r\n${body}`,
+		};
+		const text = `${statusLine ?? 'HTTP/1.1 200 OK'}\r\n${head}${fields ?? ''}${framings[framing]}`;
+		const {socket} = res;
+		socket?.write(text.slice(0, bytes), 'latin1', () => {
+			// The delay lets the bytes arrive before the reset.
+			setTimeout(() => {
+				if (isReset) {
+					socket.resetAndDestroy();
+				} else {
+					socket.end();
+				}
+			}, RESET_DELAY_MS);
+		});
+	}
+
 	#takeFault({headers}: IncomingMessage): InjectedFault | undefined {
 		if (headers['fireflyport-target-instance'] !== this.instance) {
 			return {kind: 'reject', status: 421};
@@ -192,6 +260,10 @@
 		}
 
 		await this.#waitPace();
+		if (fault?.kind === 'pause') {
+			await pause(fault.ms);
+		}
+
 		const status = fault?.kind === 'error' ? fault.status : 200;
 		const headers = {...this.#headers(req)};
 		if (fault?.kind === 'foreign') {
@@ -202,7 +274,7 @@
 			delete headers['fireflyport-response-seal'];
 		}
 
-		res.writeHead(status, headers).end(`${this.instance} answered`);
+		res.writeHead(status, headers).end(fault?.kind === 'large' ? 'x'.repeat(fault.bytes) : `${this.instance} answered`);
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
@@ -221,7 +293,8 @@
 		res.writeHead(200, {...this.#headers(req), 'content-type': 'text/event-stream'});
 		res.flushHeaders();
 		for (let id = firstId; id <= this.options.events!; id++) {
-			const event = `id: ${id}\ndata: event ${id} \n\n`;
+			const event = eventText(id);
+			await pauseBefore(id - firstId, fault);
 			const eventLimit = fault?.kind === 'break' || fault?.kind === 'mute' ? fault.events ?? 0 : Infinity;
 			if (id - firstId >= eventLimit) {
 				if (fault?.kind === 'break') {
@@ -258,6 +331,14 @@
 	}
 }
 
+const eventText = (id: number): string => `id: ${id}\ndata: event ${id} \n\n`;
+
+async function pauseBefore(event: number, fault: InjectedFault | undefined): Promise<void> {
+	if (fault?.kind === 'pause' && event === (fault.events ?? 0)) {
+		await pause(fault.ms);
+	}
+}
+
 function hasPart({headers}: IncomingMessage, parts: readonly string[]): boolean {
 	const entries = String(headers['fireflyport-prompt-prefix'] ?? '').split(',');
 	return entries.some(entry => parts.includes(entry.split(':')[0]!));
--- a/testing/stand-ins/platform/store-stand-in.ts
+++ b/testing/stand-ins/platform/store-stand-in.ts
@@ -54,6 +54,8 @@
 	#events: StoreEvent[] = [];
 	#objects = new Map<string, Map<string, MetadataObject>>();
 	readonly #pendingWatches = new Set<PendingWatch>();
+	/** JSON texts by the placeholder that stands for them in the objects. */
+	readonly #texts = new Map<string, string>();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
@@ -81,6 +83,13 @@
 		this.#publish({kind, object, deleted: false});
 	}
 
+	/** Stores a JSON text that `JSON.stringify` cannot write, such as a very deeply nested one. */
+	putText(kind: string, name: string, text: string): void {
+		const placeholder = `text ${this.#texts.size}`;
+		this.#texts.set(JSON.stringify(placeholder), text);
+		this.put(kind, name, placeholder);
+	}
+
 	remove(kind: string, name: string): void {
 		const object = this.#objectsOf(kind).get(name);
 		if (object) {
@@ -199,12 +208,23 @@
 		this.onList?.(++this.#pages);
 		res.setHeader('Store-Era', this.#era);
 		const all = [...this.#objectsOf(kind).values()].filter(({metadata}) => metadata.name > after).sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1);
-		sendJson(res, 200, {entries: all.slice(0, MAX_PAGE_ENTRIES), 'has-more': all.length > MAX_PAGE_ENTRIES, 'as-of': this.#revision});
+		this.#send(res, {entries: all.slice(0, MAX_PAGE_ENTRIES), 'has-more': all.length > MAX_PAGE_ENTRIES, 'as-of': this.#revision});
 	}
 
 	#sendEvents({kind, revision, res}: Pick<PendingWatch, 'kind' | 'revision' | 'res'>): void {
 		const events = this.#events.filter(event => event.kind === kind && event.object.metadata.revision > revision);
-		sendJson(res, 200, {events: events.map(({object, deleted}) => ({object, deleted})), 'as-of': this.#revision});
+		this.#send(res, {events: events.map(({object, deleted}) => ({object, deleted})), 'as-of': this.#revision});
+	}
+
+	#send(res: ServerResponse, body: unknown): void {
+		let text = JSON.stringify(body);
+		for (const [placeholder, stored] of this.#texts) {
+			text = text.replaceAll(placeholder, () => stored);
+		}
+
+		if (!res.destroyed) {
+			res.writeHead(200, {'content-type': 'application/json'}).end(text);
+		}
 	}
 
 	async #create({req, res, groups}: Exchange): Promise<void> {
