--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -18,6 +18,7 @@
 import {parseLogLine} from '../testing/processes.js';
 import {buildPlatformProgram, platformNodeFlags} from '../testing/platform-program.js';
 import {waitUntil} from './fixtures/http.js';
+import {RawConnection, rawRequest} from './fixtures/raw-connection.js';
 import {
 	platformConfiguration, eventStreamBody, GatewayFixture, promptHeaders,
 } from './fixtures/gateway-fixture.js';
@@ -126,6 +127,30 @@
 		expect(started.output()).toContain('event=drained');
 	});
 
+	it('should answer requests and exit with code 0 when SIGTERM comes before its start is complete, and again after it', async () => {
+		world.store.setMode('silent');
+		const started = startProgram(world.settingsFile());
+		const exited = once(started.child, 'close');
+		let connection: RawConnection | undefined;
+		await waitUntil(async () => {
+			try {
+				connection = await RawConnection.open(world.ports.port);
+			} catch {
+				// Not listening yet.
+			}
+
+			return connection !== undefined;
+		}, 10_000);
+		started.child.kill('SIGTERM');
+		await delay(300);
+		started.child.kill('SIGTERM');
+		connection!.write(rawRequest('/look/x', 'early'));
+		await waitUntil(() => connection!.statuses.length === 1 || connection!.isClosed);
+		expect(connection!.statuses).toEqual([503]);
+		expect(await exited).toEqual([0, null]);
+		expect(started.output()).toContain('event=drained');
+	});
+
 	it('should stay within the memory of a small host and serve other requests in time while hundreds of servers send without end', async () => {
 		const kinds = ['body', 'tiny chunks', 'chunk extension', 'refusal body', 'informational heads'] as const;
 		await Promise.all(kinds.map(async bytes => world.addEndlessServer('desk', {instance: `endless-${bytes.replaceAll(' ', '-')}`, bytes})));
