End every open request at the end of a stop, also when ending one throws

Found by a test: an exception while one request was ended at the end of a planned stop left those after it, and the rest of the stop, undone. Each request is ended by itself now, is answered before it is logged and counted, and one that throws gets its answer from the gateway.

Evidence: the new test failed before with 'Error: planned fault' out of Gateway.endRequests.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,25 +116,11 @@
 		this.#phase = {kind: 'stopped'};
 		this.#connections.stopListening();
 		await this.#connections.closeIdle();
-		const {clock, logger, metrics} = this.parts;
 		for (const open of this.#openRequests) {
-			const description = describeOpenRequest(open, clock());
-			if (description.phase === 'answered') {
-				continue;
-			}
-
-			logger.warn('request_ended_by_stop', description);
-			metrics.countEndedByStop(description.phase, description.sent);
-			switch (open.state.kind) {
-				case 'reading': {
-					open.state.cancel(this.#stoppingFailure());
-					break;
-				}
-
-				case 'running': {
-					open.state.flow.stop({kind: 'shutdown'}, clock());
-					break;
-				}
+			try {
+				this.#endByStop(open);
+			} catch (err) {
+				this.#failUnexpectedly(open, err);
 			}
 		}
 	}
@@ -211,6 +197,30 @@
 		this.#recordResult(request, await flow.run());
 	}
 
+	#endByStop(open: OpenRequest): void {
+		const {clock, logger, metrics} = this.parts;
+		const now = clock();
+		const description = describeOpenRequest(open, now);
+		if (description.phase === 'answered') {
+			return;
+		}
+
+		switch (open.state.kind) {
+			case 'reading': {
+				open.state.cancel(this.#stoppingFailure());
+				break;
+			}
+
+			case 'running': {
+				open.state.flow.stop({kind: 'shutdown'}, now);
+				break;
+			}
+		}
+
+		logger.warn('request_ended_by_stop', description);
+		metrics.countEndedByStop(description.phase, description.sent);
+	}
+
 	/** Ends requests whose owner has left them without a response at their deadline. */
 	#endOverdue(now: number): void {
 		for (const open of this.#openRequests) {
--- a/tests/gateway-boundary.test.ts
+++ b/tests/gateway-boundary.test.ts
@@ -5,6 +5,7 @@
 import {GatewayMetrics} from '../src/gateway/gateway-metrics.js';
 import {Gateway, type GatewayParts} from '../src/gateway/gateway.js';
 import {RouteTable} from '../src/gateway/route-table.js';
+import {planStop} from '../src/gateway/stop-policy.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {freePort} from '../testing/free-port.js';
 import {FlowFixture, signedHeaders} from './fixtures/flow-fixture.js';
@@ -16,6 +17,7 @@
 let gateway: Gateway;
 let metrics: GatewayMetrics;
 let connection: RawConnection;
+let port: number;
 let clockOffsetMs = 0;
 
 beforeEach(async () => {
@@ -32,7 +34,7 @@
 
 async function start(parts: Partial<GatewayParts> = {}): Promise<void> {
 	const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1})!);
-	const port = await freePort();
+	port = await freePort();
 	gateway = await Gateway.listen(`127.0.0.1:${port}`, {
 		...flows.parts, metrics, maxBufferedBodyBytes: 1_000_000, routeTable: () => table, ...parts,
 	});
@@ -140,3 +142,34 @@
 		expect(flows.logs.some(line => line.includes('event=request_without_owner'))).toBe(false);
 	});
 });
+
+describe('end of a planned stop', () => {
+	it('should answer the other requests when ending one of them throws', async () => {
+		let received = 0;
+		await flows.addServer('i-1', () => {
+			received++;
+		});
+		await start();
+		const others = await Promise.all([1, 2].map(async () => RawConnection.open(port)));
+		const clients = [connection, ...others];
+		for (const [index, client] of clients.entries()) {
+			client.write(rawRequest('/book/x', `open-${index}`));
+		}
+
+		await waitUntil(() => received === clients.length);
+
+		let calls = 0;
+		metrics.countEndedByStop = () => {
+			calls++;
+			if (calls === 2) {
+				fail();
+			}
+		};
+
+		gateway.startStopping(planStop(1000, monotonicMs()));
+		await gateway.endRequests();
+		await Promise.all(clients.map(async client => client.waitForClose(1000)));
+		expect(clients.map(({statuses}) => statuses)).toEqual([[502], [502], [502]]);
+		expect(flows.logs.filter(line => line.includes('event=unexpected_error'))).toHaveLength(1);
+	});
+});
