Reset the connection of a broken stream to an HTTP/1.0 client

What callers saw: a stream that was broken off looked complete to a client that gets no chunks.

Cause: such a response ends with its connection, and closing the connection is how a broken stream was told. It is reset now. Streams in chunks are closed as before, since the last chunk is missing.

Before: "promise resolved "[]" instead of rejecting", that is, the client read an ordinary end.

--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -64,9 +64,15 @@
 		this.request.res.once('drain', callback);
 	}
 
-	/** Closes the connection, which leaves an incomplete response. */
+	/** Closes the connection, so that the response can't be taken for complete. */
 	destroy(): void {
-		this.request.res.destroy();
+		const {req, res} = this.request;
+		if (req.httpVersion === '1.0') {
+			// A response without chunks ends with its connection, so only a reset shows that it is incomplete.
+			res.socket?.resetAndDestroy();
+		}
+
+		res.destroy();
 	}
 
 	end(): void {
@@ -78,7 +84,7 @@
 	}: BufferedResponse): void {
 		const {res} = this.request;
 		account.setDrop(() => {
-			res.destroy();
+			this.destroy();
 		});
 		res.once('close', () => {
 			account.close();
@@ -99,7 +105,7 @@
 	fail(failed: Failure, formatRetryAfter: (ms: number) => string): void {
 		const {res} = this.request;
 		if (res.headersSent) {
-			res.destroy();
+			this.destroy();
 		} else {
 			this.#removeHeaders();
 			sendFailure(res, failed, formatRetryAfter);
--- a/tests/resumed-streams.test.ts
+++ b/tests/resumed-streams.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterEach, describe, expect, it,
@@ -142,6 +144,20 @@
 	});
 });
 
+describe('a stream to a client that expects no chunks', () => {
+	it('should not look complete when it is broken off', async () => {
+		await start([breakOff], {route: {...route, maxAttempts: 1}});
+		const socket = connect(fixture.port, '127.0.0.1');
+		socket.write('POST / HTTP/1.0\r\nfireflyport-attempt-id: attempt-1\r\ncontent-length: 0\r\n\r\n');
+		let text = '';
+		socket.on('data', chunk => {
+			text += String(chunk);
+		});
+		await expect(once(socket, 'end')).rejects.toThrow('ECONNRESET');
+		expect(text).toContain('id: 2');
+	});
+});
+
 describe('a stream that has not begun', () => {
 	it('should be answered at once when no server is left', async () => {
 		await start([res => {
