--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -39,6 +39,10 @@
 		return this.#lastEventId;
 	}
 
+	get hasBegun(): boolean {
+		return this.request.res.headersSent;
+	}
+
 	/** Time in ms from the arrival of the request to its first event, and the longest pause between events. */
 	get timing(): {readonly firstEventMs: number | undefined; readonly longestGapMs: number} {
 		const firstEventMs = this.#firstEventAt === undefined ? undefined : this.#firstEventAt - this.request.arrivedAt;
@@ -60,9 +64,15 @@
 		this.request.res.once('drain', callback);
 	}
 
-	/** Closes the connection, which leaves an incomplete response. */
+	/** Closes the connection, so that the response can't be taken for complete. */
 	destroy(): void {
-		this.request.res.destroy();
+		const {req, res} = this.request;
+		if (req.httpVersion === '1.0') {
+			// A response without chunks ends with its connection, so only a reset shows that it is incomplete.
+			res.socket?.resetAndDestroy();
+		}
+
+		res.destroy();
 	}
 
 	end(): void {
@@ -74,17 +84,11 @@
 	}: BufferedResponse): void {
 		const {res} = this.request;
 		account.setDrop(() => {
-			res.destroy();
+			this.destroy();
 		});
 		res.once('close', () => {
 			account.close();
 		});
-		if (res.headersSent) {
-			// A stream has begun. Bytes of another response would look like its end.
-			res.destroy();
-			return;
-		}
-
 		res.writeHead(status, [...headers, 'content-length', String(body.length)]);
 		res.end(body);
 	}
@@ -101,7 +105,7 @@
 	fail(failed: Failure, formatRetryAfter: (ms: number) => string): void {
 		const {res} = this.request;
 		if (res.headersSent) {
-			res.destroy();
+			this.destroy();
 		} else {
 			this.#removeHeaders();
 			sendFailure(res, failed, formatRetryAfter);
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -8,10 +8,13 @@
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
+import {pause} from '../util/pause.js';
 import type {RetryBudget} from '../util/retry-budget.js';
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
-import {Attempt, type BufferedResponse, type AttemptResult} from './attempt.js';
+import {
+	Attempt, type AttemptResult, type BufferedResponse, type HandOver,
+} from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import {MemoryReservation, type MemoryOrders} from './memory-reservation.js';
@@ -40,6 +43,8 @@
 /** Time in ms for which a server is excluded if nothing listens on its address; a restart takes one or two seconds. */
 const REFUSED_EXCLUSION_MS = 1500;
 
+/** Interval in ms at which an interrupted stream looks for another server: several times before its client leaves after two seconds. */
+const RESUME_INTERVAL_MS = 250;
 /** Status in logs of a request whose client has disconnected. */
 const CLIENT_LEFT_STATUS = 499;
 
@@ -68,6 +73,17 @@
 	readonly failure?: Failure;
 };
 
+/** An attempt whose placement is open and whose memory is reserved. */
+type PreparedAttempt = {
+	readonly choice: ServerChoice;
+	readonly memory: MemoryReservation | undefined;
+	readonly placedAt: number;
+};
+
+type Preparation =
+	| {readonly kind: 'prepared'; readonly attempt: PreparedAttempt}
+	| {readonly kind: 'refused'; readonly result: AttemptResult};
+
 /** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
 export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
 
@@ -76,7 +92,9 @@
 		return new RequestFlow(parts, request);
 	}
 
+	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
 	readonly #excluded = new Set<string>();
+	readonly #broken = new Set<string>();
 	readonly #response: ClientResponse;
 	readonly #result: Promise<FlowResult>;
 	#resolve!: (result: FlowResult) => void;
@@ -84,6 +102,11 @@
 	#deadlineTimer: NodeJS.Timeout | undefined;
 	#running: Attempt | undefined;
 	#server: string | undefined;
+	/** Takes over from the attempt that has just ended. */
+	#next: PreparedAttempt | undefined;
+	#choices = 0;
+	/** The stream has begun, and no server has it now. */
+	#isInterrupted = false;
 	#runs = 0;
 	#sends = 0;
 	#receivedSends = 0;
@@ -191,25 +214,138 @@
 	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
 		parts.retryBudget(request.service.name).recordRequest();
-		while (!this.#isEnded) {
-			const now = parts.clock();
-			const choice = this.#choose(now);
-			if (choice.kind === 'refused') {
-				this.#fail(choice.failure);
-				return;
+		try {
+			while (!this.#isEnded) {
+				const prepared = this.#takeNext() ?? await (this.#isInterrupted ? this.#awaitNext() : this.#prepareNext());
+				if (prepared) {
+					this.#isInterrupted = false;
+					await this.#attempt(prepared);
+				}
+			}
+		} finally {
+			this.#close(this.#takeNext());
+		}
+	}
+
+	/** Ends the request, or keeps its stream open if that has begun and may be resumed as soon as a server or a retry is available. */
+	#failOrAwait(failed: Failure): void {
+		this.#isInterrupted = this.#response.hasBegun && canRunAgain(this.#retryState(this.parts.clock()));
+		if (this.#isInterrupted) {
+			this.parts.logger.info('stream_interrupted', {request: this.request.id, last_event: this.#response.lastEventId, reason: failed.message});
+		} else {
+			this.#fail(failed);
+		}
+	}
+
+	/** Looks for another attempt at an interrupted stream, after a pause. Servers that were silent or refused the request may take it now. */
+	async #awaitNext(): Promise<PreparedAttempt | undefined> {
+		await pause(RESUME_INTERVAL_MS);
+		if (this.#isEnded) {
+			return undefined;
+		}
+
+		const quarantined = this.parts.quarantine.findQuarantined(this.request.metadata.sharedParts, this.parts.clock());
+		if (quarantined) {
+			this.#fail(this.#quarantineFailure(quarantined));
+			return undefined;
+		}
+
+		const next = await this.#prepareAnother(this.#runs, [this.#excluded, this.#broken]);
+		next?.accept();
+		return this.#takeNext();
+	}
+
+	#takeNext(): PreparedAttempt | undefined {
+		const next = this.#next;
+		this.#next = undefined;
+		return next;
+	}
+
+	/** Chooses a server and prepares an attempt. Returns undefined if that failed; the request has then ended, or another server may do. */
+	async #prepareNext(): Promise<PreparedAttempt | undefined> {
+		const now = this.parts.clock();
+		const choice = this.#choose(now);
+		if (choice.kind === 'refused') {
+			this.#failOrAwait(choice.failure);
+			return undefined;
+		}
+
+		const prepared = await this.#prepare(choice.choice, now);
+		if (prepared.kind === 'refused') {
+			this.#sends++;
+			this.#continueAfter(choice.choice, prepared.result);
+			return undefined;
+		}
+
+		return prepared.attempt;
+	}
+
+	/**
+	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, and takes its token of the retry budget.
+	 * `runs` counts the attempts that may have run or are running.
+	 */
+	async #prepareAnother(runs: number, exclusions: ReadonlyArray<ReadonlySet<string>>): Promise<HandOver | undefined> {
+		const budget = this.parts.retryBudget(this.request.service.name);
+		let hasToken = false;
+		try {
+			const now = this.parts.clock();
+			hasToken = canRunAgain({...this.#retryState(now), runs}) && budget.tryRetry();
+			const choice = hasToken ? this.#chooseAnother(exclusions, now) : undefined;
+			const prepared = choice && await this.#prepare(choice, now);
+			if (prepared?.kind === 'prepared') {
+				hasToken = false;
+				return {
+					accept: () => {
+						this.#next = prepared.attempt;
+					},
+					discard: () => {
+						budget.giveBack();
+						this.#close(prepared.attempt);
+					},
+				};
 			}
+		} catch (err) {
+			this.#logError(err);
+		}
+
+		if (hasToken) {
+			budget.giveBack();
+		}
+
+		return undefined;
+	}
+
+	/** Returns a server that can be expected to respond before the client leaves. */
+	#chooseAnother(exclusions: ReadonlyArray<ReadonlySet<string>>, now: number): ServerChoice | undefined {
+		const {parts, request} = this;
+		if (parts.quarantine.findQuarantined(request.metadata.sharedParts, now)) {
+			return undefined;
+		}
 
-			const result = await this.#attempt(choice.choice, now);
-			this.#continueAfter(choice.choice, result);
+		for (const excluded of exclusions) {
+			const choice = this.#chooseServer(excluded, now);
+			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
+				return choice;
+			}
 		}
+
+		return undefined;
+	}
+
+	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
+		return chooseServer(this.parts, this.request, {excluded, count: this.#choices++}, now);
 	}
 
 	/** Records an attempt, and ends the request unless another attempt follows. */
 	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
-		const next = nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		const next: NextStep = this.#next ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
 			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
 			this.#excluded.add(faultyServer.id);
+			if (result.outcome.kind === 'broken' && !this.#next) {
+				this.#broken.add(faultyServer.id);
+			}
+
 			this.#record(() => {
 				this.#recordAttempt(choice, result, faultyServer, next.kind);
 			});
@@ -239,14 +375,19 @@
 			}
 
 			case 'fail': {
-				this.#fail(failure({
+				const failed = failure({
 					code: failureCode(next),
 					message: next.reason,
 					ran: next.ran,
 					step: 'send',
 					peer: choice.server.instanceId,
 					retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, this.parts.clock()) : undefined,
-				}));
+				});
+				if (next.isExpired) {
+					this.#fail(failed);
+				} else {
+					this.#failOrAwait(failed);
+				}
 			}
 		}
 	}
@@ -258,7 +399,7 @@
 			return {kind: 'refused', failure: this.#quarantineFailure(quarantined)};
 		}
 
-		const choice = chooseServer(parts, request, {excluded: this.#excluded, sends: this.#sends}, now);
+		const choice = this.#chooseServer(this.#excluded, now);
 		const ran = this.#runs === 0 ? 'not_run' : 'unknown';
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
@@ -307,9 +448,62 @@
 		return retryAdviceMs(cause, this.request.deadline - now, this.parts.random());
 	}
 
-	async #attempt(choice: ServerChoice, now: number): Promise<AttemptResult> {
+	/** Opens the placement of an attempt and reserves memory on its helpers. */
+	async #prepare(choice: ServerChoice, placedAt: number): Promise<Preparation> {
+		const {parts, request} = this;
+		this.#record(() => {
+			parts.loadExchange.openPlacement(choice.placement, placedAt);
+		});
+		if (choice.reserved.length === 0) {
+			return {kind: 'prepared', attempt: {choice, memory: undefined, placedAt}};
+		}
+
+		const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
+		if (acquired.kind === 'reserved') {
+			return {kind: 'prepared', attempt: {choice, memory: acquired.reservation, placedAt}};
+		}
+
+		this.#closePlacement(choice);
+		return {
+			kind: 'refused',
+			result: {
+				outcome: {kind: 'rejected', reason: acquired.reason}, mayHaveRun: false, isUnsent: true, faultyAddress: acquired.server.address,
+			},
+		};
+	}
+
+	#close(prepared: PreparedAttempt | undefined): void {
+		if (prepared) {
+			this.#closePlacement(prepared.choice);
+			void prepared.memory?.release();
+		}
+	}
+
+	#closePlacement({placement}: ServerChoice): void {
+		this.#record(() => {
+			this.parts.loadExchange.closePlacement(placement.id);
+		});
+	}
+
+	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
+	async #attempt(prepared: PreparedAttempt): Promise<void> {
+		const {choice} = prepared;
+		let result: AttemptResult;
+		try {
+			if (this.#isEnded) {
+				return;
+			}
+
+			result = await this.#send(prepared);
+		} finally {
+			this.#close(prepared);
+		}
+
+		this.#continueAfter(choice, result);
+	}
+
+	async #send({choice, memory, placedAt}: PreparedAttempt): Promise<AttemptResult> {
 		const {parts, request} = this;
-		const {placement} = choice;
 		this.#sends++;
 		this.#server = choice.server.instanceId;
 		parts.logger.info('placed', {
@@ -322,33 +516,6 @@
 			considered: choice.considered,
 			send: this.#sends,
 		});
-		this.#record(() => {
-			parts.loadExchange.openPlacement(placement, now);
-		});
-		let memory: MemoryReservation | undefined;
-		try {
-			if (choice.reserved.length > 0) {
-				const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
-				if (acquired.kind === 'refused') {
-					return {
-						outcome: {kind: 'rejected', reason: acquired.reason}, mayHaveRun: false, isUnsent: true, faultyAddress: acquired.server.address,
-					};
-				}
-
-				memory = acquired.reservation;
-			}
-
-			return this.#isEnded ? {outcome: {kind: 'aborted'}, mayHaveRun: false, isUnsent: true} : await this.#send(choice, memory, now);
-		} finally {
-			this.#record(() => {
-				parts.loadExchange.closePlacement(placement.id);
-			});
-			void memory?.release();
-		}
-	}
-
-	async #send(choice: ServerChoice, memory: MemoryReservation | undefined, now: number): Promise<AttemptResult> {
-		const {parts, request} = this;
 		this.#running = Attempt.start({
 			memory,
 			wire: parts.wire,
@@ -358,10 +525,10 @@
 			sink: this.#response,
 			buffers: parts.buffers,
 			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-			canRetry: () => canRunAgain({...this.#retryState(parts.clock()), runs: this.#runs + 1}),
+			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, [new Set([...this.#excluded, choice.server.id])]),
 			onMetadata: metadata => {
 				this.#record(() => {
-					this.#recordMetadata(choice.server, metadata, now);
+					this.#recordMetadata(choice.server, metadata, placedAt);
 				});
 			},
 			onEvent: events => {
