Test a planned stop under load from new and kept connections up to its end

The test plays 24 clients, half of whose calls may not be repeated, against servers that take 20 to 2700 ms, through all of the grace, and compares what servers got with what clients were told.

--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -11,6 +11,8 @@
 const LOAD_BEFORE_STOP_MS = 300;
 /** Time in ms between SIGTERM and SIGKILL in the fixture. */
 const GRACE_MS = 5000;
+/** A request that crosses the end of the connection is not lost. */
+const LOSS_SLACK_MS = 200;
 
 let fixture: GatewayFixture;
 
@@ -67,6 +69,59 @@
 });
 
 describe('end of a planned stop', () => {
+	it('should answer each call that it has read whole, under load from new and kept connections up to its end', async () => {
+		const paces = [20, 300, 1200, 2700];
+		const servers = await Promise.all(paces.map(async paceMs => fixture.addServer('desk', {instance: `i-${paceMs}`, paceMs})));
+		await Promise.all(servers.map(async ({instance}) => fixture.waitForLog(`server=${instance}`)));
+		const stop = new AbortController();
+		const calls: Array<{readonly id: string; readonly sentAt: number; status: number | undefined}> = [];
+		let closedAt = Infinity;
+		const runClient = async (client: number): Promise<void> => {
+			let connection: RawConnection | undefined;
+			while (!stop.signal.aborted) {
+				try {
+					connection ??= await RawConnection.open(fixture.ports.port);
+				} catch {
+					// The daemon has stopped listening.
+					return;
+				}
+
+				const call = {id: `client-${client}-${calls.length}`, sentAt: performance.now(), status: undefined as number | undefined};
+				calls.push(call);
+				const {socket, statuses: before} = connection;
+				const current = connection;
+				connection.write(rawRequest(client % 2 === 0 ? '/book/x' : '/look/x', call.id));
+				await waitUntil(() => current.statuses.length > before.length || current.isClosed, 10_000);
+				call.status = current.statuses[before.length];
+				if (socket.destroyed || client % 3 === 0 || current.text.includes('connection: close')) {
+					current.close();
+					connection = undefined;
+				}
+
+				await delay(client * 3);
+			}
+
+			connection?.close();
+		};
+
+		const clients = Array.from({length: 24}, async (_, client) => runClient(client));
+		await delay(LOAD_BEFORE_STOP_MS);
+		await fixture.daemon.drain();
+		closedAt = performance.now();
+		stop.abort();
+		await Promise.all(clients);
+
+		const arrivals = servers.flatMap(server => server.arrivals.map(({headers, path}) => ({id: String(headers['fireflyport-attempt-id']), path})));
+		const arrived = new Set(arrivals.map(({id}) => id));
+		const unsafe = arrivals.filter(({path}) => path.startsWith('/book/')).map(({id}) => id);
+		expect(calls.length).toBeGreaterThan(200);
+		expect(new Set(unsafe).size).toBe(unsafe.length);
+		expect(calls.filter(({id, status}) => arrived.has(id) && status === undefined)).toEqual([]);
+		expect(calls.filter(({sentAt, status}) => sentAt < closedAt - LOSS_SLACK_MS && status === undefined)).toEqual([]);
+		expect(calls.filter(({id, status}) => status === 503 && unsafe.includes(id))).toEqual([]);
+		expect(calls.filter(({status}) => ![undefined, 200, 502, 503, 504].includes(status))).toEqual([]);
+	});
+
 	it('should answer a call that is still running', async () => {
 		const desk = await fixture.addServer('desk', {instance: 'i-1', paceMs: 2800});
 		await fixture.waitForLog('server=i-1');
