--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -127,9 +127,8 @@
 
 	/** Closes all connections at once. */
 	close(): void {
-		const {clock, logger} = this.parts;
 		for (const open of this.#openRequests) {
-			logger.warn('request_cut', describeOpenRequest(open, clock()));
+			this.#logUnanswered(open, 'process_exits');
 		}
 
 		clearInterval(this.#ownerTimer);
@@ -156,7 +155,9 @@
 
 	async #handle(open: OpenRequest): Promise<void> {
 		const {req, res} = open;
+		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		if (await this.#connections.startRequest(req, res) === 'dropped') {
+			this.#logUnanswered(open, 'connection_closed');
 			return;
 		}
 
@@ -164,12 +165,13 @@
 		res.on('close', () => {
 			this.#openRequests.delete(open);
 		});
-		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		const body = await this.#bodies.read(req, cancel => {
 			open.state = {kind: 'reading', cancel};
 		});
 		if (body.kind === 'failure') {
-			if (body.code !== 'caller_left') {
+			if (body.code === 'caller_left') {
+				this.#logUnanswered(open, 'client_left');
+			} else {
 				// The rest of the body is not read, so the connection cannot be used again.
 				res.setHeader('connection', 'close');
 				this.#refuse(open, body);
@@ -369,6 +371,11 @@
 		});
 	}
 
+	#logUnanswered(open: OpenRequest, reason: 'client_left' | 'connection_closed' | 'process_exits'): void {
+		const {clock, logger} = this.parts;
+		logger.warn('request_unanswered', {...describeOpenRequest(open, clock()), reason});
+	}
+
 	#recordResult(request: GatewayRequest, result: FlowResult): void {
 		const {parts} = this;
 		const ms = parts.clock() - request.arrivedAt;
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -67,6 +67,7 @@
 		const arrived = server.arrivals.map(({headers}) => headers['fireflyport-attempt-id']);
 		expect(connection.statuses).toHaveLength(arrived.length);
 		expect(arrived).toContain('first');
+		expect(fixture.logs.find(line => line.includes('event=request_unanswered'))).toMatch(/request=second phase=reading sent=false age_ms=\d+ reason=connection_closed/v);
 	});
 
 	it('should end a pipelined request when its client leaves', async () => {
@@ -81,6 +82,27 @@
 		expect(server.abortedRequests).toBe(server.arrivals.length);
 	});
 
+	it('should name in the log a request whose client leaves before its body is complete', async () => {
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'partial', {headers: {'content-length': '10'}, body: 'half'}));
+		await delay(100);
+		connection.close();
+		await fixture.waitForLog('event=request_unanswered');
+		expect(fixture.logs.find(line => line.includes('event=request_unanswered'))).toMatch(/request=partial phase=reading sent=false age_ms=\d+ reason=client_left/v);
+	});
+
+	it('should name in the log a response that its client has not read when the process exits', async () => {
+		const server = await fixture.addServer('desk', {instance: 'i-1', bodyBytes: LARGE_RESPONSE_BYTES});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		connection.write(rawRequest('/book/x', 'unread'));
+		await waitUntil(() => server.arrivals.length === 1);
+		connection.socket.pause();
+		await fixture.waitForLog('event=request_done');
+		await fixture.daemon.drain();
+		expect(fixture.logs.find(line => line.includes('event=request_unanswered'))).toMatch(/request=unread phase=answered sent=true server=i-1 age_ms=\d+ reason=process_exits/v);
+	});
+
 	it('should answer pipelined requests in order on a kept connection', async () => {
 		const server = await fixture.addServer('desk', {instance: 'i-1', paceMs: 30});
 		await fixture.waitForLog('server=i-1');
