Drop responses that are being sent last when memory runs short

What callers saw: a whole answer was broken off on its way to a sound client when responses of other requests grew, for example those of a server that sends bytes without end.

Cause: the largest response was dropped, whether its request could still be answered or not. One that is still being received can be repeated or ends with 502; one that is being sent can only be broken off. Now the largest of those being received goes first. If responses being sent hold more than half of the memory, the largest of them goes, so that slow clients can't take the memory of all others. Such a response is logged as response_dropped.

Before: "expected [ 'sent' ] to deeply equal [ 'larger' ]" and "expected [ 'received' ] to deeply equal [ 'slower' ]".

--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -79,11 +79,13 @@
 		this.request.res.end();
 	}
 
+	/** Sends a whole response. `onDropped` is called if it is broken off because its client reads too slowly. */
 	sendBuffered({
 		status, headers, body, account,
-	}: BufferedResponse): void {
+	}: BufferedResponse, onDropped: () => void): void {
 		const {res} = this.request;
-		account.setDrop(() => {
+		account.startSending(() => {
+			onDropped();
 			this.destroy();
 		});
 		res.once('close', () => {
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -675,7 +675,10 @@
 	}
 
 	#deliver(response: BufferedResponse): void {
-		this.#response.sendBuffered(response);
+		const {parts, request} = this;
+		this.#response.sendBuffered(response, () => {
+			parts.logger.warn('response_dropped', {request: request.id, bytes: response.body.length, buffered: parts.buffers.totalBytes});
+		});
 		this.#end({outcome: 'answered', status: response.status, sends: this.#sends});
 	}
 
--- a/tests/response-buffers.test.ts
+++ b/tests/response-buffers.test.ts
@@ -23,15 +23,54 @@
 		expect(buffers.totalBytes).toBe(51);
 	});
 
+	it('should drop no response that is being sent while these hold less than half of the limit', () => {
+		const dropped: string[] = [];
+		const buffers = ResponseBuffers.create(100);
+		const open = (name: string) => buffers.open(() => {
+			dropped.push(name);
+		});
+		const [sent, received, larger] = [open('sent'), open('received'), open('larger')];
+		sent.record(50);
+		sent.startSending(() => {
+			dropped.push('sent');
+		});
+		received.record(20);
+		larger.record(31);
+		expect(dropped).toEqual(['larger']);
+		expect(buffers.totalBytes).toBe(70);
+	});
+
+	it('should drop the largest response that is being sent when these hold more than half of the limit', () => {
+		const dropped: string[] = [];
+		const buffers = ResponseBuffers.create(100);
+		for (const [name, bytes] of [['slow', 21], ['slower', 30]] as const) {
+			const account = buffers.open(() => undefined);
+			account.record(bytes);
+			account.startSending(() => {
+				dropped.push(name);
+			});
+		}
+
+		buffers.open(() => {
+			dropped.push('received');
+		}).record(50);
+		expect(dropped).toEqual(['slower']);
+		expect(buffers.totalBytes).toBe(71);
+	});
+
 	it('should never hold more than its limit, and hold nothing once all responses are closed', () => {
 		fc.assert(fc.property(
-			fc.array(fc.record({response: fc.nat({max: 4}), bytes: fc.nat({max: 80}), isClosed: fc.boolean()})),
+			fc.array(fc.record({
+				response: fc.nat({max: 4}), bytes: fc.nat({max: 80}), isClosed: fc.boolean(), isSent: fc.boolean(),
+			})),
 			steps => {
 				const buffers = ResponseBuffers.create(100);
 				const accounts = Array.from({length: 5}, () => buffers.open(() => undefined));
-				for (const {response, bytes, isClosed} of steps) {
+				for (const {response, bytes, isClosed, isSent} of steps) {
 					if (isClosed) {
 						accounts[response]!.close();
+					} else if (isSent) {
+						accounts[response]!.startSending(() => undefined);
 					} else {
 						accounts[response]!.record(bytes);
 					}
