Hold no request that cannot be sent against the servers

What callers saw: a request with two Host fields, with the path * or with no time left was counted as a failure of the servers that were chosen for it, so that one client could mark all servers as suspect for 1.5 s and move the load of others.

Cause: undici refuses to send the first two, and the third ends before it is sent; all were recorded like a failure of the server. They are still refused as not run.

Before: "expected [ 'i-1', 'i-2' ] to deeply equal []" for the list of suspect servers, and [ 'i-1' ] without time.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -34,10 +34,13 @@
 	readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
 };
 
-/** Why an exchange ended. `not_connected` guarantees that nothing was sent. `isDisconnected`: the server closed or reset the connection. */
+/**
+ * Why an exchange ended. `not_connected` guarantees that nothing was sent; with `isInvalid`, the request can't be sent to any
+ * server. `isDisconnected`: the server closed or reset the connection.
+ */
 export type ExchangeEnd =
 	| {readonly kind: 'complete'; readonly isDisconnected: boolean}
-	| {readonly kind: 'not_connected'; readonly message: string; readonly isRefused: boolean}
+	| {readonly kind: 'not_connected'; readonly message: string; readonly isRefused: boolean; readonly isInvalid: boolean}
 	| {readonly kind: 'broken'; readonly message: string; readonly isDisconnected: boolean}
 	| {readonly kind: 'aborted'};
 
@@ -101,17 +104,19 @@
 		}
 	};
 
-	const fail = (err: Error): void => {
-		if (isStarting) {
-			queueMicrotask(() => {
-				fail(err);
-			});
-			return;
-		}
-
+	const fail = (err: Error, isInvalid: boolean): void => {
 		end(isConnected
 			? {kind: 'broken', message: err.message, isDisconnected}
-			: {kind: 'not_connected', message: err.message, isRefused: err instanceof NotConnectedError && err.isRefused});
+			: {
+				kind: 'not_connected', message: err.message, isRefused: err instanceof NotConnectedError && err.isRefused, isInvalid,
+			});
+	};
+
+	/** Reports an error after this function has returned. */
+	const failLater = (err: Error, isInvalid: boolean): void => {
+		queueMicrotask(() => {
+			fail(err, isInvalid);
+		});
 	};
 
 	const dispatch = (): void => {
@@ -141,7 +146,11 @@
 				end(connectionError ? {kind: 'broken', message: connectionError.message, isDisconnected} : {kind: 'complete', isDisconnected});
 			},
 			onResponseError(_controller, err) {
-				fail(err);
+				if (isStarting) {
+					failLater(err, true);
+				} else {
+					fail(err, false);
+				}
 			},
 		});
 	};
@@ -149,7 +158,8 @@
 	try {
 		dispatch();
 	} catch (err) {
-		fail(err as Error);
+		// The address is invalid.
+		failLater(err as Error, false);
 	}
 
 	isStarting = false;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -43,6 +43,8 @@
 	readonly mayHaveRun: boolean;
 	/** Nothing was sent to the server. */
 	readonly isUnsent?: boolean;
+	/** The server had no part in the failure. */
+	readonly isBlameless?: boolean;
 	/** IP:PORT of the server that caused the failure, if it is not the chosen one. */
 	readonly faultyAddress?: string;
 	/** New events that the server sent. */
@@ -161,7 +163,9 @@
 		const {request, clock} = this.options;
 		const timeLeftMs = request.deadline - clock();
 		if (timeLeftMs <= 0) {
-			this.#finish({outcome: {kind: 'expired', wasSent: false}, mayHaveRun: false, isUnsent: true});
+			this.#finish({
+				outcome: {kind: 'expired', wasSent: false}, mayHaveRun: false, isUnsent: true, isBlameless: true,
+			});
 			return;
 		}
 
@@ -336,7 +340,11 @@
 
 			case 'not_connected': {
 				return {
-					outcome: {kind: 'rejected', reason: `no connection: ${end.message}`}, mayHaveRun: false, isUnsent: true, lostReason: end.isRefused ? 'refused' : undefined,
+					outcome: {kind: 'rejected', reason: `no connection: ${end.message}`},
+					mayHaveRun: false,
+					isUnsent: true,
+					isBlameless: end.isInvalid,
+					lostReason: end.isRefused ? 'refused' : undefined,
 				};
 			}
 
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -631,7 +631,10 @@
 		const {outcome, lostReason} = result;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
-		parts.health.recordOutcome(faultyServer.id, isSuccess, now);
+		if (!result.isBlameless) {
+			parts.health.recordOutcome(faultyServer.id, isSuccess, now);
+		}
+
 		if (faultyServer !== choice.server && faultyServer.failureDomain !== choice.server.failureDomain) {
 			parts.partitions.record(faultyServer.failureDomain, choice.server.failureDomain, now);
 		}
--- a/tests/unexpected-errors.test.ts
+++ b/tests/unexpected-errors.test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
@@ -178,3 +180,26 @@
 		expect(fixture.results).toMatchObject([{sends: 1}]);
 	});
 });
+
+describe('a request that cannot be sent to any server', () => {
+	const sendRaw = async (text: string): Promise<string> => {
+		const socket = connect(fixture.port, '127.0.0.1');
+		socket.write(text);
+		const [chunk] = await once(socket, 'data') as [Uint8Array];
+		socket.destroy();
+		return String(chunk);
+	};
+
+	it.each([
+		['two host headers', 'GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\nfireflyport-attempt-id: attempt-1\r\n\r\n'],
+		['no path', 'OPTIONS * HTTP/1.1\r\nhost: a\r\nfireflyport-attempt-id: attempt-1\r\n\r\n'],
+		['no time left', 'GET / HTTP/1.1\r\nhost: a\r\nfireflyport-attempt-id: attempt-1\r\nfireflyport-deadline-ms: 0\r\n\r\n'],
+	])('should be refused as not run without a mark on the servers (%s)', async (_name, text) => {
+		await start();
+		const response = await sendRaw(text);
+		expect(response).toMatch(/^HTTP\/1.1 503 .*"ran":"not_run"/sv);
+		const {health, clock} = fixture.parts;
+		expect(['i-1', 'i-2'].filter(server => health.isSuspect(server, clock()))).toEqual([]);
+		expect(arrivals).toEqual([]);
+	});
+});
