--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -638,7 +638,10 @@
 		const {outcome, lostReason} = result;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
-		parts.health.recordOutcome(faultyServer.id, isSuccess, now);
+		if (!result.isBlameless) {
+			parts.health.recordOutcome(faultyServer.id, isSuccess, now);
+		}
+
 		if (faultyServer !== choice.server && faultyServer.failureDomain !== choice.server.failureDomain) {
 			parts.partitions.record(faultyServer.failureDomain, choice.server.failureDomain, now);
 		}
@@ -682,7 +685,10 @@
 	}
 
 	#deliver(response: BufferedResponse): void {
-		this.#response.sendBuffered(response);
+		const {parts, request} = this;
+		this.#response.sendBuffered(response, () => {
+			parts.logger.warn('response_dropped', {request: request.id, bytes: response.body.length, buffered: parts.buffers.totalBytes});
+		});
 		this.#end({outcome: 'answered', status: response.status, sends: this.#sends});
 	}
 
