--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -64,21 +64,29 @@
 		this.request.res.once('drain', callback);
 	}
 
-	/** Closes the connection, which leaves an incomplete response. */
+	/** Closes the connection, so that the response can't be taken for complete. */
 	destroy(): void {
-		this.request.res.destroy();
+		const {req, res} = this.request;
+		if (req.httpVersion === '1.0') {
+			// A response without chunks ends with its connection, so only a reset shows that it is incomplete.
+			res.socket?.resetAndDestroy();
+		}
+
+		res.destroy();
 	}
 
 	end(): void {
 		this.request.res.end();
 	}
 
+	/** Sends a whole response. `onDropped` is called if it is broken off because its client reads too slowly. */
 	sendBuffered({
 		status, headers, body, account,
-	}: BufferedResponse): void {
+	}: BufferedResponse, onDropped: () => void): void {
 		const {res} = this.request;
-		account.setDrop(() => {
-			res.destroy();
+		account.startSending(() => {
+			onDropped();
+			this.destroy();
 		});
 		res.once('close', () => {
 			account.close();
@@ -99,7 +107,7 @@
 	fail(failed: Failure, formatRetryAfter: (ms: number) => string): void {
 		const {res} = this.request;
 		if (res.headersSent) {
-			res.destroy();
+			this.destroy();
 		} else {
 			this.#removeHeaders();
 			sendFailure(res, failed, formatRetryAfter);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -117,34 +117,19 @@
 		this.#phase = {kind: 'stopped'};
 		this.#connections.stopListening();
 		await this.#connections.closeIdle();
-		const {clock, logger, metrics} = this.parts;
 		for (const open of this.#openRequests) {
-			const description = describeOpenRequest(open, clock());
-			if (description.phase === 'answered') {
-				continue;
-			}
-
-			logger.warn('request_ended_by_stop', description);
-			metrics.countEndedByStop(description.phase, description.sent);
-			switch (open.state.kind) {
-				case 'reading': {
-					open.state.cancel(this.#stoppingFailure());
-					break;
-				}
-
-				case 'running': {
-					open.state.flow.stop({kind: 'shutdown'}, clock());
-					break;
-				}
+			try {
+				this.#endByStop(open);
+			} catch (err) {
+				this.#failUnexpectedly(open, err);
 			}
 		}
 	}
 
 	/** Closes all connections at once. */
 	close(): void {
-		const {clock, logger} = this.parts;
 		for (const open of this.#openRequests) {
-			logger.warn('request_cut', describeOpenRequest(open, clock()));
+			this.#logUnanswered(open, 'process_exits');
 		}
 
 		clearInterval(this.#ownerTimer);
@@ -171,7 +156,9 @@
 
 	async #handle(open: OpenRequest): Promise<void> {
 		const {req, res} = open;
+		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		if (await this.#connections.startRequest(req, res) === 'dropped') {
+			this.#logUnanswered(open, 'connection_closed');
 			return;
 		}
 
@@ -179,12 +166,13 @@
 		res.on('close', () => {
 			this.#openRequests.delete(open);
 		});
-		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		const body = await this.#bodies.read(req, cancel => {
 			open.state = {kind: 'reading', cancel};
 		});
 		if (body.kind === 'failure') {
-			if (body.code !== 'caller_left') {
+			if (body.code === 'caller_left') {
+				this.#logUnanswered(open, 'client_left');
+			} else {
 				// The rest of the body is not read, so the connection cannot be used again.
 				res.setHeader('connection', 'close');
 				this.#refuse(open, body);
@@ -212,6 +200,30 @@
 		this.#recordResult(request, await flow.run());
 	}
 
+	#endByStop(open: OpenRequest): void {
+		const {clock, logger, metrics} = this.parts;
+		const now = clock();
+		const description = describeOpenRequest(open, now);
+		if (description.phase === 'answered') {
+			return;
+		}
+
+		switch (open.state.kind) {
+			case 'reading': {
+				open.state.cancel(this.#stoppingFailure());
+				break;
+			}
+
+			case 'running': {
+				open.state.flow.stop({kind: 'shutdown'}, now);
+				break;
+			}
+		}
+
+		logger.warn('request_ended_by_stop', description);
+		metrics.countEndedByStop(description.phase, description.sent);
+	}
+
 	/** Ends requests whose owner has left them without a response at their deadline. */
 	#endOverdue(now: number): void {
 		for (const open of this.#openRequests) {
@@ -364,6 +376,11 @@
 		});
 	}
 
+	#logUnanswered(open: OpenRequest, reason: 'client_left' | 'connection_closed' | 'process_exits'): void {
+		const {clock, logger} = this.parts;
+		logger.warn('request_unanswered', {...describeOpenRequest(open, clock()), reason});
+	}
+
 	#recordResult(request: GatewayRequest, result: FlowResult): void {
 		const {parts} = this;
 		const ms = parts.clock() - request.arrivedAt;
