Answer a request at its deadline even if its failure cannot be prepared

An exception while the failure of a stopped request was prepared went to the timer or the caller of stop, and the request stayed open. It ends with the failure internal now, like an exception elsewhere on its way.

Before: "Test timed out in 30000ms" and an unhandled "Error: unexpected".

--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -145,18 +145,23 @@
 			return;
 		}
 
-		const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
 		const running = this.#running;
-		if (reason.kind === 'shutdown') {
-			this.#response.closeConnection();
+		try {
+			const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
+			if (reason.kind === 'shutdown') {
+				this.#response.closeConnection();
+			}
+
+			this.#fail(failure({
+				...stopFailure(reason, ran),
+				ran,
+				step: 'send',
+				retryAfterMs: ran === 'not_run' ? this.#retryAdviceMs({kind: reason.kind === 'shutdown' ? 'shutdown' : 'full'}, now) : undefined,
+			}));
+		} catch (err) {
+			this.#failUnexpectedly(err);
 		}
 
-		this.#fail(failure({
-			...stopFailure(reason, ran),
-			ran,
-			step: 'send',
-			retryAfterMs: ran === 'not_run' ? this.#retryAdviceMs({kind: reason.kind === 'shutdown' ? 'shutdown' : 'full'}, now) : undefined,
-		}));
 		running?.abort(reason.kind === 'overdue' ? 'expired' : 'request_ended');
 	}
 
@@ -185,13 +190,17 @@
 		try {
 			await this.#runAttempts();
 		} catch (err) {
-			this.#logError(err);
-			this.#fail(failure({
-				code: 'internal', message: 'this daemon failed to handle the request', ran: this.#mayHaveRun ? 'unknown' : 'not_run', step: 'send',
-			}));
+			this.#failUnexpectedly(err);
 		}
 	}
 
+	#failUnexpectedly(err: unknown): void {
+		this.#logError(err);
+		this.#fail(failure({
+			code: 'internal', message: 'this daemon failed to handle the request', ran: this.#mayHaveRun ? 'unknown' : 'not_run', step: 'send',
+		}));
+	}
+
 	#logError(err: unknown): void {
 		this.parts.logger.error('unexpected_error', {request: this.request.id, message: stackOf(err)});
 	}
--- a/tests/request-stop.test.ts
+++ b/tests/request-stop.test.ts
@@ -92,6 +92,25 @@
 		expect(fixture.results).toMatchObject([{outcome: 'failed'}]);
 	});
 
+	it('should answer a request at its deadline even if the advice for its client cannot be computed', async () => {
+		fixture = await FlowFixture.create({
+			route: {timeoutMs: 300, targetLatencyMs: 20_000},
+			service: {engine: firstSiteProfile},
+			parts: {
+				memoryOrders: {reserve: async () => delay(1000, 'done'), release: async () => 'done'},
+				random() {
+					throw new Error('unexpected');
+				},
+			},
+		});
+		for (const instance of ['i-1', 'i-2', 'i-3']) {
+			fixture.register(instance, '127.0.0.1:1');
+		}
+
+		const {status, body} = await fixture.send({'fireflyport-token-counts': `${firstSiteProfile.memoryTokens + 100_000},200`});
+		expect({status, body: JSON.parse(body) as unknown}).toMatchObject({status: 500, body: {error: {code: 'internal', ran: 'not_run'}}});
+	});
+
 	it('should do nothing once the request has been answered', async () => {
 		await start();
 		const response = fixture.send();
