--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -62,6 +62,19 @@
 		expect(() => parseSettings(JSON.stringify(invalid), 'local.json')).toThrow(/listen\.front is "everywhere": expected IP:PORT.*bounds\.grace-s is -1/v);
 		expect(() => parseSettings('{', 'local.json')).toThrow(/local\.json is not JSON/v);
 	});
+
+	it('should name ports and addresses that cannot be used instead of failing to listen or to connect', () => {
+		const invalid = {
+			...settings, listen: {front: '10.1.0.40:99999', ready: '10.1.0.400:8220'}, 'internal-port-range': [0, 65_536], platform: {address: '10.200.1.7:0'},
+		};
+		for (const field of ['listen.front', 'listen.ready', 'internal-port-range.0', 'internal-port-range.1', 'platform.address']) {
+			expect(() => parseSettings(JSON.stringify(invalid), 'local.json')).toThrow(`${field} is`);
+		}
+	});
+
+	it.each(['['.repeat(100_000), '['.repeat(100_000) + ']'.repeat(100_000), `{"ip": ${'['.repeat(100_000)}${']'.repeat(100_000)}}`])('should report nested text as invalid settings', text => {
+		expect(() => parseSettings(text, 'local.json')).toThrow(SettingsError);
+	});
 });
 
 describe('configuration', () => {
