Let the registry of daemons go on after an exception, and past odd entries

What operators saw: a daemon that met an exception while it read the list of daemons never read it again: it did not register after a restore of the store, and did not find others that messages had not named. An entry with a huge number of cores was taken for the strongest host and thus for the relay of its failure domain, and one with a broadcast address was sent datagrams. Each such entry was logged again at each read.

Cause: `DaemonRegistry.#run` had no handling of exceptions, like the feeds of the store, and entries of its kind, which others can write as well, were checked for their types only.

An exception is now logged as `registry_failed`, counts as a failed read and is followed by the first, short pause; the first read counts as done, so that the start does not wait for it. An entry that the reader of the other objects throws on is skipped alone. The address must be that of one host, the domain's name and the cores have named limits, and `peer_unreadable` is logged once per entry and reason.

--- a/src/fleet/daemon-registry.ts
+++ b/src/fleet/daemon-registry.ts
@@ -1,7 +1,10 @@
 /** Registers this daemon in the store, again after the store has come back from an older copy, and discovers the other daemons there. */
 import {z} from 'zod';
 import type {KindObject, KindStore} from '../store/kind-store.js';
+import {ChangeFilter} from '../util/change-filter.js';
 import type {Clock} from '../util/clock.js';
+import {describeException} from '../util/describe-exception.js';
+import {isHostAddress} from '../util/host-address.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {Member} from './fleet-topology.js';
@@ -15,7 +18,16 @@
 /** Pause in ms between attempts to read the list of a restored store. */
 const RECHECK_RETRY_MS = 300;
 
-const memberSchema = z.object({address: z.ipv4(), failureDomain: z.string(), cores: z.number().positive()}).readonly();
+/** Longest name of a failure domain. It is part of each message between daemons. */
+const MAX_DOMAIN_LENGTH = 253;
+/** The member with most cores relays to the others, so an entry with a number too large must not become one. */
+const MAX_CORES = 10_000;
+
+const memberSchema = z.object({
+	address: z.string().refine(address => isHostAddress(address), 'expected the IPv4 address of one host'),
+	failureDomain: z.string().min(1).max(MAX_DOMAIN_LENGTH),
+	cores: z.number().positive().max(MAX_CORES),
+}).readonly();
 
 export type DaemonRegistryOptions = {
 	readonly kind: string;
@@ -40,6 +52,7 @@
 	/** Resolves when the list of daemons has been read or could not be read for the first time. */
 	readonly firstRead: Promise<void>;
 	readonly #controller = new AbortController();
+	readonly #unreadable = ChangeFilter.create();
 	#isRegistered = false;
 	/** Aborted to end a call or a pause early, by `recheck` and `close`. */
 	#interruption = new AbortController();
@@ -78,16 +91,29 @@
 		const {signal} = this.#controller;
 		let refreshMs = FIRST_REFRESH_MS;
 		while (!signal.aborted) {
-			let isListed = await this.#refresh();
-			this.#finishFirstRead();
+			const isListed = await this.#readAndRegister();
+			await pause(this.#isRecheckDue ? RECHECK_RETRY_MS : refreshMs, this.#interruption.signal);
+			refreshMs = this.#isRegistered && isListed ? Math.min(MAX_REFRESH_MS, 2 * refreshMs) : FIRST_REFRESH_MS;
+		}
+	}
+
+	/** Returns whether other daemons are listed. After an exception the next round tries again. */
+	async #readAndRegister(): Promise<boolean> {
+		try {
+			const isListed = await this.#refresh();
 			// A restarted daemon is listed already; reading costs operators less than writing.
-			if (!this.#isRegistered) {
-				this.#isRegistered = await this.#register();
-				isListed = await this.#refresh();
+			if (this.#isRegistered) {
+				return isListed;
 			}
 
-			await pause(this.#isRecheckDue ? RECHECK_RETRY_MS : refreshMs, this.#interruption.signal);
-			refreshMs = this.#isRegistered && isListed ? Math.min(MAX_REFRESH_MS, 2 * refreshMs) : FIRST_REFRESH_MS;
+			this.#finishFirstRead();
+			this.#isRegistered = await this.#register();
+			return await this.#refresh();
+		} catch (err) {
+			this.options.logger.error('registry_failed', {message: describeException(err)});
+			return false;
+		} finally {
+			this.#finishFirstRead();
 		}
 	}
 
@@ -142,12 +168,27 @@
 
 	#decode(object: KindObject, now: number): Member | undefined {
 		const parsed = memberSchema.safeParse(object.value);
-		if (!parsed.success && !this.options.readOther(object, now)) {
-			this.options.logger.warn('peer_unreadable', {peer: object.name, message: z.prettifyError(parsed.error)});
+		if (!parsed.success) {
+			this.#handleOther(object, z.prettifyError(parsed.error), now);
 		}
 
 		return parsed.data;
 	}
+
+	#handleOther(object: KindObject, memberProblem: string, now: number): void {
+		let problem = memberProblem;
+		try {
+			if (this.options.readOther(object, now)) {
+				return;
+			}
+		} catch (err) {
+			problem = String(err);
+		}
+
+		if (this.#unreadable.isChanged(object.name, problem)) {
+			this.options.logger.warn('peer_unreadable', {peer: object.name, message: problem});
+		}
+	}
 }
 
 const isSame = (a: Member, b: Member): boolean => a.address === b.address && a.failureDomain === b.failureDomain && a.cores === b.cores;
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -4,6 +4,7 @@
  */
 import type {Clock} from '../util/clock.js';
 import {Backoff} from '../util/backoff.js';
+import {describeException} from '../util/describe-exception.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {
@@ -256,5 +257,3 @@
 		}
 	}
 }
-
-const describeException = (err: unknown): string => err instanceof Error ? (err.stack ?? err.message) : String(err);
--- a/tests/daemon-registry.test.ts
+++ b/tests/daemon-registry.test.ts
@@ -2,7 +2,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
-import {DaemonRegistry} from '../src/fleet/daemon-registry.js';
+import {DaemonRegistry, type DaemonRegistryOptions} from '../src/fleet/daemon-registry.js';
 import type {Member} from '../src/fleet/fleet-topology.js';
 import {monotonicMs} from '../src/util/clock.js';
 import {createLogger} from '../src/util/logger.js';
@@ -16,14 +16,17 @@
 let client: MetadataStoreClient;
 let members: readonly Member[];
 let restoredNames: ReadonlySet<string> | undefined;
+let logs: string[];
 
-function startRegistry(): DaemonRegistry {
+function startRegistry(overrides: Partial<DaemonRegistryOptions> = {}): DaemonRegistry {
 	return DaemonRegistry.start({
 		kind: KIND,
 		store: client,
 		self,
 		clock: monotonicMs,
-		logger: createLogger('error'),
+		logger: createLogger('warn', {}, line => {
+			logs.push(line);
+		}),
 		readOther: () => false,
 		onRestored(names) {
 			restoredNames = names;
@@ -31,11 +34,13 @@
 		onMembers(listed) {
 			members = listed;
 		},
+		...overrides,
 	});
 }
 
 beforeEach(async () => {
 	members = [];
+	logs = [];
 	restoredNames = undefined;
 	store = await StoreStandIn.create();
 	client = MetadataStoreClient.create(store.address, 'front-1', createLogger('error'));
@@ -109,4 +114,93 @@
 		await waitUntil(() => store.names(KIND).includes(self.address));
 		registry.close();
 	});
+
+	it.each(['list', 'create', 'onMembers', 'clock'] as const)('should go on after an exception of `%s`', async name => {
+		let failures = 0;
+		const failTwice = (): void => {
+			failures++;
+			if (failures <= 2) {
+				throw new TypeError(`${name} is broken`);
+			}
+		};
+
+		const broken: Partial<DaemonRegistryOptions> = {
+			store: {
+				async list(...args) {
+					if (name === 'list') {
+						failTwice();
+					}
+
+					return client.list(...args);
+				},
+				watch: async (...args) => client.watch(...args),
+				async create(...args) {
+					if (name === 'create') {
+						failTwice();
+					}
+
+					return client.create(...args);
+				},
+				close: async () => undefined,
+			},
+			clock() {
+				if (name === 'clock') {
+					failTwice();
+				}
+
+				return monotonicMs();
+			},
+			onMembers(listed) {
+				if (name === 'onMembers') {
+					failTwice();
+				}
+
+				members = listed;
+			},
+		};
+		const registry = startRegistry(broken);
+		await registry.firstRead;
+		await waitUntil(() => store.names(KIND).includes(self.address) && members.length === 1);
+		expect(logs.filter(line => line.includes('event=registry_failed'))).toHaveLength(2);
+		expect(store.calls).toBeLessThan(12);
+		registry.close();
+	});
+
+	it('should find the others beside odd entries, and log these once', async () => {
+		const odd: ReadonlyArray<readonly [string, unknown]> = [
+			['1', null],
+			['2', {...self, cores: 1e308}],
+			['3', {...self, address: '255.255.255.255'}],
+			['4', {...self, address: '0.0.0.0'}],
+			['5', {...self, failureDomain: ''}],
+			['6', {...self, failureDomain: 'z'.repeat(100_000)}],
+			['7', JSON.parse('['.repeat(2000) + ']'.repeat(2000))],
+			['8', {...self, address: '10.1.0.1:99999'}],
+			['__proto__', {...self, cores: '1'}],
+		];
+		for (const [name, value] of odd) {
+			store.put(KIND, name, value);
+		}
+
+		const other = {...self, address: '10.1.0.2'};
+		store.put(KIND, other.address, other);
+		let reads = 0;
+		const registry = startRegistry({
+			onMembers(listed) {
+				reads++;
+				members = listed;
+			},
+			readOther(object) {
+				if (object.name === '1') {
+					throw new TypeError('readOther is broken');
+				}
+
+				return false;
+			},
+		});
+		await waitUntil(() => reads > 2);
+		expect(members).toEqual([self, other]);
+		expect(logs.filter(line => line.includes('event=peer_unreadable'))).toHaveLength(odd.length);
+		registry.close();
+	});
 });
