--- a/tests/odd-entries.test.ts
+++ b/tests/odd-entries.test.ts
@@ -2,7 +2,11 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {MetadataStoreClient} from '../platform/metadata-store-client.js';
+import {KindReplica} from '../src/store/kind-replica.js';
+import {ReplicaClient} from '../src/store/replica-client.js';
+import {ReplicaServer} from '../src/store/replica-server.js';
 import {createLogger} from '../src/util/logger.js';
+import {freePort} from '../testing/free-port.js';
 import {GatewayFixture, platformConfiguration} from './fixtures/gateway-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 import {HttpStandIn} from './fixtures/http-stand-in.js';
@@ -97,6 +101,35 @@
 	});
 });
 
+describe('odd entries in a copy of the store that a relay serves', () => {
+	it('should not hide the others from its followers', async () => {
+		const replica = KindReplica.create();
+		const port = await freePort();
+		const server = await ReplicaServer.listen('127.0.0.1', port, () => replica);
+		const reader = ReplicaClient.create(port, createLogger('error'));
+		const odd = oddEntries.map(({text}) => text);
+		body = `{"entries": [${sound('a')}, ${odd.join(', ')}, {"metadata": {"name": "__proto__", "revision": 5}, "spec": {"__proto__": 1e400}}], "has-more": false, "as-of": 9}`;
+		const listed = await store.list('servers', options);
+		if (listed.kind === 'listed') {
+			replica.replace(listed.objects, listed);
+		}
+
+		const objects = [soundObject('a'), {name: 'odd', revision: 0, value: null}, {name: '__proto__', revision: 5, value: expect.anything() as unknown}];
+		expect(await reader.list('127.0.0.1', 'servers', options)).toEqual({
+			kind: 'listed', objects, era: 0, revision: 9,
+		});
+		body = `{"events": [${odd.map(text => `{"object": ${text}, "deleted": false}`).join(', ')}], "as-of": 12}`;
+		const watched = await store.watch('servers', {era: 0, revision: 9}, 0, options);
+		if (watched.kind === 'events') {
+			replica.apply({era: 0, revision: 9}, watched.events, watched.revision);
+		}
+
+		expect(await reader.changesSince('127.0.0.1', 'servers', {era: 0, revision: 9}, options)).toMatchObject({kind: 'events', revision: 12});
+		await reader.close();
+		server.close();
+	});
+});
+
 describe('odd registrations beside a sound server', () => {
 	let world: GatewayFixture;
 
