Say in the log when the shortened deadline of a planned stop ended a request

What operators saw: a request that was taken during a stop and ended at the end of it showed `code=deadline_exceeded` long before its own deadline, and no request_ended_by_stop line, as its own timer came first. It has the line now and is counted.

Evidence: the test of a call that is still running failed before with 'expected [] to deeply equal [ StringContaining{…} ]'. A begun stream had its line by chance, while its connection was closing; it has exactly one now.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -144,7 +144,7 @@
 	async #own(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const arrivedAt = this.parts.clock();
 		const open: OpenRequest = {
-			req, res, arrivedAt, metadata: undefined, deadline: arrivedAt + BODY_TIMEOUT_MS, isOverdue: false, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+			req, res, arrivedAt, metadata: undefined, deadline: arrivedAt + BODY_TIMEOUT_MS, isShortened: false, isOverdue: false, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		};
 		try {
 			await this.#handle(open);
@@ -196,14 +196,17 @@
 		const flow = RequestFlow.create(this.parts, request);
 		open.state = {kind: 'running', flow};
 		open.deadline = request.deadline;
-		this.#recordResult(request, await flow.run());
+		const result = await flow.run();
+		this.#recordResult(request, result);
+		if (open.isShortened && result.failure?.code === 'deadline_exceeded') {
+			this.#recordEndByStop({...describeOpenRequest(open, this.parts.clock()), phase: 'running'});
+		}
 	}
 
 	#endByStop(open: OpenRequest): void {
-		const {clock, logger, metrics} = this.parts;
-		const now = clock();
+		const now = this.parts.clock();
 		const description = describeOpenRequest(open, now);
-		if (description.phase === 'answered') {
+		if (description.phase === 'answered' || open.res.destroyed) {
 			return;
 		}
 
@@ -219,6 +222,11 @@
 			}
 		}
 
+		this.#recordEndByStop(description);
+	}
+
+	#recordEndByStop(description: ReturnType<typeof describeOpenRequest>): void {
+		const {logger, metrics} = this.parts;
 		logger.warn('request_ended_by_stop', description);
 		metrics.countEndedByStop(description.phase, description.sent);
 	}
@@ -283,8 +291,9 @@
 		return 'broken_off';
 	}
 
-	#admit({req, res, arrivedAt}: OpenRequest, metadata: ClientMetadata, body: Uint8Array): GatewayRequest | Failure {
+	#admit(open: OpenRequest, metadata: ClientMetadata, body: Uint8Array): GatewayRequest | Failure {
 		const {parts} = this;
+		const {req, res, arrivedAt} = open;
 		const table = parts.routeTable();
 		if (!table) {
 			return failure({
@@ -314,11 +323,14 @@
 			});
 		}
 
-		const deadline = this.#findDeadline(route, Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs), arrivedAt);
+		const ownDeadline = arrivedAt + Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+		const deadline = this.#limitDeadline(route, ownDeadline);
 		if (deadline === undefined) {
 			return this.#stoppingFailure();
 		}
 
+		open.isShortened = deadline < ownDeadline;
+
 		return {
 			req,
 			res,
@@ -333,10 +345,9 @@
 		};
 	}
 
-	/** Returns the time at which a request needs its final response, or undefined if this daemon stops before. */
-	#findDeadline(route: Route, timeoutMs: number, arrivedAt: number): number | undefined {
+	/** Limits the deadline of a request to the time that this daemon has left; undefined if the request is not taken. */
+	#limitDeadline(route: Route, deadline: number): number | undefined {
 		const phase = this.#phase;
-		const deadline = arrivedAt + timeoutMs;
 		switch (phase.kind) {
 			case 'serving': {
 				return deadline;
--- a/tests/planned-stop.test.ts
+++ b/tests/planned-stop.test.ts
@@ -133,6 +133,7 @@
 		expect(response).toMatchObject({status: 504, isBroken: false});
 		expect(JSON.parse(response.body)).toMatchObject({error: {ran: 'unknown'}});
 		expect(Number(desk.arrivals[0]!.headers['fireflyport-deadline-ms'])).toBeLessThan(GRACE_MS - 2500);
+		expect(fixture.logs.filter(line => line.includes('event=request_ended_by_stop'))).toEqual([expect.stringContaining('request=late phase=running sent=true server=i-1')]);
 	});
 
 	it('should answer a call that began before the stop, and name it in the log', async () => {
@@ -178,6 +179,7 @@
 		const {status, isBroken} = await fixture.send('/once/x', {headers: promptHeaders(1000)});
 		await drained;
 		expect({status, isBroken, runs: engine.runs}).toEqual({status: 200, isBroken: true, runs: 1});
+		expect(fixture.logs.filter(line => line.includes('event=request_ended_by_stop'))).toEqual([expect.stringContaining('phase=running sent=true server=e-1')]);
 	});
 
 	it('should serve late calls that fit into the time left, and refuse late streams', async () => {
