Count the requests without an answer in the soak, and add silence, odd entries, series of configurations and a crashing request

The soak saw connections that a planned stop cut, but not those that a daemon closed at another time. A request that was sent and ended without a status now counts against the process of its daemon, unless that daemon was killed or suspended meanwhile, the request crossed the close (closed within 200 ms, not passed on and not named in the daemon's log), or was still at work in the last sixth of the grace. The summary prints the counts. Daemons that end by themselves and a request that keeps crashing servers after its third crash are reported as well.

--- a/testing/soak/fault-plan.ts
+++ b/testing/soak/fault-plan.ts
@@ -12,17 +12,25 @@
 	| {readonly kind: 'server_path'; readonly server: number; readonly mode: PathMode; readonly ms: number}
 	| {readonly kind: 'server_fault'; readonly server: number; readonly fault: ServerFault}
 	| {readonly kind: 'crash'; readonly server: number}
+	/** A request that crashes each server that runs it is sent again and again for `ms`. */
+	| {readonly kind: 'deadly'; readonly ms: number}
 	/** Planned operations, during which no request may be interrupted. */
 	| {readonly kind: 'stop'; readonly daemon: number}
 	| {readonly kind: 'leave'; readonly server: number}
-	| {readonly kind: 'configure'};
+	/** Stores `versions` configurations, `intervalMs` apart. */
+	| {readonly kind: 'configure'; readonly versions: number; readonly intervalMs: number}
+	/** No trouble for a sound system: a server is silent for a second or so and goes on, or another writer leaves an entry among the servers. */
+	| {readonly kind: 'silence'; readonly server: number; readonly ms: number}
+	| {readonly kind: 'odd_entry'; readonly entry: OddEntry};
+
+export type OddEntry = 'nested' | 'number' | 'port' | 'types';
 
 export type PathMode = 'delay' | 'one_way' | 'silent' | 'reset';
 export type ServerFault = 'break' | 'reset' | 'mute' | 'error' | 'foreign' | 'unsigned' | 'reject';
 
 export type PlannedFault = {readonly at: number; readonly fault: Fault};
 
-/** Phases in which faults and planned operations overlap alternate with phases of planned operations only. */
+/** Phases in which faults and planned operations overlap alternate with phases of planned operations only. In each second one of these, a deadly request comes instead. */
 export const MIXED_PHASE_MS = 6000;
 /** Starts with {@link QUIET_MS} without operations, so that time bounds that count from the last fault have passed. */
 export const PLANNED_PHASE_MS = 9000;
@@ -31,12 +39,20 @@
 const MIXED_INTERVAL_MS = {from: 150, to: 700};
 const PLANNED_INTERVAL_MS = {from: 300, to: 1500};
 const FAULT_DURATION_MS = {from: 200, to: 2500};
+const SILENCE_MS = {from: 1000, to: 1300};
+const SERIES_VERSIONS = {from: 2, to: 8};
+const SERIES_INTERVAL_MS = {from: 20, to: 300};
+/** Several late requests fit between the stable window after the third crash and the end. */
+const DEADLY_MS = 5500;
 
 const pathModes = ['delay', 'one_way', 'silent', 'reset'] as const;
 const serverFaults = ['break', 'reset', 'mute', 'error', 'foreign', 'unsigned', 'reject'] as const;
 const storeModes = ['busy', 'silent', 'reset'] as const;
-const mixedPhaseKinds = ['kill', 'pause', 'store', 'compact', 'restore', 'store_path', 'server_path', 'server_fault', 'server_fault', 'crash', 'stop', 'configure', 'leave'] as const;
-const plannedPhaseKinds = ['stop', 'leave', 'configure'] as const;
+const oddEntries = ['nested', 'number', 'port', 'types'] as const;
+const plannedPhaseKinds = ['stop', 'leave', 'configure', 'silence', 'odd_entry'] as const;
+const mixedPhaseKinds = [
+	'kill', 'pause', 'store', 'compact', 'restore', 'store_path', 'server_path', 'server_fault', 'server_fault', 'crash', ...plannedPhaseKinds,
+] as const;
 
 export function planFaults(seed: number, durationMs: number): readonly PlannedFault[] {
 	const random = createRandom(seed);
@@ -83,8 +99,23 @@
 				return {kind, server: drawIndex()};
 			}
 
-			case 'compact':
+			case 'silence': {
+				return {kind, server: drawIndex(), ms: drawInRange(SILENCE_MS)};
+			}
+
+			case 'odd_entry': {
+				return {kind, entry: pick(oddEntries)};
+			}
+
 			case 'configure': {
+				return {kind, versions: drawInRange(SERIES_VERSIONS), intervalMs: drawInRange(SERIES_INTERVAL_MS)};
+			}
+
+			case 'deadly': {
+				return {kind, ms: DEADLY_MS};
+			}
+
+			case 'compact': {
 				return {kind};
 			}
 		}
@@ -97,6 +128,14 @@
 		}
 
 		const planned = start + MIXED_PHASE_MS + QUIET_MS;
+		if ((start / (MIXED_PHASE_MS + PLANNED_PHASE_MS)) % 2 === 1) {
+			if (planned < durationMs) {
+				faults.push({at: planned, fault: drawFault('deadly')});
+			}
+
+			continue;
+		}
+
 		for (let at = planned; at < Math.min(durationMs, start + MIXED_PHASE_MS + PLANNED_PHASE_MS); at += drawInRange(PLANNED_INTERVAL_MS)) {
 			faults.push({at, fault: drawFault(pick(plannedPhaseKinds))});
 		}
--- a/testing/soak/fault-proxy.ts
+++ b/testing/soak/fault-proxy.ts
@@ -4,8 +4,16 @@
 } from 'node:net';
 import {listen} from '../../src/util/listen.js';
 
-/** `one_way` drops data from the target, `silent` drops data in both directions; neither closes connections. */
-export type ProxyMode = {readonly kind: 'pass'} | {readonly kind: 'delay'; readonly ms: number} | {readonly kind: 'one_way'} | {readonly kind: 'silent'};
+/**
+ * `hold` keeps all data back until a time of `performance.now()`. `one_way` drops data from the target, `silent` drops data
+ * in both directions. None closes connections.
+ */
+export type ProxyMode =
+	| {readonly kind: 'pass'}
+	| {readonly kind: 'hold'; readonly until: number}
+	| {readonly kind: 'delay'; readonly ms: number}
+	| {readonly kind: 'one_way'}
+	| {readonly kind: 'silent'};
 
 type ProxiedConnection = {readonly client: Socket; readonly target: Socket};
 
@@ -105,15 +113,33 @@
 	}
 
 	#enqueue(queue: DelayQueue, action: () => void): void {
-		const delayMs = this.#mode.kind === 'delay' ? this.#mode.ms : 0;
 		const isFirst = queue.pending.length === 0;
-		queue.pending.push({at: performance.now() + delayMs, action});
+		queue.pending.push({at: this.#forwardTime(), action});
 		// A queue that was not empty has a timer already, which runs all due actions in order.
 		if (isFirst) {
 			this.#runDue(queue);
 		}
 	}
 
+	#forwardTime(): number {
+		const mode = this.#mode;
+		switch (mode.kind) {
+			case 'hold': {
+				return mode.until;
+			}
+
+			case 'delay': {
+				return performance.now() + mode.ms;
+			}
+
+			case 'pass':
+			case 'one_way':
+			case 'silent': {
+				return performance.now();
+			}
+		}
+	}
+
 	#runDue(queue: DelayQueue): void {
 		for (let [next] = queue.pending; next; [next] = queue.pending) {
 			const waitMs = next.at - performance.now();
--- a/testing/soak/run-soak.ts
+++ b/testing/soak/run-soak.ts
@@ -6,15 +6,19 @@
 import {createRandom} from '../load/arrivals.js';
 import type {InjectedFault} from '../stand-ins/platform/platform-server-stand-in.js';
 import {
-	planFaults, type Fault, type PathMode, type ServerFault,
+	planFaults, type Fault, type OddEntry, type PathMode, type ServerFault,
 } from './fault-plan.js';
 import type {FaultProxy, ProxyMode} from './fault-proxy.js';
 import {
-	checkObservations, type CallKind, type SoakObservations, type RouteProbe, type ObservedRequest, type TimeSpan, type Violation,
+	checkObservations, describeUnanswered, unansweredRequests, type CallKind, type SoakObservations, type RouteProbe, type ObservedRequest, type TimeSpan, type Violation,
 } from './soak-observations.js';
 import {SoakCaller} from './soak-caller.js';
-import {RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK, type SoakDaemon} from './soak-daemon.js';
-import {EVENTS_PER_STREAM, SoakFleet, type SoakServer} from './soak-fleet.js';
+import {
+	RETRY_BUDGET_RATIO, RETRY_BUDGET_SLACK, STOP_GRACE_MS, type SoakDaemon,
+} from './soak-daemon.js';
+import {
+	DEADLY_BODY, EVENTS_PER_STREAM, SoakFleet, type SoakServer,
+} from './soak-fleet.js';
 
 const CALLER_COUNT = 12;
 const MEAN_CALL_PAUSE_MS = 25;
@@ -31,6 +35,8 @@
 /** Time that a draining server keeps serving before its registration is removed; also the expiry of a crashed server's registration. */
 const DRAINING_MS = 3500;
 const PATH_DELAY_MS = 120;
+/** Pause in ms between two repetitions of a request that crashes servers. */
+const DEADLY_INTERVAL_MS = 150;
 const LARGE_PROMPT_SHARE = 0.04;
 /** Request kinds and their shares. */
 const requestMix: ReadonlyArray<readonly [CallKind, number]> = [['idempotent', 0.35], ['non_idempotent', 0.3], ['stream', 0.25], ['stream_once', 0.1]];
@@ -68,6 +74,9 @@
 	readonly #plannedStops: Array<TimeSpan & {readonly daemon: string}> = [];
 	readonly #faultLog: string[] = [];
 	readonly #readyDaemons = new Set<SoakDaemon>();
+	/** Kills and suspensions of daemons. */
+	readonly #daemonFaults: Array<TimeSpan & {readonly daemon: string}> = [];
+	readonly #deadlyRequests: ObservedRequest[] = [];
 	#activeFaults = 0;
 	#isFinished = false;
 
@@ -76,6 +85,11 @@
 	async run(): Promise<SoakReport> {
 		const {fleet, options: {seed, durationMs}} = this;
 		this.#storeConfiguration();
+		fleet.onCrash = server => {
+			this.#logFault(`${server.standIn.instance} crashed on a request`);
+			this.#runFault(async () => this.#crash(server), {isDeadly: true});
+		};
+
 		for (const daemon of fleet.daemons) {
 			daemon.start();
 		}
@@ -120,7 +134,11 @@
 		})));
 		const observations: SoakObservations = {
 			requests: this.#requests,
+			deadlyRequests: this.#deadlyRequests,
+			daemonFaults: this.#daemonFaults,
+			ownExits: this.fleet.daemons.flatMap(({options, ownExits}) => ownExits.map(exit => ({daemon: options.name, ...exit}))),
 			arrivals,
+			readIds: new Set(this.fleet.daemons.flatMap(daemon => daemon.loggedRequests())),
 			probes: this.#probes,
 			versions: this.#versions,
 			departures: this.#departures,
@@ -129,11 +147,19 @@
 			reservedAtEnd: this.fleet.allServers.reduce((sum, {standIn}) => sum + standIn.reserved.size, 0),
 			recovery,
 			eventsPerStream: EVENTS_PER_STREAM,
+			stopGraceMs: STOP_GRACE_MS,
 		};
 		const served = this.#requests.filter(({status, isComplete}) => status === 200 && isComplete).length;
 		return {
 			violations: checkObservations(observations, {share: RETRY_BUDGET_RATIO, slack: RETRY_BUDGET_SLACK}),
-			summary: `${this.#requests.length} requests, ${served} served, ${arrivals.length} arrivals at backend servers, ${this.#faultLog.length} faults, ${this.#probes.length} probes`,
+			summary: [
+				`${this.#requests.length} requests`,
+				`${served} served`,
+				`${arrivals.length} arrivals at backend servers`,
+				`${this.#faultLog.length} faults`,
+				`${this.#probes.length} probes`,
+				describeUnanswered(unansweredRequests(observations)),
+			].join(', '),
 			faultLog: this.#faultLog,
 		};
 	}
@@ -183,7 +209,7 @@
 
 			if (daemon) {
 				const [kind] = chooseWeighted(requestMix, ([, share]) => share, random())!;
-				this.#requests.push(await caller.send(daemon, kind, random() < LARGE_PROMPT_SHARE, () => this.#now()));
+				this.#requests.push(await caller.send(daemon, {kind, isLarge: random() < LARGE_PROMPT_SHARE}, () => this.#now()));
 			}
 
 			await pause(MEAN_CALL_PAUSE_MS * 2 * random());
@@ -221,14 +247,21 @@
 		this.#versions.push({version, at: this.#now()});
 	}
 
+	#targetOf(fault: Fault): {readonly daemon?: SoakDaemon; readonly server?: SoakServer} {
+		const {daemons, servers} = this.fleet;
+		return {
+			...('daemon' in fault ? {daemon: daemons[fault.daemon % daemons.length]!} : {}),
+			...('server' in fault ? {server: servers[fault.server % servers.length]!} : {}),
+		};
+	}
+
 	#inject(fault: Fault): void {
 		const {fleet} = this;
-		const daemon = 'daemon' in fault ? fleet.daemons[fault.daemon % fleet.daemons.length]! : undefined;
-		const server = 'server' in fault ? fleet.servers[fault.server % fleet.servers.length]! : undefined;
+		const {daemon, server} = this.#targetOf(fault);
 		this.#logFault(describeFault(fault, daemon?.options.name ?? server?.standIn.instance));
 		switch (fault.kind) {
 			case 'kill': {
-				this.#runFault(async () => {
+				this.#runDaemonFault(daemon!, async () => {
 					await daemon!.kill();
 					await pause(fault.ms);
 					daemon!.start();
@@ -238,7 +271,7 @@
 			}
 
 			case 'pause': {
-				this.#runFault(async () => {
+				this.#runDaemonFault(daemon!, async () => {
 					daemon!.setPaused(true);
 					await pause(fault.ms);
 					daemon!.setPaused(false);
@@ -307,12 +340,41 @@
 			}
 
 			case 'configure': {
-				this.#storeConfiguration();
+				void this.#track(async () => this.#storeConfigurations(fault.versions, fault.intervalMs));
+				break;
+			}
+
+			case 'silence': {
+				void this.#track(async () => holdBack(server!.proxy, fault.ms));
+				break;
+			}
+
+			case 'odd_entry': {
+				void this.#track(async () => this.#leaveOddEntry(fault.entry));
+				break;
+			}
+
+			case 'deadly': {
+				void this.#track(async () => this.#sendDeadly(fault.ms));
 				break;
 			}
 		}
 	}
 
+	async #storeConfigurations(versions: number, intervalMs: number): Promise<void> {
+		for (let count = 0; count < versions; count++) {
+			this.#storeConfiguration();
+			await pause(intervalMs);
+		}
+	}
+
+	async #leaveOddEntry(entry: OddEntry): Promise<void> {
+		const {fleet} = this;
+		const name = fleet.registerOddEntry(entry);
+		await pause(DRAINING_MS);
+		fleet.store.remove('servers', name);
+	}
+
 	async #track(action: () => Promise<void>): Promise<void> {
 		this.#activeFaults++;
 		try {
@@ -323,16 +385,42 @@
 	}
 
 	/** Runs an unplanned fault and records its time span, starting now. */
-	#runFault(action: () => Promise<void>): void {
+	#runFault(action: () => Promise<void>, marks: Pick<TimeSpan, 'isDeadly'> = {}): void {
 		const from = this.#now();
-		const span = {from, to: Infinity};
+		const span = {from, to: Infinity, ...marks};
 		this.#faultSpans.push(span);
 		void this.#track(async () => {
 			await action();
-			this.#faultSpans[this.#faultSpans.indexOf(span)] = {from, to: this.#now()};
+			this.#faultSpans[this.#faultSpans.indexOf(span)] = {...span, to: this.#now()};
+		});
+	}
+
+	#runDaemonFault(daemon: SoakDaemon, action: () => Promise<void>): void {
+		const span = {daemon: daemon.options.name, from: this.#now(), to: Infinity};
+		this.#daemonFaults.push(span);
+		this.#runFault(async () => {
+			await action();
+			this.#daemonFaults[this.#daemonFaults.indexOf(span)] = {...span, to: this.#now()};
 		});
 	}
 
+	/** Sends the same request, which crashes each server that runs it, to one ready daemon after the other. */
+	async #sendDeadly(ms: number): Promise<void> {
+		const caller = SoakCaller.create('deadly');
+		const until = this.#now() + ms;
+		for (let count = 0; this.#now() < until; count++) {
+			const ready = [...this.#readyDaemons];
+			const daemon = ready[count % ready.length];
+			if (daemon) {
+				this.#deadlyRequests.push(await caller.send(daemon, {kind: 'idempotent', isLarge: false, body: DEADLY_BODY}, () => this.#now()));
+			}
+
+			await pause(DEADLY_INTERVAL_MS);
+		}
+
+		await caller.close();
+	}
+
 	async #waitUntilReady(daemon: SoakDaemon): Promise<void> {
 		const until = this.#now() + START_TIMEOUT_MS;
 		while (!this.#readyDaemons.has(daemon) && this.#now() < until) {
@@ -372,14 +460,17 @@
 	/** Closes the connections of a server without notice and adds a new one; its registration is removed later, as on expiry. */
 	async #crash(server: SoakServer): Promise<void> {
 		const {fleet} = this;
-		if (server.isDraining) {
+		if (server.hasLeft) {
 			return;
 		}
 
 		server.isDraining = true;
-		fleet.servers.splice(fleet.servers.indexOf(server), 1);
-		await fleet.addServer(server.service, server.failureDomain);
 		server.hasLeft = true;
+		if (fleet.servers.includes(server)) {
+			fleet.servers.splice(fleet.servers.indexOf(server), 1);
+			await fleet.addServer(server.service, server.failureDomain);
+		}
+
 		await server.proxy.close();
 		await pause(DRAINING_MS);
 		fleet.unregister(server);
@@ -391,6 +482,12 @@
 	return [target, ...details].filter(part => part !== undefined).join(' ');
 }
 
+async function holdBack(proxy: FaultProxy, ms: number): Promise<void> {
+	proxy.setMode({kind: 'hold', until: performance.now() + ms});
+	await pause(ms);
+	proxy.setMode({kind: 'pass'});
+}
+
 async function applyPathFault(proxy: FaultProxy, mode: PathMode, ms: number): Promise<void> {
 	if (mode === 'reset') {
 		proxy.resetConnections();
--- a/testing/soak/soak-caller.ts
+++ b/testing/soak/soak-caller.ts
@@ -11,6 +11,13 @@
 /** Exceeds the memory of one engine. */
 const LARGE_PROMPT_TOKENS = 600_000;
 
+type SoakCall = {readonly kind: CallKind; readonly isLarge: boolean; readonly body?: string};
+
+type SendFailure = Error & {readonly code?: string; readonly syscall?: string};
+
+/** Whether the connection was never established, so that nothing was sent. */
+const isConnectFailure = ({code, syscall}: SendFailure): boolean => code === 'UND_ERR_CONNECT_TIMEOUT' || syscall === 'connect';
+
 export const SOAK_HOST = 'desk.example';
 
 const paths: Readonly<Record<CallKind, string>> = {
@@ -30,36 +37,49 @@
 	private constructor(private readonly name: string) {}
 
 	/** Sends one request to `daemon`. `clock` returns ms from the start of the soak. */
-	async send(daemon: SoakDaemon, kind: CallKind, isLarge: boolean, clock: () => number): Promise<ObservedRequest> {
+	async send(daemon: SoakDaemon, {kind, isLarge, body = 'order'}: SoakCall, clock: () => number): Promise<ObservedRequest> {
 		const id = `${this.name}-${++this.#requestCount}`;
 		const sentAt = clock();
 		const {incarnation} = daemon;
 		let status: number | undefined;
 		let responseRequestId: string | undefined;
-		let body = '';
+		let text = '';
 		let isComplete = false;
+		let failure: SendFailure | undefined;
 		try {
 			const res = await this.#clientFor(daemon).request({
 				method: 'POST',
 				path: paths[kind],
 				headers: buildHeaders(id, kind, isLarge),
-				body: 'order',
+				body,
 				signal: AbortSignal.timeout(REQUEST_TIMEOUT_MS),
 			});
 			status = res.statusCode;
 			responseRequestId = firstHeaderValue(res, 'fireflyport-attempt-id');
 			for await (const chunk of res.body) {
-				body += String(chunk);
+				text += String(chunk);
 			}
 
 			isComplete = true;
-		} catch {
+		} catch (err) {
 			// A failed connection is recorded as an outcome. The next request opens a new one.
+			failure = err as SendFailure;
 			await this.#disconnect();
 		}
 
 		return {
-			id, kind, daemon: daemon.options.name, incarnation, sentAt, endedAt: clock(), status, isComplete, responseRequestId, body,
+			id,
+			kind,
+			daemon: daemon.options.name,
+			incarnation,
+			sentAt,
+			endedAt: clock(),
+			status,
+			isComplete,
+			responseRequestId,
+			body: text,
+			wasSent: failure === undefined || !isConnectFailure(failure),
+			failure: failure?.message,
 		};
 	}
 
--- a/testing/soak/soak-daemon.ts
+++ b/testing/soak/soak-daemon.ts
@@ -1,7 +1,7 @@
 /** A daemon of the soak test: the bundled program as a process of its own, connected to the store through a fault proxy. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, readFileSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import type {ProcessGuard} from '../processes.js';
@@ -33,8 +33,11 @@
 
 	/** Number of starts so far; identifies the current process. */
 	incarnation = 0;
+	/** Exits that nobody asked for. */
+	readonly ownExits: Array<{readonly incarnation: number; readonly code: number | null}> = [];
 	#child: ChildProcess | undefined;
 	#isPaused = false;
+	#isEnding = false;
 
 	private constructor(readonly options: SoakDaemonOptions) {}
 
@@ -46,6 +49,10 @@
 		return `http://${this.options.ip}:${this.options.ports.ready}/-/ready`;
 	}
 
+	get #logFile(): string {
+		return path.join(this.options.folder, `${this.options.name}.log`);
+	}
+
 	get isRunning(): boolean {
 		return this.#child !== undefined;
 	}
@@ -61,7 +68,7 @@
 		const settings = path.join(folder, `${name}.json`);
 		writeFileSync(settings, JSON.stringify(this.#settings()));
 		const child = spawn(process.execPath, [program], {env: {...process.env, FIREFLYPORT_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
-		const log = createWriteStream(path.join(folder, `${name}.log`), {flags: 'a'});
+		const log = createWriteStream(this.#logFile, {flags: 'a'});
 		child.stdout.pipe(log);
 		child.stderr.pipe(log, {end: false});
 		const {pid} = child;
@@ -72,13 +79,18 @@
 			});
 		}
 
-		child.once('exit', () => {
+		child.once('exit', code => {
+			if (!this.#isEnding) {
+				this.ownExits.push({incarnation: this.incarnation, code});
+			}
+
 			if (this.#child === child) {
 				this.#child = undefined;
 				this.#isPaused = false;
 			}
 		});
 		this.#child = child;
+		this.#isEnding = false;
 		this.incarnation++;
 	}
 
@@ -98,6 +110,7 @@
 		}
 
 		this.setPaused(false);
+		this.#isEnding = true;
 		child.kill('SIGTERM');
 		const timer = setTimeout(() => {
 			child.kill('SIGKILL');
@@ -109,11 +122,18 @@
 	async kill(): Promise<void> {
 		const child = this.#child;
 		if (child) {
+			this.#isEnding = true;
 			child.kill('SIGKILL');
 			await once(child, 'exit');
 		}
 	}
 
+	/** Ids of the requests that the log of this daemon names. */
+	loggedRequests(): readonly string[] {
+		const log = readFileSync(this.#logFile, 'utf8');
+		return [...log.matchAll(/ request=(?<id>\S+)/gv)].map(({groups}) => groups!.id!);
+	}
+
 	#settings(): unknown {
 		const {name, ip, failureDomain, ports, storeProxy} = this.options;
 		return {
--- a/testing/soak/soak-fleet.ts
+++ b/testing/soak/soak-fleet.ts
@@ -6,6 +6,7 @@
 import {PlatformServerStandIn} from '../stand-ins/platform/platform-server-stand-in.js';
 import {StoreStandIn} from '../stand-ins/platform/store-stand-in.js';
 import {FaultProxy} from './fault-proxy.js';
+import type {OddEntry} from './fault-plan.js';
 import {SOAK_HOST} from './soak-caller.js';
 import {SoakDaemon, type SoakPorts} from './soak-daemon.js';
 
@@ -15,6 +16,9 @@
 export const EVENTS_PER_STREAM = 8;
 const EVENT_INTERVAL_MS = 40;
 const RESPONSE_DELAY_MS = 15;
+/** Deeper than recursive code can follow. */
+const NESTING = 20_000;
+export const DEADLY_BODY = 'deadly order';
 
 /** A backend server behind a fault proxy. */
 export type SoakServer = {
@@ -66,14 +70,24 @@
 	readonly servers: SoakServer[] = [];
 	/** All servers of the run, including drained and crashed ones. */
 	readonly allServers: SoakServer[] = [];
+	/** Called when a request has crashed a server. */
+	onCrash: ((server: SoakServer) => void) | undefined;
 	readonly #guard = ProcessGuard.create();
 	#serverCount = 0;
+	#oddEntries = 0;
 
 	private constructor(readonly store: StoreStandIn) {}
 
 	async addServer(service: SoakServer['service'], failureDomain: string): Promise<SoakServer> {
 		const instance = `i-${++this.#serverCount}`;
-		const standIn = await PlatformServerStandIn.create({instance, ...(service === 'model' ? {events: EVENTS_PER_STREAM, paceMs: EVENT_INTERVAL_MS} : {paceMs: RESPONSE_DELAY_MS})});
+		const standIn = await PlatformServerStandIn.create({
+			instance,
+			crashingBodies: [DEADLY_BODY],
+			onCrash: () => {
+				this.onCrash?.(server);
+			},
+			...(service === 'model' ? {events: EVENTS_PER_STREAM, paceMs: EVENT_INTERVAL_MS} : {paceMs: RESPONSE_DELAY_MS}),
+		});
 		const proxy = await FaultProxy.create(standIn.address);
 		const server: SoakServer = {
 			service, failureDomain, standIn, proxy, isDraining: false, hasLeft: false,
@@ -97,6 +111,39 @@
 		});
 	}
 
+	/** Registers an entry of another writer. Returns its name. */
+	registerOddEntry(entry: OddEntry): string {
+		const name = `odd-${++this.#oddEntries}`;
+		const spec = {
+			service: 'desk', address: '127.0.0.1:70000', zone: FAILURE_DOMAINS[0], slots: 8, state: 'ready',
+		};
+		switch (entry) {
+			case 'nested': {
+				this.store.putText('servers', name, `${'['.repeat(NESTING)}${']'.repeat(NESTING)}`);
+				break;
+			}
+
+			case 'number': {
+				this.store.putText('servers', name, JSON.stringify({...spec, address: '127.0.0.1:1', slots: 0}).replace('"slots":0', '"slots":1e999'));
+				break;
+			}
+
+			case 'port': {
+				this.store.put('servers', name, spec);
+				break;
+			}
+
+			case 'types': {
+				this.store.put('servers', name, {
+					...spec, address: ['127.0.0.1:1'], slots: 'eight', born: 1e300,
+				});
+				break;
+			}
+		}
+
+		return name;
+	}
+
 	unregister(server: SoakServer): void {
 		server.hasLeft = true;
 		this.store.remove('servers', server.standIn.instance);
--- a/testing/soak/soak-observations.ts
+++ b/testing/soak/soak-observations.ts
@@ -17,6 +17,10 @@
 	/** Request id in the response headers. */
 	readonly responseRequestId: string | undefined;
 	readonly body: string;
+	/** Whether the connection was established, so that the request was written. */
+	readonly wasSent: boolean;
+	/** Why the connection failed. */
+	readonly failure: string | undefined;
 };
 
 /** A request that arrived at a backend server. */
@@ -26,11 +30,24 @@
 export type RouteProbe = {readonly daemon: string; readonly incarnation: number; readonly at: number; readonly version: number; readonly isServed: boolean};
 
 /** Time span of a fault or planned stop. */
-export type TimeSpan = {readonly from: number; readonly to: number};
+export type TimeSpan = {
+	readonly from: number;
+	readonly to: number;
+	/** Whether a request that crashes its servers caused it. */
+	readonly isDeadly?: boolean;
+};
 
 export type SoakObservations = {
 	readonly requests: readonly ObservedRequest[];
+	/** Repetitions of one request that crashes each server that runs it. */
+	readonly deadlyRequests: readonly ObservedRequest[];
+	/** Kills and suspensions of daemons. */
+	readonly daemonFaults: ReadonlyArray<TimeSpan & {readonly daemon: string}>;
+	/** Daemons that ended by themselves. */
+	readonly ownExits: ReadonlyArray<{readonly daemon: string; readonly incarnation: number; readonly code: number | null}>;
 	readonly arrivals: readonly ObservedArrival[];
+	/** Ids of requests that a daemon has named in its log, and so has read. */
+	readonly readIds: ReadonlySet<string>;
 	readonly probes: readonly RouteProbe[];
 	/** Configuration versions and when they were stored. */
 	readonly versions: ReadonlyArray<{readonly version: number; readonly at: number}>;
@@ -45,6 +62,7 @@
 	/** Span after the last fault and the recovery time, in which requests have to be served again. */
 	readonly recovery: TimeSpan;
 	readonly eventsPerStream: number;
+	readonly stopGraceMs: number;
 };
 
 export type Violation = {readonly invariant: string; readonly message: string};
@@ -57,6 +75,13 @@
 const DRAIN_DELAY_MS = 2000;
 /** Time within which a stored configuration has to be in effect at all daemons. */
 const CONFIGURATION_DELAY_MS = 2000;
+/** A connection that is closed within this time after the last byte of a request may have crossed it. */
+const LOSS_SLACK_MS = 200;
+/** A run that is still at work in the last sixth of the grace may be cut if its request was sent this early after SIGTERM. */
+const LATE_SEND_MS = 3000;
+const GRACE_SHARE = 5 / 6;
+const MAX_LATE_DEADLY_REQUESTS = 3;
+const DEADLY_CRASHES = 3;
 const BUDGET_WINDOW_MS = 10_000;
 const MIN_RECOVERED_SHARE = 0.9;
 const OK_STATUS = 200;
@@ -70,6 +95,9 @@
 		...checkPlannedStops(observations),
 		...checkRetryBudget(observations, budget),
 		...checkRecovery(observations),
+		...checkAnswers(observations),
+		...checkDeadlyRequests(observations),
+		...observations.ownExits.map(({daemon, incarnation, code}) => ({invariant: 'no daemon ends by itself', message: `${daemon} start ${incarnation} ended with code ${code ?? 'none'}`})),
 	];
 }
 
@@ -176,6 +204,53 @@
 	return [];
 }
 
+/** Requests that were sent whole, and ended without an answer or a refusal although nothing happened to their daemon that excuses it. */
+export function unansweredRequests({requests, deadlyRequests, arrivals, readIds, daemonFaults, plannedStops, stopGraceMs}: SoakObservations): readonly ObservedRequest[] {
+	const arrivedIds = new Set(arrivals.map(({id}) => id));
+	return [...requests, ...deadlyRequests].filter(({id, daemon, sentAt, endedAt, status, wasSent}) => {
+		const isMeanwhile = (span: TimeSpan & {readonly daemon: string}): boolean => span.daemon === daemon && span.from <= endedAt && span.to >= sentAt;
+		const wasPassedOn = arrivedIds.has(id);
+		const hasCrossedClose = !wasPassedOn && !readIds.has(id) && endedAt - sentAt <= LOSS_SLACK_MS;
+		const isCutByStop = wasPassedOn && plannedStops.some(stop => isMeanwhile(stop)
+			&& sentAt <= stop.from + LATE_SEND_MS && endedAt >= stop.from + (stopGraceMs * GRACE_SHARE));
+		return wasSent && status === undefined && !hasCrossedClose && !isCutByStop && !daemonFaults.some(span => isMeanwhile(span));
+	});
+}
+
+/** Counts unanswered requests for each process of a daemon. */
+export function describeUnanswered(requests: readonly ObservedRequest[]): string {
+	const counts = new Map<string, number>();
+	for (const {daemon, incarnation} of requests) {
+		const key = `${daemon} start ${incarnation}`;
+		counts.set(key, (counts.get(key) ?? 0) + 1);
+	}
+
+	return `${requests.length} unanswered${counts.size > 0 ? ` (${[...counts].map(([key, count]) => `${key}: ${count}`).join(', ')})` : ''}`;
+}
+
+function checkAnswers(observations: SoakObservations): readonly Violation[] {
+	const arrivedIds = new Set(observations.arrivals.map(({id}) => id));
+	return unansweredRequests(observations).map(({id, kind, daemon, incarnation, sentAt, endedAt, failure}) => {
+		const request = `${kind} ${id}, sent to ${daemon} start ${incarnation} at ${Math.round(sentAt)} ms and ${arrivedIds.has(id) ? '' : 'not '}passed on`;
+		return {invariant: 'an answer to each request', message: `${request}, ended without one after ${Math.round(endedAt - sentAt)} ms: ${failure ?? 'no reason'}`};
+	});
+}
+
+/** Limits the requests that still reach a server some time after the same request has crashed three. */
+function checkDeadlyRequests({deadlyRequests, arrivals, faultSpans}: SoakObservations): readonly Violation[] {
+	const ids = new Set(deadlyRequests.map(({id}) => id));
+	const runs = arrivals.filter(({id, hasRun}) => hasRun && ids.has(id)).toSorted((a, b) => a.at - b.at);
+	const lastFreeAt = (runs[DEADLY_CRASHES - 1]?.at ?? Infinity) + STABLE_WINDOW_MS;
+	const otherFaults = faultSpans.filter(({isDeadly}) => !isDeadly);
+	const late = deadlyRequests.filter(({id, sentAt}) => sentAt > lastFreeAt && runs.some(run => run.id === id) && !overlapsFault(otherFaults, sentAt, sentAt));
+	return late.length > MAX_LATE_DEADLY_REQUESTS
+		? [{
+			invariant: 'crashing requests are held back',
+			message: `${late.length} of ${deadlyRequests.length} repetitions ran later than ${STABLE_WINDOW_MS} ms after the third crash, ${runs.length} runs in all`,
+		}]
+		: [];
+}
+
 function checkRecovery({requests, recovery, reservedAtEnd}: SoakObservations): readonly Violation[] {
 	const violations: Violation[] = [];
 	const recoveryRequests = requests.filter(({sentAt}) => sentAt >= recovery.from && sentAt <= recovery.to);
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -73,6 +73,8 @@
 	readonly limitPerSecond?: number;
 	/** Ids of prompt parts on which the server crashes when it begins to write: it closes all connections without a response. */
 	readonly crashingParts?: readonly string[];
+	/** Bodies of calls on which the server crashes in the same way. */
+	readonly crashingBodies?: readonly string[];
 	/** Called after a crash. The server accepts requests again at once, but loses all streams. */
 	readonly onCrash?: () => void;
 };
@@ -159,6 +161,11 @@
 			return;
 		}
 
+		if (this.options.crashingBodies?.includes(body.toString())) {
+			this.#crash();
+			return;
+		}
+
 		if (req.headers[WORK_HEADER] !== undefined) {
 			await pause(Number(req.headers[WORK_HEADER]));
 		}
@@ -172,6 +179,11 @@
 		}
 	}
 
+	#crash(): void {
+		this.#server.closeAllConnections();
+		this.options.onCrash?.();
+	}
+
 	#reject(req: IncomingMessage, res: ServerResponse, fault: Extract<InjectedFault, {kind: 'reject'}>): void {
 		const retryAfter = fault.retryAfter ?? this.retryAfter;
 		res.writeHead(fault.status, {
@@ -279,8 +291,7 @@
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
 		if (hasPart(req, this.options.crashingParts ?? [])) {
-			this.#server.closeAllConnections();
-			this.options.onCrash?.();
+			this.#crash();
 			return;
 		}
 
--- a/tests/soak.test.ts
+++ b/tests/soak.test.ts
@@ -18,7 +18,19 @@
 const budget = {share: 0.2, slack: 2};
 
 const createClientRecord = (id: string, overrides: Partial<ObservedRequest> = {}): ObservedRequest => ({
-	id, kind: 'non_idempotent', daemon: 'front-0', incarnation: 1, sentAt: 20_000, endedAt: 20_050, status: 200, isComplete: true, responseRequestId: id, body: 'i-1 answered', ...overrides,
+	id,
+	kind: 'non_idempotent',
+	daemon: 'front-0',
+	incarnation: 1,
+	sentAt: 20_000,
+	endedAt: 20_050,
+	status: 200,
+	isComplete: true,
+	responseRequestId: id,
+	body: 'i-1 answered',
+	wasSent: true,
+	failure: undefined,
+	...overrides,
 });
 
 const createServerRecord = (id: string, overrides: Partial<ObservedArrival> = {}): ObservedArrival => ({
@@ -28,7 +40,11 @@
 /** Returns the promises that are violated by a ledger without violations after `overrides` are applied. */
 const violatedPromises = (overrides: Partial<SoakObservations>): readonly string[] => checkObservations({
 	requests: [createClientRecord('a'), createClientRecord('z', {sentAt: 90_000})],
+	deadlyRequests: [],
+	daemonFaults: [],
+	ownExits: [],
 	arrivals: [createServerRecord('a')],
+	readIds: new Set(),
 	probes: [],
 	versions: [],
 	departures: [],
@@ -37,6 +53,7 @@
 	reservedAtEnd: 0,
 	recovery: {from: 90_000, to: 91_000},
 	eventsPerStream: 3,
+	stopGraceMs: 5000,
 	...overrides,
 }, budget).map(({invariant: promise}) => promise);
 
@@ -84,7 +101,43 @@
 
 	it('should detect a request that was interrupted by a planned stop', () => {
 		const plannedStops = [{daemon: 'front-0', from: 20_020, to: 22_000}];
-		expect(violatedPromises({plannedStops, requests: [createClientRecord('a', {status: undefined, isComplete: false}), recoveryRecord]})).toEqual(['planned stops cut nothing']);
+		const unanswered = createClientRecord('a', {status: undefined, isComplete: false});
+		expect(violatedPromises({plannedStops, requests: [unanswered, recoveryRecord]})).toEqual(['planned stops cut nothing', 'an answer to each request']);
+		const cut = createClientRecord('a', {kind: 'stream', isComplete: false, body: ''});
+		expect(violatedPromises({plannedStops, requests: [cut, recoveryRecord]})).toEqual(['planned stops cut nothing']);
+	});
+
+	it('should detect a request that got no answer, unless its daemon was killed or suspended, the request crossed the close or was at work until the end of the grace', () => {
+		const violationsOf = (request: Partial<ObservedRequest>, overrides: Partial<SoakObservations> = {}) => violatedPromises({
+			requests: [createClientRecord('a', {status: undefined, isComplete: false, ...request}), recoveryRecord], ...overrides,
+		});
+		const lost = ['an answer to each request'];
+		expect(violationsOf({})).toEqual(lost);
+		expect(violationsOf({wasSent: false})).toEqual([]);
+		expect(violationsOf({}, {arrivals: []})).toEqual([]);
+		expect(violationsOf({}, {arrivals: [], readIds: new Set(['a'])})).toEqual(lost);
+		expect(violationsOf({endedAt: 20_300}, {arrivals: []})).toEqual(lost);
+		expect(violationsOf({}, {faultSpans: [{from: 19_000, to: 21_000}]})).toEqual(lost);
+		expect(violationsOf({}, {daemonFaults: [{daemon: 'front-0', from: 20_040, to: 21_000}]})).toEqual([]);
+		expect(violationsOf({}, {daemonFaults: [{daemon: 'front-1', from: 20_040, to: 21_000}]})).toEqual(lost);
+		const plannedStops = [{daemon: 'front-0', from: 17_500, to: 22_500}];
+		expect(violationsOf({endedAt: 22_400}, {plannedStops})).toEqual(['planned stops cut nothing']);
+		expect(violationsOf({sentAt: 20_600, endedAt: 22_400}, {plannedStops})).toEqual(['planned stops cut nothing', ...lost]);
+	});
+
+	it('should detect a request that keeps crashing servers after it has crashed three, and a daemon that ends by itself', () => {
+		const requests = Array.from({length: 8}, (_, index) => createClientRecord(`deadly-${index}`, {sentAt: 30_000 + (index * 1000), status: 503}));
+		const deadlyArrivals = requests.map(({id, sentAt}) => createServerRecord(id, {at: sentAt + 5}));
+		const arrivals = [createServerRecord('a'), ...deadlyArrivals];
+		expect(violatedPromises({deadlyRequests: requests, arrivals})).toEqual([]);
+		const sixthAt = 35_000;
+		const late = Array.from({length: 4}, (_, index) => createClientRecord(`late-${index}`, {sentAt: sixthAt + 100 + index, status: 503}));
+		const lateArrivals = late.map(({id, sentAt}) => createServerRecord(id, {at: sentAt + 5}));
+		const withLate = {deadlyRequests: [...requests.slice(0, 3), ...late], arrivals: [...arrivals.slice(0, 4), ...lateArrivals]};
+		expect(violatedPromises(withLate)).toEqual(['crashing requests are held back']);
+		expect(violatedPromises({...withLate, faultSpans: [{from: 30_000, to: 36_000, isDeadly: true}]})).toEqual(['crashing requests are held back']);
+		expect(violatedPromises({...withLate, faultSpans: [{from: 33_000, to: 36_000}]})).toEqual([]);
+		expect(violatedPromises({ownExits: [{daemon: 'front-0', incarnation: 2, code: 1}]})).toEqual(['no daemon ends by itself']);
 	});
 
 	it('should detect retries beyond the budget', () => {
@@ -113,7 +166,7 @@
 		expect(planFaults(8, 30_000)).not.toEqual(planFaults(7, 30_000));
 		const plannedWork = planFaults(7, 30_000).filter(({at}) => at > 9500 && at < 15_000);
 		expect(plannedWork.length).toBeGreaterThan(0);
-		expect(plannedWork.every(({fault}) => ['stop', 'leave', 'configure'].includes(fault.kind))).toBe(true);
+		expect(plannedWork.every(({fault}) => ['stop', 'leave', 'configure', 'silence', 'odd_entry'].includes(fault.kind))).toBe(true);
 	});
 
 	it('should keep bytes in order when a proxy delays only the first of them', async () => {
