--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -276,6 +276,11 @@
 			await pause(fault.ms);
 		}
 
+		if (fault?.kind === 'large') {
+			res.writeHead(200, this.#headers(req)).end('x'.repeat(fault.bytes));
+			return;
+		}
+
 		const status = fault?.kind === 'error' ? fault.status : 200;
 		const headers = {...this.#headers(req)};
 		if (fault?.kind === 'foreign') {
@@ -286,7 +291,7 @@
 			delete headers['fireflyport-response-seal'];
 		}
 
-		res.writeHead(status, headers).end(fault?.kind === 'large' ? 'x'.repeat(fault.bytes) : `${this.instance} answered`);
+		res.writeHead(status, headers).end(`${this.instance} answered`);
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
