--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -276,6 +276,11 @@
 			await pause(fault.ms);
 		}
 
+		if (fault?.kind === 'large') {
+			res.writeHead(200, this.#headers(req)).end('x'.repeat(fault.bytes));
+			return;
+		}
+
 		const status = fault?.kind === 'error' ? fault.status : 200;
 		const headers = {...this.#headers(req)};
 		if (fault?.kind === 'foreign') {
@@ -286,8 +291,7 @@
 			delete headers['fireflyport-response-seal'];
 		}
 
-		const body = this.options.bodyBytes === undefined ? `${this.instance} answered` : 'x'.repeat(this.options.bodyBytes);
-		res.writeHead(status, headers).end(fault?.kind === 'large' ? 'x'.repeat(fault.bytes) : body);
+		res.writeHead(status, headers).end(this.options.bodyBytes === undefined ? `${this.instance} answered` : 'x'.repeat(this.options.bodyBytes));
 	}
 
 	async #answerStream(req: IncomingMessage, res: ServerResponse, fault: InjectedFault | undefined): Promise<void> {
