Send requests of a host that reaches no backend server through other hosts

What callers saw: at a host that had lost its path to all servers, while clients, the store and the other hosts still reached it, each request was refused or failed after up to four attempts to connect, as long as the cut lasted. A host whose connections were refused also told all others that the servers were lost, so that sound servers were left out by everybody.

Cause: every failure to connect was taken for a fault of the server. Ruled out as a remedy: readiness alone, since kept connections stay and the balancer uses all hosts of a failure domain when most of them are out.

Change: src/relaying/ decides from this host's own attempts to connect that its path is lost, sends its requests through other daemons (one hop, with the client's headers and what is left of its time), and finds the path again by probes. While several servers in a row can't be connected to, none of them is reported as lost.

Not benchmarked: latency, processor time and memory of relayed requests.

--- a/src/fleet/fleet-links.ts
+++ b/src/fleet/fleet-links.ts
@@ -56,6 +56,10 @@
 		return this.#links.storeFollowers.length;
 	}
 
+	responsiveMembers(now: number): readonly Member[] {
+		return this.topology.responsiveMembers(now);
+	}
+
 	/** Adds daemons and returns those that were not known. */
 	addMembers(members: Iterable<Member>, now: number): readonly Member[] {
 		const added = this.topology.addMembers(members);
--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -90,6 +90,13 @@
 		return this.hasStoreRelays(this.size, domains) ? domains : this.size;
 	}
 
+	/** Other daemons, without those that this one exchanges messages with and that have fallen silent. */
+	responsiveMembers(now: number): readonly Member[] {
+		return this.#ranked
+			.filter(({lastContactAt, isDown}) => !isDown && (!this.isMesh || now - lastContactAt <= FOLLOWER_TIMEOUT_MS))
+			.map(({member}) => member);
+	}
+
 	/** Adds daemons and returns those that were not known. */
 	addMembers(members: Iterable<Member>): readonly Member[] {
 		const added: Member[] = [];
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -121,16 +121,22 @@
 
 	/** Servers of a service that may receive new requests. Lost ones are returned only if there are no others. */
 	usableServers(service: string, now: number): readonly BackendServer[] {
-		const available: BackendServer[] = [];
-		const lost: BackendServer[] = [];
+		const servers = this.servingServers(now, service);
+		const available = servers.filter(({id}) => !this.#lost.has(id, now));
+		return available.length > 0 ? available : servers;
+	}
+
+	/** Registered servers, of one service or of all, that are neither leaving nor in a failure domain out of service. */
+	servingServers(now: number, service?: string): readonly BackendServer[] {
+		const servers: BackendServer[] = [];
 		for (const [name, known] of this.#servers) {
 			const server = this.#removeExpired(name, now) ? undefined : currentServer(known, now);
-			if (server?.service === service && !server.isDraining && !this.#leaving.has(server.id, now) && !this.domainsOut.has(server.failureDomain, now)) {
-				(this.#lost.has(server.id, now) ? lost : available).push(server);
+			if (server && (service === undefined || server.service === service) && !server.isDraining && !this.#leaving.has(server.id, now) && !this.domainsOut.has(server.failureDomain, now)) {
+				servers.push(server);
 			}
 		}
 
-		return available.length > 0 ? available : lost;
+		return servers;
 	}
 
 	/** Ids of all registered servers. */
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -105,6 +105,11 @@
 		return this.#links.storeFollowers;
 	}
 
+	/** Other daemons that are not known to be down. */
+	responsiveMembers(now: number): readonly Member[] {
+		return this.#links.responsiveMembers(now);
+	}
+
 	/** Number of requests that this daemon has on backend servers. */
 	get ownPlacements(): number {
 		return this.options.placements.entriesOf(this.options.daemon).length;
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -45,6 +45,8 @@
 	| {readonly kind: 'aborted'};
 
 export type ExchangeHandler = {
+	/** Called when a connection has been opened. */
+	onConnected(): void;
 	onHead(head: ExchangeHead): void;
 	onData(chunk: Uint8Array): void;
 	onEnd(end: ExchangeEnd): void;
@@ -74,6 +76,7 @@
 			timeoutMs: connectTimeoutMs,
 			onOpen(socket) {
 				isConnected = true;
+				handler.onConnected();
 				watchReset(socket, err => {
 					connectionError = err;
 					isDisconnected = true;
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,9 +1,11 @@
 /** One attempt to send a request to the chosen backend server: buffers a whole response or relays the events of a stream. */
 import {EventSplitter, type RawEvent} from '../forwarding/event-splitter.js';
 import {
-	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
+	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead, type ExchangeRequest,
 } from '../forwarding/exchange.js';
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
+import {RELAYED_FIELD} from '../http/connection-headers.js';
+import {relayedResponseKind} from '../relaying/relayed-response.js';
 import type {Clock} from '../util/clock.js';
 import {GrowingBuffer} from '../util/growing-buffer.js';
 import {timerDelay} from '../util/timer-delay.js';
@@ -53,8 +55,21 @@
 	readonly isDisconnected?: boolean;
 	/** The address now belongs to another server (`moved`), or nothing listens on it (`refused`). */
 	readonly lostReason?: 'moved' | 'refused';
+	/** No connection could be opened. */
+	readonly isNotConnected?: boolean;
 };
 
+/** What an attempt is sent to. */
+export type AttemptTarget =
+	| {
+		readonly kind: 'server';
+		readonly choice: ServerChoice;
+		/** Memory reserved on helpers for the prompt. */
+		readonly memory: MemoryReservation | undefined;
+	}
+	/** The daemon of another host at `address` (IP:PORT), which relays the request to a backend server. */
+	| {readonly kind: 'host'; readonly address: string};
+
 /** Receives the events of a stream. Used for all attempts of a request. */
 export type EventSink = {
 	/** Id of the last event that the client has received. */
@@ -78,16 +93,16 @@
 	readonly wire: WireFormat;
 	readonly clock: Clock;
 	readonly request: GatewayRequest;
-	readonly choice: ServerChoice;
-	/** Memory reserved on helpers for the prompt. */
-	readonly memory: MemoryReservation | undefined;
+	readonly target: AttemptTarget;
 	readonly sink: EventSink;
 	readonly buffers: ResponseBuffers;
 	/** Time in ms without a new event or response after which the attempt is given up as soon as another one is ready. */
 	readonly silenceTimeoutMs: number;
 	/** Prepares another attempt. Resolves with undefined if none is possible now; never rejects. */
 	prepareHandOver(): Promise<HandOver | undefined>;
-	/** Called with the metadata of the response head. */
+	/** Called when a connection has been opened. */
+	onConnected(): void;
+	/** Called with the metadata of the response head of a backend server. */
 	onMetadata(metadata: ResponseMetadata): void;
 	/** Called with the number of new events after each one. */
 	onEvent(events: number): void;
@@ -170,6 +185,9 @@
 		}
 
 		this.#exchange = startExchange(this.#createRequest(timeLeftMs), {
+			onConnected: this.#guard(() => {
+				this.options.onConnected();
+			}),
 			onHead: this.#guard(head => {
 				this.#onHead(head);
 			}),
@@ -183,37 +201,56 @@
 		this.#restartSilenceTimer();
 	}
 
-	#createRequest(timeLeftMs: number) {
-		const {
-			request, choice, memory, wire, sink,
-		} = this.options;
-		const {req, workspace, body} = request;
+	#createRequest(timeLeftMs: number): ExchangeRequest {
+		const {request: {req, body}, target} = this.options;
 		return {
-			address: choice.server.address,
-			method: req.method!,
-			path: req.url!,
-			headers: wire.backendHeaders(req.rawHeaders, {
-				instanceId: choice.server.instanceId,
-				deadlineMs: Math.floor(timeLeftMs),
-				workspace: workspace?.name,
-				lastEventId: sink.lastEventId,
-				helpers: choice.helpers.map(helper => ({address: helper.address, reservation: memory?.idAt(helper)})),
-				urgency: undefined,
-			}),
-			body,
+			address: target.kind === 'server' ? target.choice.server.address : target.address, method: req.method!, path: req.url!, headers: this.#createHeaders(timeLeftMs), body,
 		};
 	}
 
+	#createHeaders(timeLeftMs: number): readonly string[] {
+		const {
+			request: {req, workspace}, target, wire, sink: {lastEventId},
+		} = this.options;
+		const deadlineMs = Math.floor(timeLeftMs);
+		switch (target.kind) {
+			case 'server': {
+				const {choice: {server, helpers}, memory} = target;
+				return wire.backendHeaders(req.rawHeaders, {
+					instanceId: server.instanceId,
+					deadlineMs,
+					workspace: workspace?.name,
+					lastEventId,
+					helpers: helpers.map(helper => ({address: helper.address, reservation: memory?.idAt(helper)})),
+					urgency: undefined,
+				});
+			}
+
+			case 'host': {
+				return [...wire.relayHeaders(req.rawHeaders, {deadlineMs, lastEventId}), RELAYED_FIELD, '1'];
+			}
+		}
+	}
+
 	#onHead(head: ExchangeHead): void {
-		const {wire, request} = this.options;
+		const {wire, request, target} = this.options;
 		const metadata = wire.readResponseMetadata(head.status, head.headers);
+		const relayFailure = target.kind === 'host' ? relayFailureOf(head.status, metadata.isSigned) : undefined;
+		if (relayFailure) {
+			this.#abort(relayFailure);
+			return;
+		}
+
 		// A server may repeat the response to an earlier request, whose refusal says nothing about this one.
 		if (metadata.attemptId !== request.metadata.attemptId) {
 			this.#abortBroken(`response with status ${head.status} names the request ${metadata.attemptId ?? 'none'}`);
 			return;
 		}
 
-		this.options.onMetadata(metadata);
+		if (target.kind === 'server') {
+			this.options.onMetadata(metadata);
+		}
+
 		if (metadata.isNotExecuted) {
 			// The head decides; the body may never end.
 			this.#abort(rejection(metadata, head.status));
@@ -343,6 +380,7 @@
 					outcome: {kind: 'rejected', reason: `no connection: ${end.message}`},
 					mayHaveRun: false,
 					isUnsent: true,
+					isNotConnected: !end.isInvalid,
 					isBlameless: end.isInvalid,
 					lostReason: end.isRefused ? 'refused' : undefined,
 				};
@@ -455,6 +493,26 @@
 	}
 }
 
+/** Result of an attempt that another daemon did not serve; undefined if its response is that of a backend server. */
+function relayFailureOf(status: number, isSigned: boolean): AttemptResult | undefined {
+	const kind = relayedResponseKind(status, isSigned);
+	const reason = `the relaying daemon answered with status ${status}`;
+	switch (kind) {
+		case 'answered': {
+			return undefined;
+		}
+
+		case 'refused': {
+			// No backend server has got it, so it does not count as received.
+			return {outcome: {kind: 'rejected', reason}, mayHaveRun: false, isUnsent: true};
+		}
+
+		case 'failed': {
+			return {outcome: {kind: 'broken', reason}, mayHaveRun: true};
+		}
+	}
+}
+
 function rejection({isMisdirected, faultyAddress}: ResponseMetadata, status: number): AttemptResult {
 	const reason = isMisdirected ? 'the address now belongs to another server' : `rejected with status ${status}`;
 	return {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -1,6 +1,8 @@
 /** A daemon that runs one gateway: watches the store, exchanges load with others, serves readiness checks and drains. */
 import {randomBytes, randomInt} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {DaemonRegistry} from '../fleet/daemon-registry.js';
@@ -14,6 +16,7 @@
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
+import {RequestRelay} from '../relaying/request-relay.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -59,9 +62,15 @@
 const RETRY_MS_PER_DAEMON = 7;
 const MAX_RETRY_MS = 1500;
 
+const NOT_READY_STATUS = 503;
 /** Heartbeats after which the store has removed a server that sends none: three, and one for their jitter. */
 const CONFIRMATION_HEARTBEATS = 4;
 
+function createRandom(): () => number {
+	const generator = xoroshiro128plus(randomInt(2 ** 31));
+	return () => uniformFloat64(generator);
+}
+
 export type GatewayDaemonDependencies = {
 	readonly adapter: PlatformAdapter;
 	readonly clock: Clock;
@@ -83,12 +92,16 @@
 	readonly limits: ServerLimits;
 	readonly quarantine: PromptQuarantine;
 	readonly quarantineStore: QuarantineStore;
+	readonly relay: RequestRelay;
+	readonly random: () => number;
 };
 
 export class GatewayDaemon {
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
-		const metrics = GatewayMetrics.create({droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size});
+		const metrics = GatewayMetrics.create({
+			droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size, isServerPathLost: () => relay.isNeeded,
+		});
 		const placements = PlacementTable.create();
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
 		const limits = ServerLimits.create();
@@ -142,15 +155,20 @@
 				store.recordRelayState(relay, state, now);
 			},
 		});
-		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind));
+		const random = createRandom();
+		const relay = RequestRelay.create({
+			clock, logger, peerPort: settings.peerPort, random, servers: now => fleet.servingServers(now), hosts: now => loadExchange.responsiveMembers(now),
+		});
+		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind), (req, res) => {
+			daemon.#handleRelayed(req, res);
+		});
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, random,
 		});
 		await daemon.#start();
 		return daemon;
 	}
 
-	readonly #random = xoroshiro128plus(randomInt(2 ** 31));
 	readonly #health = ServerHealth.create();
 	readonly #retryBudgets = new Map<string, RetryBudget>();
 	#feeds: FleetFeeds | undefined;
@@ -213,8 +231,9 @@
 		this.#readinessServer.closeAllConnections();
 		this.metrics.close();
 		const {
-			server, loadExchange, reader, store, quarantineStore,
+			server, loadExchange, reader, store, quarantineStore, relay,
 		} = this.parts;
+		relay.close();
 		quarantineStore.close();
 		server.close();
 		await loadExchange.close();
@@ -225,7 +244,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore,
+				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore, relay, random,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -247,7 +266,8 @@
 			retryBudget: service => this.#retryBudget(service),
 			routeTable: () => this.#feeds?.routeTable,
 			metrics: this.metrics,
-			random: () => uniformFloat64(this.#random),
+			random,
+			relay,
 		});
 		await this.#listenReadiness();
 		this.metrics.listen(settings.ip, settings.metricsPort, err => {
@@ -301,9 +321,19 @@
 		logger.info('started', {listen: settings.listen, failure_domain: settings.failureDomain});
 	}
 
+	/** There is no gateway yet while the daemon starts. */
+	#handleRelayed(req: IncomingMessage, res: ServerResponse): void {
+		const gateway = this.#gateway as Gateway | undefined;
+		if (gateway) {
+			gateway.handleRelayed(req, res);
+		} else {
+			res.writeHead(NOT_READY_STATUS, {'content-length': 0}).end();
+		}
+	}
+
 	async #listenReadiness(): Promise<void> {
 		this.#readinessServer = createServer((_req, res) => {
-			res.writeHead(this.#gateway.isReady ? 200 : 503, {'content-length': 0});
+			res.writeHead(this.#gateway.isReady ? 200 : NOT_READY_STATUS, {'content-length': 0});
 			res.end();
 		});
 		const [host, port] = this.settings.readyListen.split(':');
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -17,6 +17,8 @@
 	quarantinedParts(): number;
 	/** Number of servers that name a limit. */
 	limitedServers(): number;
+	/** Whether this host has no path to the backend servers. */
+	isServerPathLost(): boolean;
 };
 
 export class GatewayMetrics {
@@ -41,6 +43,10 @@
 		name: 'fireflyport_requests_without_owner_total', help: 'Requests that were ended past their deadline without an answer of their owner', labelNames: ['phase'], registers: [this.#registry],
 	});
 
+	readonly #relayed = new Counter({
+		name: 'fireflyport_relayed_requests_total', help: 'Requests sent on to another host, or by one, for want of a path to the servers', labelNames: ['direction'], registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'fireflyport_store_calls_total', help: 'Calls of this daemon to the store', labelNames: ['kind', 'operation', 'result'], registers: [this.#registry],
 	});
@@ -51,10 +57,13 @@
 
 	#server: Server | undefined;
 
-	private constructor({droppedLines, quarantinedParts, limitedServers}: GatewayMetricSources) {
+	private constructor({
+		droppedLines, quarantinedParts, limitedServers, isServerPathLost,
+	}: GatewayMetricSources) {
 		this.#addGauge('fireflyport_log_lines_dropped', 'Log lines dropped because output was slow', droppedLines);
 		this.#addGauge('fireflyport_quarantined_parts', 'Prompt parts whose requests are refused because engines crash on them', quarantinedParts);
 		this.#addGauge('fireflyport_limited_servers', 'Servers that name a limit on their requests per second', limitedServers);
+		this.#addGauge('fireflyport_server_path_lost', '1 while this host has no path to the backend servers and other hosts relay its requests', () => Number(isServerPathLost()));
 	}
 
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
@@ -66,6 +75,11 @@
 		this.#refusals.inc({code});
 	}
 
+	/** `to_host`: a request of a client that was sent on to another host; `for_host`: a request that another host sent on to this one. */
+	countRelayed(direction: 'to_host' | 'for_host'): void {
+		this.#relayed.inc({direction});
+	}
+
 	countEndedByStop(phase: string, isSent: boolean): void {
 		this.#endedByStop.inc({phase, sent: String(isSent)});
 	}
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -12,6 +12,8 @@
 	readonly metadata: ClientMetadata;
 	readonly identity: RequestIdentity;
 	readonly body: Uint8Array;
+	/** Another host, which has no path to the backend servers, sent the request on to this one. */
+	readonly isRelayed: boolean;
 	readonly route: Route;
 	readonly service: Service;
 	readonly workspace: Workspace | undefined;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {BODY_TIMEOUT_MS, BodyReader} from '../http/body-reader.js';
+import {MAX_HEADER_BYTES} from '../http/connection-headers.js';
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {RequestIdentity} from '../quarantine/request-identity.js';
 import {failure, type Failure} from '../util/failure.js';
@@ -23,8 +24,11 @@
 
 /** Retry advice while a daemon has no configuration yet or is draining. Another daemon can serve the request. */
 const OTHER_DAEMON_RETRY_MS = 200;
-/** Largest request head. Exceeds the limits of the configuration, which is unknown when the server is created. */
-const MAX_HEADER_BYTES = 65_536;
+/**
+ * Largest number of requests of other hosts that are relayed at the same time, several times what a host has open under full load.
+ * Their bodies count towards the limit of this daemon's own.
+ */
+const MAX_RELAYED_REQUESTS = 200;
 /** Limit of request bodies until a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4_194_304;
 /** Length of the accept queue: the number of connections that the clients of a failure domain may open at once. */
@@ -76,7 +80,7 @@
 			maxBufferedBytes: parts.maxBufferedBodyBytes,
 		});
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
-			void this.#own(req, res);
+			void this.#own(req, res, false);
 		});
 		this.#connections = ClientConnections.create(this.#server);
 		this.#ownerTimer = setInterval(() => {
@@ -104,6 +108,11 @@
 		}
 	}
 
+	/** Handles a request that a host without a path to the backend servers sends on, on a connection of its own. */
+	handleRelayed(req: IncomingMessage, res: ServerResponse): void {
+		void this.#own(req, res, true);
+	}
+
 	startStopping(plan: StopPlan): void {
 		this.#phase = {kind: 'stopping', plan};
 	}
@@ -142,10 +151,18 @@
 	}
 
 	/** Handles a request and owns its response: whatever throws, the request gets one. */
-	async #own(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	async #own(req: IncomingMessage, res: ServerResponse, isRelayed: boolean): Promise<void> {
 		const arrivedAt = this.parts.clock();
 		const open: OpenRequest = {
-			req, res, arrivedAt, metadata: undefined, deadline: arrivedAt + BODY_TIMEOUT_MS, isShortened: false, isOverdue: false, state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
+			req,
+			res,
+			arrivedAt,
+			isRelayed,
+			metadata: undefined,
+			deadline: arrivedAt + BODY_TIMEOUT_MS,
+			isShortened: false,
+			isOverdue: false,
+			state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		};
 		try {
 			await this.#handle(open);
@@ -157,7 +174,8 @@
 	async #handle(open: OpenRequest): Promise<void> {
 		const {req, res} = open;
 		open.metadata = this.parts.wire.readClientMetadata(req.headers);
-		if (await this.#connections.startRequest(req, res) === 'dropped') {
+		// Another host opens a connection for each request.
+		if (!open.isRelayed && await this.#connections.startRequest(req, res) === 'dropped') {
 			this.#logUnanswered(open, 'connection_closed');
 			return;
 		}
@@ -294,7 +312,15 @@
 
 	#admit(open: OpenRequest, metadata: ClientMetadata, body: Uint8Array): GatewayRequest | Failure {
 		const {parts} = this;
-		const {req, res, arrivedAt} = open;
+		const {
+			req, res, arrivedAt, isRelayed,
+		} = open;
+		if (isRelayed && [...this.#openRequests].filter(other => other.isRelayed).length > MAX_RELAYED_REQUESTS) {
+			return failure({
+				code: 'overloaded', message: `this daemon relays ${MAX_RELAYED_REQUESTS} requests of other hosts already`, ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
+			});
+		}
+
 		const table = parts.routeTable();
 		if (!table) {
 			return failure({
@@ -341,6 +367,7 @@
 				route: route.name, method: req.method!, path: req.url!, workspace: workspace?.name, body,
 			}),
 			body,
+			isRelayed,
 			route,
 			service,
 			workspace,
@@ -395,6 +422,10 @@
 		const {parts} = this;
 		const ms = parts.clock() - request.arrivedAt;
 		parts.metrics.observe(request.service.name, result.outcome, ms);
+		if (request.isRelayed || result.hosts !== undefined) {
+			parts.metrics.countRelayed(request.isRelayed ? 'for_host' : 'to_host');
+		}
+
 		if (result.sends > 0 && result.outcome !== 'left') {
 			this.#durations.record(request.route.name, ms);
 		}
@@ -402,10 +433,12 @@
 		parts.logger.info('request_done', {
 			request: request.id,
 			route: request.route.name,
+			relayed: request.isRelayed || undefined,
 			outcome: result.outcome,
 			status: result.status,
 			ms: Math.round(ms),
 			sends: result.sends,
+			hosts: result.hosts,
 			first_event_ms: result.firstEventMs === undefined ? undefined : Math.round(result.firstEventMs),
 			longest_gap_ms: result.firstEventMs === undefined ? undefined : Math.round(result.longestGapMs ?? 0),
 			target_ms: request.route.targetLatencyMs,
--- a/src/gateway/open-request.ts
+++ b/src/gateway/open-request.ts
@@ -12,6 +12,8 @@
 export type OpenRequest = {
 	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
+	/** Another host sent the request on. */
+	readonly isRelayed: boolean;
 	/** Undefined until the headers have been decoded. */
 	metadata: ClientMetadata | undefined;
 	/** Time on the monotonic clock, in ms. */
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -6,6 +6,7 @@
 import {SOUND_EVENTS} from '../quarantine/crash-evidence.js';
 import {parseSubject, type RequestSubjects} from '../quarantine/crash-subject.js';
 import type {PromptQuarantine, RefusedSubject} from '../quarantine/prompt-quarantine.js';
+import type {RequestRelay} from '../relaying/request-relay.js';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import type {Logger} from '../util/logger.js';
@@ -14,7 +15,7 @@
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
 import {
-	Attempt, type AttemptResult, type BufferedResponse, type HandOver,
+	Attempt, type AttemptOptions, type AttemptResult, type AttemptTarget, type BufferedResponse, type HandOver,
 } from './attempt.js';
 import {ClientResponse} from './client-response.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
@@ -24,7 +25,7 @@
 	canRunAgain, nextStep, type AttemptOutcome, type NextStep, type RetryState,
 } from './retry-policy.js';
 import {
-	chooseServer, limitWaitMs, type ServerChoice, type ChoiceParts,
+	chooseServer, isAllowedDomain, limitWaitMs, type ServerChoice, type ChoiceParts,
 } from './server-choice.js';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
@@ -34,6 +35,12 @@
 const STREAM_SILENCE_SHARE = 0.5;
 /** A silent engine is not abandoned before this multiple of the expected time to the first event. */
 const EXPECTED_TIME_FACTOR = 2;
+/** A relaying host is given up after this multiple of the time after which it gives up a silent server itself. */
+const RELAY_SILENCE_FACTOR = 2;
+/** Servers that this host could not connect to for one request, after which the request goes through another host, whatever the reason. */
+const MAX_UNCONNECTED_SERVERS = 2;
+/** Largest number of hosts that are asked to relay one request. */
+const MAX_RELAY_TRIES = 3;
 /** A prompt is refused at once if its first event is expected after this share of the client's silence limit. */
 const MAX_EXPECTED_SHARE = 0.9;
 /**
@@ -57,6 +64,7 @@
 	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
+	readonly relay: Pick<RequestRelay, 'isNeeded' | 'isPathDoubtful' | 'chooseAddress' | 'skip' | 'recordConnected' | 'recordNotConnected'>;
 	/** Memory of responses, shared by all requests of this daemon. */
 	readonly buffers: ResponseBuffers;
 	readonly clock: Clock;
@@ -71,21 +79,33 @@
 	readonly outcome: 'delivered' | 'answered' | 'failed' | 'left';
 	readonly status: number;
 	readonly sends: number;
+	/** Hosts that were asked to relay the request; undefined for none. */
+	readonly hosts?: number;
 	/** Time in ms to the first event of a stream, and the longest pause between events. */
 	readonly firstEventMs?: number;
 	readonly longestGapMs?: number;
 	readonly failure?: Failure;
 };
 
-/** An attempt whose placement is open and whose memory is reserved. */
-type PreparedAttempt = {
-	readonly choice: ServerChoice;
-	readonly memory: MemoryReservation | undefined;
-	readonly placedAt: number;
-};
+/** An attempt at a server, whose placement is open and whose memory is reserved, or through another host. */
+type PreparedAttempt =
+	| {
+		readonly kind: 'server';
+		readonly choice: ServerChoice;
+		readonly memory: MemoryReservation | undefined;
+		readonly placedAt: number;
+	}
+	| {readonly kind: 'host'; readonly address: string};
+
+type ServerAttempt = Extract<PreparedAttempt, {kind: 'server'}>;
+
+type NextChoice =
+	| {readonly kind: 'server'; readonly choice: ServerChoice}
+	| {readonly kind: 'host'; readonly address: string}
+	| {readonly kind: 'refused'; readonly failure: Failure};
 
 type Preparation =
-	| {readonly kind: 'prepared'; readonly attempt: PreparedAttempt}
+	| {readonly kind: 'prepared'; readonly attempt: ServerAttempt}
 	| {readonly kind: 'refused'; readonly result: AttemptResult};
 
 /** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
@@ -100,6 +120,9 @@
 	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
 	readonly #excluded = new Set<string>();
 	readonly #broken = new Set<string>();
+	/** IP:PORT of the daemons that were asked to relay the request. */
+	readonly #relayAddresses = new Set<string>();
+	#unconnectedServers = 0;
 	readonly #response: ClientResponse;
 	readonly #result: Promise<FlowResult>;
 	#resolve!: (result: FlowResult) => void;
@@ -194,7 +217,7 @@
 		if (!this.#isEnded) {
 			this.#isEnded = true;
 			clearTimeout(this.#deadlineTimer);
-			this.#resolve(result);
+			this.#resolve(this.#relayAddresses.size === 0 ? result : {...result, hosts: this.#relayAddresses.size});
 		}
 	}
 
@@ -228,7 +251,10 @@
 
 	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
-		parts.retryBudget(request.service.name).recordRequest();
+		if (!request.isRelayed) {
+			parts.retryBudget(request.service.name).recordRequest();
+		}
+
 		try {
 			while (!this.#isEnded) {
 				const prepared = this.#takeNext() ?? await (this.#isInterrupted ? this.#awaitNext() : this.#prepareNext());
@@ -280,23 +306,32 @@
 	async #prepareNext(): Promise<PreparedAttempt | undefined> {
 		const now = this.parts.clock();
 		const choice = this.#choose(now);
-		if (choice.kind === 'refused') {
-			this.#failOrAwait(choice.failure);
-			return undefined;
-		}
+		switch (choice.kind) {
+			case 'refused': {
+				this.#failOrAwait(choice.failure);
+				return undefined;
+			}
 
-		const prepared = await this.#prepare(choice.choice, now);
-		if (prepared.kind === 'refused') {
-			this.#sends++;
-			this.#continueAfter(choice.choice, prepared.result);
-			return undefined;
-		}
+			case 'host': {
+				return choice;
+			}
+
+			case 'server': {
+				const prepared = await this.#prepare(choice.choice, now);
+				if (prepared.kind === 'prepared') {
+					return prepared.attempt;
+				}
 
-		return prepared.attempt;
+				this.#sends++;
+				this.#continueAfter({...choice, memory: undefined, placedAt: now}, prepared.result);
+				return undefined;
+			}
+		}
 	}
 
 	/**
-	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, and takes its token of the retry budget.
+	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, or through another host if this one has no
+	 * path to the servers, and takes its token of the retry budget.
 	 * `runs` counts the attempts that may have run or are running.
 	 */
 	async #prepareAnother(runs: number, exclusions: ReadonlyArray<ReadonlySet<string>>): Promise<HandOver | undefined> {
@@ -305,17 +340,16 @@
 		try {
 			const now = this.parts.clock();
 			hasToken = canRunAgain({...this.#retryState(now), runs}) && budget.tryRetry();
-			const choice = hasToken ? this.#chooseAnother(exclusions, now) : undefined;
-			const prepared = choice && await this.#prepare(choice, now);
-			if (prepared?.kind === 'prepared') {
+			const another = hasToken ? await this.#prepareChoice(this.#chooseAnother(exclusions, now), now) : undefined;
+			if (another) {
 				hasToken = false;
 				return {
 					accept: () => {
-						this.#next = prepared.attempt;
+						this.#next = another;
 					},
 					discard: () => {
 						budget.giveBack();
-						this.#close(prepared.attempt);
+						this.#close(another);
 					},
 				};
 			}
@@ -330,40 +364,59 @@
 		return undefined;
 	}
 
-	/** Returns a server that can be expected to respond before the client leaves. */
-	#chooseAnother(exclusions: ReadonlyArray<ReadonlySet<string>>, now: number): ServerChoice | undefined {
+	async #prepareChoice(choice: Exclude<NextChoice, {kind: 'refused'}> | undefined, now: number): Promise<PreparedAttempt | undefined> {
+		if (choice?.kind !== 'server') {
+			return choice;
+		}
+
+		const prepared = await this.#prepare(choice.choice, now);
+		return prepared.kind === 'prepared' ? prepared.attempt : undefined;
+	}
+
+	/** Returns a server that can be expected to respond before the client leaves, or a host that relays the request. */
+	#chooseAnother(exclusions: ReadonlyArray<ReadonlySet<string>>, now: number): Exclude<NextChoice, {kind: 'refused'}> | undefined {
 		const {parts, request} = this;
 		if (parts.quarantine.findRefused(this.#subjects, now)) {
 			return undefined;
 		}
 
+		const host = this.#chooseHost(now);
+		if (host !== undefined || parts.relay.isNeeded) {
+			return host;
+		}
+
 		for (const excluded of exclusions) {
 			const choice = this.#chooseServer(excluded, now);
 			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
-				return choice;
+				return {kind: 'server', choice};
 			}
 		}
 
 		return undefined;
 	}
 
+	/**
+	 * Returns a host that relays the request, if this one seems to have no path to the servers. A request that another host relays through
+	 * this one is never relayed further.
+	 */
+	#chooseHost(now: number): Extract<NextChoice, {kind: 'host'}> | undefined {
+		const {parts, request} = this;
+		const hasNoPath = parts.relay.isNeeded || this.#unconnectedServers >= MAX_UNCONNECTED_SERVERS;
+		const address = request.isRelayed || !hasNoPath || this.#relayAddresses.size >= MAX_RELAY_TRIES
+			? undefined
+			: parts.relay.chooseAddress((host, failureDomain) => !this.#relayAddresses.has(host) && isAllowedDomain(parts, request, failureDomain), now);
+		return address === undefined ? undefined : {kind: 'host', address};
+	}
+
 	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
 		return chooseServer(this.parts, this.request, {excluded, count: this.#choices++}, now);
 	}
 
 	/** Records an attempt, and ends the request unless another attempt follows. */
-	#continueAfter(choice: ServerChoice, result: AttemptResult): void {
+	#continueAfter(prepared: PreparedAttempt, result: AttemptResult): void {
 		const next: NextStep = this.#next ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
-			const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
-			this.#excluded.add(faultyServer.id);
-			if (result.outcome.kind === 'broken' && !this.#next) {
-				this.#broken.add(faultyServer.id);
-			}
-
-			this.#record(() => {
-				this.#recordAttempt(choice, result, faultyServer, next.kind);
-			});
+			this.#recordPrepared(prepared, result, next.kind);
 		}
 
 		if (next.kind !== 'deliver' || this.#isEnded) {
@@ -395,7 +448,7 @@
 					message: next.reason,
 					ran: next.ran,
 					step: 'send',
-					peer: choice.server.instanceId,
+					peer: prepared.kind === 'server' ? prepared.choice.server.instanceId : prepared.address,
 					retryAfterMs: next.ran === 'not_run' ? this.#retryAdviceMs({kind: 'full'}, this.parts.clock()) : undefined,
 				});
 				if (next.isExpired) {
@@ -407,15 +460,58 @@
 		}
 	}
 
-	#choose(now: number): {readonly kind: 'chosen'; readonly choice: ServerChoice} | {readonly kind: 'refused'; readonly failure: Failure} {
+	#recordPrepared(prepared: PreparedAttempt, result: AttemptResult, next: string): void {
+		switch (prepared.kind) {
+			case 'server': {
+				const {choice} = prepared;
+				const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
+				this.#excluded.add(faultyServer.id);
+				if (result.outcome.kind === 'broken' && !this.#next) {
+					this.#broken.add(faultyServer.id);
+				}
+
+				this.#record(() => {
+					this.#recordAttempt(choice, result, faultyServer, next);
+				});
+				break;
+			}
+
+			case 'host': {
+				this.#record(() => {
+					this.#recordRelay(prepared.address, result, next);
+				});
+				break;
+			}
+		}
+	}
+
+	#choose(now: number): NextChoice {
 		const {parts, request} = this;
 		const refused = parts.quarantine.findRefused(this.#subjects, now);
 		if (refused) {
 			return {kind: 'refused', failure: this.#quarantineFailure(refused)};
 		}
 
-		const choice = this.#chooseServer(this.#excluded, now);
 		const ran = this.#runs === 0 ? 'not_run' : 'unknown';
+		const host = this.#chooseHost(now);
+		if (host) {
+			return host;
+		}
+
+		if (parts.relay.isNeeded) {
+			return {
+				kind: 'refused',
+				failure: failure({
+					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
+					message: `this host has no path to the backend servers${request.isRelayed ? ' either' : ', and no other host relays the request'}`,
+					ran,
+					step: 'reserve',
+					retryAfterMs: this.#retryAdviceMs({kind: 'full'}, now),
+				}),
+			};
+		}
+
+		const choice = this.#chooseServer(this.#excluded, now);
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
 			return {
@@ -445,7 +541,7 @@
 			};
 		}
 
-		return {kind: 'chosen', choice};
+		return {kind: 'server', choice};
 	}
 
 	#quarantineFailure({subject: id, remainingMs}: RefusedSubject): Failure {
@@ -483,12 +579,20 @@
 			parts.loadExchange.openPlacement(choice.placement, placedAt);
 		});
 		if (choice.reserved.length === 0) {
-			return {kind: 'prepared', attempt: {choice, memory: undefined, placedAt}};
+			return {
+				kind: 'prepared', attempt: {
+					kind: 'server', choice, memory: undefined, placedAt,
+				},
+			};
 		}
 
 		const acquired = await MemoryReservation.acquire({orders: parts.memoryOrders, clock: parts.clock, logger: parts.logger}, request.id, choice.reserved);
 		if (acquired.kind === 'reserved') {
-			return {kind: 'prepared', attempt: {choice, memory: acquired.reservation, placedAt}};
+			return {
+				kind: 'prepared', attempt: {
+					kind: 'server', choice, memory: acquired.reservation, placedAt,
+				},
+			};
 		}
 
 		this.#closePlacement(choice);
@@ -501,7 +605,7 @@
 	}
 
 	#close(prepared: PreparedAttempt | undefined, isAnswered = false): void {
-		if (prepared) {
+		if (prepared?.kind === 'server') {
 			this.#closePlacement(prepared.choice, isAnswered);
 			void prepared.memory?.release();
 		}
@@ -515,22 +619,21 @@
 
 	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
 	async #attempt(prepared: PreparedAttempt): Promise<void> {
-		const {choice} = prepared;
 		let result: AttemptResult | undefined;
 		try {
 			if (this.#isEnded) {
 				return;
 			}
 
-			result = await this.#send(prepared);
+			result = await (prepared.kind === 'server' ? this.#send(prepared) : this.#relay(prepared.address));
 		} finally {
 			this.#close(prepared, result !== undefined && hasRun(result.outcome));
 		}
 
-		this.#continueAfter(choice, result);
+		this.#continueAfter(prepared, result);
 	}
 
-	async #send({choice, memory, placedAt}: PreparedAttempt): Promise<AttemptResult> {
+	async #send({choice, memory, placedAt}: ServerAttempt): Promise<AttemptResult> {
 		const {parts, request} = this;
 		this.#sends++;
 		this.#server = choice.server.instanceId;
@@ -544,24 +647,65 @@
 			considered: choice.considered,
 			send: this.#sends,
 		});
+		const result = await this.#run({kind: 'server', choice, memory}, {
+			silenceTimeoutMs: this.#silenceTimeoutMs(choice.expectedMs),
+			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, [new Set([...this.#excluded, choice.server.id])]),
+			onConnected() {
+				parts.relay.recordConnected(parts.clock());
+			},
+			onMetadata: metadata => {
+				this.#recordMetadata(choice.server, metadata, placedAt);
+			},
+			onEvent: events => {
+				this.#recordEvents(choice, events);
+			},
+		});
+		this.#receivedSends += result.isUnsent ? 0 : 1;
+		this.#record(() => {
+			this.#reportSubjects(choice, result, parts.clock());
+		});
+		return result;
+	}
+
+	async #relay(address: string): Promise<AttemptResult> {
+		const {parts, request} = this;
+		this.#relayAddresses.add(address);
+		this.#server = address;
+		parts.logger.info('relayed', {request: request.id, host: address, try: this.#relayAddresses.size});
+		return this.#run({kind: 'host', address}, {
+			silenceTimeoutMs: RELAY_SILENCE_FACTOR * this.#silenceTimeoutMs(0),
+			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, [this.#excluded]),
+			onConnected: ignore,
+			onMetadata: ignore,
+			onEvent: ignore,
+		});
+	}
+
+	/** Runs an attempt. The callbacks after `prepareHandOver` are for records that the answer does not depend on. */
+	async #run(target: AttemptTarget, {
+		silenceTimeoutMs, prepareHandOver, onConnected, onMetadata, onEvent,
+	}: Pick<AttemptOptions, 'silenceTimeoutMs' | 'prepareHandOver' | 'onConnected' | 'onMetadata' | 'onEvent'>): Promise<AttemptResult> {
+		const {parts, request} = this;
 		this.#running = Attempt.start({
-			memory,
 			wire: parts.wire,
 			clock: parts.clock,
 			request,
-			choice,
+			target,
 			sink: this.#response,
 			buffers: parts.buffers,
-			silenceTimeoutMs: this.#silenceTimeoutMs(choice),
-			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, [new Set([...this.#excluded, choice.server.id])]),
+			silenceTimeoutMs,
+			prepareHandOver,
+			onConnected: () => {
+				this.#record(onConnected);
+			},
 			onMetadata: metadata => {
 				this.#record(() => {
-					this.#recordMetadata(choice.server, metadata, placedAt);
+					onMetadata(metadata);
 				});
 			},
 			onEvent: events => {
 				this.#record(() => {
-					this.#recordEvents(choice, events);
+					onEvent(events);
 				});
 			},
 			onError: err => {
@@ -571,10 +715,6 @@
 		const result = await this.#running.result;
 		this.#running = undefined;
 		this.#runs += result.mayHaveRun ? 1 : 0;
-		this.#receivedSends += result.isUnsent ? 0 : 1;
-		this.#record(() => {
-			this.#reportSubjects(choice, result, parts.clock());
-		});
 		return result;
 	}
 
@@ -604,10 +744,10 @@
 		}
 	}
 
-	#silenceTimeoutMs(choice: ServerChoice): number {
+	#silenceTimeoutMs(expectedMs: number): number {
 		const {route} = this.request;
 		return route.kind.kind === 'stream'
-			? Math.max(STREAM_SILENCE_SHARE * clientSilenceLimitMs(route), EXPECTED_TIME_FACTOR * choice.expectedMs)
+			? Math.max(STREAM_SILENCE_SHARE * clientSilenceLimitMs(route), EXPECTED_TIME_FACTOR * expectedMs)
 			: NON_STREAM_SILENCE_TARGETS * route.targetLatencyMs;
 	}
 
@@ -664,7 +804,7 @@
 	/** Records the outcome in the health of the server at fault. */
 	#recordAttempt(choice: ServerChoice, result: AttemptResult, faultyServer: BackendServer, next: string): void {
 		const {parts, request} = this;
-		const {outcome, lostReason} = result;
+		const {outcome, lostReason, isNotConnected} = result;
 		const isSuccess = outcome.kind === 'answered' && outcome.status < 500;
 		const now = parts.clock();
 		if (!result.isBlameless) {
@@ -675,7 +815,13 @@
 			parts.partitions.record(faultyServer.failureDomain, choice.server.failureDomain, now);
 		}
 
-		if (lostReason !== undefined) {
+		if (isNotConnected) {
+			this.#unconnectedServers++;
+			parts.relay.recordNotConnected(faultyServer, now);
+		}
+
+		// If this host may have no path to the servers, its failure to connect says nothing about this one.
+		if (lostReason !== undefined && !parts.relay.isPathDoubtful) {
 			this.#excludeLost(faultyServer, lostReason, now);
 		}
 
@@ -697,6 +843,16 @@
 		}
 	}
 
+	#recordRelay(address: string, {outcome, events}: AttemptResult, next: string): void {
+		const {parts, request} = this;
+		if (outcome.kind === 'rejected' || outcome.kind === 'broken') {
+			parts.relay.skip(address, parts.clock());
+			parts.logger.warn('relay_failed', {
+				request: request.id, host: address, outcome: outcome.kind, reason: outcome.reason, events, next,
+			});
+		}
+	}
+
 	/** Excludes a server here and at the other daemons, which would otherwise each lose a request to find out the same. */
 	#excludeLost({id, instanceId}: BackendServer, lostReason: 'moved' | 'refused', now: number): void {
 		const {fleet, loadExchange, logger} = this.parts;
@@ -740,6 +896,8 @@
 	}
 }
 
+function ignore(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
+
 function stopFailure(reason: StopReason, ran: 'not_run' | 'unknown'): {readonly code: FailureCode; readonly message: string} {
 	switch (reason.kind) {
 		case 'shutdown': {
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -47,7 +47,7 @@
 /** Returns the server for the next attempt, or undefined if none can take the request. */
 export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count}: EarlierChoices, now: number): ServerChoice | undefined {
 	const servers = parts.fleet.usableServers(request.service.name, now)
-		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedRegion(parts, request, server));
+		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedDomain(parts, request, server.failureDomain));
 	const id = `${request.id}#${count}`;
 	const targetMs = request.arrivedAt + request.route.targetLatencyMs - now;
 	const {engine} = request.service;
@@ -65,13 +65,14 @@
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
 export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
 	const waits = parts.fleet.usableServers(request.service.name, now)
-		.filter(server => isAllowedRegion(parts, request, server))
+		.filter(server => isAllowedDomain(parts, request, server.failureDomain))
 		.map(server => waitMs(parts, request, server, now))
 		.filter(ms => ms > 0);
 	return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
-function isAllowedRegion(parts: ChoiceParts, {route, workspace}: GatewayRequest, {failureDomain}: BackendServer): boolean {
+/** Whether the regions that the route and the workspace name allow servers and hosts of a failure domain. */
+export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: GatewayRequest, failureDomain: string): boolean {
 	const region = parts.regionOf(failureDomain);
 	const isAllowed = (regions: readonly string[] | undefined): boolean => regions === undefined || (region !== undefined && regions.includes(region));
 	return isAllowed(route.regions) && isAllowed(workspace?.regions);
--- a/src/gateway/wire-format.ts
+++ b/src/gateway/wire-format.ts
@@ -32,6 +32,9 @@
 	readonly urgency: number | undefined;
 };
 
+/** What a daemon that relays a request is told in place of the client's own headers. */
+export type RelayInstructions = Pick<BackendInstructions, 'deadlineMs' | 'lastEventId'>;
+
 /** Metadata of a response from a backend server. */
 export type ResponseMetadata = {
 	readonly attemptId: string | undefined;
@@ -55,6 +58,8 @@
 	readClientMetadata(headers: IncomingHttpHeaders): ClientMetadata;
 	/** Returns the headers for the backend server, with names and values alternating, from the client's raw headers. */
 	backendHeaders(rawHeaders: readonly string[], instructions: BackendInstructions): readonly string[];
+	/** Returns the headers for a daemon that relays the request, with names and values alternating: those of the client, API key included. */
+	relayHeaders(rawHeaders: readonly string[], instructions: RelayInstructions): readonly string[];
 	readResponseMetadata(status: number, headers: HeaderFields): ResponseMetadata;
 	/** Returns the headers for the client, with names and values alternating. The caller sets length and framing. */
 	clientHeaders(headers: HeaderFields): readonly string[];
--- a/src/http/connection-headers.ts
+++ b/src/http/connection-headers.ts
@@ -1,7 +1,22 @@
 /** Connection-specific header fields, which are not forwarded (RFC 9110, section 7.6.1). */
 
+/** Largest request head in bytes. Exceeds the limits of configurations, which are unknown when a server is created. */
+export const MAX_HEADER_BYTES = 65_536;
+
+/** Marks a request that a host without a path to the backend servers sends through another one. Only read on the port for daemons. */
+export const RELAYED_FIELD = 'fireflyport-relayed';
+
 const HOP_BY_HOP_FIELDS = [
-	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+	RELAYED_FIELD,
+	'connection',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
 ];
 
 /**
--- a/src/store/replica-server.ts
+++ b/src/store/replica-server.ts
@@ -1,8 +1,14 @@
-/** Serves this daemon's copy of the store to its followers over tRPC. Calls are rare: one for each change. */
-import {createServer, type Server} from 'node:http';
+/**
+ * Serves other daemons: this daemon's copy of the store to its followers over tRPC, and requests that hosts without a path to the
+ * backend servers send on. These keep the bytes of the client's request, so they are plain HTTP with a mark.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {initTRPC} from '@trpc/server';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import {z} from 'zod';
+import {MAX_HEADER_BYTES, RELAYED_FIELD} from '../http/connection-headers.js';
 import {listen} from '../util/listen.js';
 import type {KindReplica} from './kind-replica.js';
 import {positionFields} from './replica-messages.js';
@@ -21,8 +27,21 @@
 export type ReplicaRouter = ReturnType<typeof createReplicaRouter>;
 
 export class ReplicaServer {
-	static async listen(host: string, port: number, replica: (kind: string) => KindReplica | undefined): Promise<ReplicaServer> {
-		const server = createServer(createHTTPHandler({router: createReplicaRouter(replica)}));
+	/** `handleRelayed` is called with requests that other hosts send on. */
+	static async listen(
+		host: string,
+		port: number,
+		replica: (kind: string) => KindReplica | undefined,
+		handleRelayed?: (req: IncomingMessage, res: ServerResponse) => void,
+	): Promise<ReplicaServer> {
+		const handleCall = createHTTPHandler({router: createReplicaRouter(replica)});
+		const server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true}, (req, res) => {
+			if (handleRelayed && req.headers[RELAYED_FIELD] !== undefined) {
+				handleRelayed(req, res);
+			} else {
+				handleCall(req, res);
+			}
+		});
 		await listen(server, {host, port});
 		return new ReplicaServer(server);
 	}
--- a/tests/bounded-output.test.ts
+++ b/tests/bounded-output.test.ts
@@ -23,7 +23,9 @@
 describe('bounded output', () => {
 	it('should drop lines and count them in the metrics while the reader of the output is stalled', async () => {
 		const output = BoundedOutput.create();
-		const metrics = GatewayMetrics.create({droppedLines: () => output.dropped, quarantinedParts: () => 0, limitedServers: () => 0});
+		const metrics = GatewayMetrics.create({
+			droppedLines: () => output.dropped, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false,
+		});
 		output.sink('first');
 		await vi.waitFor(() => {
 			expect(pendingWrites).toHaveLength(1);
--- a/tests/gateway-boundary.test.ts
+++ b/tests/gateway-boundary.test.ts
@@ -23,7 +23,9 @@
 beforeEach(async () => {
 	clockOffsetMs = 0;
 	flows = await FlowFixture.create({parts: {clock: () => monotonicMs() + clockOffsetMs}});
-	metrics = GatewayMetrics.create({droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0});
+	metrics = GatewayMetrics.create({
+		droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false,
+	});
 });
 
 afterEach(async () => {
