Answer pipelined requests during a planned stop, and say that the stop ended a request

What callers saw: a request that had been read behind another one on the same connection was dropped without an answer when the response to the first announced the end of the connection during a planned stop. A request whose time the stop had cut short got 504 `deadline_exceeded` long before its own deadline.

Cause: the decision to close the connection was made when a request began, whatever came behind it, and the deadline of the stop was taken for the client's.

Change: a response closes its connection only if no further request has been read behind it by the time its head is written; the last one does. The shortened deadline ends a request as the stop does: 503 if nothing was sent, 502 otherwise.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -13,6 +13,8 @@
 	/** Starts the requests that wait for an earlier one of the connection, or drops them. */
 	readonly waiting: Array<(turn: Turn) => void>;
 	lastRequest: IncomingMessage | undefined;
+	/** The response that has been told to close the connection, while a further request may still prevent that. */
+	closing: ServerResponse | undefined;
 	/** The response to `lastRequest` while that is open. */
 	lastResponse: ServerResponse | undefined;
 	/** Bytes received by the end of the last response. */
@@ -61,6 +63,12 @@
 			return 'dropped';
 		}
 
+		if (connection.closing && !connection.closing.headersSent) {
+			// This request has been read before its client was told that the connection closes.
+			connection.closing.removeHeader('connection');
+		}
+
+		connection.closing = undefined;
 		this.#keepOpenAsAnnounced(connection, res);
 		connection.lastRequest = req;
 		connection.lastResponse = res;
@@ -79,6 +87,19 @@
 			});
 	}
 
+	/** Closes the connection after a response, unless that has begun or a further request waits for it, whose response then does. */
+	closeAfter(req: IncomingMessage, res: ServerResponse): void {
+		const connection = this.#connections.get(req.socket);
+		if (res.headersSent || (connection && connection.waiting.length > 0)) {
+			return;
+		}
+
+		res.setHeader('connection', 'close');
+		if (connection) {
+			connection.closing = res;
+		}
+	}
+
 	/** Closes connections that wait for a further request. New ones, whose first request is on its way, stay open. */
 	async closeIdle(): Promise<void> {
 		// Runs after the bytes that have arrived are read.
@@ -105,7 +126,7 @@
 
 	#add(socket: Socket): void {
 		const connection: ClientConnection = {
-			socket, open: 0, waiting: [], lastRequest: undefined, lastResponse: undefined, bytesAtLastResponse: undefined, isClosing: false,
+			socket, open: 0, waiting: [], lastRequest: undefined, closing: undefined, lastResponse: undefined, bytesAtLastResponse: undefined, isClosing: false,
 		};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -95,14 +95,6 @@
 		res.end(body);
 	}
 
-	/** Makes the client use another connection for its next request, unless the response has begun. */
-	closeConnection(): void {
-		const {res} = this.request;
-		if (!res.headersSent) {
-			res.setHeader('connection', 'close');
-		}
-	}
-
 	/** Sends a failure, or closes the connection if a stream has begun. */
 	fail(failed: Failure, formatRetryAfter: (ms: number) => string): void {
 		const {res} = this.request;
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -20,6 +20,10 @@
 	/** Times on the monotonic clock, in ms. */
 	readonly arrivedAt: number;
 	readonly deadline: number;
+	/** The deadline is not that of the client and the route, since this daemon stops before. */
+	readonly isShortened: boolean;
+	/** Makes the client use another connection for its next request, if it can still be told. */
+	closeConnection(): void;
 };
 
 /** A stream's client disconnects after this time without an event, or after the multiples below of its targets if longer. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -160,7 +160,6 @@
 			isRelayed,
 			metadata: undefined,
 			deadline: arrivedAt + BODY_TIMEOUT_MS,
-			isShortened: false,
 			isOverdue: false,
 			state: {kind: 'reading', cancel() {}}, // eslint-disable-line @typescript-eslint/no-empty-function
 		};
@@ -203,7 +202,7 @@
 			body.release();
 		});
 		if (this.#phase.kind !== 'serving') {
-			res.setHeader('connection', 'close');
+			this.#connections.closeAfter(req, res);
 		}
 
 		const request = this.#admit(open, open.metadata, body.bytes);
@@ -217,7 +216,7 @@
 		open.deadline = request.deadline;
 		const result = await flow.run();
 		this.#recordResult(request, result);
-		if (open.isShortened && result.failure?.code === 'deadline_exceeded') {
+		if (result.stoppedBy === 'shutdown') {
 			this.#recordEndByStop({...describeOpenRequest(open, this.parts.clock()), phase: 'running'});
 		}
 	}
@@ -232,6 +231,7 @@
 		switch (open.state.kind) {
 			case 'reading': {
 				open.state.cancel(this.#stoppingFailure());
+				this.#recordEndByStop(description);
 				break;
 			}
 
@@ -240,8 +240,6 @@
 				break;
 			}
 		}
-
-		this.#recordEndByStop(description);
 	}
 
 	#recordEndByStop(description: ReturnType<typeof describeOpenRequest>): void {
@@ -356,7 +354,6 @@
 			return this.#stoppingFailure();
 		}
 
-		open.isShortened = deadline < ownDeadline;
 		const workspace = access.kind === 'workspace' ? access.workspace : undefined;
 		return {
 			req,
@@ -373,6 +370,10 @@
 			workspace,
 			arrivedAt,
 			deadline,
+			isShortened: deadline < ownDeadline,
+			closeConnection: () => {
+				this.#connections.closeAfter(req, res);
+			},
 		};
 	}
 
--- a/src/gateway/open-request.ts
+++ b/src/gateway/open-request.ts
@@ -20,8 +20,6 @@
 	readonly arrivedAt: number;
 	/** Time at which its owner gives it a final response at the latest. */
 	deadline: number;
-	/** The deadline is that of a planned stop, and earlier than the request's own. */
-	isShortened: boolean;
 	/** The deadline had passed at the last check. */
 	isOverdue: boolean;
 	state: OpenRequestState;
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -85,6 +85,8 @@
 	readonly firstEventMs?: number;
 	readonly longestGapMs?: number;
 	readonly failure?: Failure;
+	/** Set if the request was ended from outside. */
+	readonly stoppedBy?: StopReason['kind'];
 };
 
 /** An attempt at a server, whose placement is open and whose memory is reserved, or through another host. */
@@ -123,6 +125,7 @@
 	/** IP:PORT of the daemons that were asked to relay the request. */
 	readonly #relayAddresses = new Set<string>();
 	#unconnectedServers = 0;
+	#stoppedBy: StopReason['kind'] | undefined;
 	readonly #response: ClientResponse;
 	readonly #result: Promise<FlowResult>;
 	#resolve!: (result: FlowResult) => void;
@@ -163,7 +166,7 @@
 			this.#leave();
 		} else {
 			this.#deadlineTimer = setTimeout(() => {
-				this.stop({kind: 'overdue'}, clock());
+				this.stop({kind: request.isShortened ? 'shutdown' : 'overdue'}, clock());
 			}, timerDelay(request.deadline - clock()));
 			void this.#runToEnd();
 		}
@@ -181,10 +184,11 @@
 		}
 
 		const running = this.#running;
+		this.#stoppedBy = reason.kind;
 		try {
 			const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
 			if (reason.kind === 'shutdown') {
-				this.#response.closeConnection();
+				this.request.closeConnection();
 			}
 
 			this.#fail(failure({
@@ -217,7 +221,7 @@
 		if (!this.#isEnded) {
 			this.#isEnded = true;
 			clearTimeout(this.#deadlineTimer);
-			this.#resolve(this.#relayAddresses.size === 0 ? result : {...result, hosts: this.#relayAddresses.size});
+			this.#resolve({...result, hosts: this.#relayAddresses.size === 0 ? undefined : this.#relayAddresses.size, stoppedBy: this.#stoppedBy});
 		}
 	}
 
