Keep the numbers of a configuration within named ranges

What callers and operators saw: with `slots` of an engine of 1e308, a daemon stopped answering anything, as the choice of a server takes a step for each free slot and never ended. With a latency or gap target beyond the range of timers, the timer for silent servers fired at once and ended each stream and request. With a weight of 0 for all services of a route, the last one got its requests. One version of 1e308 kept all later ones from taking effect. A timeout, target, number of attempts or limit of 0 or below made the whole version unreadable, so its other routes, services and keys were not applied.

Cause: the decoder checked some signs and passed everything else on; each reader had to cope with any number.

The decoder now limits each number once to a named range and reports the field, the given and the used value, which is logged as `configuration_adjusted` once per version. `decodeConfiguration` takes a listener for this.

--- a/tests/decoders.test.ts
+++ b/tests/decoders.test.ts
@@ -16,6 +16,8 @@
 import {createLogger} from '../src/util/logger.js';
 import {platformConfiguration} from './fixtures/gateway-fixture.js';
 
+const ignoreAdjustment = (): void => undefined;
+
 const RUNS = {numRuns: 500};
 
 /** JSON values in which one part of a valid value has been replaced. */
@@ -143,7 +145,7 @@
 
 	it('should decode a configuration to usable routes or refuse it', () => {
 		fc.assert(fc.property(withOneReplacedPart(platformConfiguration(7)), value => {
-			const configuration = decodeOrRefuse(() => decodeConfiguration({name: 'main', revision: 1, value}));
+			const configuration = decodeOrRefuse(() => decodeConfiguration({name: 'main', revision: 1, value}, ignoreAdjustment));
 			if (configuration && !(configuration instanceof Error)) {
 				expect(Number.isFinite(configuration.version)).toBe(true);
 				expect(configuration.limits.idleTimeoutMs).toBeGreaterThan(0);
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -11,6 +11,8 @@
 
 const root = path.resolve(import.meta.dirname, '..');
 
+const ignoreAdjustment = (): void => undefined;
+
 const settings = {
 	node: 'front-braga-1',
 	ip: '10.1.0.40',
@@ -79,14 +81,14 @@
 
 describe('configuration', () => {
 	it('should be decoded to internal units and request kinds', () => {
-		const decoded = decodeConfiguration(storedObject(platformConfiguration(7), 'main'))!;
+		const decoded = decodeConfiguration(storedObject(platformConfiguration(7), 'main'), ignoreAdjustment)!;
 		expect(decoded.version).toBe(7);
 		expect(decoded.routes.map(({kind}) => kind)).toEqual([
 			{kind: 'idempotent'}, {kind: 'non_idempotent'}, {kind: 'stream', resumable: true, gapTargetMs: 200}, {kind: 'stream', resumable: false, gapTargetMs: 200},
 		]);
 		expect(decoded.services[1]!.engine).toMatchObject({prefillTokensPerMs: 256, memoryTokens: engineFields['kv-capacity-tokens'], stepsPerPass: 46});
-		expect(decodeConfiguration(storedObject(platformConfiguration(7), 'another'))).toBeUndefined();
-		expect(() => decodeConfiguration(storedObject({version: 'x'}, 'main'))).toThrow();
+		expect(decodeConfiguration(storedObject(platformConfiguration(7), 'another'), ignoreAdjustment)).toBeUndefined();
+		expect(() => decodeConfiguration(storedObject({version: 'x'}, 'main'), ignoreAdjustment)).toThrow();
 	});
 
 	it('should match the route with the longest path prefix, and map a credential to its workspace', () => {
@@ -95,7 +97,7 @@
 				...platformConfiguration(1).routes[0], name: 'deep', 'path-prefix': '/look/deep/', anonymous: true,
 			}],
 		};
-		const table = RouteTable.create(decodeConfiguration(storedObject(platformConfiguration(1, overrides), 'main'))!);
+		const table = RouteTable.create(decodeConfiguration(storedObject(platformConfiguration(1, overrides), 'main'), ignoreAdjustment)!);
 		expect(table.match('desk.example:80', '/look/deep/x')!.name).toBe('deep');
 		expect(table.match('desk.example', '/look/x')!.name).toBe('look');
 		expect(table.match('desk.example', '/loo')).toBeUndefined();
