--- a/tests/gateway-boundary.test.ts
+++ b/tests/gateway-boundary.test.ts
@@ -35,7 +35,7 @@
 });
 
 async function start(parts: Partial<GatewayParts> = {}): Promise<void> {
-	const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1})!);
+	const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1}, () => undefined)!);
 	port = await freePort();
 	gateway = await Gateway.listen(`127.0.0.1:${port}`, {
 		...flows.parts, metrics, maxBufferedBodyBytes: 1_000_000, routeTable: () => table, ...parts,
@@ -59,7 +59,7 @@
 
 describe('exceptions around a request', () => {
 	it('should answer a request when its route cannot be looked up', async () => {
-		const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1})!);
+		const table = RouteTable.create(decodeConfiguration({name: 'main', value: platformConfiguration(3), revision: 1}, () => undefined)!);
 		table.match = fail;
 		await start({routeTable: () => table});
 		connection.write(rawRequest('/look/x', 'routed'));
