Keep crashes of several requests apart, and count a part's crashes by request

A crash counts for the request with more crashes; the best founded request is decided first; crashes of accused requests say nothing about chance, and answers of the five seconds before the first crash do. Crashes of a found request stay as evidence about its parts. A part that accused requests may explain needs three requests, a first part four and time to be cleared.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -32,6 +32,10 @@
 const LONG_CLEARING_MS = 2500;
 /** One request may meet several ordinary crashes, since it is retried. */
 const MIN_REQUESTS = 2;
+/** The same where requests that crash servers by themselves may explain the crashes. */
+const MIN_REQUESTS_IF_DOUBTFUL = 3;
+/** The same for the first part of a prompt, which such requests are likely to share. */
+const MIN_REQUESTS_IF_FIRST = 4;
 /** Crashed runs of one request that count for its parts: those of one attempt of its client. */
 const MAX_RUNS_PER_REQUEST = 2;
 /** Crashes within this time in ms have a common cause, such as a failure domain without power, and count once. */
@@ -43,6 +47,8 @@
 const MAX_CHANCE_OF_REQUEST = 1e-3;
 /** Time in ms for which crashes and written answers are remembered; the crashes of one subject may come minutes apart. */
 const MEMORY_MS = 600_000;
+/** Time in ms before the first crash of a request for which begun answers show how seldom crashes are. */
+const CALM_MS = 5000;
 /** Length of the periods in ms over which begun answers are counted. */
 const START_PERIOD_MS = 250;
 /** Bounds on the memory of the evidence. */
@@ -99,7 +105,9 @@
 	readonly #soundTimes = new Map<string, number>();
 	/** Latest crash of each subject that is remembered. */
 	readonly #crashTimes = new Map<string, number>();
-	/** Number of begun answers by period, while there are crashes. */
+	/** Requests that were found to crash servers and whose crashes are remembered. */
+	readonly #foundRequests = new Set<string>();
+	/** Number of begun answers by period, oldest first. */
 	readonly #starts = new Map<number, number>();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
@@ -129,9 +137,10 @@
 
 	/** Records that any server has begun an answer. */
 	recordStart(now: number): void {
-		if (this.#crashes.size > 0) {
-			const period = Math.floor(now / START_PERIOD_MS);
-			this.#starts.set(period, (this.#starts.get(period) ?? 0) + 1);
+		const period = Math.floor(now / START_PERIOD_MS);
+		this.#starts.set(period, (this.#starts.get(period) ?? 0) + 1);
+		if (this.#crashes.size === 0 && this.#starts.size > CALM_MS / START_PERIOD_MS) {
+			this.#starts.delete(this.#starts.keys().next().value!);
 		}
 	}
 
@@ -144,19 +153,22 @@
 	removeCrashesWith(subject: string, now: number): void {
 		const suspicions = this.#suspicions(now);
 		const explained = suspicions.find(suspicion => suspicion.subject === subject);
-		const alsoLikely = new Set(explained ? suspicions.filter(other => other !== explained && isLikelyBeside(other, explained)).map(other => other.subject) : []);
+		const alsoLikely = new Set(explained ? suspicions.filter(other => isLikelyBeside(other, explained)).map(other => other.subject) : []);
+		if (isRequest(subject)) {
+			this.#foundRequests.add(subject);
+		}
+
 		for (const [server, {runs}] of this.#crashes) {
 			if (![...runs.values()].some(({subjects}) => subjects.includes(subject))) {
 				continue;
 			}
 
-			for (const [request, run] of runs) {
-				const remaining = run.subjects.filter(id => id !== subject);
-				const isExplained = remaining.length < run.subjects.length && !isRequest(subject);
-				if (isExplained || !remaining.some(id => alsoLikely.has(id))) {
+			for (const [request, {subjects, whole}] of runs) {
+				// The runs of a found request remain, since one of its parts may be the reason.
+				const isOwn = whole === subject;
+				const isExplained = !isRequest(subject) && subjects.includes(subject);
+				if (!isOwn && (isExplained || !subjects.some(id => alsoLikely.has(id)))) {
 					runs.delete(request);
-				} else {
-					runs.set(request, {...run, subjects: remaining});
 				}
 			}
 
@@ -170,9 +182,10 @@
 	findCrashing(now: number): string | undefined {
 		this.#dropOld(now);
 		const suspicions = this.#suspicions(now);
-		return suspicions.find(suspicion => isRequest(suspicion.subject)
-			? this.#judgeRequest(suspicion, suspicions, now).kind === 'crashing'
-			: hasEnoughCrashes(suspicion.crashes) && this.#isProvenPart(suspicion, suspicions, now))?.subject;
+		const requests = suspicions.filter(({subject}) => isRequest(subject) && !this.#foundRequests.has(subject)).sort((a, b) => b.crashes.size - a.crashes.size);
+		const found = requests.find(suspicion => this.#judgeRequest(suspicion, suspicions, now).kind === 'crashing')
+			?? suspicions.find(suspicion => !isRequest(suspicion.subject) && hasEnoughCrashes(suspicion.crashes) && this.#isProvenPart(suspicion, suspicions, now));
+		return found?.subject;
 	}
 
 	/** What the evidence says about the request `subject` at this moment. */
@@ -247,12 +260,12 @@
 			return {kind: crashCount < MIN_CRASHES_OF_SUSPECT ? 'none' : 'suspect'};
 		}
 
-		const ownSubjects = new Set([...crashes.keys()].flatMap(({runs}) => [...runs.values()].filter(run => run.subjects.includes(subject)).flatMap(run => run.subjects)));
-		const stronger = suspicions.filter(other => !ownSubjects.has(other.subject) && other.crashes.size > crashes.size
-			&& (isRequest(other.subject) || countRequests(other.crashes) >= MIN_REQUESTS));
-		const unexplained = causes(withoutCrashesOf(crashes, stronger));
+		const ownSubjects = new Set([...crashes.keys()].flatMap(({runs}) => [...runs.values()].filter(run => run.whole === subject).flatMap(run => run.subjects)));
+		const others = suspicions.filter(other => !ownSubjects.has(other.subject) && (isRequest(other.subject) || countRequests(other.crashes) >= MIN_REQUESTS));
+		const unexplained = causes(withoutCrashesOf(crashes, others.filter(other => isStronger(other.crashes, crashes))));
 		const decidingCause = unexplained[MIN_CRASHES - 1];
-		if (decidingCause === undefined || this.#chance(subject, crashes, unexplained.length) > MAX_CHANCE_OF_REQUEST) {
+		const accused = others.filter(other => isAccusedRequest(other));
+		if (decidingCause === undefined || this.#chance({subject, crashes}, {runs: unexplained.length, since: firstCrashAt(crashes) - CALM_MS, accused}) > MAX_CHANCE_OF_REQUEST) {
 			return {kind: 'suspect'};
 		}
 
@@ -268,17 +281,24 @@
 		const likelier = others.filter(other => isLikelier(other, suspicion));
 		const crashes = withoutCrashesOf(suspicion.crashes, likelier.filter(other => countRequests(other.crashes) >= MIN_REQUESTS));
 		const runs = [...crashes.values()].flat().length;
-		if (!hasEnoughCrashes(crashes) || this.#chance(subject, crashes, runs) > (isKnown ? MAX_CHANCE_IF_KNOWN : MAX_CHANCE)) {
+		if (!hasEnoughCrashes(crashes) || this.#chance({subject, crashes}, {runs, since: firstCrashAt(crashes), accused: []}) > (isKnown ? MAX_CHANCE_IF_KNOWN : MAX_CHANCE)) {
 			return false;
 		}
 
 		const rivals = others.filter(other => isKnown || !other.isKnown);
-		const hasRivalRequest = suspicions.some(other => isRequest(other.subject) && other.crashes.size >= MIN_CRASHES && mayExplain(crashes, [other]));
-		const isDoubtful = hasRivalRequest || mayExplain(crashes, rivals);
+		// Several requests that crash servers may share their first part, which sound requests share too.
+		const isFirst = suspicion.depth === 0;
+		const rivalRequests = suspicions.filter(other => isAccusedRequest(other));
+		const hasRivalRequests = mayExplain(crashes, rivalRequests);
+		if (countRequests(crashes) < (isFirst ? MIN_REQUESTS_IF_FIRST : (hasRivalRequests ? MIN_REQUESTS_IF_DOUBTFUL : MIN_REQUESTS))) {
+			return false;
+		}
+
+		const isDoubtful = isFirst || mayExplain(crashes, rivals);
 		const equalRivals = rivals.filter(other => !isLikelier(other, suspicion) && !isLikelier(suspicion, other) && mayExplain(crashes, [other]));
 		const hasLikelierRival = mayExplain(crashes, likelier);
-		const minCrashes = isKnown || hasRivalRequest || equalRivals.length > 0 || hasLikelierRival ? MIN_CRASHES_IF_DOUBTFUL : MIN_CRASHES;
-		const clearingMs = hasLikelierRival ? LONG_CLEARING_MS : CLEARING_MS;
+		const minCrashes = isKnown || hasRivalRequests || equalRivals.length > 0 || hasLikelierRival ? MIN_CRASHES_IF_DOUBTFUL : MIN_CRASHES;
+		const clearingMs = hasLikelierRival || (hasRivalRequests && isFirst) ? LONG_CLEARING_MS : CLEARING_MS;
 		const decidingCause = causes(crashes)[minCrashes - 1];
 		return decidingCause !== undefined
 			&& (!isDoubtful || now - decidingCause >= clearingMs)
@@ -286,20 +306,20 @@
 	}
 
 	/**
-	 * Probability that `runs` runs of a sound subject crashed by chance: the share of the other runs since its first crash that
-	 * crashed, to the power of its own runs. Adds one crash and one answer to the others, so that few of them prove little.
+	 * Probability that `runs` runs of a sound subject crashed by chance: the share of the other runs since `since` that crashed,
+	 * to the power of its own runs. Adds one crash and one answer to the others, so that few of them prove little.
 	 */
-	#chance(subject: string, crashes: ReadonlyMap<Crash, readonly string[]>, runs: number): number {
-		const firstAt = Math.min(...[...crashes.keys()].map(({at}) => at));
+	#chance({subject, crashes}: Pick<Suspicion, 'subject' | 'crashes'>, {runs, since, accused}: {readonly runs: number; readonly since: number; readonly accused: readonly Suspicion[]}): number {
 		let starts = 0;
 		for (const [period, count] of this.#starts) {
-			starts += (period + 1) * START_PERIOD_MS > firstAt ? count : 0;
+			starts += (period + 1) * START_PERIOD_MS > since ? count : 0;
 		}
 
 		let others = 0;
 		for (const crash of this.#crashes.values()) {
-			// Runs on a server that the subject may have crashed say nothing about the other servers.
-			others += crash.at >= firstAt && !crashes.has(crash) ? [...crash.runs.values()].filter(({subjects}) => !subjects.includes(subject)).length : 0;
+			// Runs on a server that the subject, or an accused one, may have crashed say nothing about the other servers.
+			const isOther = crash.at >= since && !crashes.has(crash) && !accused.some(other => other.crashes.has(crash));
+			others += isOther ? [...crash.runs.values()].filter(({subjects}) => !subjects.includes(subject)).length : 0;
 		}
 
 		return ((others + 1) / (others + starts + 2)) ** runs;
@@ -315,15 +335,13 @@
 		for (const [subject, at] of this.#crashTimes) {
 			if (now - at > MEMORY_MS) {
 				this.#crashTimes.delete(subject);
+				this.#foundRequests.delete(subject);
 			}
 		}
 
-		if (this.#crashes.size === 0) {
-			this.#starts.clear();
-		}
-
+		const startsMs = this.#crashes.size === 0 ? CALM_MS : MEMORY_MS;
 		for (const period of this.#starts.keys()) {
-			if (now - (period * START_PERIOD_MS) > MEMORY_MS) {
+			if (now - (period * START_PERIOD_MS) > startsMs) {
 				this.#starts.delete(period);
 			}
 		}
@@ -334,6 +352,8 @@
 
 const hasEnoughCrashes = (crashes: Suspicion['crashes']): boolean => crashes.size >= MIN_CRASHES && countRequests(crashes) >= MIN_REQUESTS;
 
+const firstCrashAt = (crashes: Suspicion['crashes']): number => Math.min(...[...crashes.keys()].map(({at}) => at));
+
 /** Times of the crashes without those that have a common cause with an earlier one. */
 function causes(crashes: ReadonlyMap<Crash, unknown>): readonly number[] {
 	const times: number[] = [];
@@ -349,15 +369,20 @@
 /** Whether part `a` is the likelier reason of a crash that part `b` may explain too: it was never written, or is shared by fewer requests. */
 const isLikelier = (a: Suspicion, b: Suspicion): boolean => a.isKnown === b.isKnown ? a.depth > b.depth : b.isKnown;
 
-/** Whether `other` remains a suspect although `explained` crashes servers: because of enough crashes, some of them on other servers. */
+/** Whether crashes `a` are the better evidence than crashes `b` where they overlap: more of them, or as many of which some are others. */
+const isStronger = (a: Suspicion['crashes'], b: Suspicion['crashes']): boolean =>
+	a.size > b.size || (a.size === b.size && [...a.keys()].some(crash => !b.has(crash)));
+
+const isAccusedRequest = ({subject, crashes}: Suspicion): boolean => isRequest(subject) && causes(crashes).length >= MIN_CRASHES;
+
+/** Whether a part remains a suspect although `explained` crashes servers: because of several requests that crashed others. */
 function isLikelyBeside(other: Suspicion, explained: Suspicion): boolean {
-	const otherCrashes = withoutCrashesOf(other.crashes, [explained]);
-	if (isRequest(other.subject)) {
-		return otherCrashes.size >= MIN_CRASHES_OF_SUSPECT;
+	const isLessLikely = !isRequest(explained.subject) && isLikelier(explained, other);
+	if (other === explained || isRequest(other.subject) || isLessLikely || !hasEnoughCrashes(other.crashes)) {
+		return false;
 	}
 
-	const isLessLikely = !isRequest(explained.subject) && isLikelier(explained, other);
-	return !isLessLikely && hasEnoughCrashes(other.crashes) && countRequests(otherCrashes) >= MIN_REQUESTS;
+	return countRequests(withoutCrashesOf(other.crashes, [explained])) >= MIN_REQUESTS;
 }
 
 const withoutCrashesOf = (crashes: Suspicion['crashes'], others: readonly Suspicion[]): Suspicion['crashes'] =>
