--- a/tests/known-red/one-final-answer.test.ts
+++ b/tests/one-final-answer.test.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {it} from 'vitest';
-import {playTroubles, sequenceArbitrary, type TroubleSequence} from '../fixtures/trouble-run.js';
+import {playTroubles, sequenceArbitrary, type TroubleSequence} from './fixtures/trouble-run.js';
 
 const RUNS_PER_SEED = 3;
 /** Time in which shorter sequences that fail are looked for; none are unless FIREFLYPORT_SHRINK_S is set. */
