Report an exception while limits are set apart from an unreadable configuration

What operators saw: `configuration_unreadable`, whose page says that the version before stays in force, although the new version was: its routes, services and keys had been taken over, its limits on clients had not.

Cause: one `try` spanned the decoding, the replacement of the route table and the call of its listener.

Decoding and building the table come first and can be refused as a whole; the table is then replaced by one assignment. An exception of the listener is logged as `configuration_limits_failed` with the version, and later versions still apply. `configuration_unreadable` is logged once per revision and not again at each list.

Before the change the new test failed: `condition did not hold within 5000 ms` for that line, as the version was called unreadable. Ruled out: a table that is half replaced, as `RouteTable.create` throws before the assignment; the second test, which passed before too, shows that the version in force stays whole.

--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -7,6 +7,7 @@
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import {ChangeFilter} from '../util/change-filter.js';
 import type {Clock} from '../util/clock.js';
+import {describeException} from '../util/describe-exception.js';
 import type {Logger} from '../util/logger.js';
 import type {PlatformAdapter} from './platform-adapter.js';
 import {RouteTable} from './route-table.js';
@@ -104,17 +105,35 @@
 	}
 
 	#applyConfiguration(object: KindObject): void {
+		const {logger} = this.options;
+		const table = this.#decodeNewer(object);
+		if (!table) {
+			return;
+		}
+
+		this.#routeTable = table;
+		const {version, configuration: {routes}} = table;
+		logger.info('configuration', {version, routes: routes.length, revision: object.revision});
+		try {
+			this.options.onConfiguration();
+		} catch (err) {
+			logger.error('configuration_limits_failed', {version, message: describeException(err)});
+		}
+	}
+
+	/** Returns the route table of a readable configuration that is newer than the one in force. */
+	#decodeNewer(object: KindObject): RouteTable | undefined {
 		const {adapter, logger} = this.options;
 		try {
 			const configuration = adapter.decodeConfiguration(object);
 			// A delayed response may contain an older version than the one in force.
-			if (configuration && configuration.version > (this.#routeTable?.version ?? -Infinity)) {
-				this.#routeTable = RouteTable.create(configuration);
-				this.options.onConfiguration();
-				logger.info('configuration', {version: configuration.version, routes: configuration.routes.length, revision: object.revision});
-			}
+			return configuration && configuration.version > (this.#routeTable?.version ?? -Infinity) ? RouteTable.create(configuration) : undefined;
 		} catch (err) {
-			logger.error('configuration_unreadable', {name: object.name, revision: object.revision, message: String(err)});
+			if (this.#unreadable.isChanged(`configuration ${object.name}`, String(object.revision))) {
+				logger.error('configuration_unreadable', {name: object.name, revision: object.revision, message: String(err)});
+			}
+
+			return undefined;
 		}
 	}
 
@@ -173,7 +192,7 @@
 		} catch (err) {
 			// The entry names no server any more. One that is there writes it again with its next heartbeat.
 			fleet.unregister(object.name, now);
-			if (this.#unreadable.isChanged(object.name, String(object.revision))) {
+			if (this.#unreadable.isChanged(`server ${object.name}`, String(object.revision))) {
 				logger.warn('server_unreadable', {name: object.name, revision: object.revision, message: err instanceof Error ? err.message : String(err)});
 			}
 		}
--- /dev/null
+++ b/tests/fleet-feeds.test.ts
@@ -0,0 +1,79 @@
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {createAdapter} from '../platform/adapter.js';
+import {ServerHealth} from '../src/fleet/server-health.js';
+import {FleetView} from '../src/fleet/fleet-view.js';
+import {ServerLimits} from '../src/fleet/server-limits.js';
+import {FleetFeeds} from '../src/gateway/fleet-feeds.js';
+import {monotonicMs} from '../src/util/clock.js';
+import {createLogger} from '../src/util/logger.js';
+import {StoreStandIn} from '../testing/stand-ins/platform/store-stand-in.js';
+import {platformConfiguration} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
+
+let store: StoreStandIn;
+let logs: string[];
+let failures: number;
+let applied: number[];
+let feeds: FleetFeeds;
+
+beforeEach(async () => {
+	store = await StoreStandIn.create();
+	store.put('config', 'main', platformConfiguration(3));
+	logs = [];
+	failures = 0;
+	applied = [];
+	const logger = createLogger('info', {}, line => {
+		logs.push(line);
+	});
+	const adapter = createAdapter(store.address, 'front-1', logger);
+	feeds = FleetFeeds.start({
+		adapter,
+		store: adapter.store,
+		fleet: FleetView.create(5000),
+		health: ServerHealth.create(),
+		limits: ServerLimits.create(),
+		clock: monotonicMs,
+		logger,
+		watchWaitMs: 500,
+		pauseMs: () => 20,
+		retryMs: () => 600,
+		onRestored: () => undefined,
+		onConfiguration() {
+			if (failures > 0) {
+				failures--;
+				throw new TypeError('the listener is broken');
+			}
+
+			applied.push(feeds.routeTable!.version);
+		},
+	});
+	await waitUntil(() => applied.includes(3));
+});
+
+afterEach(async () => {
+	feeds.close();
+	await store.close();
+});
+
+describe('new configurations', () => {
+	it('should not be called unreadable when the listener of an applied one throws', async () => {
+		failures = 1;
+		store.put('config', 'main', platformConfiguration(4));
+		await waitUntil(() => failures === 0);
+		await waitUntil(() => logs.some(line => line.includes('event=configuration_limits_failed version=4')));
+		expect(feeds.routeTable!.version).toBe(4);
+		expect(logs.join('\n')).toMatch(/event=configuration version=4/v);
+		expect(logs.join('\n')).not.toContain('configuration_unreadable');
+		store.put('config', 'main', platformConfiguration(5));
+		await waitUntil(() => applied.includes(5));
+	});
+
+	it('should stay in force as a whole while a later one cannot be read', async () => {
+		store.put('config', 'main', {...platformConfiguration(4), routes: [{}]});
+		await waitUntil(() => logs.some(line => line.includes('event=configuration_unreadable')));
+		expect(feeds.routeTable!.version).toBe(3);
+		expect(feeds.routeTable!.match('desk.example', '/look/x')).toBeDefined();
+	});
+});
