Let the delivery of configurations go on after an exception

Polls of other daemons were already covered by their `try`.

An exception is logged as `configuration_delivery_failed` and makes the round a failed one, with the usual back-off.

Before the change the new test failed for the watcher, with `expected [ 2, 3, 3 ] to deeply equal [ 3, 3, 3 ]` and the exception as an unhandled rejection, and passed for a daemon that polls.

--- a/src/configuration/configuration-delivery.ts
+++ b/src/configuration/configuration-delivery.ts
@@ -8,6 +8,7 @@
 import type {ConfigurationPollAnswer, PeerService} from '../peer/protocol.js';
 import {Backoff} from '../util/backoff.js';
 import type {Clock} from '../util/clock.js';
+import {describeException} from '../util/describe-exception.js';
 import {pause} from '../util/pause.js';
 import {withTimeLimit} from '../util/time-limit.js';
 import {applyDelta} from './configuration-delta.js';
@@ -94,9 +95,9 @@
 
 	async #run(): Promise<void> {
 		const {signal} = this.#closed;
-		await this.#bootstrap();
+		await this.#runOrLog(async () => this.#bootstrap());
 		while (!signal.aborted) {
-			if (await this.#runRound()) {
+			if (await this.#runOrLog(async () => this.#runRound())) {
 				this.#backoff.reset();
 			} else {
 				await pause(this.#backoff.nextMs(), signal);
@@ -104,6 +105,16 @@
 		}
 	}
 
+	/** Returns false after an exception, which must not end the delivery. */
+	async #runOrLog(run: () => Promise<boolean>): Promise<boolean> {
+		try {
+			return await run();
+		} catch (err) {
+			this.options.log('configuration_delivery_failed', {message: describeException(err)});
+			return false;
+		}
+	}
+
 	/**
 	 * Runs one round. Returns false when the loop has to back off: after a failure, or when a source responded immediately
 	 * without a newer version, which would otherwise make the loop spin.
--- a/tests/configuration-delivery.test.ts
+++ b/tests/configuration-delivery.test.ts
@@ -204,4 +204,18 @@
 		const version = domain.objectApi.put(CONFIGURATION_KEY, changedConfiguration());
 		await domain.waitForVersion(domain.ids, version);
 	});
+
+	it.each([0, 2])('should go on after an exception of a listener of new configurations, as daemon %d of 3', async index => {
+		const domain = startDomain(3);
+		const {ids} = domain;
+		await domain.waitForVersion(ids, 1);
+		const unsubscribe = domain.daemons.get(ids[index]!)!.store.onChange(() => {
+			throw new TypeError('the listener is broken');
+		});
+		domain.objectApi.put(CONFIGURATION_KEY, sampleConfiguration());
+		await domain.waitForVersion(ids, 2);
+		unsubscribe();
+		domain.objectApi.put(CONFIGURATION_KEY, sampleConfiguration());
+		await domain.waitForVersion(ids, 3);
+	});
 });
