Tell a crashing request from one that met the same crashes

Both were on the same three crashed engines, since both were sent on to the same best server twice; their evidence was equal.

Of several requests with the same crashes, the first by name is now sent alone for up to 4 s, the others are held back: an answer clears it, a further crash shows that it is the reason. The new test failed before: expected [ 'held', 'held' ] to deeply equal [ 'suspect', 'held' ].

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -28,7 +28,9 @@
 const MIN_CRASHES_OF_SUSPECT = 2;
 /** Time in ms after which answers that are being written have cleared the other subjects of the crashed requests. */
 const CLEARING_MS = 1500;
-/** The same where a part that is shared by fewer requests may be the reason. */
+/** Time in ms for which one of several requests with the same crashes is sent alone, which clears it or shows that it is the reason. */
+const SEPARATION_MS = 4000;
+/** The clearing time where a part that is shared by fewer requests may be the reason. */
 const LONG_CLEARING_MS = 2500;
 /** One request may meet several ordinary crashes, since it is retried. */
 const MIN_REQUESTS = 2;
@@ -269,7 +271,12 @@
 			return {kind: 'suspect'};
 		}
 
-		const remainingMs = decidingCause + CLEARING_MS - now;
+		const equals = others.filter(other => isRequest(other.subject) && isSameCrashes(other.crashes, crashes)).map(other => other.subject);
+		if (equals.length > 0 && equals.every(other => subject < other) && now - decidingCause < SEPARATION_MS) {
+			return {kind: 'suspect'};
+		}
+
+		const remainingMs = decidingCause + (equals.length > 0 ? SEPARATION_MS : CLEARING_MS) - now;
 		return remainingMs > 0 ? {kind: 'held', remainingMs} : {kind: 'crashing'};
 	}
 
@@ -375,6 +382,8 @@
 
 const isAccusedRequest = ({subject, crashes}: Suspicion): boolean => isRequest(subject) && causes(crashes).length >= MIN_CRASHES;
 
+const isSameCrashes = (a: Suspicion['crashes'], b: Suspicion['crashes']): boolean => a.size === b.size && [...a.keys()].every(crash => b.has(crash));
+
 /** Whether a part remains a suspect although `explained` crashes servers: because of several requests that crashed others. */
 function isLikelyBeside(other: Suspicion, explained: Suspicion): boolean {
 	const isLessLikely = !isRequest(explained.subject) && isLikelier(explained, other);
--- a/tests/crash-evidence.test.ts
+++ b/tests/crash-evidence.test.ts
@@ -139,6 +139,33 @@
 		expect(evidence.judgeRequest('request-d', 4001).kind).toBe('none');
 	});
 
+	it('should tell a crashing request from one that met the same crashes beside it', () => {
+		for (const [crashing, sound] of [['request-a', 'request-b'], ['request-b', 'request-a']] as const) {
+			const evidence = CrashEvidence.create();
+			for (let at = 0; at < 2000; at += 20) {
+				evidence.recordStart(at);
+			}
+
+			for (let index = 0; index < 3; index++) {
+				evidence.recordCrash({server: `i-${index}`, request: `c-${index}`, subjects: [crashing]}, 2000 + (index * 200));
+				evidence.recordCrash({server: `i-${index}`, request: `s-${index}`, subjects: [sound]}, 2000 + (index * 200));
+			}
+
+			expect(['request-a', 'request-b'].map(subject => evidence.judgeRequest(subject, 2400).kind)).toEqual(['suspect', 'held']);
+			expect(evidence.findCrashing(4200)).toBeUndefined();
+			if (sound === 'request-a') {
+				evidence.recordSound(sound, 4200);
+			} else {
+				evidence.recordCrash({server: 'i-3', request: 'c-3', subjects: [crashing]}, 2700);
+			}
+
+			expect(evidence.findCrashing(4300)).toBe(crashing);
+			evidence.removeCrashesWith(crashing, 4300);
+			expect(evidence.judgeRequest(sound, 4300).kind).toBe('none');
+			expect(evidence.findCrashing(6500)).toBeUndefined();
+		}
+	});
+
 	it('should not take the parts of one repeated request for the reason of its crashes', () => {
 		const evidence = CrashEvidence.create();
 		for (let index = 0; index < 40; index++) {
