Look for the path to the servers until it is found

What callers saw: after an outage of all servers in which their registrations ended as well, all hosts refused everything for good.

Cause: the probe of a lost path ended when no server was registered at one moment, and nothing else can end that state. The probe now runs for as long as the path is lost.

--- a/src/relaying/path-probe.ts
+++ b/src/relaying/path-probe.ts
@@ -9,7 +9,9 @@
 const CONNECT_TIMEOUT_MS = 400;
 
 export type PathProbeOptions = {
-	/** The server to connect to next; undefined if no probe is needed or no server is known. */
+	/** Whether further probes are needed. */
+	isNeeded(): boolean;
+	/** The server to connect to next; undefined while none is known. */
 	nextServer(): BackendServer | undefined;
 	onConnected(): void;
 	onNotConnected(server: BackendServer): void;
@@ -27,7 +29,7 @@
 
 	private constructor(private readonly options: PathProbeOptions) {}
 
-	/** Probes until `nextServer` returns none. Does nothing if it is already probing. */
+	/** Probes for as long as that is needed. Does nothing if it is already probing. */
 	start(): void {
 		if (!this.#isRunning) {
 			this.#isRunning = true;
@@ -41,25 +43,32 @@
 
 	async #run(): Promise<void> {
 		const {signal} = this.#controller;
-		const {nextServer, onConnected, onNotConnected, onError} = this.options;
-		for (;;) {
+		const {isNeeded, onError} = this.options;
+		while (!signal.aborted && isNeeded()) {
 			await pause(PROBE_INTERVAL_MS, signal);
-			const server = signal.aborted ? undefined : nextServer();
-			if (!server) {
-				this.#isRunning = false;
-				return;
-			}
-
 			try {
-				if (await canConnect(server.address)) {
-					onConnected();
-				} else if (!signal.aborted) {
-					onNotConnected(server);
-				}
+				await this.#probe(signal);
 			} catch (err) {
 				onError(err);
 			}
 		}
+
+		this.#isRunning = false;
+	}
+
+	async #probe(signal: AbortSignal): Promise<void> {
+		const {nextServer, onConnected, onNotConnected} = this.options;
+		const server = signal.aborted ? undefined : nextServer();
+		if (!server) {
+			return;
+		}
+
+		const isConnected = await canConnect(server.address);
+		if (isConnected) {
+			onConnected();
+		} else if (!signal.aborted) {
+			onNotConnected(server);
+		}
 	}
 }
 
--- a/src/relaying/request-relay.ts
+++ b/src/relaying/request-relay.ts
@@ -37,7 +37,8 @@
 	private constructor(private readonly options: RequestRelayOptions) {
 		const {clock} = options;
 		this.#probe = PathProbe.create({
-			nextServer: () => this.#path.isLost ? this.#randomServer(clock()) : undefined,
+			isNeeded: () => this.#path.isLost,
+			nextServer: () => this.#randomServer(clock()),
 			onConnected: () => {
 				this.recordConnected(clock());
 			},
@@ -75,7 +76,7 @@
 		return host && this.#addressOf(host);
 	}
 
-	/** Leaves out for a short time a daemon that could not be reached or refused a request. */
+	/** Leaves out for a short time a daemon that could not be reached or broke off. */
 	skip(address: string, now: number): void {
 		this.#hosts.skip(address.split(':')[0]!, now);
 	}
--- a/tests/hosts-without-servers.test.ts
+++ b/tests/hosts-without-servers.test.ts
@@ -119,6 +119,21 @@
 		expect(fleet.arrivals).toEqual([]);
 	});
 
+	it('should serve again after a time in which no server was registered', async () => {
+		fleet = await RelayFleet.create({cuttable: 3, servers: SERVERS.slice(0, 3)});
+		await Promise.all([0, 1, 2].map(async daemon => loseServerPath(daemon)));
+		const registrations = fleet.members.map(({store}) => fleet.removeServers(store));
+		await delay(1000);
+		await Promise.all([0, 1, 2].map(async daemon => fleet.restore(daemon)));
+		for (const putBack of registrations) {
+			putBack();
+		}
+
+		await Promise.all([0, 1, 2].map(async daemon => fleet.waitForLog(daemon, 'event=server_path_regained')));
+		const responses = await Promise.all([0, 1, 2].map(async daemon => fleet.send(daemon, '/look/x')));
+		expect(responses.map(({status}) => status)).toEqual([200, 200, 200]);
+	});
+
 	it('should continue a stream through another host when the cut breaks it', async () => {
 		fleet = await RelayFleet.create({
 			cuttable: 1, servers: [...SERVERS.slice(0, 3), ...['m-1', 'm-2', 'm-3'].map(instance => ({
