Run a relayed request on no more servers than its route allows

What servers saw: a client attempt at a host without a path to the servers ran on four servers where two are allowed (up to nine with three).

Cause: each relaying host used the attempts of the route, and the first host counted a relay as one. A relaying host now makes one run, and the first host repeats.

--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -143,6 +143,11 @@
 		return this.#runs > 0 || (this.#running?.mayHaveRun ?? false);
 	}
 
+	/** The host that a relayed request came from counts each relay as one run. */
+	get #maxRuns(): number {
+		return this.request.isRelayed ? 1 : this.request.route.maxAttempts;
+	}
+
 	/** What can be said of the attempts that have ended. */
 	get #ran(): 'not_run' | 'unknown' {
 		return this.#runs === 0 ? 'not_run' : 'unknown';
@@ -490,7 +495,7 @@
 		const {route, deadline, service} = this.request;
 		return {
 			kind: route.kind,
-			maxAttempts: this.parts.quarantine.allowsRetry(this.#subjects, now) ? route.maxAttempts : this.#runs,
+			maxAttempts: this.parts.quarantine.allowsRetry(this.#subjects, now) ? this.#maxRuns : this.#runs,
 			runs: this.#runs,
 			sends: this.#sends,
 			receivedSends: this.#receivedSends,
--- a/tests/hosts-without-servers.test.ts
+++ b/tests/hosts-without-servers.test.ts
@@ -134,6 +134,17 @@
 		expect(responses.map(({status}) => status)).toEqual([200, 200, 200]);
 	});
 
+	it('should run a relayed request on no more servers than its route allows', async () => {
+		fleet = await RelayFleet.create({cuttable: 1, servers: ['d-1', 'd-2', 'd-3', 'd-4', 'd-5', 'd-6'].map(instance => ({service: 'desk', instance}))});
+		await loseServerPath(0);
+		for (const server of fleet.servers) {
+			server.injectFaults(...Array.from({length: 8}, () => ({kind: 'break'} as const)));
+		}
+
+		await fleet.send(0, '/look/x', {id: 'failing'});
+		expect(fleet.arrivals.filter(id => id === 'failing').length).toBeLessThanOrEqual(2);
+	});
+
 	it('should continue a stream through another host when the cut breaks it', async () => {
 		fleet = await RelayFleet.create({
 			cuttable: 1, servers: [...SERVERS.slice(0, 3), ...['m-1', 'm-2', 'm-3'].map(instance => ({
