Ask a relaying host again that refused another request

What callers saw: one request that the other hosts refused, for want of servers of its service or since it is quarantined, took the relay from all other requests of a cut host for a second: 10 of 10 got 503.

Cause: a refusal was taken for a host that can't relay. Only a host that can't be reached or breaks off is left out now; a refused request itself asks other hosts.

--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -136,10 +136,13 @@
 	}
 
 	/** Records that the daemon of another host did not answer a request. */
-	recordRelay(address: string, {outcome, events}: AttemptResult, next: string): void {
+	recordRelay(address: string, {outcome, events, isNotConnected}: AttemptResult, next: string): void {
 		const {parts, request} = this;
-		if (outcome.kind === 'rejected' || outcome.kind === 'broken') {
+		if (isNotConnected === true || outcome.kind === 'broken') {
 			parts.relay.skip(address, parts.clock());
+		}
+
+		if (outcome.kind === 'rejected' || outcome.kind === 'broken') {
 			parts.logger.warn('relay_failed', {
 				request: request.id, host: address, outcome: outcome.kind, reason: outcome.reason, events, next,
 			});
--- a/tests/hosts-without-servers.test.ts
+++ b/tests/hosts-without-servers.test.ts
@@ -145,6 +145,14 @@
 		expect(fleet.arrivals.filter(id => id === 'failing').length).toBeLessThanOrEqual(2);
 	});
 
+	it('should relay sound requests beside some that the other hosts refuse', async () => {
+		fleet = await RelayFleet.create({cuttable: 1, servers: SERVERS.slice(0, 3)});
+		await loseServerPath(0);
+		const refused = await fleet.send(0, '/chat/x', {headers: promptHeaders(500)});
+		const served = await Promise.all(Array.from({length: 10}, async () => fleet.send(0, '/look/x')));
+		expect([refused, ...served].map(({status}) => status)).toEqual([503, ...served.map(() => 200)]);
+	});
+
 	it('should continue a stream through another host when the cut breaks it', async () => {
 		fleet = await RelayFleet.create({
 			cuttable: 1, servers: [...SERVERS.slice(0, 3), ...['m-1', 'm-2', 'm-3'].map(instance => ({
