Answer all whole pipelined requests before bytes that are no request

What callers saw: of two pipelined requests followed by other bytes, only the first was answered ('expected [ 200 ] to deeply equal [ 200, 200 ]'). The connection now closes behind the last request that was read whole.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -30,11 +30,9 @@
 
 /** Status lines for errors of Node's HTTP parser, which reports them before there is a request. */
 const STATUS_LINES: Readonly<Record<string, string>> = {
-
 	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
 	HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-
 };
 
 export class ClientConnections {
@@ -141,7 +139,8 @@
 		const {socket, waiting} = connection;
 		connection.open--;
 		connection.bytesAtLastResponse = socket.bytesRead;
-		if (connection.isClosing) {
+		const wholeRequests = waiting.length - (connection.lastRequest?.complete === false ? 1 : 0);
+		if (connection.isClosing && wholeRequests <= 0) {
 			socket.destroySoon();
 		}
 
