--- a/src/gateway/open-request.ts
+++ b/src/gateway/open-request.ts
@@ -25,10 +25,10 @@
 	state: OpenRequestState;
 };
 
-/** What the log tells of an open request that is not ended by its owner. `answered`: its response waits for the client to read. */
 /** Id of a request in logs. */
 export const requestId = ({metadata}: OpenRequest): string => metadata?.attemptId ?? 'none';
 
+/** What the log tells of an open request that is not ended by its owner. `answered`: its response waits for the client to read. */
 export function describeOpenRequest(open: OpenRequest, now: number): {
 	readonly request: string; readonly phase: 'reading' | 'running' | 'answered'; readonly sent: boolean; readonly server: string | undefined; readonly age_ms: number;
 } {
