Recognise a crashing request by its host instead of the name of its route

While a configuration spreads or renames a route, daemons gave the same request different identities, so that its crashes were counted apart and its quarantine ended. The rule names path, caller and body.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -362,7 +362,7 @@
 			id: metadata.attemptId ?? 'none',
 			metadata,
 			identity: RequestIdentity.create({
-				route: route.name, method: req.method!, path: req.url!, workspace: workspace?.name, body,
+				host: req.headers.host ?? '', method: req.method!, path: req.url!, workspace: workspace?.name, body,
 			}),
 			body,
 			isRelayed,
--- a/src/quarantine/request-identity.ts
+++ b/src/quarantine/request-identity.ts
@@ -1,11 +1,12 @@
-/** Identity that a request shares with its repeats: the same route, method, path with query, caller and body. */
+/** Identity that a request shares with its repeats: the same host, method, path with query, caller and body. */
 import {createHash} from 'node:crypto';
 
 /** Hexadecimal digits of a digest; 128 bits exclude collisions. */
 const DIGEST_DIGITS = 32;
 
 export type RequestIdentityFields = {
-	readonly route: string;
+	/** Host that the client named. Routes may be renamed, and differ between daemons while a configuration spreads. */
+	readonly host: string;
 	readonly method: string;
 	/** Path with query. */
 	readonly path: string;
@@ -26,9 +27,9 @@
 	/** Computed when it is first needed, since bodies may be long. */
 	get digest(): string {
 		const {
-			route, method, path, workspace, body,
+			host, method, path, workspace, body,
 		} = this.fields;
-		this.#digest ??= createHash('sha256').update(JSON.stringify([route, method, path, workspace])).update(body).digest('hex').slice(0, DIGEST_DIGITS);
+		this.#digest ??= createHash('sha256').update(JSON.stringify([host.toLowerCase(), method, path, workspace])).update(body).digest('hex').slice(0, DIGEST_DIGITS);
 		return this.#digest;
 	}
 }
