Count simultaneous crashes of one request each by itself

What servers saw: copies of a crashing request that came together crashed their servers within 100 ms, which counted as one crash. In bursts of four every 4 s, eight sends came later than 3 s after the third crash; the bound is three.

Cause: crashes within 100 ms were taken for one cause, such as a failure domain without power. That is so only where servers that did not have the request crash in the same moment.

Before: 'expected 8 to be less than or equal to 3', 16 and 12 for larger bursts. The simulated fleets (crash-evidence, 36 tests with their neighbours) pass.

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -257,14 +257,14 @@
 	}
 
 	#judgeRequest({subject, crashes}: Suspicion, suspicions: readonly Suspicion[], now: number): RequestFinding {
-		const crashCount = causes(crashes).length;
+		const crashCount = this.#requestCauses(crashes, crashes).length;
 		if (crashCount < MIN_CRASHES) {
 			return {kind: crashCount < MIN_CRASHES_OF_SUSPECT ? 'none' : 'suspect'};
 		}
 
 		const ownSubjects = new Set([...crashes.keys()].flatMap(({runs}) => [...runs.values()].filter(run => run.whole === subject).flatMap(run => run.subjects)));
 		const others = suspicions.filter(other => !ownSubjects.has(other.subject) && (isRequest(other.subject) || countRequests(other.crashes) >= MIN_REQUESTS));
-		const unexplained = causes(withoutCrashesOf(crashes, others.filter(other => isStronger(other.crashes, crashes))));
+		const unexplained = this.#requestCauses(withoutCrashesOf(crashes, others.filter(other => isStronger(other.crashes, crashes))), crashes);
 		const decidingCause = unexplained[MIN_CRASHES - 1];
 		const accused = others.filter(other => isAccusedRequest(other));
 		if (decidingCause === undefined || this.#chance({subject, crashes}, {runs: unexplained.length, since: firstCrashAt(crashes) - CALM_MS, accused}) > MAX_CHANCE_OF_REQUEST) {
@@ -280,6 +280,18 @@
 		return remainingMs > 0 ? {kind: 'held', remainingMs} : {kind: 'crashing'};
 	}
 
+	/**
+	 * Times of those of the crashes of a request, `own`, that may have causes of their own. Copies of a request that come together crash
+	 * their servers at once; where servers without it crash in the same moment, all have a common cause.
+	 */
+	#requestCauses(crashes: Suspicion['crashes'], own: Suspicion['crashes']): readonly number[] {
+		const others = [...this.#crashes.values()].filter(crash => !own.has(crash));
+		const isCommon = ({at}: Crash): boolean => others.some(other => Math.abs(other.at - at) < COMMON_CAUSE_MS);
+		const single = [...crashes.keys()].filter(crash => !isCommon(crash)).map(({at}) => at);
+		const common = causes(new Map([...crashes].filter(([crash]) => isCommon(crash))));
+		return [...single, ...common].sort((a, b) => a - b);
+	}
+
 	/** Whether the crashes that no likelier part explains are enough, not met by chance, and not doubtful any more. */
 	#isProvenPart(suspicion: Suspicion, suspicions: readonly Suspicion[], now: number): boolean {
 		const {subject, isKnown} = suspicion;
