--- a/tests/known-red/part-beside-request.test.ts
+++ b/tests/part-beside-request.test.ts
@@ -1,6 +1,6 @@
 import {expect, it} from 'vitest';
-import {lateSends, MAX_LATE_REQUESTS} from '../fixtures/crash-rules.js';
-import {calmScenario, simulateCrashes, type CrashScenario} from '../fixtures/crash-simulation.js';
+import {lateSends, MAX_LATE_REQUESTS} from './fixtures/crash-rules.js';
+import {calmScenario, simulateCrashes, type CrashScenario} from './fixtures/crash-simulation.js';
 
 const both: CrashScenario = {
 	...calmScenario, crashingRequests: ['d1'], crashingParts: ['dead-1'], clientAttempts: 3, soundRepeats: 5,
