--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -178,7 +178,7 @@
 		}
 
 		this.#requests = [...this.#ends.keys()].filter(id => isRequest(id)).length;
-		this.#log('quarantined', subject, {ms: Math.round(end - now)});
+		this.#logQuarantined(subject, Math.round(end - now));
 		this.options.publish({kind: 'quarantined', parts: [{part: subject, remainingMs: Math.round(end - now)}]});
 		return true;
 	}
@@ -273,16 +273,43 @@
 			if (end <= now) {
 				this.#ends.delete(subject);
 				this.#requests -= isRequest(subject) ? 1 : 0;
-				this.#log('released', subject);
+				this.#logReleased(subject);
 			}
 		}
 
 		this.#publishBatches(this.list(now).map(({subject, remainingMs}) => ({part: subject, remainingMs})), batch => ({kind: 'quarantined', parts: batch}));
 	}
 
-	#log(event: 'quarantined' | 'released', id: string, fields: {readonly ms?: number} = {}): void {
-		const {kind, ...subject} = parseSubject(id);
-		this.options.logger[event === 'quarantined' ? 'warn' : 'info'](`${kind}_${event}`, {...subject, ...fields});
+	#logQuarantined(id: string, ms: number): void {
+		const {logger} = this.options;
+		const subject = parseSubject(id);
+		switch (subject.kind) {
+			case 'part': {
+				logger.warn('part_quarantined', {part: subject.part, ms});
+				break;
+			}
+
+			case 'request': {
+				logger.warn('request_quarantined', {identity: subject.identity, ms});
+				break;
+			}
+		}
+	}
+
+	#logReleased(id: string): void {
+		const {logger} = this.options;
+		const subject = parseSubject(id);
+		switch (subject.kind) {
+			case 'part': {
+				logger.info('part_released', {part: subject.part});
+				break;
+			}
+
+			case 'request': {
+				logger.info('request_released', {identity: subject.identity});
+				break;
+			}
+		}
 	}
 
 	#publishBatches<T>(items: readonly T[], toMessage: (batch: readonly T[]) => QuarantineMessage): void {
