--- a/tests/part-beside-request.test.ts
+++ b/tests/part-beside-request.test.ts
@@ -14,6 +14,7 @@
 });
 
 it.each([
+	{...both, seed: 10},
 	{...both, seed: 15},
 	{...threeRequests, seed: 15},
 ])('should quarantine no sound subject beside several reasons of crashes (seed $seed)', scenario => {
