Describe exceptions, and advise clients of other daemons, in one place

describeException was written beside stackOf, with the same body, and two callers had it inline. The advice to try another daemon after 200 ms was a constant of the gateway and one of retry-advice.ts.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,6 +1,7 @@
 /** Parses a command line, runs its command and turns errors into messages and exit codes. */
 import {cac, type CAC} from 'cac';
 import type {ObjectApi} from '../object-api/object-api.js';
+import {stackOf} from '../util/stack-of.js';
 import {
 	CommandError, type CommandContext, type Command, type Io, type Output,
 } from './command.js';
@@ -158,7 +159,7 @@
 		return {exitCode: EXIT.usage, message: `${describeUsageError(err.message)}; run the command with --help for its flags`};
 	}
 
-	return {exitCode: EXIT.unavailable, message: `internal error: ${err instanceof Error ? err.stack ?? err.message : String(err)}; please report it together with the command line`};
+	return {exitCode: EXIT.unavailable, message: `internal error: ${stackOf(err)}; please report it together with the command line`};
 }
 
 /** Converts flags in messages of the parser from camel case to the kebab case that the user typed. */
--- a/src/configuration/configuration-delivery.ts
+++ b/src/configuration/configuration-delivery.ts
@@ -8,7 +8,7 @@
 import type {ConfigurationPollAnswer, PeerService} from '../peer/protocol.js';
 import {Backoff} from '../util/backoff.js';
 import type {Clock} from '../util/clock.js';
-import {describeException} from '../util/describe-exception.js';
+import {stackOf} from '../util/stack-of.js';
 import {pause} from '../util/pause.js';
 import {withTimeLimit} from '../util/time-limit.js';
 import {applyDelta} from './configuration-delta.js';
@@ -110,7 +110,7 @@
 		try {
 			return await run();
 		} catch (err) {
-			this.options.log('configuration_delivery_failed', {message: describeException(err)});
+			this.options.log('configuration_delivery_failed', {message: stackOf(err)});
 			return false;
 		}
 	}
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -8,6 +8,7 @@
 import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
+import {stackOf} from '../util/stack-of.js';
 import {errorBody, sendFailure, httpStatusOf} from '../http/error-response.js';
 import {createRequestContext, type RequestContext, type RequestHandler} from './request-context.js';
 import type {Lifecycle} from './lifecycle.js';
@@ -188,7 +189,7 @@
 	}
 
 	#handleUnexpectedError(context: RequestContext, err: unknown): Failure {
-		const message = err instanceof Error ? (err.stack ?? err.message) : String(err);
+		const message = stackOf(err);
 		this.options.logger.error('unexpected_error', {request: context.requestId, message});
 		if (context.res.headersSent) {
 			context.res.destroy();
--- a/src/fleet/daemon-registry.ts
+++ b/src/fleet/daemon-registry.ts
@@ -3,7 +3,7 @@
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import {ChangeFilter} from '../util/change-filter.js';
 import type {Clock} from '../util/clock.js';
-import {describeException} from '../util/describe-exception.js';
+import {stackOf} from '../util/stack-of.js';
 import {isHostAddress} from '../util/host-address.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
@@ -110,7 +110,7 @@
 			this.#isRegistered = await this.#register();
 			return await this.#refresh();
 		} catch (err) {
-			this.options.logger.error('registry_failed', {message: describeException(err)});
+			this.options.logger.error('registry_failed', {message: stackOf(err)});
 			return false;
 		} finally {
 			this.#finishFirstRead();
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -7,7 +7,7 @@
 import type {KindObject, KindStore} from '../store/kind-store.js';
 import {ChangeFilter} from '../util/change-filter.js';
 import type {Clock} from '../util/clock.js';
-import {describeException} from '../util/describe-exception.js';
+import {stackOf} from '../util/stack-of.js';
 import type {Logger} from '../util/logger.js';
 import type {PlatformAdapter} from './platform-adapter.js';
 import {RouteTable} from './route-table.js';
@@ -117,7 +117,7 @@
 		try {
 			this.options.onConfiguration();
 		} catch (err) {
-			logger.error('configuration_limits_failed', {version, message: describeException(err)});
+			logger.error('configuration_limits_failed', {version, message: stackOf(err)});
 		}
 	}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,14 +17,13 @@
 import {describeOpenRequest, requestId, type OpenRequest} from './open-request.js';
 import type {FlowParts} from './flow-parts.js';
 import {RequestFlow, type FlowResult} from './request-flow.js';
+import {OTHER_DAEMON_RETRY_MS} from './retry-advice.js';
 import {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
 import type {Route} from './serving-configuration.js';
 import {isTakenDuringStop, type StopPlan} from './stop-policy.js';
 import type {ClientMetadata} from './wire-format.js';
 
-/** Retry advice while a daemon has no configuration yet or is draining. Another daemon can serve the request. */
-const OTHER_DAEMON_RETRY_MS = 200;
 /**
  * Largest number of requests of other hosts that are relayed at the same time, several times what a host has open under full load.
  * Their bodies count towards the limit of this daemon's own.
--- a/src/gateway/retry-advice.ts
+++ b/src/gateway/retry-advice.ts
@@ -8,8 +8,8 @@
 
 /** A typical response ends and frees a slot in this time, in ms. */
 const SLOT_TIME_MS = 700;
-/** Another daemon can serve the request at once. */
-const OTHER_DAEMON_MS = 200;
+/** Retry advice in ms where another daemon can serve the request at once: this one stops, has no configuration yet or relays enough. */
+export const OTHER_DAEMON_RETRY_MS = 200;
 /** Registrations of restarted servers need about this time in ms. */
 const REGISTRATION_MS = 2000;
 /** Clients honour advice up to this share of the time that they have left. */
@@ -39,7 +39,7 @@
 function earliestMs(cause: RefusalCause): number {
 	switch (cause.kind) {
 		case 'shutdown': {
-			return OTHER_DAEMON_MS;
+			return OTHER_DAEMON_RETRY_MS;
 		}
 
 		case 'no_server': {
--- a/src/store/kind-feed.ts
+++ b/src/store/kind-feed.ts
@@ -4,7 +4,7 @@
  */
 import type {Clock} from '../util/clock.js';
 import {Backoff} from '../util/backoff.js';
-import {describeException} from '../util/describe-exception.js';
+import {stackOf} from '../util/stack-of.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {
@@ -111,7 +111,7 @@
 				position = position ? await this.#watch(position) : await this.#list();
 			} catch (err) {
 				position = undefined;
-				this.options.logger.error('feed_failed', {kind: this.options.kind, message: describeException(err)});
+				this.options.logger.error('feed_failed', {kind: this.options.kind, message: stackOf(err)});
 				await pause(this.#backoff.nextMs(), this.#interruption.signal);
 			}
 		}
@@ -201,7 +201,7 @@
 		} catch (err) {
 			const {name, revision} = event.kind === 'changed' ? event.object : {...event, revision: undefined};
 			logger.error('object_skipped', {
-				kind, object: name, revision, message: describeException(err),
+				kind, object: name, revision, message: stackOf(err),
 			});
 		}
 	}
