--- a/review/support/daemon.mjs
+++ b/review/support/daemon.mjs
@@ -89,7 +89,7 @@
 	}
 
 	signal(name) {
-		this.#child.kill(name);
+		this.#child?.kill(name);
 	}
 
 	/** Ends the process if it runs. */
--- a/review/support/deployment.mjs
+++ b/review/support/deployment.mjs
@@ -2,6 +2,7 @@
 import {mkdtempSync, rmSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {Daemon} from './daemon.mjs';
 import {PeerNetwork} from './peer-network.mjs';
 import {findFreePort} from './ports.mjs';
@@ -63,6 +64,16 @@
 			}));
 		}
 
+		for (const signal of ['SIGINT', 'SIGTERM']) {
+			process.once(signal, () => {
+				for (const daemon of deployment.daemons) {
+					daemon.signal('SIGKILL');
+				}
+
+				process.kill(process.pid, 'SIGKILL');
+			});
+		}
+
 		return deployment;
 	}
 
