Take engines that differ little in random order in a large fleet

Cause: all daemons rank engines alike and hear of each other's placements 5 to 45 ms late. Change: a random charge for each engine and placement, and a charge for decoding in another failure domain; equal plain servers at random. Only in fleets with relays.

--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -92,6 +92,11 @@
 		return this.#links.daemons;
 	}
 
+	/** Whether all daemons exchange messages directly; the daemons of a larger fleet hear of each other through relays. */
+	get isMesh(): boolean {
+		return this.#links.isMesh;
+	}
+
 	/** Number of daemons that read the store directly, as far as this daemon knows. */
 	get storeReaders(): number {
 		return this.#links.storeReaders;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -258,6 +258,7 @@
 			limits,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
+			placementSpread: () => loadExchange.isMesh ? undefined : random(),
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
 			memoryOrders: adapter.memoryOrders,
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -34,6 +34,8 @@
 	readonly limits: ServerLimits;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
+	/** Random number between 0 and 1 for an engine; undefined in a fleet whose daemons are few enough to hear of each other's placements at once. */
+	placementSpread(): number | undefined;
 	/** Region of a failure domain. */
 	regionOf(failureDomain: string): string | undefined;
 };
@@ -79,13 +81,18 @@
 }
 
 function choosePlainServer(
-	{placements, health, failureDomain}: ChoiceParts,
+	{
+		placements, health, failureDomain, placementSpread,
+	}: ChoiceParts,
 	servers: readonly BackendServer[],
 	{id, targetMs}: {readonly id: string; readonly targetMs: number},
 	now: number,
 ): ServerChoice | undefined {
 	const server = chooseLeastLoaded(servers.map(server => ({
-		server, requests: placements.entriesOn(server.id).length, isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
+		server,
+		requests: placements.entriesOn(server.id).length,
+		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
+		spread: placementSpread(),
 	})), failureDomain);
 	return server && {
 		server,
@@ -121,7 +128,11 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: waitMs(parts, gatewayRequest, server, now) > 0,
+		server,
+		entries: placements.entriesOn(server.id),
+		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
+		isAtLimit: waitMs(parts, gatewayRequest, server, now) > 0,
+		spread: parts.placementSpread(),
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -7,6 +7,9 @@
  * probability that the request itself is late, and with the probability that it makes streams and waiting prompts late.
  * Decoding in one batch costs little, so short prompts share engines and the other engines stay free for long prompts.
  *
+ * All daemons know the same placements but for the last ones, so dozens of daemons would choose the same engine at the same moment. The
+ * daemons of a large fleet therefore order engines that differ little at random (docs/design/placement-spread.md).
+ *
  * Examines every engine of the service. This is fast enough for the 60 engines in use now; with 1,400 engines the
  * candidates come from one pool (docs/CAPACITY.md).
  */
@@ -34,6 +37,18 @@
 const EMPTY_ENGINE_CHARGE = 0.05;
 const HELPER_CHARGE = 0.004;
 const OTHER_DOMAIN_CHARGE = 0.005;
+/**
+ * Range of the random charges by which daemons of a large fleet differ in their order of engines, as shares of the request's weight: larger
+ * than the charges that all daemons compute alike, so that simultaneous requests go to different engines, and smaller than the loss
+ * of a late event.
+ */
+const DECODE_SPREAD_CHARGE = 0.1;
+const PREFILL_SPREAD_CHARGE = 0.01;
+/**
+ * Charge of a large fleet for decoding in another failure domain, beyond the random one: the stream breaks when the failure domains are cut
+ * off from each other. A helper is needed for the prefill only and costs `OTHER_DOMAIN_CHARGE`.
+ */
+const DECODE_DOMAIN_CHARGE = 0.15;
 /** Share of an engine's free memory available to a prompt larger than one engine; the rest is kept for growing outputs. */
 const FREE_MEMORY_SHARE = 0.9;
 /** Charge for an engine that is cold or has failed recently, as a share of the request's weight. */
@@ -59,6 +74,8 @@
 	readonly isSuspect: boolean;
 	/** The engine takes no further request now; it may still help with others. */
 	readonly isAtLimit: boolean;
+	/** Random number between 0 and 1, by which simultaneous placements of a large fleet differ; undefined where daemons need not differ. */
+	readonly spread?: number;
 };
 
 export type GenerationPlacement = {
@@ -214,8 +231,11 @@
 const hasMemory = (request: GenerationRequest, forecast: ServerForecast, profile: EngineProfile): boolean =>
 	forecast.usedTokens + neededTokens(request) <= profile.memoryTokens;
 
+const isOwnDomain = (request: GenerationRequest, {server}: ForecastEngine): boolean => server.failureDomain === request.failureDomain;
+
 /** Expected loss that `partMs` of prefill on an engine causes for the requests that it already has. */
-function prefillCharge(request: GenerationRequest, {forecast, isSuspect}: ForecastEngine, partMs: number): number {
+function prefillCharge(request: GenerationRequest, engine: ForecastEngine, partMs: number): number {
+	const {forecast, isSuspect} = engine;
 	const {decoding, pending, passMs, backlogMs} = forecast;
 	let loss = 0;
 	for (const {weight, gapTargetMs} of decoding) {
@@ -230,15 +250,20 @@
 
 	// Among engines where no request loses, the one with the least work is preferred.
 	const load = (backlogMs + (decoding.length * partMs)) / Math.max(1, request.targetMs);
-	return loss + (request.weight * ((isSuspect ? SUSPECT_CHARGE : 0) + (HELPER_CHARGE * load)));
+	const spreadCharge = engine.spread === undefined
+		? 0
+		: (PREFILL_SPREAD_CHARGE * engine.spread) + (isOwnDomain(request, engine) ? 0 : OTHER_DOMAIN_CHARGE);
+	return loss + (request.weight * ((isSuspect ? SUSPECT_CHARGE : 0) + (HELPER_CHARGE * load) + spreadCharge));
 }
 
 /** Expected loss and tie-breaking charges of decoding the request on an engine. */
-function decodeCharge(request: GenerationRequest, {server, forecast}: ForecastEngine, profile: EngineProfile, concurrentPlacements: number): number {
+function decodeCharge(request: GenerationRequest, engine: ForecastEngine, profile: EngineProfile, concurrentPlacements: number): number {
+	const {forecast, spread} = engine;
 	const overflowLoss = LATE_LOSS_SHARE * overflowProbability(profile.slots - forecast.requests, concurrentPlacements);
 	const freeSlots = Math.max(0, 1 - (forecast.requests / profile.slots));
 	const freeSlotsCharge = (FREE_SLOTS_CHARGE * freeSlots) + (forecast.requests === 0 ? EMPTY_ENGINE_CHARGE : 0);
-	const otherDomainCharge = server.failureDomain === request.failureDomain ? 0 : OTHER_DOMAIN_CHARGE;
+	const otherDomainCharge = isOwnDomain(request, engine) ? 0 : (spread === undefined ? OTHER_DOMAIN_CHARGE : DECODE_DOMAIN_CHARGE);
+	const spreadCharge = spread === undefined ? 0 : DECODE_SPREAD_CHARGE * spread;
 	const waitMs = slotWaitMs(forecast, profile) + forecast.backlogMs + passAfterPrefillMs(forecast);
-	return request.weight * (overflowLoss + freeSlotsCharge + otherDomainCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)));
+	return request.weight * (overflowLoss + freeSlotsCharge + otherDomainCharge + spreadCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)));
 }
--- a/src/placement/least-loaded.ts
+++ b/src/placement/least-loaded.ts
@@ -1,4 +1,4 @@
-/** Chooses the least loaded server that is not suspect, and among equal ones, one in the daemon's own failure domain. */
+/** Chooses the least loaded server that is not suspect, and among equal ones, one in the daemon's own failure domain; equal ones of that at random in a large fleet. */
 import type {BackendServer} from '../fleet/backend-server.js';
 
 export type ServerCandidate = {
@@ -7,6 +7,8 @@
 	readonly requests: number;
 	/** The server is cold or has failed recently. */
 	readonly isSuspect: boolean;
+	/** Random number between 0 and 1, by which simultaneous choices of a large fleet differ; undefined where daemons need not differ. */
+	readonly spread?: number;
 };
 
 export function chooseLeastLoaded(candidates: readonly ServerCandidate[], failureDomain: string): BackendServer | undefined {
@@ -21,4 +23,5 @@
 const compare = (a: ServerCandidate, b: ServerCandidate, failureDomain: string): number =>
 	(Number(a.isSuspect) - Number(b.isSuspect))
 	|| ((a.requests / a.server.slots) - (b.requests / b.server.slots))
-	|| (Number(b.server.failureDomain === failureDomain) - Number(a.server.failureDomain === failureDomain));
+	|| (Number(b.server.failureDomain === failureDomain) - Number(a.server.failureDomain === failureDomain))
+	|| ((a.spread ?? 0) - (b.spread ?? 0));
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -1,8 +1,11 @@
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {describe, expect, it} from 'vitest';
 import type {BackendServer} from '../src/fleet/backend-server.js';
 import {PlacementTable, type Placement} from '../src/fleet/placement-table.js';
 import {prefillMs, decodingPassMs} from '../src/placement/engine-model.js';
 import {lateProbability, placeGeneration, type GenerationRequest} from '../src/placement/generation-placement.js';
+import {chooseLeastLoaded} from '../src/placement/least-loaded.js';
 import {forecastServer} from '../src/placement/server-forecast.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
 
@@ -45,6 +48,60 @@
 
 const participantsOf = (placed: ReturnType<typeof placeGeneration>): readonly string[] => [placed!.server.id, ...placed!.helpers.map(({id}) => id)];
 
+describe('spread of simultaneous placements', () => {
+	const placeAll = (spread?: () => number): ReadonlySet<string> => {
+		const placements = placementsWithShortPrompts(16, 1);
+		return new Set(Array.from({length: 12}, () => placeGeneration(shortPrompt, candidatesOf(placements).map(candidate => ({...candidate, spread: spread?.()})), profile, 100)!.server.id));
+	};
+
+	const seededRandom = (): () => number => {
+		const generator = xoroshiro128plus(7);
+		return () => uniformFloat64(generator);
+	};
+
+	it('should choose the same engine each time without a spread, as in a small fleet', () => {
+		expect(placeAll().size).toBe(1);
+	});
+
+	it('should choose different ones of equal engines with a spread', () => {
+		// Guards against daemons that have not heard of each other's placements yet and all choose one engine.
+		expect(placeAll(seededRandom()).size).toBeGreaterThanOrEqual(6);
+	});
+
+	it('should choose an engine of the own failure domain among equal ones with a spread', () => {
+		// Guards against streams that break because another failure domain is cut off.
+		const placements = PlacementTable.create();
+		const candidates = engines.map((server, index) => ({
+			server: {...server, failureDomain: index % 4 === 0 ? 'braga' : 'famalicao'}, entries: placements.entriesOn(server.id), isSuspect: false, isAtLimit: false,
+		}));
+		const random = seededRandom();
+		const placed = Array.from({length: 20}, () => placeGeneration(shortPrompt, candidates.map(candidate => ({...candidate, spread: random()})), profile, 0)!);
+		expect(new Set(placed.flatMap(({server, helpers}) => [server, ...helpers].map(({failureDomain}) => failureDomain)))).toEqual(new Set(['braga']));
+	});
+
+	it('should choose an engine of another failure domain when those of the own one make the request late', () => {
+		const placements = placementsWithShortPrompts(1, 8);
+		placements.open('other', placementOf('long', 'e-0', {prefillMs: 5000, weight: 217_800}), 0);
+		const candidates = engines.slice(0, 2).map((server, index) => ({
+			server: {...server, failureDomain: index === 0 ? 'braga' : 'famalicao'}, entries: placements.entriesOn(server.id), isSuspect: false, isAtLimit: false, spread: 0.5,
+		}));
+		expect(placeGeneration(shortPrompt, candidates, profile, 10)!.server.id).toBe('e-1');
+	});
+});
+
+describe('choice of a plain server', () => {
+	const candidate = (id: string, spread?: number) => ({
+		server: engine(id), requests: 2, isSuspect: false, spread,
+	});
+
+	it('should order equally loaded servers by their spread, and take the first without one', () => {
+		// Guards against daemons that all send to the first of several idle servers at the same moment.
+		expect(chooseLeastLoaded([candidate('e-1', 0.9), candidate('e-2', 0.1), candidate('e-3', 0.5)], 'braga')!.id).toBe('e-2');
+		expect(chooseLeastLoaded([candidate('e-1'), candidate('e-2')], 'braga')!.id).toBe('e-1');
+		expect(chooseLeastLoaded([{...candidate('e-1', 0.1), requests: 3}, candidate('e-2', 0.9)], 'braga')!.id).toBe('e-2');
+	});
+});
+
 describe('engine model', () => {
 	it('should compute the cost of a prompt and of a pass from the engine profile', () => {
 		// Prefill of 210,000 tokens takes 820.3 ms, plus 2,022 ms for attention over 22,050 million pairs.
--- a/tests/placement-load.test.ts
+++ b/tests/placement-load.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {overflowProbability} from '../src/placement/concurrent-placements.js';
-import {firstSiteProfile, grownSiteProfile} from './fixtures/engine-profiles.js';
+import {firstSiteProfile, grownSiteProfile, largeFleetProfile} from './fixtures/engine-profiles.js';
 import {
 	mergeResults, simulatePlacement, shareWithin, type PromptKind, type SimulationOptions, type SimulationResult,
 } from './fixtures/placement-simulation.js';
@@ -57,6 +57,26 @@
 	});
 });
 
+describe('placement by a large fleet', () => {
+	const kinds: readonly PromptKind[] = [
+		{
+			...chat, perSecond: 40, outputTokens: 1368, targetMs: 250, gapTargetMs: 250,
+		},
+		{...contract, perSecond: 4.6, outputTokens: 800},
+	];
+	/** Share of the requests of each route that the users of large fleets want on time in quiet hours. */
+	const MIN_ON_TIME_SHARE = 0.99;
+
+	it('should not place simultaneous requests of different daemons on the same engine', () => {
+		// Guards against 77 daemons that all prefer the same engine: 2% of the short prompts were late, though most engines were idle.
+		const result = mergeResults([1, 3].map(seed => simulatePlacement({
+			seed, durationMs: 8000, engines: 45, daemons: 77, profile: largeFleetProfile, messageDelay: {minMs: 5, maxMs: 45}, kinds, isSpread: true,
+		})));
+		expect(shareWithin(result.chat, 250)).toBeGreaterThanOrEqual(MIN_ON_TIME_SHARE);
+		expect(shareWithin(result.contract, contract.targetMs)).toBeGreaterThanOrEqual(MIN_LONGER_PROMPT_SHARE);
+	});
+});
+
 describe('overflow probability', () => {
 	it('should be 1 without a free slot, and decrease with more free slots and with a lower rate', () => {
 		expect(overflowProbability(0, 0.5)).toBe(1);
