--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -50,14 +50,15 @@
 const noEntries: readonly PlacementEntry[] = [];
 
 export class PlacementTable {
-	static create(): PlacementTable {
-		return new PlacementTable();
+	/** `onReleased` is called for each server of a placement that has started, or has ended, after that. */
+	static create(onReleased: (server: string, kind: 'started' | 'closed') => void = () => undefined): PlacementTable {
+		return new PlacementTable(onReleased);
 	}
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
 
-	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+	private constructor(private readonly onReleased: (server: string, kind: 'started' | 'closed') => void) {}
 
 	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): boolean {
@@ -81,6 +82,7 @@
 		const entry = this.#daemons.get(daemon)?.entries.get(id);
 		if (entry && entry.startedAt === undefined) {
 			this.#put({...entry, startedAt: now});
+			this.#announce(entry, 'started');
 		}
 	}
 
@@ -92,6 +94,8 @@
 			for (const server of participants(entry)) {
 				this.#byServer.get(server)?.delete(id);
 			}
+
+			this.#announce(entry, 'closed');
 		}
 	}
 
@@ -154,6 +158,12 @@
 		return known;
 	}
 
+	#announce(entry: PlacementEntry, kind: 'started' | 'closed'): void {
+		for (const server of participants(entry)) {
+			this.onReleased(server, kind);
+		}
+	}
+
 	#put(entry: PlacementEntry): void {
 		this.#daemons.get(entry.daemon)!.entries.set(entry.id, entry);
 		for (const server of participants(entry)) {
--- a/src/fleet/server-limits.ts
+++ b/src/fleet/server-limits.ts
@@ -34,8 +34,9 @@
 };
 
 export class ServerLimits {
-	static create(): ServerLimits {
-		return new ServerLimits();
+	/** `onLifted` is called when the limit of a server has ended. */
+	static create(onLifted: () => void = () => undefined): ServerLimits {
+		return new ServerLimits(onLifted);
 	}
 
 	readonly #buckets = new Map<string, Bucket>();
@@ -44,7 +45,7 @@
 	/** Times of the requests of the last second by server, oldest first. */
 	readonly #recentSends = new Map<string, number[]>();
 
-	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+	private constructor(private readonly onLifted: () => void) {}
 
 	/** Number of servers with a limit. */
 	get size(): number {
@@ -64,6 +65,7 @@
 			}
 
 			this.#buckets.delete(server);
+			this.onLifted();
 			return {server};
 		}
 
@@ -92,6 +94,7 @@
 	applyNotice({server, perSecond}: LimitNotice, now: number): void {
 		if (perSecond === undefined) {
 			this.#buckets.delete(server);
+			this.onLifted();
 			return;
 		}
 
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -5,7 +5,7 @@
 import type {RequestSubjects} from '../quarantine/crash-subject.js';
 import type {RelayNote} from '../relaying/relayed-response.js';
 import {stackOf} from '../util/stack-of.js';
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {FlowParts} from './flow-parts.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {AttemptOutcome} from './retry-policy.js';
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -1,20 +1,20 @@
 /** One attempt to send a request to the chosen backend server: buffers a whole response or relays the events of a stream. */
 import {EventSplitter, type RawEvent} from '../forwarding/event-splitter.js';
 import {
-	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead, type ExchangeRequest,
+	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
 } from '../forwarding/exchange.js';
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
-import {RELAYED_CONFIGURATION_FIELD, RELAYED_FIELD} from '../http/connection-headers.js';
 import {
-	readRelayNote, relayedResponseKind, relayNoteHeaders, type RelayNote,
+	readRelayNote, relayNoteHeaders, type RelayNote,
 } from '../relaying/relayed-response.js';
 import type {Clock} from '../util/clock.js';
 import {GrowingBuffer} from '../util/growing-buffer.js';
-import {timerDelay} from '../util/timer-delay.js';
+import {createExchangeRequest, type AttemptTarget} from './attempt-request.js';
+import {
+	notConnected, rejection, relayFailureOf, type AttemptResult,
+} from './attempt-result.js';
 import type {GatewayRequest} from './gateway-request.js';
-import type {MemoryReservation} from './memory-reservation.js';
-import type {AttemptOutcome} from './retry-policy.js';
-import type {ServerChoice} from './server-choice.js';
+import {SilenceWatch, type HandOver} from './silence-watch.js';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
 /** Time in ms to connect: round trips take a few ms, and a lost first packet is only retransmitted after a second. */
@@ -27,51 +27,6 @@
  */
 const MAX_STALLED_STREAM_BYTES = 262_144;
 
-/** Interval in ms at which a silent attempt looks again for another one: several times before a client leaves after two seconds. */
-const HAND_OVER_INTERVAL_MS = 250;
-
-/** A complete response that has not been sent to the client. */
-export type BufferedResponse = {
-	readonly status: number;
-	readonly headers: readonly string[];
-	readonly body: Uint8Array;
-	/** The memory of the body, to be closed when the response has been sent. */
-	readonly account: ResponseAccount;
-};
-
-export type AttemptResult = {
-	readonly outcome: AttemptOutcome;
-	/** Set if the outcome is `answered`. */
-	readonly response?: BufferedResponse;
-	/** Whether the backend server may have run the request. */
-	readonly mayHaveRun: boolean;
-	/** Nothing was sent to the server. */
-	readonly isUnsent?: boolean;
-	/** The server had no part in the failure. */
-	readonly isBlameless?: boolean;
-	/** IP:PORT of the server that caused the failure, if it is not the chosen one. */
-	readonly faultyAddress?: string;
-	/** New events that the server sent. */
-	readonly events?: number;
-	/** The server closed or reset the connection before the end of the response. */
-	readonly isDisconnected?: boolean;
-	/** The address now belongs to another server (`moved`), or nothing listens on it (`refused`). */
-	readonly lostReason?: 'moved' | 'refused';
-	/** No connection could be opened. */
-	readonly isNotConnected?: boolean;
-};
-
-/** What an attempt is sent to. */
-export type AttemptTarget =
-	| {
-		readonly kind: 'server';
-		readonly choice: ServerChoice;
-		/** Memory reserved on helpers for the prompt. */
-		readonly memory: MemoryReservation | undefined;
-	}
-	/** The daemon of another host at `address` (IP:PORT), which relays the request to a backend server by a configuration that is not older. */
-	| {readonly kind: 'host'; readonly address: string; readonly requiredConfiguration: number};
-
 /** Receives the events of a stream. Used for all attempts of a request. */
 export type EventSink = {
 	/** Id of the last event that the client has received. */
@@ -84,13 +39,6 @@
 	onceDrained(callback: () => void): void;
 };
 
-/** Another attempt that is ready. Exactly one of the methods is called. */
-export type HandOver = {
-	/** Makes it the next attempt of the request. The current one ends. */
-	accept(): void;
-	discard(): void;
-};
-
 export type AttemptOptions = {
 	readonly wire: WireFormat;
 	readonly clock: Clock;
@@ -152,7 +100,7 @@
 	#resolve!: (result: AttemptResult) => void;
 	#phase: Phase = {kind: 'waiting'};
 	#exchange: Exchange | undefined;
-	#silenceTimer: NodeJS.Timeout | undefined;
+	readonly #silence: SilenceWatch;
 	#finished: AttemptResult | undefined;
 	#events = 0;
 	#isPaused = false;
@@ -161,6 +109,18 @@
 		this.result = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
+		this.#silence = SilenceWatch.create({
+			timeoutMs: options.silenceTimeoutMs,
+			prepareHandOver: async () => options.prepareHandOver(),
+			onReady: this.#guard((handOver, isSilent) => {
+				if (isSilent) {
+					handOver.accept();
+					this.#abortBroken(`no new event or response within ${options.silenceTimeoutMs} ms`);
+				} else {
+					handOver.discard();
+				}
+			}),
+		});
 	}
 
 	/** Whether the backend server may have run the request, as far as is known now. */
@@ -186,7 +146,7 @@
 			return;
 		}
 
-		this.#exchange = startExchange(this.#createRequest(timeLeftMs), {
+		this.#exchange = startExchange(createExchangeRequest(this.options, timeLeftMs), {
 			onConnected: this.#guard(() => {
 				this.options.onConnected();
 			}),
@@ -200,38 +160,7 @@
 				this.#finish(this.#resultOf(end));
 			}),
 		}, Math.min(CONNECT_TIMEOUT_MS, timeLeftMs));
-		this.#restartSilenceTimer();
-	}
-
-	#createRequest(timeLeftMs: number): ExchangeRequest {
-		const {request: {req, body}, target} = this.options;
-		return {
-			address: target.kind === 'server' ? target.choice.server.address : target.address, method: req.method!, path: req.url!, headers: this.#createHeaders(timeLeftMs), body,
-		};
-	}
-
-	#createHeaders(timeLeftMs: number): readonly string[] {
-		const {
-			request: {req, workspace}, target, wire, sink: {lastEventId},
-		} = this.options;
-		const deadlineMs = Math.floor(timeLeftMs);
-		switch (target.kind) {
-			case 'server': {
-				const {choice: {server, helpers}, memory} = target;
-				return wire.backendHeaders(req.rawHeaders, {
-					instanceId: server.instanceId,
-					deadlineMs,
-					workspace: workspace?.name,
-					lastEventId,
-					helpers: helpers.map(helper => ({address: helper.address, reservation: memory?.idAt(helper)})),
-					urgency: undefined,
-				});
-			}
-
-			case 'host': {
-				return [...wire.relayHeaders(req.rawHeaders, {deadlineMs, lastEventId}), RELAYED_FIELD, '1', RELAYED_CONFIGURATION_FIELD, String(target.requiredConfiguration)];
-			}
-		}
+		this.#restartSilence();
 	}
 
 	#onHead(head: ExchangeHead): void {
@@ -343,7 +272,7 @@
 
 	#relayNewEvent(phase: RelayingPhase, event: RawEvent): void {
 		phase.stalledBytes = phase.splitter.pendingBytes;
-		this.#restartSilenceTimer();
+		this.#restartSilence();
 		for (const earlier of phase.preamble) {
 			this.#write(phase.head, earlier);
 		}
@@ -365,12 +294,12 @@
 		this.#isPaused = true;
 		this.#exchange?.pause();
 		// The client is slow, not the server.
-		clearTimeout(this.#silenceTimer);
+		this.#silence.stop();
 		sink.onceDrained(this.#guard(() => {
 			this.#isPaused = false;
 			if (!this.#finished) {
 				this.#exchange?.resume();
-				this.#restartSilenceTimer();
+				this.#restartSilence();
 			}
 		}));
 	}
@@ -382,14 +311,7 @@
 			}
 
 			case 'not_connected': {
-				return {
-					outcome: {kind: 'rejected', reason: `no connection: ${end.message}`},
-					mayHaveRun: false,
-					isUnsent: true,
-					isNotConnected: !end.isInvalid,
-					isBlameless: end.isInvalid,
-					lostReason: end.isRefused ? 'refused' : undefined,
-				};
+				return notConnected(end);
 			}
 
 			case 'broken': {
@@ -425,36 +347,10 @@
 		}
 	}
 
-	#restartSilenceTimer(): void {
-		this.#waitForSilence(this.options.silenceTimeoutMs);
-	}
-
-	#waitForSilence(ms: number): void {
-		clearTimeout(this.#silenceTimer);
-		if (this.#isPaused || this.#finished) {
-			return;
+	#restartSilence(): void {
+		if (!this.#isPaused && !this.#finished) {
+			this.#silence.restart();
 		}
-
-		this.#silenceTimer = setTimeout(() => {
-			void this.#handOver();
-		}, timerDelay(ms));
-	}
-
-	/** Gives the silent attempt up if another one is ready, unless it has gone on meanwhile. Otherwise looks again later. */
-	async #handOver(): Promise<void> {
-		const timer = this.#silenceTimer;
-		const handOver = await this.options.prepareHandOver();
-		this.#guard(() => {
-			const isSilent = !this.#finished && !this.#isPaused && this.#silenceTimer === timer;
-			if (!isSilent) {
-				handOver?.discard();
-			} else if (handOver) {
-				handOver.accept();
-				this.#abortBroken(`no new event or response within ${this.options.silenceTimeoutMs} ms`);
-			} else {
-				this.#waitForSilence(HAND_OVER_INTERVAL_MS);
-			}
-		})();
 	}
 
 	/**
@@ -490,7 +386,7 @@
 		}
 
 		this.#finished = {...result, events: this.#events};
-		clearTimeout(this.#silenceTimer);
+		this.#silence.stop();
 		if (this.#phase.kind !== 'waiting' && !result.response) {
 			this.#phase.account.close();
 		}
@@ -498,30 +394,3 @@
 		this.#resolve(this.#finished);
 	}
 }
-
-/** Result of an attempt that another daemon did not serve; undefined if its response is that of a backend server. */
-function relayFailureOf(status: number, isSigned: boolean): AttemptResult | undefined {
-	const kind = relayedResponseKind(status, isSigned);
-	const reason = `the relaying daemon answered with status ${status}`;
-	switch (kind) {
-		case 'answered': {
-			return undefined;
-		}
-
-		case 'refused': {
-			// No backend server has got it, so it does not count as received.
-			return {outcome: {kind: 'rejected', reason}, mayHaveRun: false, isUnsent: true};
-		}
-
-		case 'failed': {
-			return {outcome: {kind: 'broken', reason}, mayHaveRun: true};
-		}
-	}
-}
-
-function rejection({isMisdirected, faultyAddress}: ResponseMetadata, status: number): AttemptResult {
-	const reason = isMisdirected ? 'the address now belongs to another server' : `rejected with status ${status}`;
-	return {
-		outcome: {kind: 'rejected', reason}, mayHaveRun: false, faultyAddress, lostReason: isMisdirected ? 'moved' : undefined,
-	};
-}
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -3,7 +3,8 @@
 import {sendFailure} from '../http/error-response.js';
 import type {Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
-import type {BufferedResponse, EventSink} from './attempt.js';
+import type {EventSink} from './attempt.js';
+import type {BufferedResponse} from './attempt-result.js';
 import type {GatewayRequest} from './gateway-request.js';
 
 export class ClientResponse implements EventSink {
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -3,10 +3,10 @@
 import type {RefusedSubject} from '../quarantine/prompt-quarantine.js';
 import {failure, type Failure} from '../util/failure.js';
 import type {FlowParts} from './flow-parts.js';
-import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
-import {retryAdviceMs, type RefusalCause} from './retry-advice.js';
+import {clientSilenceLimitMs, urgencyOf, type GatewayRequest} from './gateway-request.js';
+import {earliestPlaceMs, retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	chooseServer, isAllowedDomain, limitWaitMs, type ServerChoice,
+	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, type ServerChoice,
 } from './server-choice.js';
 
 /** Servers that this host could not connect to for one request, after which the request goes through another host, whatever the reason. */
@@ -21,14 +21,29 @@
 	| {readonly kind: 'server'; readonly choice: ServerChoice}
 	| {readonly kind: 'host'; readonly address: string};
 
-export type NextDestination = Destination | {readonly kind: 'refused'; readonly failure: Failure};
+/** A want of room that may end. */
+export type Shortage = {
+	readonly why: RefusalCause['kind'];
+	/** Time in ms until a place is forecast. */
+	readonly placeInMs: number;
+	/** The time is known, not estimated. */
+	readonly isKnown: boolean;
+	/** Shortest time in ms from a place to the first event. */
+	readonly serviceMs: number;
+};
+
+export type NextDestination =
+	| Destination
+	/** `shortage` is undefined if no room helps. */
+	| {readonly kind: 'refused'; readonly failure: Failure; readonly shortage: Shortage | undefined};
 
 /** Sets of servers that are left out; the first of them that leaves a server is used. */
 export type Exclusions = ReadonlyArray<ReadonlySet<string>>;
 
 export class DestinationChoice {
-	static create(parts: FlowParts, request: GatewayRequest, subjects: RequestSubjects): DestinationChoice {
-		return new DestinationChoice(parts, request, subjects);
+	/** `choices`: servers that were chosen for the request before the configuration in force. */
+	static create(parts: FlowParts, request: GatewayRequest, subjects: RequestSubjects, choices = 0): DestinationChoice {
+		return new DestinationChoice(parts, request, subjects, choices);
 	}
 
 	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
@@ -37,9 +52,22 @@
 	/** IP:PORT of the daemons that were asked to relay the request. */
 	readonly #relayAddresses = new Set<string>();
 	#unconnectedServers = 0;
-	#choices = 0;
+	/** Number of servers that were chosen. */
+	#choices: number;
+
+	private constructor(
+		private readonly parts: FlowParts,
+		private readonly request: GatewayRequest,
+		private readonly subjects: RequestSubjects,
+		choices: number,
+	) {
+		this.#choices = choices;
+	}
 
-	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest, private readonly subjects: RequestSubjects) {}
+	/** Number of servers that were chosen. */
+	get choices(): number {
+		return this.#choices;
+	}
 
 	/** Number of hosts that were asked to relay the request. */
 	get relayTries(): number {
@@ -65,6 +93,20 @@
 		}
 	}
 
+	/** Allows servers of earlier attempts again that did not run the request: `server`, or all. */
+	readmit(server?: string): void {
+		if (server === undefined) {
+			this.#excluded.clear();
+		} else {
+			this.#excluded.delete(server);
+		}
+	}
+
+	/** The want of room after all servers that were asked have refused the request. */
+	shortageOfRefusals(now: number): Shortage {
+		return this.#createShortage({kind: 'full'}, 0, now);
+	}
+
 	recordRelay(address: string): void {
 		this.#relayAddresses.add(address);
 	}
@@ -79,12 +121,15 @@
 		return retryAdviceMs(cause, this.request.deadline - now, this.parts.random());
 	}
 
-	/** Returns where the request goes next, or why it is refused. `ran`: whether a server may have run it. */
-	choose(ran: 'not_run' | 'unknown', now: number): NextDestination {
+	/**
+	 * Returns where the request goes next, or why it is refused. `ran`: whether a server may have run it. `waitedMs`: time for which the
+	 * client of a request that has waited has seen nothing.
+	 */
+	choose(ran: 'not_run' | 'unknown', now: number, waitedMs = 0): NextDestination {
 		const {parts, request} = this;
 		const quarantined = this.findQuarantine(ran, now);
 		if (quarantined) {
-			return {kind: 'refused', failure: quarantined};
+			return {kind: 'refused', failure: quarantined, shortage: undefined};
 		}
 
 		const host = this.#chooseHost(now);
@@ -102,12 +147,14 @@
 					step: 'reserve',
 					retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
 				}),
+				shortage: undefined,
 			};
 		}
 
 		const choice = this.#chooseServer(this.#excluded, now);
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
+			const cause: RefusalCause = waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs};
 			return {
 				kind: 'refused',
 				failure: failure({
@@ -115,14 +162,16 @@
 					message: `no available backend server for service ${request.service.name}${waitMs === undefined ? '' : ' takes a further request now'}`,
 					ran,
 					step: 'reserve',
-					retryAfterMs: this.retryAdviceMs(waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs}, now),
+					retryAfterMs: this.retryAdviceMs(cause, now),
 				}),
+				shortage: this.#createShortage(cause, 0, now),
 			};
 		}
 
 		const silenceLimitMs = clientSilenceLimitMs(request.route);
-		const limitMs = MAX_EXPECTED_SHARE * silenceLimitMs;
+		const limitMs = (MAX_EXPECTED_SHARE * silenceLimitMs) - waitedMs;
 		if (ran === 'not_run' && choice.expectedMs > limitMs) {
+			const cause: RefusalCause = {kind: 'too_late', expectedMs: choice.expectedMs, limitMs};
 			return {
 				kind: 'refused',
 				failure: failure({
@@ -130,12 +179,20 @@
 					message: `expected time to the first event (${Math.round(choice.expectedMs)} ms) is too long for the client's limit of ${silenceLimitMs} ms`,
 					ran,
 					step: 'reserve',
-					retryAfterMs: this.retryAdviceMs({kind: 'too_late', expectedMs: choice.expectedMs, limitMs}, now),
+					retryAfterMs: this.retryAdviceMs(cause, now),
 				}),
+				shortage: this.#createShortage(cause, choice.placement.prefillMs, now),
 			};
 		}
 
-		return {kind: 'server', choice};
+		return this.#take(choice);
+	}
+
+	/** Whether `choose` would return a server for a request that has run nowhere. */
+	hasPlace(now: number, waitedMs: number): boolean {
+		const {route} = this.request;
+		const choice = this.#chooseServer(this.#excluded, now);
+		return choice !== undefined && choice.expectedMs <= (MAX_EXPECTED_SHARE * clientSilenceLimitMs(route)) - waitedMs;
 	}
 
 	/** Returns a server that can be expected to respond before the client leaves, or a host that relays the request. */
@@ -153,7 +210,7 @@
 		for (const excluded of exclusions) {
 			const choice = this.#chooseServer(excluded, now);
 			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
-				return {kind: 'server', choice};
+				return this.#take(choice);
 			}
 		}
 
@@ -173,8 +230,25 @@
 		return address === undefined ? undefined : {kind: 'host', address};
 	}
 
+	/** A limit has a known end. Otherwise places come at the rate at which they have come lately. */
+	#createShortage(cause: RefusalCause, serviceMs: number, now: number): Shortage {
+		const {parts, request} = this;
+		const isKnown = cause.kind === 'limited';
+		const servers = isKnown ? [] : allowedServers(parts, request, now).map(({id}) => id);
+		const placeInMs = servers.length === 0 ? undefined : parts.dispatcher.placeInMs(request.service.name, urgencyOf(request), servers, now);
+		return {
+			why: cause.kind, placeInMs: placeInMs ?? earliestPlaceMs(cause), isKnown, serviceMs,
+		};
+	}
+
 	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
-		return chooseServer(this.parts, this.request, {excluded, count: this.#choices++}, now);
+		return chooseServer(this.parts, this.request, {excluded, count: this.#choices}, now);
+	}
+
+	/** Only choices that are used count, so that the first attempt of a request that has waited is known as such by its placement. */
+	#take(choice: ServerChoice): Destination {
+		this.#choices++;
+		return {kind: 'server', choice};
 	}
 }
 
--- /dev/null
+++ b/src/gateway/dispatcher.ts
@@ -0,0 +1,342 @@
+/**
+ * Holds the requests of this daemon that wait for a place, and offers them places when something may have become free.
+ *
+ * Wake-ups are events: a placement of any daemon starts or ends, a server appears, a limit is lifted, a configuration. One timer covers the
+ * known times: a delayed offer, the forecast of a place, and the time after which a place no longer helps.
+ */
+import {MAX_MESH_SIZE} from '../fleet/fleet-topology.js';
+import {
+	agedRank, compareUrgency, DispatchQueue, type QueuedRequest, type Urgency,
+} from '../scheduling/dispatch-queue.js';
+import {offerDelayMs} from '../scheduling/offer-delay.js';
+import {PlaceForecast} from '../scheduling/place-forecast.js';
+import type {Clock} from '../util/clock.js';
+import type {Logger} from '../util/logger.js';
+import {stackOf} from '../util/stack-of.js';
+import {timerDelay} from '../util/timer-delay.js';
+import type {Service} from './serving-configuration.js';
+
+/** Waiting requests of one daemon: a daemon of a large fleet gets a few requests a second, and none waits longer than some seconds. */
+const MAX_WAITING_REQUESTS = 64;
+/** Share of the daemon's limit on request bodies that waiting ones may hold, so that the bodies of new requests still find room. */
+const MAX_WAITING_BODY_SHARE = 0.5;
+/** Shortest time in ms between two rounds of offers. Placements of the whole fleet end hundreds of times a second, and each choice examines all engines. */
+const ROUND_INTERVAL_MS = 15;
+/** Requests that find no place in one round, after which the others of their lane are not asked: they differ in size and regions only. */
+const MAX_FAILED_OFFERS = 3;
+
+/** How a wait ended. */
+export type WaitEnd =
+	/** A place was found. */
+	| 'placed'
+	/** The client left. */
+	| 'left'
+	/** The deadline passed. */
+	| 'overdue'
+	/** A place no longer helps. */
+	| 'given_up'
+	/** The known time of the next place is too late to help. */
+	| 'no_forecast'
+	| 'quarantined'
+	/** A new configuration is in force, by which the request is handled anew. */
+	| 'superseded'
+	/** This host has no path to the servers, and no other host relays the request. */
+	| 'no_path'
+	/** The daemon stops. */
+	| 'shutdown'
+	/** Offering a place threw. */
+	| 'failed';
+
+/** What an offer of a place led to. */
+export type Offer =
+	/** The placement is open. */
+	| {readonly kind: 'placed'}
+	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. */
+	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean}
+	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path'};
+
+export type WaitingRequest = QueuedRequest & {
+	/** Why it found no place. */
+	readonly why: string;
+	readonly placeInMs: number;
+	/** Chooses a place, and opens the placement if there is one. */
+	offer(now: number): Offer;
+	/** Whether there is a place for the request now. */
+	hasPlace(now: number): boolean;
+	/** Servers that refused the request may be asked again: `server`, or all. */
+	readmit(server?: string): void;
+};
+
+export type DispatchMetrics = {
+	observeWait(end: WaitEnd, ms: number): void;
+	countRefusedWait(reason: 'full_requests' | 'full_bytes'): void;
+	countInversion(): void;
+};
+
+export type DispatcherOptions = {
+	/** Name of this daemon, which differs from that of all others. */
+	readonly daemon: string;
+	readonly clock: Clock;
+	readonly logger: Logger;
+	readonly metrics: DispatchMetrics;
+	/** Limit in bytes on all request bodies of the daemon. */
+	readonly maxBufferedBodyBytes: number;
+	/** Number of known daemons, including this one. */
+	daemons(): number;
+};
+
+type Entry = QueuedRequest & {
+	readonly request: WaitingRequest;
+	readonly since: number;
+	lookAt: number;
+	resolve(end: WaitEnd): void;
+};
+
+export class Dispatcher {
+	static create(options: DispatcherOptions): Dispatcher {
+		return new Dispatcher(options);
+	}
+
+	readonly #queue: DispatchQueue<Entry>;
+	readonly #forecast = PlaceForecast.create();
+	#timer: NodeJS.Timeout | undefined;
+	/** Time of the next round of offers after a wake-up. */
+	#offerAt = Infinity;
+	#lastRoundAt = -Infinity;
+	#isClosed = false;
+
+	private constructor(private readonly options: DispatcherOptions) {
+		this.#queue = DispatchQueue.create({maxRequests: MAX_WAITING_REQUESTS, maxBytes: options.maxBufferedBodyBytes * MAX_WAITING_BODY_SHARE});
+	}
+
+	/** Number of waiting requests. */
+	get size(): number {
+		return this.#queue.size;
+	}
+
+	/** Whether requests to the service may wait: in fleets that are no mesh, where requests of many daemons meet on the engines. */
+	isAsked({engine}: Service): boolean {
+		return engine !== undefined && this.options.daemons() > MAX_MESH_SIZE;
+	}
+
+	/** Time in ms until a request of the lane would get a place on `servers` behind those that go before it; undefined if nothing ended there lately. */
+	placeInMs(lane: string, urgency: Urgency, servers: Iterable<string>, now: number): number | undefined {
+		const ahead = this.#queue.ordered(now, lane).filter(other => compareUrgency(other, urgency, now) <= 0).length;
+		return this.#forecast.placeInMs(servers, {ahead, daemons: this.options.daemons()}, now);
+	}
+
+	/** Resolves when the wait has ended; undefined if the queue is full. */
+	wait(request: WaitingRequest, now: number): Promise<WaitEnd> | undefined {
+		const {logger, metrics} = this.options;
+		const {
+			id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, why, placeInMs,
+		} = request;
+		let entry: Entry | undefined;
+		const ended = new Promise<WaitEnd>(resolve => {
+			entry = {
+				id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, request, since: now, lookAt: now + placeInMs, resolve,
+			};
+		});
+		const admission = this.#isClosed ? {kind: 'full', bound: 'requests'} as const : this.#queue.add(entry!);
+		if (admission.kind === 'full') {
+			metrics.countRefusedWait(`full_${admission.bound}`);
+			logger.warn('wait_refused', {request: id, bound: admission.bound, waiting: this.size});
+			return undefined;
+		}
+
+		logger.info('request_waits', {
+			request: id, service: lane, why, forecast_ms: Math.round(placeInMs), rank, give_up_ms: Math.round(giveUpAt - now), waiting: this.size,
+		});
+		this.#setTimer(now);
+		return ended;
+	}
+
+	/** Ends the wait of a request from outside. Does nothing if it does not wait. */
+	end(request: WaitingRequest, end: WaitEnd, now: number): void {
+		const entry = this.#queue.ordered(now).find(other => other.request === request);
+		if (entry) {
+			this.#end(entry, end, now);
+		}
+	}
+
+	/** Offers places to the waiting requests of the lane that go before a new one, which could otherwise take theirs. */
+	serveBefore(lane: string, urgency: Urgency, now: number): void {
+		if (this.size > 0) {
+			this.#offerLane(this.#queue.ordered(now, lane).filter(entry => compareUrgency(entry, urgency, now) < 0), now);
+			this.#setTimer(now);
+		}
+	}
+
+	/** Counts a request that is placed now while a more urgent one waits that could have used the place. */
+	recordPlacement({id, lane, urgency}: {readonly id: string; readonly lane: string; readonly urgency: Urgency}, now: number): void {
+		const waiting = this.size > 0 ? this.#queue.ordered(now, lane) : [];
+		const placed = waiting.find(entry => entry.id === id) ?? urgency;
+		const first = waiting.find(entry => entry !== placed);
+		if (first && agedRank(first, now) < agedRank(placed, now) && this.#guard(first, () => first.request.hasPlace(now), false, now)) {
+			this.options.metrics.countInversion();
+		}
+	}
+
+	/** Records that a placement of any daemon on `server` has started or ended. */
+	recordRelease(server: string, kind: 'started' | 'closed'): void {
+		const now = this.options.clock();
+		if (kind === 'closed') {
+			this.#forecast.recordEnd(server, now);
+		}
+
+		this.#wake(server, now);
+	}
+
+	/** Looks for places soon, since something has changed. */
+	wake(): void {
+		this.#wake(undefined, this.options.clock());
+	}
+
+	/** Ends all waits, in order, for a new configuration. */
+	supersede(): void {
+		const now = this.options.clock();
+		for (const entry of this.#queue.ordered(now)) {
+			this.#end(entry, 'superseded', now);
+		}
+	}
+
+	/** Forgets servers that are not in `known`. */
+	retain(known: ReadonlySet<string>): void {
+		this.#forecast.retain(known);
+	}
+
+	/** No request waits from here on. */
+	close(): void {
+		this.#isClosed = true;
+		clearTimeout(this.#timer);
+		const now = this.options.clock();
+		for (const entry of this.#queue.ordered(now)) {
+			this.#end(entry, 'shutdown', now);
+		}
+	}
+
+	#wake(server: string | undefined, now: number): void {
+		if (this.size === 0) {
+			return;
+		}
+
+		const ordered = this.#queue.ordered(now);
+		for (const {request} of ordered) {
+			if (server !== undefined) {
+				request.readmit(server);
+			}
+		}
+
+		const delayMs = offerDelayMs(ordered[0]!, {daemon: this.options.daemon, place: server}, now);
+		this.#offerAt = Math.min(this.#offerAt, Math.max(now + delayMs, this.#lastRoundAt + ROUND_INTERVAL_MS));
+		this.#setTimer(now);
+	}
+
+	#setTimer(now: number): void {
+		clearTimeout(this.#timer);
+		if (this.#isClosed || this.size === 0) {
+			this.#offerAt = Infinity;
+			return;
+		}
+
+		const times = this.#queue.ordered(now).flatMap(({lookAt, giveUpAt}) => [lookAt, giveUpAt]);
+		this.#timer = setTimeout(() => {
+			this.#onTimer(this.options.clock());
+		}, timerDelay(Math.max(1, Math.min(this.#offerAt, ...times) - now)));
+	}
+
+	#onTimer(now: number): void {
+		for (const entry of this.#queue.expired(now)) {
+			this.#end(entry, 'given_up', now);
+		}
+
+		for (const entry of this.#queue.ordered(now)) {
+			if (entry.lookAt <= now) {
+				entry.lookAt = Infinity;
+				entry.request.readmit();
+				this.#offerAt = now;
+			}
+		}
+
+		if (this.#offerAt <= now) {
+			this.#offerAt = Infinity;
+			this.#lastRoundAt = now;
+			for (const lane of new Set(this.#queue.ordered(now).map(entry => entry.lane))) {
+				this.#offerLane(this.#queue.ordered(now, lane), now);
+			}
+		}
+
+		this.#setTimer(now);
+	}
+
+	/** Offers a place to each of the requests in turn, until several have found none. */
+	#offerLane(entries: readonly Entry[], now: number): void {
+		let failed = 0;
+		for (const entry of entries) {
+			failed += this.#offer(entry, now) ? 0 : 1;
+			if (failed >= MAX_FAILED_OFFERS) {
+				return;
+			}
+		}
+	}
+
+	/** Returns whether the request no longer waits. */
+	#offer(entry: Entry, now: number): boolean {
+		const offer = this.#guard(entry, () => entry.request.offer(now), undefined, now);
+		switch (offer?.kind) {
+			case undefined: {
+				return true;
+			}
+
+			case 'placed': {
+				this.#end(entry, 'placed', now);
+				return true;
+			}
+
+			case 'ended': {
+				this.#end(entry, offer.end, now);
+				return true;
+			}
+
+			case 'none': {
+				// An estimate that has not come true is not repeated; the next event tells more.
+				if (!offer.isKnown) {
+					return false;
+				}
+
+				entry.lookAt = now + Math.max(ROUND_INTERVAL_MS, offer.placeInMs);
+				if (entry.lookAt < entry.giveUpAt) {
+					return false;
+				}
+
+				this.#end(entry, 'no_forecast', now);
+				return true;
+			}
+		}
+	}
+
+	/** Runs a step of a waiting request. An exception in it ends the wait. */
+	#guard<T>(entry: Entry, step: () => T, fallback: T, now: number): T {
+		try {
+			return step();
+		} catch (err) {
+			this.options.logger.error('unexpected_error', {request: entry.id, message: stackOf(err)});
+			this.#end(entry, 'failed', now);
+			return fallback;
+		}
+	}
+
+	#end(entry: Entry, end: WaitEnd, now: number): void {
+		if (!this.#queue.remove(entry)) {
+			return;
+		}
+
+		const {logger, metrics} = this.options;
+		const ms = now - entry.since;
+		metrics.observeWait(end, ms);
+		logger.info('request_waited', {
+			request: entry.id, service: entry.lane, end, ms: Math.round(ms), rank: entry.rank, waiting: this.size,
+		});
+		entry.resolve(end);
+	}
+}
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -29,6 +29,8 @@
 	onRestored(era: number): void;
 	/** Called when a newer configuration takes effect. */
 	onConfiguration(): void;
+	/** Called when servers or failure domains have come or gone. */
+	onServers(): void;
 };
 
 export class FleetFeeds {
@@ -152,6 +154,7 @@
 				const serverIds = this.options.fleet.serverIds();
 				this.options.health.retain(serverIds);
 				this.options.limits.retain(serverIds);
+				this.options.onServers();
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
@@ -160,6 +163,8 @@
 					this.options.fleet.unregister(event.name, now);
 					this.options.logger.info('server_gone', {server: event.name});
 				}
+
+				this.options.onServers();
 			},
 			onOutage: now => {
 				this.options.fleet.recordOutage(now);
@@ -208,6 +213,7 @@
 		const {fleet: {domainsOut}, logger} = this.options;
 		const logDomains = (now: number, isRestored = false) => {
 			logger.info('domains_out', {domains: domainsOut.list(now).join(','), restored: isRestored || undefined});
+			this.options.onServers();
 		};
 
 		return {
--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import type {RetryBudget} from '../util/retry-budget.js';
+import type {Dispatcher} from './dispatcher.js';
 import type {MemoryOrders} from './memory-reservation.js';
 import type {ChoiceParts} from './server-choice.js';
 import type {WireFormat} from './wire-format.js';
@@ -13,6 +14,7 @@
 export type FlowParts = ChoiceParts & {
 	readonly wire: WireFormat;
 	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
+	readonly dispatcher: Dispatcher;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
 	readonly relay: Pick<RequestRelay, 'isNeeded' | 'isPathDoubtful' | 'chooseAddress' | 'skip' | 'recordConfiguration' | 'requiredConfiguration' | 'recordConnected' | 'recordNotConnected'>;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -28,6 +28,7 @@
 import {pause} from '../util/pause.js';
 import {RetryBudget} from '../util/retry-budget.js';
 import {createTurnClock} from '../util/turn-clock.js';
+import {Dispatcher} from './dispatcher.js';
 import {FleetFeeds} from './fleet-feeds.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {Gateway} from './gateway.js';
@@ -96,6 +97,7 @@
 	readonly relay: RequestRelay;
 	readonly random: () => number;
 	readonly turnClock: Clock;
+	readonly dispatcher: Dispatcher;
 };
 
 export class GatewayDaemon {
@@ -103,11 +105,22 @@
 		const {adapter, clock, logger} = dependencies;
 		const turnClock = createTurnClock(clock);
 		const metrics = GatewayMetrics.create({
-			droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size, isServerPathLost: () => relay.isNeeded,
+			droppedLines: dependencies.droppedLines,
+			quarantinedParts: () => quarantine.size,
+			limitedServers: () => limits.size,
+			isServerPathLost: () => relay.isNeeded,
+			waitingRequests: () => dispatcher.size,
+		});
+		const dispatcher = Dispatcher.create({
+			daemon: settings.daemon, clock, logger, metrics, maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE, daemons: () => loadExchange.daemons,
+		});
+		const placements = PlacementTable.create((server, kind) => {
+			dispatcher.recordRelease(server, kind);
 		});
-		const placements = PlacementTable.create();
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
-		const limits = ServerLimits.create();
+		const limits = ServerLimits.create(() => {
+			dispatcher.wake();
+		});
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
@@ -136,6 +149,7 @@
 			},
 			save(subject, remainingMs) {
 				void quarantineStore.save(subject, remainingMs);
+				dispatcher.wake();
 			},
 		});
 		const loadExchange = await LoadExchange.create({
@@ -161,13 +175,21 @@
 		});
 		const random = createRandom();
 		const relay = RequestRelay.create({
-			clock, logger, peerPort: settings.peerPort, random, servers: now => fleet.servingServers(now), hosts: now => loadExchange.responsiveMembers(now),
+			clock,
+			logger,
+			peerPort: settings.peerPort,
+			random,
+			servers: now => fleet.servingServers(now),
+			hosts: now => loadExchange.responsiveMembers(now),
+			onPathChanged() {
+				dispatcher.wake();
+			},
 		});
 		const server = await ReplicaServer.listen(settings.ip, settings.peerPort, kind => store.replica(kind), (req, res) => {
 			daemon.#handleRelayed(req, res);
 		});
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, random, turnClock,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, random, turnClock, dispatcher,
 		});
 		await daemon.#start();
 		return daemon;
@@ -231,6 +253,7 @@
 		this.#feeds?.close();
 		this.#registry?.close();
 		this.#gateway.close();
+		this.parts.dispatcher.close();
 		this.#readinessServer.close();
 		this.#readinessServer.closeAllConnections();
 		this.metrics.close();
@@ -248,7 +271,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore, relay, random, turnClock,
+				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore, relay, random, turnClock, dispatcher,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -261,6 +284,7 @@
 			regionOf: domain => settings.regions[domain],
 			wire: adapter.wire,
 			memoryOrders: adapter.memoryOrders,
+			dispatcher,
 			buffers: ResponseBuffers.create(settings.memoryBytes * RESPONSE_MEMORY_SHARE),
 			maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE,
 			loadExchange,
@@ -291,6 +315,7 @@
 				const known = readQuarantined(object, wallClockMs());
 				if (known) {
 					quarantine.add(known.subject, known.remainingMs, now);
+					dispatcher.wake();
 				}
 
 				return known !== undefined;
@@ -322,6 +347,10 @@
 			onConfiguration: () => {
 				this.#gateway.applyConfiguration();
 			},
+			onServers() {
+				dispatcher.retain(fleet.serverIds());
+				dispatcher.wake();
+			},
 		});
 		logger.info('started', {listen: settings.listen, failure_domain: settings.failureDomain});
 	}
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -4,10 +4,13 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
+import type {WaitEnd} from './dispatcher.js';
 import type {FlowResult} from './request-flow.js';
 
 /** Upper bounds in ms; the latency targets of both users lie between 193 ms and 15 s. */
 const LATENCY_BUCKETS_MS = [25, 50, 100, 200, 300, 400, 600, 1000, 1500, 2500, 4000, 6000, 10_000, 15_000];
+/** Requests wait at most some seconds, most of them some hundred ms. */
+const WAIT_BUCKETS_MS = [10, 30, 100, 200, 300, 500, 800, 1200, 2000, 4000];
 const DELAY_BUCKETS_MS = [5, 20, 50, 100, 250, 500, 1000, 3000];
 
 /** Values that are read whenever the metrics are. */
@@ -20,6 +23,8 @@
 	limitedServers(): number;
 	/** Whether this host has no path to the backend servers. */
 	isServerPathLost(): boolean;
+	/** Number of requests that wait for a place. */
+	waitingRequests(): number;
 };
 
 export class GatewayMetrics {
@@ -60,11 +65,27 @@
 		name: 'fireflyport_event_loop_delay_ms', help: 'Delay of a timer of 100 ms in ms, for which everything else has waited too', buckets: DELAY_BUCKETS_MS, registers: [this.#registry],
 	});
 
+	readonly #waits = new Histogram({
+		name: 'fireflyport_wait_ms', help: 'Time in ms for which a request waited for a place, by how its wait ended', labelNames: ['end'], buckets: WAIT_BUCKETS_MS, registers: [this.#registry],
+	});
+
+	readonly #waitEnds = new Counter({
+		name: 'fireflyport_wait_ends_total',
+		help: 'Ends of waits for a place by kind; full_requests and full_bytes did not begin, since the queue was full',
+		labelNames: ['end'],
+		registers: [this.#registry],
+	});
+
+	readonly #inversions = new Counter({
+		name: 'fireflyport_rank_inversions_total', help: 'Requests that this daemon placed while a more urgent one waited that could have used the place', registers: [this.#registry],
+	});
+
 	#server: Server | undefined;
 
 	private constructor({
-		droppedLines, quarantinedParts, limitedServers, isServerPathLost,
+		droppedLines, quarantinedParts, limitedServers, isServerPathLost, waitingRequests,
 	}: GatewayMetricSources) {
+		this.#addGauge('fireflyport_waiting_requests', 'Requests that wait for a place', waitingRequests);
 		this.#addGauge('fireflyport_log_lines_dropped', 'Log lines dropped because output was slow', droppedLines);
 		this.#addGauge('fireflyport_quarantined_parts', 'Prompt parts whose requests are refused because engines crash on them', quarantinedParts);
 		this.#addGauge('fireflyport_limited_servers', 'Servers that name a limit on their requests per second', limitedServers);
@@ -97,6 +118,20 @@
 		this.#withoutOwner.inc({phase});
 	}
 
+	observeWait(end: WaitEnd, ms: number): void {
+		this.#waits.observe({end}, ms);
+		this.#waitEnds.inc({end});
+	}
+
+	/** The queue of waiting requests was full. */
+	countRefusedWait(end: 'full_requests' | 'full_bytes'): void {
+		this.#waitEnds.inc({end});
+	}
+
+	countInversion(): void {
+		this.#inversions.inc();
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -1,6 +1,8 @@
 /** A client request that has been read and matched to a route. */
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {RequestIdentity} from '../quarantine/request-identity.js';
+import {latestWaitAt} from '../scheduling/wait-decision.js';
+import type {Urgency} from '../scheduling/dispatch-queue.js';
 import type {Route, Service, Workspace} from './serving-configuration.js';
 import type {ClientMetadata} from './wire-format.js';
 
@@ -17,6 +19,10 @@
 	readonly route: Route;
 	readonly service: Service;
 	readonly workspace: Workspace | undefined;
+	/** Priority of the workspace, or else of the route; 0 is the most urgent. */
+	readonly rank: number;
+	/** Urgency for the engine, from 0 (first) to 9; undefined where all requests to the service have one rank. */
+	readonly urgency: number | undefined;
 	/** Version of the configuration by which the request was admitted. */
 	readonly configuration: number;
 	/** Times on the monotonic clock, in ms. */
@@ -38,3 +44,15 @@
 	const gapTargetMs = route.kind.kind === 'stream' ? route.kind.gapTargetMs : 0;
 	return Math.max(MIN_SILENCE_LIMIT_MS, SILENCE_LIMIT_LATENCY_TARGETS * route.targetLatencyMs, SILENCE_LIMIT_GAP_TARGETS * gapTargetMs);
 }
+
+/** Time at which the client of a stream leaves without an event, or at which the deadline of the request passes. */
+export const patienceEndsAt = ({route, arrivedAt, deadline}: GatewayRequest): number =>
+	route.kind.kind === 'stream' ? Math.min(deadline, arrivedAt + clientSilenceLimitMs(route)) : deadline;
+
+/** What the order of a request among those of its service follows from, as long as it does not wait. */
+export const urgencyOf = (request: GatewayRequest): Urgency => {
+	const {rank, arrivedAt, route} = request;
+	return {
+		rank, arrivedAt, dueAt: arrivedAt + route.targetLatencyMs, giveUpAt: latestWaitAt({arrivedAt, patienceEndsAt: patienceEndsAt(request)}),
+	};
+};
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {RequestIdentity} from '../quarantine/request-identity.js';
 import {readRelayedConfiguration} from '../relaying/relayed-response.js';
+import {requestRank} from '../scheduling/request-rank.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
 import {processorMs} from '../util/clock.js';
@@ -19,7 +20,7 @@
 import type {GatewayRequest} from './gateway-request.js';
 import {describeOpenRequest, requestId, type OpenRequest} from './open-request.js';
 import type {FlowParts} from './flow-parts.js';
-import {RequestFlow, type FlowResult} from './request-flow.js';
+import {RequestFlow, type EarlierHandling, type FlowResult} from './request-flow.js';
 import {OTHER_DAEMON_RETRY_MS} from './retry-advice.js';
 import {RouteDurations} from './route-durations.js';
 import type {RouteTable} from './route-table.js';
@@ -105,9 +106,10 @@
 		return this.#phase.kind === 'serving' && this.parts.routeTable() !== undefined;
 	}
 
-	/** Applies the client limits of a new configuration. */
+	/** Applies the client limits of a new configuration, and handles the requests that wait for a place by it. */
 	applyConfiguration(): void {
 		const configuration = this.parts.routeTable()?.configuration;
+		this.parts.dispatcher.supersede();
 		if (configuration) {
 			this.#server.headersTimeout = toTimerMs(configuration.limits.headerTimeoutMs);
 			this.#server.keepAliveTimeout = toTimerMs(configuration.limits.idleTimeoutMs);
@@ -212,19 +214,33 @@
 			this.#connections.closeAfter(req, res);
 		}
 
-		const request = this.#admit(open, open.metadata, body.bytes);
-		if ('code' in request) {
-			this.#refuse(open, request);
-			return;
-		}
+		await this.#run(open, open.metadata, body.bytes);
+	}
+
+	/** Handles a request by the configuration in force, again for each one that comes into force while it waits for a place. */
+	async #run(open: OpenRequest, metadata: ClientMetadata, body: Uint8Array): Promise<void> {
+		let earlier: EarlierHandling | undefined;
+		for (;;) {
+			const request = this.#admit(open, metadata, body);
+			if ('code' in request) {
+				this.#refuse(open, request);
+				return;
+			}
+
+			const flow = RequestFlow.create(this.parts, request, earlier);
+			open.state = {kind: 'running', flow};
+			open.deadline = request.deadline;
+			const result = await flow.run();
+			if (result.outcome !== 'superseded') {
+				this.#recordResult(request, result);
+				if (result.stoppedBy === 'shutdown') {
+					this.#recordEndByStop({...describeOpenRequest(open, this.parts.clock()), phase: 'running'});
+				}
+
+				return;
+			}
 
-		const flow = RequestFlow.create(this.parts, request);
-		open.state = {kind: 'running', flow};
-		open.deadline = request.deadline;
-		const result = await flow.run();
-		this.#recordResult(request, result);
-		if (result.stoppedBy === 'shutdown') {
-			this.#recordEndByStop({...describeOpenRequest(open, this.parts.clock()), phase: 'running'});
+			earlier = flow.handling;
 		}
 	}
 
@@ -382,6 +398,7 @@
 		}
 
 		const workspace = access.kind === 'workspace' ? access.workspace : undefined;
+		const rank = requestRank(route, workspace);
 		return {
 			req,
 			res,
@@ -395,6 +412,8 @@
 			route,
 			service,
 			workspace,
+			rank,
+			urgency: table.urgency(service, rank),
 			configuration: table.version,
 			arrivedAt,
 			deadline,
--- /dev/null
+++ b/src/gateway/next-attempt.ts
@@ -0,0 +1,127 @@
+/** Chooses and prepares the next attempt of one request, and takes the tokens of the retry budget that this needs. */
+import type {AttemptRecords} from './attempt-records.js';
+import type {AttemptResult} from './attempt-result.js';
+import type {Destination, DestinationChoice, Exclusions} from './destination-choice.js';
+import type {FlowParts} from './flow-parts.js';
+import {urgencyOf, type GatewayRequest} from './gateway-request.js';
+import {AttemptPreparation, type PreparedAttempt} from './prepared-attempt.js';
+import {canRunAgain, type RetryState} from './retry-policy.js';
+import type {ServerChoice} from './server-choice.js';
+import type {HandOver} from './silence-watch.js';
+
+export type NextAttemptOptions = {
+	readonly parts: FlowParts;
+	readonly request: GatewayRequest;
+	readonly records: AttemptRecords;
+	readonly destinations: DestinationChoice;
+	retryState(now: number): RetryState;
+};
+
+/** An attempt at a server that could not be prepared, as if the server had refused it. */
+export type RefusedAttempt = {readonly kind: 'unprepared'; readonly attempt: PreparedAttempt; readonly result: AttemptResult};
+
+export class NextAttempt {
+	static create(options: NextAttemptOptions): NextAttempt {
+		return new NextAttempt(options);
+	}
+
+	readonly #preparation: AttemptPreparation;
+	/** Takes over from the attempt that has just ended. */
+	#next: PreparedAttempt | undefined;
+
+	private constructor(private readonly options: NextAttemptOptions) {
+		const {parts, request, records} = options;
+		this.#preparation = AttemptPreparation.create(parts, request.id, records);
+	}
+
+	get isReady(): boolean {
+		return this.#next !== undefined;
+	}
+
+	/** Returns the attempt that was prepared beside another one or accepted. It is then no longer ready. */
+	take(): PreparedAttempt | undefined {
+		const next = this.#next;
+		this.#next = undefined;
+		return next;
+	}
+
+	/** Prepares an attempt at a destination. The placement is open when this returns, before the promise resolves. */
+	async prepare(destination: Destination, now: number): Promise<PreparedAttempt | RefusedAttempt> {
+		if (destination.kind === 'host') {
+			return destination;
+		}
+
+		const {choice} = destination;
+		const preparation = await this.#prepare(choice, now);
+		if (preparation.kind === 'prepared') {
+			return preparation.attempt;
+		}
+
+		return {
+			kind: 'unprepared',
+			attempt: {
+				kind: 'server', choice, memory: undefined, placedAt: now,
+			},
+			result: preparation.result,
+		};
+	}
+
+	/**
+	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, or through another host if this one has no
+	 * path to the servers, and takes its token of the retry budget.
+	 * `runs` counts the attempts that may have run or are running.
+	 */
+	async prepareAnother(runs: number, exclusions: Exclusions): Promise<HandOver | undefined> {
+		const {parts, request, records, destinations, retryState} = this.options;
+		const budget = parts.retryBudget(request.service.name);
+		let hasToken = false;
+		try {
+			const now = parts.clock();
+			hasToken = canRunAgain({...retryState(now), runs}) && budget.tryRetry();
+			const another = hasToken ? await this.#prepareChoice(destinations.chooseAnother(exclusions, now), now) : undefined;
+			if (another) {
+				hasToken = false;
+				return {
+					accept: () => {
+						this.#next = another;
+					},
+					discard: () => {
+						budget.giveBack();
+						this.close(another, false);
+					},
+				};
+			}
+		} catch (err) {
+			records.logError(err);
+		}
+
+		if (hasToken) {
+			budget.giveBack();
+		}
+
+		return undefined;
+	}
+
+	close(prepared: PreparedAttempt | undefined, isAnswered: boolean): void {
+		if (prepared) {
+			this.#preparation.close(prepared, isAnswered);
+		}
+	}
+
+	async #prepareChoice(choice: Destination | undefined, now: number): Promise<PreparedAttempt | undefined> {
+		if (choice?.kind !== 'server') {
+			return choice;
+		}
+
+		const prepared = await this.#prepare(choice.choice, now);
+		return prepared.kind === 'prepared' ? prepared.attempt : undefined;
+	}
+
+	async #prepare(choice: ServerChoice, now: number): ReturnType<AttemptPreparation['prepare']> {
+		const {parts: {dispatcher}, request, records} = this.options;
+		records.guard(() => {
+			dispatcher.recordPlacement({id: request.id, lane: request.service.name, urgency: urgencyOf(request)}, now);
+		});
+		return this.#preparation.prepare(choice, now);
+	}
+}
--- /dev/null
+++ b/src/gateway/place-wait.ts
@@ -0,0 +1,117 @@
+/** The waits of one request for a place: whether it waits, and the offers that it gets while it does. */
+import {decideWait, latestWaitAt} from '../scheduling/wait-decision.js';
+import type {Destination, DestinationChoice, Shortage} from './destination-choice.js';
+import type {Offer, WaitEnd, WaitingRequest} from './dispatcher.js';
+import type {FlowParts} from './flow-parts.js';
+import {patienceEndsAt, urgencyOf, type GatewayRequest} from './gateway-request.js';
+
+/** Largest number of waits of one request, each of which can end in one attempt that a server refuses. */
+const MAX_WAITS = 4;
+
+/** What takes a place for the request. */
+export type PlaceTaker = {
+	/** Whether a place needs no token of the retry budget. */
+	isFree(): boolean;
+	/** Opens the placement at a destination. Returns false if the budget has no token for it. */
+	take(destination: Destination, now: number): boolean;
+};
+
+export class PlaceWait {
+	/** `waits`: waits of the request before the configuration in force. */
+	static create(parts: FlowParts, request: GatewayRequest, destinations: DestinationChoice, waits: number): PlaceWait {
+		return new PlaceWait(parts, request, destinations, waits);
+	}
+
+	#waits: number;
+	#waiting: WaitingRequest | undefined;
+
+	private constructor(
+		private readonly parts: FlowParts,
+		private readonly request: GatewayRequest,
+		private readonly destinations: DestinationChoice,
+		waits: number,
+	) {
+		this.#waits = waits;
+	}
+
+	/** Number of waits that have begun. */
+	get waits(): number {
+		return this.#waits;
+	}
+
+	/** Whether requests like this one may wait. One that another host relays waits there, where its client is. */
+	get isAsked(): boolean {
+		return !this.request.isRelayed && this.parts.dispatcher.isAsked(this.request.service);
+	}
+
+	/** Whether the client would still wait for a place. */
+	hasPatience(now: number): boolean {
+		const {arrivedAt} = this.request;
+		return now < latestWaitAt({arrivedAt, patienceEndsAt: patienceEndsAt(this.request)});
+	}
+
+	/**
+	 * Waits for a place, and resolves with how that ended; undefined if the request does not wait. It must have run nowhere.
+	 */
+	begin(shortage: Shortage, taker: PlaceTaker, now: number): Promise<WaitEnd> | undefined {
+		const {parts, request} = this;
+		if (!this.isAsked || this.#waits >= MAX_WAITS) {
+			return undefined;
+		}
+
+		const {arrivedAt, route, service, rank, body, id} = request;
+		const decision = decideWait({
+			arrivedAt, targetAt: arrivedAt + route.targetLatencyMs, patienceEndsAt: patienceEndsAt(request), ...shortage,
+		}, now);
+		if (decision.kind === 'refuse') {
+			return undefined;
+		}
+
+		this.#waiting = {
+			id,
+			lane: service.name,
+			rank,
+			bytes: body.length,
+			arrivedAt,
+			dueAt: decision.dueAt,
+			giveUpAt: decision.giveUpAt,
+			why: shortage.why,
+			placeInMs: shortage.placeInMs,
+			offer: at => this.#offer(taker, at),
+			hasPlace: at => taker.isFree() && this.destinations.hasPlace(at, at - arrivedAt),
+			readmit: server => {
+				this.destinations.readmit(server);
+			},
+		};
+		const ended = parts.dispatcher.wait(this.#waiting, now);
+		this.#waits += ended ? 1 : 0;
+		return ended;
+	}
+
+	/** Ends the wait, if there is one. */
+	end(end: WaitEnd): void {
+		if (this.#waiting) {
+			this.parts.dispatcher.end(this.#waiting, end, this.parts.clock());
+		}
+	}
+
+	/** Lets waiting requests that go before this one take places first. */
+	serveEarlier(now: number): void {
+		const {parts: {dispatcher}, request} = this;
+		if (this.isAsked) {
+			dispatcher.serveBefore(request.service.name, urgencyOf(request), now);
+		}
+	}
+
+	#offer(taker: PlaceTaker, now: number): Offer {
+		const {destinations, request} = this;
+		const next = destinations.choose('not_run', now, now - request.arrivedAt);
+		if (next.kind !== 'refused') {
+			return taker.take(next, now) ? {kind: 'placed'} : {kind: 'none', placeInMs: Infinity, isKnown: false};
+		}
+
+		return next.shortage
+			? {kind: 'none', ...next.shortage}
+			: {kind: 'ended', end: this.parts.relay.isNeeded ? 'no_path' : 'quarantined'};
+	}
+}
--- a/src/gateway/prepared-attempt.ts
+++ b/src/gateway/prepared-attempt.ts
@@ -1,5 +1,5 @@
 /** Attempts whose placement is open and whose memory is reserved before anything is sent. */
-import type {AttemptResult} from './attempt.js';
+import type {AttemptResult} from './attempt-result.js';
 import type {AttemptRecords} from './attempt-records.js';
 import type {FlowParts} from './flow-parts.js';
 import {MemoryReservation} from './memory-reservation.js';
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -1,30 +1,24 @@
-/** Runs one request: chooses a server, sends, and decides after each attempt whether to retry, deliver or fail. */
+/** Runs one request: chooses a server, sends, and decides after each attempt whether to retry, wait, deliver or fail. */
 import {httpStatusOf} from '../http/error-response.js';
 import type {RequestSubjects} from '../quarantine/crash-subject.js';
 import {failure, type Failure, type FailureCode} from '../util/failure.js';
 import {pause} from '../util/pause.js';
 import {timerDelay} from '../util/timer-delay.js';
-import {
-	Attempt, type AttemptOptions, type AttemptResult, type AttemptTarget, type BufferedResponse, type HandOver,
-} from './attempt.js';
+import type {AttemptResult, BufferedResponse} from './attempt-result.js';
 import {AttemptRecords, hasRun} from './attempt-records.js';
+import {AttemptRunner, noAttempts, type AttemptCounts} from './attempt-runner.js';
 import {ClientResponse} from './client-response.js';
-import {DestinationChoice, type Destination, type Exclusions} from './destination-choice.js';
+import {DestinationChoice, type Shortage} from './destination-choice.js';
+import type {WaitEnd} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
-import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
-import {AttemptPreparation, type PreparedAttempt, type ServerAttempt} from './prepared-attempt.js';
+import type {GatewayRequest} from './gateway-request.js';
+import {NextAttempt, type RefusedAttempt} from './next-attempt.js';
+import {PlaceWait} from './place-wait.js';
+import type {PreparedAttempt} from './prepared-attempt.js';
 import {
 	canRunAgain, nextStep, type NextStep, type RetryState,
 } from './retry-policy.js';
 
-/** A retryable request without a stream is sent to another server after this multiple of its target latency. */
-const NON_STREAM_SILENCE_TARGETS = 2;
-/** A resumable stream is continued on another server after this share of the client's silence limit without an event. */
-const STREAM_SILENCE_SHARE = 0.5;
-/** A silent engine is not abandoned before this multiple of the expected time to the first event. */
-const EXPECTED_TIME_FACTOR = 2;
-/** A relaying host is given up after this multiple of the time after which it gives up a silent server itself. */
-const RELAY_SILENCE_FACTOR = 2;
 /** Interval in ms at which an interrupted stream looks for another server: several times before its client leaves after two seconds. */
 const RESUME_INTERVAL_MS = 250;
 /** Status in logs of a request whose client has disconnected. */
@@ -32,7 +26,8 @@
 
 /** Result of a request, for logs and metrics. */
 export type FlowResult = {
-	readonly outcome: 'delivered' | 'answered' | 'failed' | 'left';
+	/** `superseded`: the request has run nowhere and is to be handled again, by the configuration that is now in force. */
+	readonly outcome: 'delivered' | 'answered' | 'failed' | 'left' | 'superseded';
 	readonly status: number;
 	readonly sends: number;
 	/** Hosts that were asked to relay the request; undefined for none. */
@@ -48,37 +43,65 @@
 /** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
 export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
 
+/** How a request was handled by an earlier configuration. It has run nowhere. */
+export type EarlierHandling = {
+	readonly counts: AttemptCounts;
+	readonly waits: number;
+	/** Number of servers that were chosen. */
+	readonly choices: number;
+};
+
+/** A wait for a place. */
+type Waiting = {
+	/** What the client is told if no place comes. */
+	readonly failed: Failure;
+	readonly ended: Promise<WaitEnd>;
+	/** The attempt that is being prepared at the place, if one came. */
+	placed(): Promise<PreparedAttempt | RefusedAttempt | undefined>;
+};
+
 export class RequestFlow {
-	static create(parts: FlowParts, request: GatewayRequest): RequestFlow {
-		return new RequestFlow(parts, request);
+	/** `earlier`: how the request was handled by an earlier configuration, if it waited when that changed. */
+	static create(parts: FlowParts, request: GatewayRequest, earlier?: EarlierHandling): RequestFlow {
+		return new RequestFlow(parts, request, earlier);
 	}
 
 	readonly #subjects: RequestSubjects;
 	readonly #destinations: DestinationChoice;
 	readonly #records: AttemptRecords;
-	readonly #preparation: AttemptPreparation;
+	readonly #attempts: NextAttempt;
+	readonly #runner: AttemptRunner;
+	readonly #wait: PlaceWait;
+	readonly #isReadmitted: boolean;
 	#stoppedBy: StopReason['kind'] | undefined;
 	readonly #response: ClientResponse;
 	readonly #result: Promise<FlowResult>;
 	#resolve!: (result: FlowResult) => void;
 	#isEnded = false;
 	#deadlineTimer: NodeJS.Timeout | undefined;
-	#running: Attempt | undefined;
-	#server: string | undefined;
-	/** Takes over from the attempt that has just ended. */
-	#next: PreparedAttempt | undefined;
 	/** The stream has begun, and no server has it now. */
 	#isInterrupted = false;
-	#runs = 0;
-	#sends = 0;
-	#receivedSends = 0;
+	/** Set while the request waits for a place. */
+	#waiting: Waiting | undefined;
 
-	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest) {
+	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest, earlier: EarlierHandling | undefined) {
+		this.#isReadmitted = earlier !== undefined;
 		this.#subjects = {parts: request.metadata.sharedParts, identity: request.identity};
-		this.#destinations = DestinationChoice.create(parts, request, this.#subjects);
+		this.#destinations = DestinationChoice.create(parts, request, this.#subjects, earlier?.choices);
 		this.#records = AttemptRecords.create(parts, request, this.#subjects);
-		this.#preparation = AttemptPreparation.create(parts, request.id, this.#records);
 		this.#response = ClientResponse.create(request, parts.clock);
+		this.#wait = PlaceWait.create(parts, request, this.#destinations, earlier?.waits ?? 0);
+		this.#attempts = NextAttempt.create({
+			parts, request, records: this.#records, destinations: this.#destinations, retryState: now => this.#retryState(now),
+		});
+		this.#runner = AttemptRunner.create({
+			parts,
+			request,
+			records: this.#records,
+			destinations: this.#destinations,
+			sink: this.#response,
+			prepareHandOver: async server => this.#attempts.prepareAnother(this.#runner.counts.runs + 1, this.#destinations.exclusionsBeside(server)),
+		}, earlier?.counts ?? noAttempts);
 		this.#result = new Promise(resolve => {
 			this.#resolve = resolve;
 		});
@@ -86,7 +109,12 @@
 
 	/** Whether a backend server may have got the request, and the last one chosen, for logs. */
 	get progress(): {readonly isSent: boolean; readonly server: string | undefined} {
-		return {isSent: this.#mayHaveRun || this.#receivedSends > 0, server: this.#server};
+		return {isSent: this.#mayHaveRun || this.#runner.counts.receivedSends > 0, server: this.#runner.server};
+	}
+
+	/** What a flow needs to know that handles the request again by another configuration. */
+	get handling(): EarlierHandling {
+		return {counts: this.#runner.counts, waits: this.#wait.waits, choices: this.#destinations.choices};
 	}
 
 	/** Resolves when the response has been handed to the client's connection, or the client has disconnected. */
@@ -117,7 +145,7 @@
 			return;
 		}
 
-		const running = this.#running;
+		const abortRunning = this.#runner.abortLater();
 		this.#stoppedBy = reason.kind;
 		try {
 			const ran = this.#mayHaveRun ? 'unknown' : 'not_run';
@@ -135,12 +163,13 @@
 			this.#failUnexpectedly(err);
 		}
 
-		running?.abort(reason.kind === 'overdue' ? 'expired' : 'request_ended');
+		this.#wait.end(reason.kind);
+		abortRunning(reason.kind === 'overdue' ? 'expired' : 'request_ended');
 	}
 
 	/** Whether a backend server may have run the request, or may do so from what was sent. */
 	get #mayHaveRun(): boolean {
-		return this.#runs > 0 || (this.#running?.mayHaveRun ?? false);
+		return this.#runner.mayHaveRun;
 	}
 
 	/** The host that a relayed request came from counts each relay as one run. */
@@ -150,15 +179,16 @@
 
 	/** What can be said of the attempts that have ended. */
 	get #ran(): 'not_run' | 'unknown' {
-		return this.#runs === 0 ? 'not_run' : 'unknown';
+		return this.#runner.counts.runs === 0 ? 'not_run' : 'unknown';
 	}
 
 	#leave(): void {
-		const running = this.#running;
+		const abortRunning = this.#runner.abortLater();
 		this.#end({
-			outcome: 'left', status: CLIENT_LEFT_STATUS, sends: this.#sends, ...this.#response.timing,
+			outcome: 'left', status: CLIENT_LEFT_STATUS, sends: this.#runner.counts.sends, ...this.#response.timing,
 		});
-		running?.abort('request_ended');
+		this.#wait.end('left');
+		abortRunning('request_ended');
 	}
 
 	#end(result: FlowResult): void {
@@ -186,33 +216,116 @@
 
 	async #runAttempts(): Promise<void> {
 		const {parts, request} = this;
-		if (!request.isRelayed) {
+		if (!request.isRelayed && !this.#isReadmitted) {
 			parts.retryBudget(request.service.name).recordRequest();
+			// A token of the budget may be what a waiting request lacks.
+			parts.dispatcher.wake();
 		}
 
 		try {
 			while (!this.#isEnded) {
-				const prepared = this.#takeNext() ?? await (this.#isInterrupted ? this.#awaitNext() : this.#prepareNext());
+				const prepared = this.#attempts.take() ?? await this.#prepareNext();
 				if (prepared) {
 					this.#isInterrupted = false;
 					await this.#attempt(prepared);
 				}
 			}
 		} finally {
-			this.#close(this.#takeNext(), false);
+			this.#attempts.close(this.#attempts.take(), false);
 		}
 	}
 
-	/** Ends the request, or keeps its stream open if that has begun and may be resumed as soon as a server or a retry is available. */
-	#failOrAwait(failed: Failure): void {
-		this.#isInterrupted = this.#response.hasBegun && canRunAgain(this.#retryState(this.parts.clock()));
+	/**
+	 * Ends the request, unless it may go on later: its stream stays open if that has begun and may be resumed as soon as a server or a retry is
+	 * available, and a request that has run nowhere waits for a place if one may come in time.
+	 */
+	#failOrAwait(failed: Failure, shortage?: Shortage): void {
+		const now = this.parts.clock();
+		this.#isInterrupted = this.#response.hasBegun && canRunAgain(this.#retryState(now));
 		if (this.#isInterrupted) {
 			this.parts.logger.info('stream_interrupted', {request: this.request.id, last_event: this.#response.lastEventId, reason: failed.message});
-		} else {
+		} else if (!shortage || !this.#beginWait(failed, shortage, now)) {
 			this.#fail(failed);
 		}
 	}
 
+	/** Returns whether the request waits for a place from here on. One that may have run, or whose client has got anything, does not. */
+	#beginWait(failed: Failure, shortage: Shortage, now: number): boolean {
+		if (this.#mayHaveRun || this.#response.hasBegun) {
+			return false;
+		}
+
+		let placed: Promise<PreparedAttempt | RefusedAttempt> | undefined;
+		const budget = this.parts.retryBudget(this.request.service.name);
+		// The budget limits what servers receive beyond the first attempt of each request.
+		const isFree = (): boolean => this.#runner.counts.receivedSends === 0;
+		const ended = this.#wait.begin(shortage, {
+			isFree,
+			take: (destination, at) => {
+				const isTaken = isFree() || destination.kind === 'host' || budget.tryRetry();
+				placed = isTaken ? this.#attempts.prepare(destination, at) : undefined;
+				return isTaken;
+			},
+		}, now);
+		this.#waiting = ended && {failed, ended, placed: async () => placed};
+		return ended !== undefined;
+	}
+
+	/** Waits for the end of the wait that has begun. Returns the attempt that was prepared. */
+	async #awaitPlace({failed, ended, placed}: Waiting): Promise<PreparedAttempt | undefined> {
+		const end = await ended;
+		this.#waiting = undefined;
+		const prepared = await placed();
+		if (prepared) {
+			return this.#takePrepared(prepared);
+		}
+
+		switch (end) {
+			case 'placed':
+			case 'failed': {
+				this.#failUnexpectedly(new Error(`the wait for a place ended as ${end}`));
+				break;
+			}
+
+			case 'superseded': {
+				this.#end({
+					outcome: 'superseded', status: httpStatusOf(failed.code), sends: this.#runner.counts.sends,
+				});
+				break;
+			}
+
+			case 'quarantined':
+			case 'no_path': {
+				// The choice says why, or finds a host that relays the request.
+				return this.#chooseNext();
+			}
+
+			case 'given_up':
+			case 'no_forecast': {
+				this.#fail({...failed, retryAfterMs: this.#destinations.retryAdviceMs({kind: 'full'}, this.parts.clock())});
+				break;
+			}
+
+			case 'left':
+			case 'overdue':
+			case 'shutdown': {
+				// What ended the wait ends the request, or has.
+				this.#fail(failed);
+				break;
+			}
+		}
+
+		return undefined;
+	}
+
+	async #prepareNext(): Promise<PreparedAttempt | undefined> {
+		if (this.#isInterrupted) {
+			return this.#awaitNext();
+		}
+
+		return this.#waiting ? this.#awaitPlace(this.#waiting) : this.#chooseNext();
+	}
+
 	/** Looks for another attempt at an interrupted stream, after a pause. Servers that were silent or refused the request may take it now. */
 	async #awaitNext(): Promise<PreparedAttempt | undefined> {
 		await pause(RESUME_INTERVAL_MS);
@@ -226,91 +339,37 @@
 			return undefined;
 		}
 
-		const next = await this.#prepareAnother(this.#runs, this.#destinations.exclusionsOfInterrupted);
+		const next = await this.#attempts.prepareAnother(this.#runner.counts.runs, this.#destinations.exclusionsOfInterrupted);
 		next?.accept();
-		return this.#takeNext();
+		return this.#attempts.take();
 	}
 
-	#takeNext(): PreparedAttempt | undefined {
-		const next = this.#next;
-		this.#next = undefined;
-		return next;
-	}
-
-	/** Chooses a server and prepares an attempt. Returns undefined if that failed; the request has then ended, or another server may do. */
-	async #prepareNext(): Promise<PreparedAttempt | undefined> {
+	/** Chooses a server and prepares an attempt. Returns undefined if that failed; the request has then ended, waits, or another server may do. */
+	async #chooseNext(): Promise<PreparedAttempt | undefined> {
 		const now = this.parts.clock();
+		this.#wait.serveEarlier(now);
 		const choice = this.#destinations.choose(this.#ran, now);
-		switch (choice.kind) {
-			case 'refused': {
-				this.#failOrAwait(choice.failure);
-				return undefined;
-			}
-
-			case 'host': {
-				return choice;
-			}
-
-			case 'server': {
-				const prepared = await this.#preparation.prepare(choice.choice, now);
-				if (prepared.kind === 'prepared') {
-					return prepared.attempt;
-				}
-
-				this.#sends++;
-				this.#continueAfter({...choice, memory: undefined, placedAt: now}, prepared.result);
-				return undefined;
-			}
-		}
-	}
-
-	/**
-	 * Prepares an attempt at a server outside the first of the `exclusions` that leaves one, or through another host if this one has no
-	 * path to the servers, and takes its token of the retry budget.
-	 * `runs` counts the attempts that may have run or are running.
-	 */
-	async #prepareAnother(runs: number, exclusions: Exclusions): Promise<HandOver | undefined> {
-		const budget = this.parts.retryBudget(this.request.service.name);
-		let hasToken = false;
-		try {
-			const now = this.parts.clock();
-			hasToken = canRunAgain({...this.#retryState(now), runs}) && budget.tryRetry();
-			const another = hasToken ? await this.#prepareChoice(this.#destinations.chooseAnother(exclusions, now), now) : undefined;
-			if (another) {
-				hasToken = false;
-				return {
-					accept: () => {
-						this.#next = another;
-					},
-					discard: () => {
-						budget.giveBack();
-						this.#close(another, false);
-					},
-				};
-			}
-		} catch (err) {
-			this.#records.logError(err);
-		}
-
-		if (hasToken) {
-			budget.giveBack();
+		if (choice.kind === 'refused') {
+			this.#failOrAwait(choice.failure, choice.shortage);
+			return undefined;
 		}
 
-		return undefined;
+		return this.#takePrepared(await this.#attempts.prepare(choice, now));
 	}
 
-	async #prepareChoice(choice: Destination | undefined, now: number): Promise<PreparedAttempt | undefined> {
-		if (choice?.kind !== 'server') {
-			return choice;
+	#takePrepared(prepared: PreparedAttempt | RefusedAttempt): PreparedAttempt | undefined {
+		if (prepared.kind !== 'unprepared') {
+			return prepared;
 		}
 
-		const prepared = await this.#preparation.prepare(choice.choice, now);
-		return prepared.kind === 'prepared' ? prepared.attempt : undefined;
+		this.#runner.countUnsent();
+		this.#continueAfter(prepared.attempt, prepared.result);
+		return undefined;
 	}
 
 	/** Records an attempt, and ends the request unless another attempt follows. */
 	#continueAfter(prepared: PreparedAttempt, result: AttemptResult): void {
-		const next: NextStep = this.#next ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		const next: NextStep = this.#attempts.isReady ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
 		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
 			this.#recordPrepared(prepared, result, next.kind);
 		}
@@ -350,7 +409,7 @@
 				if (next.isExpired) {
 					this.#fail(failed);
 				} else {
-					this.#failOrAwait(failed);
+					this.#failOrAwait(failed, next.ran === 'not_run' ? this.#destinations.shortageOfRefusals(this.parts.clock()) : undefined);
 				}
 			}
 		}
@@ -361,7 +420,7 @@
 			case 'server': {
 				const {choice} = prepared;
 				const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
-				this.#destinations.recordServer(faultyServer.id, {isBroken: result.outcome.kind === 'broken' && !this.#next, isNotConnected: result.isNotConnected ?? false});
+				this.#destinations.recordServer(faultyServer.id, {isBroken: result.outcome.kind === 'broken' && !this.#attempts.isReady, isNotConnected: result.isNotConnected ?? false});
 				this.#records.guard(() => {
 					this.#records.recordAttempt(choice, result, faultyServer, next);
 				});
@@ -377,12 +436,6 @@
 		}
 	}
 
-	#close(prepared: PreparedAttempt | undefined, isAnswered: boolean): void {
-		if (prepared) {
-			this.#preparation.close(prepared, isAnswered);
-		}
-	}
-
 	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
 	async #attempt(prepared: PreparedAttempt): Promise<void> {
 		let result: AttemptResult | undefined;
@@ -391,125 +444,36 @@
 				return;
 			}
 
-			result = await (prepared.kind === 'server' ? this.#send(prepared) : this.#relay(prepared.address));
+			result = await this.#runner.run(prepared);
 		} finally {
-			this.#close(prepared, result !== undefined && hasRun(result.outcome));
+			this.#attempts.close(prepared, result !== undefined && hasRun(result.outcome));
 		}
 
 		this.#continueAfter(prepared, result);
 	}
 
-	async #send({choice, memory, placedAt}: ServerAttempt): Promise<AttemptResult> {
-		const {parts, request} = this;
-		this.#sends++;
-		this.#server = choice.server.instanceId;
-		parts.logger.info('placed', {
-			request: request.id,
-			server: choice.server.instanceId,
-			helpers: choice.helpers.length,
-			prompt_tokens: request.metadata.promptTokens,
-			reserved_tokens: choice.reserved.reduce((sum, {tokens}) => sum + tokens, 0),
-			expected_ms: Math.round(choice.expectedMs),
-			considered: choice.considered,
-			send: this.#sends,
-		});
-		const result = await this.#run({kind: 'server', choice, memory}, {
-			silenceTimeoutMs: this.#silenceTimeoutMs(choice.expectedMs),
-			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, this.#destinations.exclusionsBeside(choice.server.id)),
-			onConnected() {
-				parts.relay.recordConnected(parts.clock());
-			},
-			onMetadata: metadata => {
-				this.#records.recordMetadata(choice.server, metadata, placedAt);
-			},
-			onEvent: events => {
-				this.#records.recordEvents(choice, events);
-			},
-		});
-		this.#receivedSends += result.isUnsent ? 0 : 1;
-		this.#records.guard(() => {
-			this.#records.recordEnd(choice, result, parts.turnClock());
-		});
-		return result;
-	}
-
-	async #relay(address: string): Promise<AttemptResult> {
-		const {parts, request} = this;
-		this.#destinations.recordRelay(address);
-		this.#server = address;
-		parts.logger.info('relayed', {request: request.id, host: address, try: this.#destinations.relayTries});
-		return this.#run({kind: 'host', address, requiredConfiguration: parts.relay.requiredConfiguration(request.configuration)}, {
-			silenceTimeoutMs: RELAY_SILENCE_FACTOR * this.#silenceTimeoutMs(0),
-			prepareHandOver: async () => this.#prepareAnother(this.#runs + 1, this.#destinations.exclusionsBeside()),
-			onConnected: ignore,
-			onMetadata: (metadata, relayNote) => {
-				this.#records.recordRelayedMetadata(metadata, relayNote);
-			},
-			onEvent: ignore,
-		});
-	}
-
-	/** Runs an attempt. The callbacks after `prepareHandOver` are for records that the answer does not depend on. */
-	async #run(target: AttemptTarget, {
-		silenceTimeoutMs, prepareHandOver, onConnected, onMetadata, onEvent,
-	}: Pick<AttemptOptions, 'silenceTimeoutMs' | 'prepareHandOver' | 'onConnected' | 'onMetadata' | 'onEvent'>): Promise<AttemptResult> {
-		const {parts, request} = this;
-		this.#running = Attempt.start({
-			wire: parts.wire,
-			clock: parts.clock,
-			request,
-			target,
-			sink: this.#response,
-			buffers: parts.buffers,
-			silenceTimeoutMs,
-			prepareHandOver,
-			onConnected: () => {
-				this.#records.guard(onConnected);
-			},
-			onMetadata: (...metadata) => {
-				this.#records.guard(() => {
-					onMetadata(...metadata);
-				});
-			},
-			onEvent: events => {
-				this.#records.guard(() => {
-					onEvent(events);
-				});
-			},
-			onError: err => {
-				this.#records.logError(err);
-			},
-		});
-		const result = await this.#running.result;
-		this.#running = undefined;
-		this.#runs += result.mayHaveRun ? 1 : 0;
-		return result;
-	}
-
-	#silenceTimeoutMs(expectedMs: number): number {
-		const {route} = this.request;
-		return route.kind.kind === 'stream'
-			? Math.max(STREAM_SILENCE_SHARE * clientSilenceLimitMs(route), EXPECTED_TIME_FACTOR * expectedMs)
-			: NON_STREAM_SILENCE_TARGETS * route.targetLatencyMs;
-	}
-
 	#retryState(now: number): RetryState {
-		const {route, deadline, service} = this.request;
+		const {parts, request: {route, deadline, service}} = this;
+		const {runs, sends, receivedSends, unconnectedSends} = this.#runner.counts;
+		const isQueued = this.#wait.isAsked;
 		return {
 			kind: route.kind,
-			maxAttempts: this.parts.quarantine.allowsRetry(this.#subjects, now) ? this.#maxRuns : this.#runs,
-			runs: this.#runs,
-			sends: this.#sends,
-			receivedSends: this.#receivedSends,
+			maxAttempts: parts.quarantine.allowsRetry(this.#subjects, now) ? this.#maxRuns : runs,
+			runs,
+			sends,
+			receivedSends,
+			unconnectedSends: isQueued ? unconnectedSends : 0,
+			hasPatience: isQueued && this.#wait.hasPatience(now),
+			waits: this.#wait.waits,
 			timeLeftMs: deadline - now,
-			tryBudget: () => this.parts.retryBudget(service.name).tryRetry(),
+			tryBudget: () => parts.retryBudget(service.name).tryRetry(),
 		};
 	}
 
 	#finish(): void {
 		this.#response.end();
 		this.#end({
-			outcome: 'delivered', status: 200, sends: this.#sends, ...this.#response.timing,
+			outcome: 'delivered', status: 200, sends: this.#runner.counts.sends, ...this.#response.timing,
 		});
 	}
 
@@ -518,7 +482,7 @@
 		this.#response.sendBuffered(response, () => {
 			parts.logger.warn('response_dropped', {request: request.id, bytes: response.body.length, buffered: parts.buffers.totalBytes});
 		});
-		this.#end({outcome: 'answered', status: response.status, sends: this.#sends});
+		this.#end({outcome: 'answered', status: response.status, sends: this.#runner.counts.sends});
 	}
 
 	#fail(failed: Failure): void {
@@ -534,13 +498,11 @@
 		}
 
 		this.#end({
-			outcome: 'failed', status: httpStatusOf(failed.code), sends: this.#sends, ...this.#response.timing, failure: failed,
+			outcome: 'failed', status: httpStatusOf(failed.code), sends: this.#runner.counts.sends, ...this.#response.timing, failure: failed,
 		});
 	}
 }
 
-function ignore(): void {} // eslint-disable-line @typescript-eslint/no-empty-function
-
 function stopFailure(reason: StopReason, ran: 'not_run' | 'unknown'): {readonly code: FailureCode; readonly message: string} {
 	switch (reason.kind) {
 		case 'shutdown': {
--- a/src/gateway/retry-advice.ts
+++ b/src/gateway/retry-advice.ts
@@ -33,10 +33,11 @@
 /** Returns the time in ms after which the client should come back. `random` is between 0 and 1. */
 export function retryAdviceMs(cause: RefusalCause, timeLeftMs: number, random: number): number {
 	const spread = 1 + (SPREAD_SHARE * random);
-	return Math.max(0, Math.min(spread * earliestMs(cause), MAX_TIME_SHARE * timeLeftMs));
+	return Math.max(0, Math.min(spread * earliestPlaceMs(cause), MAX_TIME_SHARE * timeLeftMs));
 }
 
-function earliestMs(cause: RefusalCause): number {
+/** Time in ms until a place may come, without knowledge of the other daemons. */
+export function earliestPlaceMs(cause: RefusalCause): number {
 	switch (cause.kind) {
 		case 'shutdown': {
 			return OTHER_DAEMON_RETRY_MS;
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -26,6 +26,12 @@
 	readonly sends: number;
 	/** Attempts that reached a backend server, whether or not it ran them. */
 	readonly receivedSends: number;
+	/** Those of `sends` that have a limit of their own, since they never connected to a server; 0 where all count alike. */
+	readonly unconnectedSends: number;
+	/** Whether the client has patience for more of them than of other attempts. */
+	readonly hasPatience: boolean;
+	/** Times that the request has waited for a place. */
+	readonly waits: number;
 	readonly timeLeftMs: number;
 	/** Takes one retry from the shared budget of the daemons, if available; called last. */
 	tryBudget(): boolean;
@@ -39,6 +45,11 @@
 
 /** Limit of attempts per request, including rejected ones. More would use up the shared budget when the fleet is full. */
 const MAX_SENDS = 4;
+/**
+ * Limit of attempts that never connected, which cost the servers nothing: most of the engines of a failure domain of a large fleet, each of
+ * which may refuse a connection before the daemons have told each other that it is gone.
+ */
+const MAX_UNCONNECTED_SENDS = 16;
 /** With less time left, another attempt would only add load. */
 const MIN_TIME_LEFT_MS = 50;
 const SERVER_ERROR_STATUS = 500;
@@ -50,7 +61,13 @@
 export const canRunAgain = (state: Omit<RetryState, 'tryBudget'>): boolean =>
 	isRetryable(state.kind) && state.runs < state.maxAttempts && canSendAgain(state);
 
-const canSendAgain = ({sends, timeLeftMs}: Omit<RetryState, 'tryBudget'>): boolean => sends < MAX_SENDS && timeLeftMs > MIN_TIME_LEFT_MS;
+/** A place has been seen for the request before each wait ends, so each wait allows one more attempt. */
+const canSendAgain = ({
+	sends, unconnectedSends, hasPatience, waits, timeLeftMs,
+}: Omit<RetryState, 'tryBudget'>): boolean =>
+	timeLeftMs > MIN_TIME_LEFT_MS
+	&& sends - unconnectedSends < MAX_SENDS + waits
+	&& unconnectedSends < (hasPatience ? MAX_UNCONNECTED_SENDS : MAX_SENDS);
 
 export function nextStep(outcome: AttemptOutcome, state: RetryState): NextStep {
 	switch (outcome.kind) {
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -1,4 +1,5 @@
 /** Looks up routes, services and workspaces in one version of the serving configuration. */
+import {UrgencyScale} from '../scheduling/request-rank.js';
 import type {
 	Route, Service, ServingConfiguration, Workspace,
 } from './serving-configuration.js';
@@ -17,6 +18,7 @@
 	readonly #routes = new Map<string, Route[]>();
 	readonly #services: ReadonlyMap<string, Service>;
 	readonly #workspaces = new Map<string, Workspace>();
+	readonly #urgencies: UrgencyScale;
 
 	private constructor(readonly configuration: ServingConfiguration) {
 		for (const route of configuration.routes) {
@@ -30,6 +32,7 @@
 			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
 		}
 
+		this.#urgencies = UrgencyScale.create(configuration);
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
 		for (const workspace of configuration.workspaces ?? []) {
 			for (const key of workspace.apiKeys) {
@@ -52,6 +55,11 @@
 		return this.#services.get(name);
 	}
 
+	/** Urgency of a request of `rank`; undefined where it does not matter, and for services without engines, which do not read it. */
+	urgency(service: Service, rank: number): number | undefined {
+		return service.engine && this.#urgencies.urgency(service.name, rank);
+	}
+
 	/** Checks the API key of a request to `route`. */
 	checkAccess(route: Route, apiKey: string | undefined): AccessResult {
 		const workspace = apiKey === undefined ? undefined : this.#workspaces.get(apiKey);
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -71,6 +71,10 @@
 	return waits.length === 0 ? undefined : Math.min(...waits);
 }
 
+/** Servers that may serve the request, whether or not they have room. */
+export const allowedServers = (parts: ChoiceParts, request: GatewayRequest, now: number): readonly BackendServer[] =>
+	parts.fleet.usableServers(request.service.name, now).filter(server => isAllowedDomain(parts, request, server.failureDomain));
+
 /** Whether the regions that the route and the workspace name allow servers and hosts of a failure domain. */
 export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: GatewayRequest, failureDomain: string): boolean {
 	const region = parts.regionOf(failureDomain);
--- a/src/relaying/request-relay.ts
+++ b/src/relaying/request-relay.ts
@@ -23,6 +23,8 @@
 	hosts(now: number): readonly Member[];
 	/** Random number between 0 and 1. */
 	random(): number;
+	/** Called when the path to the servers is lost or back. */
+	onPathChanged(): void;
 };
 
 export class RequestRelay {
@@ -106,7 +108,11 @@
 	}
 
 	#handleChange(change: PathChange | undefined): void {
-		const {logger} = this.options;
+		const {logger, onPathChanged} = this.options;
+		if (change) {
+			onPathChanged();
+		}
+
 		switch (change?.kind) {
 			case 'lost': {
 				logger.warn('server_path_lost', {
--- a/tests/bounded-output.test.ts
+++ b/tests/bounded-output.test.ts
@@ -24,7 +24,7 @@
 	it('should drop lines and count them in the metrics while the reader of the output is stalled', async () => {
 		const output = BoundedOutput.create();
 		const metrics = GatewayMetrics.create({
-			droppedLines: () => output.dropped, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false,
+			droppedLines: () => output.dropped, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false, waitingRequests: () => 0,
 		});
 		output.sink('first');
 		await vi.waitFor(() => {
--- a/tests/fleet-feeds.test.ts
+++ b/tests/fleet-feeds.test.ts
@@ -40,6 +40,7 @@
 		pauseMs: () => 20,
 		retryMs: () => 600,
 		onRestored: () => undefined,
+		onServers: () => undefined,
 		onConfiguration() {
 			if (failures > 0) {
 				failures--;
--- a/tests/gateway-boundary.test.ts
+++ b/tests/gateway-boundary.test.ts
@@ -24,7 +24,7 @@
 	clockOffsetMs = 0;
 	flows = await FlowFixture.create({parts: {clock: () => monotonicMs() + clockOffsetMs}});
 	metrics = GatewayMetrics.create({
-		droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false,
+		droppedLines: () => 0, quarantinedParts: () => 0, limitedServers: () => 0, isServerPathLost: () => false, waitingRequests: () => 0,
 	});
 });
 
--- a/tests/retry-policy.test.ts
+++ b/tests/retry-policy.test.ts
@@ -3,7 +3,7 @@
 import {nextStep, type RetryState} from '../src/gateway/retry-policy.js';
 
 const createState = (overrides: Partial<RetryState> = {}): RetryState => ({
-	kind: {kind: 'idempotent'}, maxAttempts: 2, runs: 1, sends: 1, receivedSends: 1, timeLeftMs: 1000, tryBudget: () => true, ...overrides,
+	kind: {kind: 'idempotent'}, maxAttempts: 2, runs: 1, sends: 1, receivedSends: 1, unconnectedSends: 0, hasPatience: true, waits: 0, timeLeftMs: 1000, tryBudget: () => true, ...overrides,
 });
 const nonIdempotent = {kind: 'non_idempotent'} as const;
 
