--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -42,6 +42,9 @@
 /** An open placement, as listed in a report of its daemon. */
 export type OpenPlacement = Pick<PlacementEntry, 'id' | 'startedAt'>;
 
+/** Called with a server on which something may have become free. `entry` is the placement as it was before. */
+export type ReleaseListener = (server: string, kind: 'started' | 'closed', entry: PlacementEntry) => void;
+
 type DaemonRecord = {
 	lastContactAt: number;
 	readonly entries: Map<string, PlacementEntry>;
@@ -51,14 +54,14 @@
 
 export class PlacementTable {
 	/** `onReleased` is called for each server of a placement that has started, or has ended, after that. */
-	static create(onReleased: (server: string, kind: 'started' | 'closed') => void = () => undefined): PlacementTable {
+	static create(onReleased: ReleaseListener = () => undefined): PlacementTable {
 		return new PlacementTable(onReleased);
 	}
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
 
-	private constructor(private readonly onReleased: (server: string, kind: 'started' | 'closed') => void) {}
+	private constructor(private readonly onReleased: ReleaseListener) {}
 
 	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): boolean {
@@ -160,7 +163,7 @@
 
 	#announce(entry: PlacementEntry, kind: 'started' | 'closed'): void {
 		for (const server of participants(entry)) {
-			this.onReleased(server, kind);
+			this.onReleased(server, kind, entry);
 		}
 	}
 
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -51,6 +51,8 @@
 	readonly #broken = new Set<string>();
 	/** IP:PORT of the daemons that were asked to relay the request. */
 	readonly #relayAddresses = new Set<string>();
+	/** Servers that could not be connected to, also before the request waited. */
+	readonly #unconnected = new Set<string>();
 	#unconnectedServers = 0;
 	/** Number of servers that were chosen. */
 	#choices: number;
@@ -88,6 +90,10 @@
 	recordServer(server: string, {isBroken, isNotConnected}: {readonly isBroken: boolean; readonly isNotConnected: boolean}): void {
 		this.#excluded.add(server);
 		this.#unconnectedServers += isNotConnected ? 1 : 0;
+		if (isNotConnected) {
+			this.#unconnected.add(server);
+		}
+
 		if (isBroken) {
 			this.#broken.add(server);
 		}
@@ -102,9 +108,9 @@
 		}
 	}
 
-	/** The want of room after all servers that were asked have refused the request. */
-	shortageOfRefusals(now: number): Shortage {
-		return this.#createShortage({kind: 'full'}, 0, now);
+	/** The want of room after servers have refused the request; undefined if no room helps. */
+	shortageOfRefusals(now: number): Shortage | undefined {
+		return this.#createShortage(undefined, 0, now);
 	}
 
 	recordRelay(address: string): void {
@@ -164,7 +170,7 @@
 					step: 'reserve',
 					retryAfterMs: this.retryAdviceMs(cause, now),
 				}),
-				shortage: this.#createShortage(cause, 0, now),
+				shortage: this.#createShortage(waitMs === undefined ? undefined : cause, 0, now),
 			};
 		}
 
@@ -230,12 +236,21 @@
 		return address === undefined ? undefined : {kind: 'host', address};
 	}
 
-	/** A limit has a known end. Otherwise places come at the rate at which they have come lately. */
-	#createShortage(cause: RefusalCause, serviceMs: number, now: number): Shortage {
-		const {parts, request} = this;
+	/**
+	 * A limit has a known end. Otherwise places come at the rate at which they have come lately, or, without a cause, on servers that are full
+	 * or not there. Returns undefined for a prompt that all servers together could not hold if they were empty.
+	 */
+	#createShortage(given: RefusalCause | undefined, serviceMs: number, now: number): Shortage | undefined {
+		const {parts, request: {service: {engine}, metadata: {promptTokens = 0}}, request} = this;
+		const servers = allowedServers(parts, request, now).map(({id}) => id);
+		const hasServer = servers.some(id => !this.#unconnected.has(id));
+		if (engine && hasServer && promptTokens > engine.memoryTokens * servers.length) {
+			return undefined;
+		}
+
+		const cause = given ?? {kind: hasServer ? 'full' : 'no_server'};
 		const isKnown = cause.kind === 'limited';
-		const servers = isKnown ? [] : allowedServers(parts, request, now).map(({id}) => id);
-		const placeInMs = servers.length === 0 ? undefined : parts.dispatcher.placeInMs(request.service.name, urgencyOf(request), servers, now);
+		const placeInMs = isKnown || !hasServer ? undefined : parts.dispatcher.placeInMs(request.service.name, urgencyOf(request), servers, now);
 		return {
 			why: cause.kind, placeInMs: placeInMs ?? earliestPlaceMs(cause), isKnown, serviceMs,
 		};
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -5,6 +5,7 @@
  * known times: a delayed offer, the forecast of a place, and the time after which a place no longer helps.
  */
 import {MAX_MESH_SIZE} from '../fleet/fleet-topology.js';
+import type {PlacementEntry} from '../fleet/placement-table.js';
 import {
 	agedRank, compareUrgency, DispatchQueue, type QueuedRequest, type Urgency,
 } from '../scheduling/dispatch-queue.js';
@@ -25,6 +26,9 @@
 /** Requests that find no place in one round, after which the others of their lane are not asked: they differ in size and regions only. */
 const MAX_FAILED_OFFERS = 3;
 
+/** A placement without an event counts as served if it was open for this time in ms; servers refuse a request within some ms. */
+const MIN_SERVED_MS = 100;
+
 /** How a wait ended. */
 export type WaitEnd =
 	/** A place was found. */
@@ -178,9 +182,10 @@
 	}
 
 	/** Records that a placement of any daemon on `server` has started or ended. */
-	recordRelease(server: string, kind: 'started' | 'closed'): void {
+	recordRelease(server: string, kind: 'started' | 'closed', {startedAt, placedAt}: Pick<PlacementEntry, 'startedAt' | 'placedAt'>): void {
 		const now = this.options.clock();
-		if (kind === 'closed') {
+		// A request that the server refused has not held a place.
+		if (kind === 'closed' && (startedAt !== undefined || now - placedAt >= MIN_SERVED_MS)) {
 			this.#forecast.recordEnd(server, now);
 		}
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -114,8 +114,8 @@
 		const dispatcher = Dispatcher.create({
 			daemon: settings.daemon, clock, logger, metrics, maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE, daemons: () => loadExchange.daemons,
 		});
-		const placements = PlacementTable.create((server, kind) => {
-			dispatcher.recordRelease(server, kind);
+		const placements = PlacementTable.create((server, kind, entry) => {
+			dispatcher.recordRelease(server, kind, entry);
 		});
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
 		const limits = ServerLimits.create(() => {
--- a/src/scheduling/place-forecast.ts
+++ b/src/scheduling/place-forecast.ts
@@ -7,6 +7,8 @@
 
 /** Window in ms in which ends are counted: a busy service has dozens of them, and a shortage lasts some seconds. */
 const RATE_WINDOW_MS = 1000;
+/** Fewer ends in the window say nothing of a rate. */
+const MIN_ENDS = 10;
 /** Most ends that are remembered for one server; more do not change a decision. */
 const MAX_ENDS = 64;
 
@@ -41,10 +43,10 @@
 		return count;
 	}
 
-	/** Time in ms until the request with `ahead` others before it here gets a place; undefined if nothing ended lately. */
+	/** Time in ms until the request with `ahead` others before it here gets a place; undefined if too few placements ended lately. */
 	placeInMs(servers: Iterable<string>, {ahead, daemons}: {readonly ahead: number; readonly daemons: number}, now: number): number | undefined {
 		const ends = this.recentEnds(servers, now);
-		return ends === 0 ? undefined : (ahead + 0.5) * daemons * RATE_WINDOW_MS / ends;
+		return ends < MIN_ENDS ? undefined : (ahead + 0.5) * daemons * RATE_WINDOW_MS / ends;
 	}
 
 	/** Forgets servers that are not in `known`. */
