--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -29,6 +29,12 @@
 /** A placement without an event counts as served if it was open for this time in ms; servers refuse a request within some ms. */
 const MIN_SERVED_MS = 100;
 
+/**
+ * Longest time in ms that a request waits for a token of the retry budget once it lacked one. A client that is refused comes back after about
+ * that time, and its next attempt needs no token.
+ */
+const TOKEN_WAIT_MS = 200;
+
 /** How a wait ended. */
 export type WaitEnd =
 	/** A place was found. */
@@ -57,6 +63,8 @@
 	| {readonly kind: 'placed'}
 	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. */
 	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean}
+	/** There is a place, and the retry budget has no token for the request, which a server has refused before. */
+	| {readonly kind: 'no_token'}
 	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path'};
 
 export type WaitingRequest = QueuedRequest & {
@@ -89,7 +97,8 @@
 	daemons(): number;
 };
 
-type Entry = QueuedRequest & {
+type Entry = Omit<QueuedRequest, 'giveUpAt'> & {
+	giveUpAt: number;
 	readonly request: WaitingRequest;
 	readonly since: number;
 	lookAt: number;
@@ -184,17 +193,18 @@
 	/** Records that a placement of any daemon on `server` has started or ended. */
 	recordRelease(server: string, kind: 'started' | 'closed', {startedAt, placedAt}: Pick<PlacementEntry, 'startedAt' | 'placedAt'>): void {
 		const now = this.options.clock();
-		// A request that the server refused has not held a place.
-		if (kind === 'closed' && (startedAt !== undefined || now - placedAt >= MIN_SERVED_MS)) {
+		// A request that the server refused has not held a place, so its end frees none there.
+		const wasServed = startedAt !== undefined || now - placedAt >= MIN_SERVED_MS;
+		if (kind === 'closed' && wasServed) {
 			this.#forecast.recordEnd(server, now);
 		}
 
-		this.#wake(server, now);
+		this.#wake(server, wasServed || kind === 'started', now);
 	}
 
 	/** Looks for places soon, since something has changed. */
 	wake(): void {
-		this.#wake(undefined, this.options.clock());
+		this.#wake(undefined, false, this.options.clock());
 	}
 
 	/** Ends all waits, in order, for a new configuration. */
@@ -220,14 +230,15 @@
 		}
 	}
 
-	#wake(server: string | undefined, now: number): void {
+	/** `isFreed`: a server that refused requests may take them now. */
+	#wake(server: string | undefined, isFreed: boolean, now: number): void {
 		if (this.size === 0) {
 			return;
 		}
 
 		const ordered = this.#queue.ordered(now);
 		for (const {request} of ordered) {
-			if (server !== undefined) {
+			if (isFreed) {
 				request.readmit(server);
 			}
 		}
@@ -303,6 +314,11 @@
 				return true;
 			}
 
+			case 'no_token': {
+				entry.giveUpAt = Math.min(entry.giveUpAt, now + TOKEN_WAIT_MS);
+				return false;
+			}
+
 			case 'none': {
 				// An estimate that has not come true is not repeated; the next event tells more.
 				if (!offer.isKnown) {
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -5,7 +5,7 @@
 } from 'prom-client';
 import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
 import type {WaitEnd} from './dispatcher.js';
-import type {FlowResult} from './request-flow.js';
+import type {FlowResult} from './flow-result.js';
 
 /** Upper bounds in ms; the latency targets of both users lie between 193 ms and 15 s. */
 const LATENCY_BUCKETS_MS = [25, 50, 100, 200, 300, 400, 600, 1000, 1500, 2500, 4000, 6000, 10_000, 15_000];
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -107,7 +107,7 @@
 		const {destinations, request} = this;
 		const next = destinations.choose('not_run', now, now - request.arrivedAt);
 		if (next.kind !== 'refused') {
-			return taker.take(next, now) ? {kind: 'placed'} : {kind: 'none', placeInMs: Infinity, isKnown: false};
+			return taker.take(next, now) ? {kind: 'placed'} : {kind: 'no_token'};
 		}
 
 		return next.shortage
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -1,7 +1,7 @@
 /** Runs one request: chooses a server, sends, and decides after each attempt whether to retry, wait, deliver or fail. */
 import {httpStatusOf} from '../http/error-response.js';
 import type {RequestSubjects} from '../quarantine/crash-subject.js';
-import {failure, type Failure, type FailureCode} from '../util/failure.js';
+import {failure, type Failure} from '../util/failure.js';
 import {pause} from '../util/pause.js';
 import {timerDelay} from '../util/timer-delay.js';
 import type {AttemptResult, BufferedResponse} from './attempt-result.js';
@@ -11,6 +11,9 @@
 import {DestinationChoice, type Shortage} from './destination-choice.js';
 import type {WaitEnd} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
+import {
+	failureCode, stopFailure, type EarlierHandling, type FlowResult, type StopReason,
+} from './flow-result.js';
 import type {GatewayRequest} from './gateway-request.js';
 import {NextAttempt, type RefusedAttempt} from './next-attempt.js';
 import {PlaceWait} from './place-wait.js';
@@ -24,33 +27,6 @@
 /** Status in logs of a request whose client has disconnected. */
 const CLIENT_LEFT_STATUS = 499;
 
-/** Result of a request, for logs and metrics. */
-export type FlowResult = {
-	/** `superseded`: the request has run nowhere and is to be handled again, by the configuration that is now in force. */
-	readonly outcome: 'delivered' | 'answered' | 'failed' | 'left' | 'superseded';
-	readonly status: number;
-	readonly sends: number;
-	/** Hosts that were asked to relay the request; undefined for none. */
-	readonly hosts?: number;
-	/** Time in ms to the first event of a stream, and the longest pause between events. */
-	readonly firstEventMs?: number;
-	readonly longestGapMs?: number;
-	readonly failure?: Failure;
-	/** Set if the request was ended from outside. */
-	readonly stoppedBy?: StopReason['kind'];
-};
-
-/** Why a request is ended from outside: the daemon stops, or the deadline of the request has passed. */
-export type StopReason = {readonly kind: 'shutdown'} | {readonly kind: 'overdue'};
-
-/** How a request was handled by an earlier configuration. It has run nowhere. */
-export type EarlierHandling = {
-	readonly counts: AttemptCounts;
-	readonly waits: number;
-	/** Number of servers that were chosen. */
-	readonly choices: number;
-};
-
 /** A wait for a place. */
 type Waiting = {
 	/** What the client is told if no place comes. */
@@ -502,23 +478,3 @@
 		});
 	}
 }
-
-function stopFailure(reason: StopReason, ran: 'not_run' | 'unknown'): {readonly code: FailureCode; readonly message: string} {
-	switch (reason.kind) {
-		case 'shutdown': {
-			return {code: ran === 'not_run' ? 'draining' : 'backend_failed', message: 'this daemon is shutting down'};
-		}
-
-		case 'overdue': {
-			return {code: ran === 'not_run' ? 'no_capacity' : 'deadline_exceeded', message: 'the deadline of the request has passed'};
-		}
-	}
-}
-
-function failureCode({ran, isExpired}: Extract<NextStep, {kind: 'fail'}>): FailureCode {
-	if (ran === 'not_run') {
-		return 'no_capacity';
-	}
-
-	return isExpired ? 'deadline_exceeded' : 'backend_failed';
-}
--- a/tests/request-stop.test.ts
+++ b/tests/request-stop.test.ts
@@ -4,7 +4,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import type {OrderOutcome} from '../src/gateway/memory-reservation.js';
-import type {StopReason} from '../src/gateway/request-flow.js';
+import type {StopReason} from '../src/gateway/flow-result.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
 import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
 import {waitUntil} from './fixtures/http.js';
