--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -42,6 +42,9 @@
 /** An open placement, as listed in a report of its daemon. */
 export type OpenPlacement = Pick<PlacementEntry, 'id' | 'startedAt'>;
 
+/** Called with a server on which something may have become free. `entry` is the placement as it was before. */
+export type ReleaseListener = (server: string, kind: 'started' | 'closed', entry: PlacementEntry) => void;
+
 type DaemonRecord = {
 	lastContactAt: number;
 	readonly entries: Map<string, PlacementEntry>;
@@ -50,14 +53,15 @@
 const noEntries: readonly PlacementEntry[] = [];
 
 export class PlacementTable {
-	static create(): PlacementTable {
-		return new PlacementTable();
+	/** `onReleased` is called for each server of a placement that has started, or has ended, after that. */
+	static create(onReleased: ReleaseListener = () => undefined): PlacementTable {
+		return new PlacementTable(onReleased);
 	}
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
 
-	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
+	private constructor(private readonly onReleased: ReleaseListener) {}
 
 	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): boolean {
@@ -81,6 +85,7 @@
 		const entry = this.#daemons.get(daemon)?.entries.get(id);
 		if (entry && entry.startedAt === undefined) {
 			this.#put({...entry, startedAt: now});
+			this.#announce(entry, 'started');
 		}
 	}
 
@@ -92,6 +97,8 @@
 			for (const server of participants(entry)) {
 				this.#byServer.get(server)?.delete(id);
 			}
+
+			this.#announce(entry, 'closed');
 		}
 	}
 
@@ -154,6 +161,12 @@
 		return known;
 	}
 
+	#announce(entry: PlacementEntry, kind: 'started' | 'closed'): void {
+		for (const server of participants(entry)) {
+			this.onReleased(server, kind, entry);
+		}
+	}
+
 	#put(entry: PlacementEntry): void {
 		this.#daemons.get(entry.daemon)!.entries.set(entry.id, entry);
 		for (const server of participants(entry)) {
