Allow retries beyond a daemon's own part by what the fleet is known to use

Ruled out: larger static parts, which break the rule when daemons retry at once, and a counter in the store. Fleets of more than 24 daemons count the placements of all daemons, and retry beyond their own parts while the rule would hold even if all of them used up their parts. The placement says whether an earlier attempt may have reached a server, since its id also counts choices that sent nothing.

--- a/src/fleet/fleet-links.ts
+++ b/src/fleet/fleet-links.ts
@@ -37,6 +37,11 @@
 		return this.topology.size;
 	}
 
+	/** Number of the other known daemons of each failure domain. */
+	get othersByDomain(): ReadonlyMap<string, number> {
+		return this.topology.othersByDomain;
+	}
+
 	get isMesh(): boolean {
 		return this.topology.isMesh;
 	}
--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -16,7 +16,7 @@
 /** Largest mesh: 23 datagrams for each change, about 1 ms of processor time for the three changes of a request. */
 export const MAX_MESH_SIZE = 24;
 /** Time in ms without a message after which a link counts as lost: three heartbeats of a relay. */
-const LINK_TIMEOUT_MS = 1000;
+export const LINK_TIMEOUT_MS = 1000;
 /** Time in ms without a message after which a follower is removed: three of its reports, which it sends every second. */
 const FOLLOWER_TIMEOUT_MS = 3500;
 
@@ -68,6 +68,7 @@
 	/** The candidates by rank, and the failure domains of all daemons. */
 	#ranked: readonly LinkCandidate[] = [];
 	#failureDomains: ReadonlySet<string>;
+	#othersByDomain: ReadonlyMap<string, number> = new Map();
 	readonly #followers = new Map<string, number>();
 	#probeCount = 0;
 
@@ -80,6 +81,11 @@
 		return this.#candidates.size + 1;
 	}
 
+	/** Number of the other known daemons of each failure domain. */
+	get othersByDomain(): ReadonlyMap<string, number> {
+		return this.#othersByDomain;
+	}
+
 	get isMesh(): boolean {
 		return this.size <= MAX_MESH_SIZE;
 	}
@@ -111,6 +117,7 @@
 
 		if (added.length > 0) {
 			this.#ranked = [...this.#candidates.values()].sort((a, b) => compareRank(a.member, b.member));
+			this.#othersByDomain = countByDomain(this.#ranked);
 			this.#failureDomains = new Set([this.self, ...this.#ranked.map(({member}) => member)].map(({failureDomain}) => failureDomain));
 		}
 
@@ -213,6 +220,15 @@
 	}
 }
 
+function countByDomain(candidates: readonly LinkCandidate[]): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>();
+	for (const {member: {failureDomain}} of candidates) {
+		counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
+	}
+
+	return counts;
+}
+
 /** Negative if `a` ranks higher. */
 const compareRank = (a: Member, b: Member): number => b.cores - a.cores || (a.address < b.address ? -1 : 1);
 
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -20,6 +20,8 @@
 export const LEAVING_MS = 600_000;
 /** Time in ms for which this daemon remembers that a start of a server has ended. Late writes and copies are some seconds old. */
 const ENDED_MS = 60_000;
+/** Bound on the number of starts of servers whose service is remembered; several times the number of servers of the largest fleet. */
+const MAX_KNOWN_SERVICES = 8000;
 /** Servers that are back in the store after the removal of their entries, within the longest delay of a write, by which the store is found to be late. */
 const MIN_RETURNS = 2;
 
@@ -56,6 +58,8 @@
 	readonly #ended = new Map<string, EndedStart>();
 	/** Times at which servers were back in the store after the removal of their entries, by name. */
 	readonly #returnTimes = new Map<string, number>();
+	/** Services by id of a server, in the order of their last registrations. */
+	readonly #services = new Map<string, string>();
 	#outageEndedAt = -Infinity;
 
 	private constructor(private readonly confirmationMs: number) {}
@@ -136,12 +140,18 @@
 		return doubtful.length === 0 ? servers : [...servers, ...doubtful.filter(server => !servers.some(other => other.service === server.service))];
 	}
 
+	/** The service of a server, also after its end. */
+	serviceOf(id: string): string | undefined {
+		return this.#services.get(id);
+	}
+
 	/** Ids of all registered servers. */
 	serverIds(): ReadonlySet<string> {
 		return new Set([...this.#servers.values()].flatMap(({record}) => serversOf(record)).map(({id}) => id));
 	}
 
 	#merge(name: string, entry: ServerEntry, now: number): Registration {
+		this.#recordService(entry.server);
 		const known = this.#settle(name, now);
 		const {record, contradicts} = mergeEntry(known, entry, this.#ended.get(name));
 		this.#servers.set(name, {record, expiresAt: undefined});
@@ -182,6 +192,15 @@
 		}
 	}
 
+	#recordService({id, service}: BackendServer): void {
+		this.#services.delete(id);
+		this.#services.set(id, service);
+		if (this.#services.size > MAX_KNOWN_SERVICES) {
+			const [oldest] = this.#services.keys();
+			this.#services.delete(oldest!);
+		}
+	}
+
 	/** Brings a record up to date. Returns undefined if the server's time to register again has passed. */
 	#settle(name: string, now: number): ServerRecord | undefined {
 		const known = this.#servers.get(name);
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -33,6 +33,14 @@
 	publishDue(now: number): void;
 };
 
+/** Receives what the exchange learns about the attempts of other daemons. */
+export type AttemptListener = {
+	/** Called for each message of a daemon of the failure domain. */
+	recordContact(failureDomain: string, now: number): void;
+	/** Called for each placement that was not known to be open. */
+	recordPlacement(daemon: string, placement: Placement, placedAt: number, now: number): void;
+};
+
 export type LoadExchangeOptions = {
 	/** Identifies one start of the daemon. */
 	readonly daemon: string;
@@ -47,6 +55,7 @@
 	readonly hasStoreRelays: HasStoreRelays;
 	readonly quarantine: QuarantineListener;
 	readonly limits: ServerLimits;
+	readonly attempts: AttemptListener;
 	storeState(now: number): StoreState;
 	/** Called when another daemon reports that a backend server does not answer at its registered address. */
 	onServerLost(server: string, until: number, now: number): void;
@@ -92,6 +101,11 @@
 		return this.#links.daemons;
 	}
 
+	/** Number of the other known daemons of each failure domain. */
+	get othersByDomain(): ReadonlyMap<string, number> {
+		return this.#links.othersByDomain;
+	}
+
 	/** Number of daemons that read the store directly, as far as this daemon knows. */
 	get storeReaders(): number {
 		return this.#links.storeReaders;
@@ -246,6 +260,10 @@
 			this.#links.send(address, 'probe', this.#createHeartbeat(false, now));
 		}
 
+		if (as !== 'probe') {
+			this.options.attempts.recordContact(failureDomain, now);
+		}
+
 		for (const message of messages) {
 			this.#apply(message, {address, as}, now);
 		}
@@ -253,11 +271,15 @@
 
 	#apply(message: LoadMessage, from: Sender, now: number): void {
 		const {
-			placements, daemon, quarantine, limits,
+			placements, daemon, quarantine, limits, attempts,
 		} = this.options;
-		if ('domain' in message && message.daemon === daemon) {
-			// A message of this daemon that came back over another link.
-			return;
+		if ('domain' in message) {
+			if (message.daemon === daemon) {
+				// A message of this daemon that came back over another link.
+				return;
+			}
+
+			attempts.recordContact(message.domain, now);
 		}
 
 		switch (message.kind) {
@@ -265,6 +287,7 @@
 				const {placement, ageMs, startedAgeMs} = message;
 				if (placements.open(message.daemon, placement, now - ageMs, startedAgeMs === undefined ? undefined : now - startedAgeMs)) {
 					limits.recordSend(placement.server, now);
+					attempts.recordPlacement(message.daemon, placement, now - ageMs, now);
 				}
 
 				this.#links.forward(message, from);
--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -13,6 +13,7 @@
 	gapTargetMs: z.number(),
 	weight: z.number(),
 	targetMs: z.number(),
+	isRepeat: z.boolean().optional(),
 });
 
 /** Time in ms since the first event of a placement; absent while its prompt is being prefilled. */
--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -29,6 +29,8 @@
 	readonly weight: number;
 	/** Time in ms from the placement until the first event is late. */
 	readonly targetMs: number;
+	/** An earlier attempt of the request may have reached a server. Daemons of earlier versions, which make few retries, do not tell. */
+	readonly isRepeat?: boolean;
 };
 
 /** A placement as known to this daemon. Times are on its monotonic clock. */
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -6,7 +6,7 @@
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import {retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	chooseServer, isAllowedDomain, limitWaitMs, type ServerChoice,
+	chooseServer, isAllowedDomain, limitWaitMs, type EarlierChoices, type ServerChoice,
 } from './server-choice.js';
 
 /** Servers that this host could not connect to for one request, after which the request goes through another host, whatever the reason. */
@@ -38,6 +38,8 @@
 	readonly #relayAddresses = new Set<string>();
 	#unconnectedServers = 0;
 	#choices = 0;
+	/** An attempt that has ended may have reached a server. */
+	#hasArrived = false;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest, private readonly subjects: RequestSubjects) {}
 
@@ -57,8 +59,11 @@
 	}
 
 	/** Records the server at fault for an attempt that did not serve the request. */
-	recordServer(server: string, {isBroken, isNotConnected}: {readonly isBroken: boolean; readonly isNotConnected: boolean}): void {
+	recordServer(server: string, {isBroken, isNotConnected, isUnsent}: {
+		readonly isBroken: boolean; readonly isNotConnected: boolean; readonly isUnsent: boolean;
+	}): void {
 		this.#excluded.add(server);
+		this.#hasArrived ||= !isUnsent;
 		this.#unconnectedServers += isNotConnected ? 1 : 0;
 		if (isBroken) {
 			this.#broken.add(server);
@@ -105,7 +110,7 @@
 			};
 		}
 
-		const choice = this.#chooseServer(this.#excluded, now);
+		const choice = this.#chooseServer({excluded: this.#excluded, hasArrived: this.#hasArrived}, now);
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
 			return {
@@ -138,7 +143,10 @@
 		return {kind: 'server', choice};
 	}
 
-	/** Returns a server that can be expected to respond before the client leaves, or a host that relays the request. */
+	/**
+	 * Returns a server that can be expected to respond before the client leaves, or a host that relays the request, beside or after an
+	 * attempt that may have run.
+	 */
 	chooseAnother(exclusions: Exclusions, now: number): Destination | undefined {
 		const {parts, request} = this;
 		if (parts.quarantine.findRefused(this.subjects, now)) {
@@ -151,7 +159,7 @@
 		}
 
 		for (const excluded of exclusions) {
-			const choice = this.#chooseServer(excluded, now);
+			const choice = this.#chooseServer({excluded, hasArrived: true}, now);
 			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
 				return {kind: 'server', choice};
 			}
@@ -173,8 +181,8 @@
 		return address === undefined ? undefined : {kind: 'host', address};
 	}
 
-	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
-		return chooseServer(this.parts, this.request, {excluded, count: this.#choices++}, now);
+	#chooseServer(earlier: Omit<EarlierChoices, 'count'>, now: number): ServerChoice | undefined {
+		return chooseServer(this.parts, this.request, {...earlier, count: this.#choices++}, now);
 	}
 }
 
--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -5,7 +5,7 @@
 import type {RequestRelay} from '../relaying/request-relay.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
-import type {RetryBudget} from '../util/retry-budget.js';
+import type {RetryLimit} from '../util/retry-budget.js';
 import type {MemoryOrders} from './memory-reservation.js';
 import type {ChoiceParts} from './server-choice.js';
 import type {WireFormat} from './wire-format.js';
@@ -22,7 +22,7 @@
 	/** The time at which events were read that were waiting together. */
 	readonly turnClock: Clock;
 	readonly logger: Logger;
-	retryBudget(service: string): RetryBudget;
+	retryBudget(service: string): RetryLimit;
 	/** Random number between 0 and 1. */
 	random(): number;
 };
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -17,6 +17,8 @@
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
 import {RequestRelay} from '../relaying/request-relay.js';
+import {RetryAllowance} from '../scheduling/retry-allowance.js';
+import {ServiceRetries} from '../scheduling/service-retries.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -26,7 +28,7 @@
 import {listen} from '../util/listen.js';
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
-import {RetryBudget} from '../util/retry-budget.js';
+import type {RetryLimit} from '../util/retry-budget.js';
 import {createTurnClock} from '../util/turn-clock.js';
 import {FleetFeeds} from './fleet-feeds.js';
 import {GatewayMetrics} from './gateway-metrics.js';
@@ -44,8 +46,6 @@
  */
 const REQUEST_BODY_MEMORY_SHARE = 0.1;
 const RESPONSE_MEMORY_SHARE = 0.05;
-/** Share of the fleet's retry slack that is divided among the daemons; the rest covers daemons not known to each other. */
-const DIVIDED_SLACK_SHARE = 0.6;
 
 /**
  * Pause of a watch in ms after changes, per daemon that reads the store: during a series of changes, all daemons together
@@ -94,6 +94,7 @@
 	readonly quarantine: PromptQuarantine;
 	readonly quarantineStore: QuarantineStore;
 	readonly relay: RequestRelay;
+	readonly retryAllowance: RetryAllowance;
 	readonly random: () => number;
 	readonly turnClock: Clock;
 };
@@ -138,10 +139,28 @@
 				void quarantineStore.save(subject, remainingMs);
 			},
 		});
+		const random = createRandom();
+		const daemonId = `${settings.daemon}/${randomBytes(4).toString('hex')}`;
+		const retryAllowance = RetryAllowance.create({
+			daemon: daemonId, share: settings.retryShare, slack: settings.retrySlack, otherDaemons: () => loadExchange.othersByDomain, random,
+		});
 		const loadExchange = await LoadExchange.create({
 			quarantine,
 			limits,
-			daemon: `${settings.daemon}/${randomBytes(4).toString('hex')}`,
+			attempts: {
+				recordContact(failureDomain, now) {
+					retryAllowance.recordContact(failureDomain, now);
+				},
+				recordPlacement(daemon, {id, server, isRepeat = false}, placedAt, now) {
+					const service = fleet.serviceOf(server);
+					if (service !== undefined) {
+						retryAllowance.recordPlacement({
+							id, daemon, service, isRepeat,
+						}, placedAt, now);
+					}
+				},
+			},
+			daemon: daemonId,
 			self,
 			port: settings.peerPort,
 			placements,
@@ -159,7 +178,6 @@
 				store.recordRelayState(relay, state, now);
 			},
 		});
-		const random = createRandom();
 		const relay = RequestRelay.create({
 			clock, logger, peerPort: settings.peerPort, random, servers: now => fleet.servingServers(now), hosts: now => loadExchange.responsiveMembers(now),
 		});
@@ -167,14 +185,14 @@
 			daemon.#handleRelayed(req, res);
 		});
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, random, turnClock,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, retryAllowance, random, turnClock,
 		});
 		await daemon.#start();
 		return daemon;
 	}
 
 	readonly #health = ServerHealth.create();
-	readonly #retryBudgets = new Map<string, RetryBudget>();
+	readonly #retries = new Map<string, ServiceRetries>();
 	#feeds: FleetFeeds | undefined;
 	#registry: DaemonRegistry | undefined;
 	#gateway!: Gateway;
@@ -268,7 +286,7 @@
 			clock,
 			turnClock,
 			logger,
-			retryBudget: service => this.#retryBudget(service),
+			retryBudget: service => this.#retriesOf(service),
 			routeTable: () => this.#feeds?.routeTable,
 			metrics: this.metrics,
 			random,
@@ -345,14 +363,23 @@
 		await listen(this.#readinessServer, {host, port: Number(port)});
 	}
 
-	#retryBudget(service: string): RetryBudget {
-		let budget = this.#retryBudgets.get(service);
-		if (!budget) {
-			const {retryShare, retrySlack} = this.settings;
-			budget = RetryBudget.create(retryShare, () => Math.max(1, retrySlack * DIVIDED_SLACK_SHARE / this.parts.loadExchange.daemons));
-			this.#retryBudgets.set(service, budget);
+	#retriesOf(service: string): RetryLimit {
+		let retries = this.#retries.get(service);
+		if (!retries) {
+			const {settings, dependencies: {clock, logger}, parts: {retryAllowance}, metrics} = this;
+			retries = ServiceRetries.create({
+				service,
+				share: settings.retryShare,
+				allowance: retryAllowance,
+				clock,
+				logger,
+				count(decision) {
+					metrics.countRetry(service, decision);
+				},
+			});
+			this.#retries.set(service, retries);
 		}
 
-		return budget;
+		return retries;
 	}
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -3,6 +3,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {RetryDecision} from '../scheduling/service-retries.js';
 import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
 import type {FlowResult} from './request-flow.js';
 
@@ -48,6 +49,10 @@
 		name: 'fireflyport_relayed_requests_total', help: 'Requests sent on to another host, or by one, for want of a path to the servers', labelNames: ['direction'], registers: [this.#registry],
 	});
 
+	readonly #retries = new Counter({
+		name: 'fireflyport_retries_total', help: 'Decisions about further attempts of requests, by service', labelNames: ['service', 'decision'], registers: [this.#registry],
+	});
+
 	readonly #storeCalls = new Counter({
 		name: 'fireflyport_store_calls_total', help: 'Calls of this daemon to the store', labelNames: ['kind', 'operation', 'result'], registers: [this.#registry],
 	});
@@ -89,6 +94,10 @@
 		this.#relayed.inc({direction});
 	}
 
+	countRetry(service: string, decision: RetryDecision): void {
+		this.#retries.inc({service, decision});
+	}
+
 	countEndedByStop(phase: string, isSent: boolean): void {
 		this.#endedByStop.inc({phase, sent: String(isSent)});
 	}
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -361,7 +361,9 @@
 			case 'server': {
 				const {choice} = prepared;
 				const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
-				this.#destinations.recordServer(faultyServer.id, {isBroken: result.outcome.kind === 'broken' && !this.#next, isNotConnected: result.isNotConnected ?? false});
+				this.#destinations.recordServer(faultyServer.id, {
+					isBroken: result.outcome.kind === 'broken' && !this.#next, isNotConnected: result.isNotConnected ?? false, isUnsent: result.isUnsent ?? false,
+				});
 				this.#records.guard(() => {
 					this.#records.recordAttempt(choice, result, faultyServer, next);
 				});
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -42,20 +42,23 @@
 export type EarlierChoices = {
 	readonly excluded: ReadonlySet<string>;
 	readonly count: number;
+	/** One of them may have reached a server. */
+	readonly hasArrived: boolean;
 };
 
 /** Returns the server for the next attempt, or undefined if none can take the request. */
-export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count}: EarlierChoices, now: number): ServerChoice | undefined {
+export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
 	const servers = parts.fleet.usableServers(request.service.name, now)
 		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedDomain(parts, request, server.failureDomain));
 	const id = `${request.id}#${count}`;
 	const targetMs = request.arrivedAt + request.route.targetLatencyMs - now;
 	const {engine} = request.service;
-	return engine && request.metadata.promptTokens !== undefined
+	const choice = engine && request.metadata.promptTokens !== undefined
 		? chooseEngine(parts, request, {
 			servers, engine, id, targetMs,
 		}, now)
 		: choosePlainServer(parts, servers.filter(server => waitMs(parts, request, server, now) === 0), {id, targetMs}, now);
+	return choice && {...choice, placement: {...choice.placement, isRepeat: hasArrived || undefined}};
 }
 
 /** Time in ms until `server` may get a further request. */
--- a/src/util/retry-budget.ts
+++ b/src/util/retry-budget.ts
@@ -3,6 +3,9 @@
 /** Default capacity of the bucket: the largest burst of retries. */
 const DEFAULT_CAPACITY = 10;
 
+/** What the handling of requests uses of a limit on retries. */
+export type RetryLimit = Pick<RetryBudget, 'recordRequest' | 'tryRetry' | 'giveBack'>;
+
 /** Token bucket: each request adds a fraction of a token, each retry takes one. */
 export class RetryBudget {
 	/**
