Test the retry allowance with fleets that hear each other late

Times of buckets before the start of the clock no longer fail, and the log names the daemons heard in the last second.

--- a/src/scheduling/retry-allowance.ts
+++ b/src/scheduling/retry-allowance.ts
@@ -57,6 +57,7 @@
 	/** Retries that the daemons may still make of their own parts. */
 	readonly reserved: number;
 	readonly daemons: number;
+	/** Daemons of the failure domains that were heard lately, including this one. */
 	readonly heard: number;
 };
 
@@ -107,7 +108,7 @@
 	/** Records a placement of another daemon. One that was recorded lately is ignored. */
 	recordPlacement({id, daemon, service, isRepeat}: HeardPlacement, placedAt: number, now: number): void {
 		if (this.isShared && this.#isNew(`${daemon} ${id}`, now)) {
-			this.#record(service, daemon, isRepeat ? 'repeats' : 'firsts', placedAt);
+			this.#record(service, daemon, isRepeat ? 'repeats' : 'firsts', Math.min(placedAt, now));
 		}
 	}
 
@@ -159,12 +160,17 @@
 			retries: spans.reduce((sum, {repeats}) => sum + repeats, 0),
 			reserved: this.#heldTokens(state, now),
 			daemons: this.#daemons,
-			heard: this.#hearing.daemonsHeardSince(now, now),
+			heard: this.#hearing.daemonsHeardSince(now - LINK_TIMEOUT_MS, now),
 		};
 	}
 
 	get #daemons(): number {
-		return [...this.options.otherDaemons().values()].reduce((sum, count) => sum + count, 1);
+		let daemons = 1;
+		for (const count of this.options.otherDaemons().values()) {
+			daemons += count;
+		}
+
+		return daemons;
 	}
 
 	#stateOf(service: string): ServiceState {
--- a/src/scheduling/retry-counts.ts
+++ b/src/scheduling/retry-counts.ts
@@ -14,14 +14,14 @@
 		return new RetryCounts();
 	}
 
-	readonly #buckets = Array.from({length: BUCKETS}, () => ({index: -1, firsts: 0, repeats: 0}));
+	readonly #buckets = Array.from({length: BUCKETS}, () => ({index: -Infinity, firsts: 0, repeats: 0}));
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
 	/** Counts placements at the time `at`, which may be earlier than those counted before. Those older than the window are ignored. */
 	add(kind: 'firsts' | 'repeats', count: number, at: number): void {
 		const index = Math.floor(at / BUCKET_MS);
-		const bucket = this.#buckets[index % BUCKETS]!;
+		const bucket = this.#buckets.at(index % BUCKETS)!;
 		if (bucket.index < index) {
 			Object.assign(bucket, {index, firsts: 0, repeats: 0});
 		}
--- a/tests/gateway.test.ts
+++ b/tests/gateway.test.ts
@@ -145,6 +145,18 @@
 		expect(await fixture.statusOf('/book/order', {headers: {'fireflyport-deadline-ms': '300'}})).toBe(504);
 	});
 
+	it('should count the retries of a service by what allowed them', async () => {
+		// Guards against a daemon whose operator cannot tell requests without a retry from those without a server.
+		const servers = [await fixture.addServer('desk', {instance: 'i-1'}), await fixture.addServer('desk', {instance: 'i-2'})];
+		await waitUntilReady();
+		for (const server of servers) {
+			server.injectFaults({kind: 'reject', status: 503});
+		}
+
+		await fixture.send('/book/order');
+		expect(await fixture.daemon.metrics.text()).toMatch(/fireflyport_retries_total\{service="desk",decision="own"\} [1-9]/v);
+	});
+
 	it('should deliver an error response of the server with its signature', async () => {
 		const server = await fixture.addServer('desk', {instance: 'i-1'});
 		await waitUntilReady();
--- a/tests/load-exchange.test.ts
+++ b/tests/load-exchange.test.ts
@@ -3,6 +3,7 @@
 } from 'vitest';
 import {MAX_MESH_SIZE} from '../src/fleet/fleet-topology.js';
 import {ServerLimits} from '../src/fleet/server-limits.js';
+import {RetryAllowance} from '../src/scheduling/retry-allowance.js';
 import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.js';
 import {PlacementTable, type Placement} from '../src/fleet/placement-table.js';
 import {LoadExchange} from '../src/fleet/load-exchange.js';
@@ -17,7 +18,8 @@
 
 type Daemon = {readonly address: string; readonly placements: PlacementTable; readonly exchange: LoadExchange; readonly storeAges: number[]; readonly lostServers: string[];
 	readonly quarantine: PromptQuarantine;
-	readonly limits: ServerLimits;};
+	readonly limits: ServerLimits;
+	readonly retries: RetryAllowance;};
 
 let port: number;
 let daemons: Daemon[];
@@ -37,9 +39,22 @@
 		save: () => undefined,
 	});
 	const limits = ServerLimits.create();
+	const retries = RetryAllowance.create({
+		daemon: self.address, share: 0.2, slack: 100, otherDaemons: () => exchange.othersByDomain, random: () => 0,
+	});
 	const exchange: LoadExchange = await LoadExchange.create({
 		quarantine,
 		limits,
+		attempts: {
+			recordContact(domain, now) {
+				retries.recordContact(domain, now);
+			},
+			recordPlacement(daemon, {id, isRepeat = false}, placedAt, now) {
+				retries.recordPlacement({
+					id, daemon, service: 'desk', isRepeat,
+				}, placedAt, now);
+			},
+		},
 		daemon: self.address,
 		self,
 		port,
@@ -57,7 +72,7 @@
 		},
 	});
 	const daemon = {
-		address: self.address, placements, exchange, storeAges, lostServers, quarantine, limits,
+		address: self.address, placements, exchange, storeAges, lostServers, quarantine, limits, retries,
 	};
 	daemons.push(daemon);
 	return daemon;
@@ -127,6 +142,22 @@
 		await waitUntil(() => daemons.slice(0, -1).every(({limits}) => limits.size === 0));
 	});
 
+	it('should count the attempts of one daemon at all others, each once, and tell them which are repeated', async () => {
+		// Guards against a fleet in which each daemon knows only its own retries.
+		const first = daemons.at(-1)!;
+		first.exchange.openPlacement(placement('r#0'), monotonicMs());
+		first.exchange.openPlacement(placement('r#1', {isRepeat: true}), monotonicMs());
+		await waitUntil(() => daemons.slice(0, -1).every(({retries}) => {
+			const {requests, retries: repeated, daemons: known} = retries.state('desk', monotonicMs());
+			return requests === 1 && repeated === 1 && known === size;
+		}));
+		const {exchange} = daemons[0]!;
+		first.exchange.openPlacement(placement('s#0'), monotonicMs());
+		await waitUntil(() => daemons.slice(0, -1).every(({retries}) => retries.state('desk', monotonicMs()).requests === 2));
+		expect(daemons.slice(0, -1).every(({retries}) => retries.state('desk', monotonicMs()).heard > 1)).toBe(true);
+		expect(exchange.othersByDomain).toEqual(new Map([['domain-0', 10], ['domain-1', 11], ['domain-2', 11]]));
+	});
+
 	it('should tell every daemon which prompt parts are quarantined, also one that missed the message', async () => {
 		daemons.at(-1)!.quarantine.add('dead', 60_000, monotonicMs());
 		await waitUntil(() => daemons.every(({quarantine}) => quarantine.size === 1));
