--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -6,7 +6,7 @@
 import {clientSilenceLimitMs, urgencyOf, type GatewayRequest} from './gateway-request.js';
 import {earliestPlaceMs, retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, type ServerChoice,
+	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, type EarlierChoices, type ServerChoice,
 } from './server-choice.js';
 
 /** Servers that this host could not connect to for one request, after which the request goes through another host, whatever the reason. */
@@ -40,10 +40,15 @@
 /** Sets of servers that are left out; the first of them that leaves a server is used. */
 export type Exclusions = ReadonlyArray<ReadonlySet<string>>;
 
+/** Number of servers that were chosen for a request, and whether an attempt that has ended may have reached one. */
+export type EarlierDestinations = {readonly choices: number; readonly hasArrived: boolean};
+
+const noneEarlier: EarlierDestinations = {choices: 0, hasArrived: false};
+
 export class DestinationChoice {
-	/** `choices`: servers that were chosen for the request before the configuration in force. */
-	static create(parts: FlowParts, request: GatewayRequest, subjects: RequestSubjects, choices = 0): DestinationChoice {
-		return new DestinationChoice(parts, request, subjects, choices);
+	/** `earlier`: the choices for the request before the configuration in force. */
+	static create(parts: FlowParts, request: GatewayRequest, subjects: RequestSubjects, earlier: EarlierDestinations = noneEarlier): DestinationChoice {
+		return new DestinationChoice(parts, request, subjects, earlier);
 	}
 
 	/** Servers of earlier attempts, and those of them that broke off. The others were silent or refused the request. */
@@ -56,14 +61,17 @@
 	#unconnectedServers = 0;
 	/** Number of servers that were chosen. */
 	#choices: number;
+	/** An attempt that has ended may have reached a server. */
+	#hasArrived: boolean;
 
 	private constructor(
 		private readonly parts: FlowParts,
 		private readonly request: GatewayRequest,
 		private readonly subjects: RequestSubjects,
-		choices: number,
+		earlier: EarlierDestinations,
 	) {
-		this.#choices = choices;
+		this.#choices = earlier.choices;
+		this.#hasArrived = earlier.hasArrived;
 	}
 
 	/** Number of servers that were chosen. */
@@ -87,8 +95,11 @@
 	}
 
 	/** Records the server at fault for an attempt that did not serve the request. */
-	recordServer(server: string, {isBroken, isNotConnected}: {readonly isBroken: boolean; readonly isNotConnected: boolean}): void {
+	recordServer(server: string, {isBroken, isNotConnected, isUnsent}: {
+		readonly isBroken: boolean; readonly isNotConnected: boolean; readonly isUnsent: boolean;
+	}): void {
 		this.#excluded.add(server);
+		this.#hasArrived ||= !isUnsent;
 		this.#unconnectedServers += isNotConnected ? 1 : 0;
 		if (isNotConnected) {
 			this.#unconnected.add(server);
@@ -157,7 +168,7 @@
 			};
 		}
 
-		const choice = this.#chooseServer(this.#excluded, now);
+		const choice = this.#chooseServer({excluded: this.#excluded, hasArrived: this.#hasArrived}, now);
 		if (!choice) {
 			const waitMs = limitWaitMs(parts, request, now);
 			const cause: RefusalCause = waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs};
@@ -197,11 +208,14 @@
 	/** Whether `choose` would return a server for a request that has run nowhere. */
 	hasPlace(now: number, waitedMs: number): boolean {
 		const {route} = this.request;
-		const choice = this.#chooseServer(this.#excluded, now);
+		const choice = this.#chooseServer({excluded: this.#excluded, hasArrived: this.#hasArrived}, now);
 		return choice !== undefined && choice.expectedMs <= (MAX_EXPECTED_SHARE * clientSilenceLimitMs(route)) - waitedMs;
 	}
 
-	/** Returns a server that can be expected to respond before the client leaves, or a host that relays the request. */
+	/**
+	 * Returns a server that can be expected to respond before the client leaves, or a host that relays the request, beside or after an
+	 * attempt that may have run.
+	 */
 	chooseAnother(exclusions: Exclusions, now: number): Destination | undefined {
 		const {parts, request} = this;
 		if (parts.quarantine.findRefused(this.subjects, now)) {
@@ -214,7 +228,7 @@
 		}
 
 		for (const excluded of exclusions) {
-			const choice = this.#chooseServer(excluded, now);
+			const choice = this.#chooseServer({excluded, hasArrived: true}, now);
 			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
 				return this.#take(choice);
 			}
@@ -256,8 +270,8 @@
 		};
 	}
 
-	#chooseServer(excluded: ReadonlySet<string>, now: number): ServerChoice | undefined {
-		return chooseServer(this.parts, this.request, {excluded, count: this.#choices}, now);
+	#chooseServer(earlier: Omit<EarlierChoices, 'count'>, now: number): ServerChoice | undefined {
+		return chooseServer(this.parts, this.request, {...earlier, count: this.#choices}, now);
 	}
 
 	/** Only choices that are used count, so that the first attempt of a request that has waited is known as such by its placement. */
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -63,7 +63,7 @@
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest, earlier: EarlierHandling | undefined) {
 		this.#isReadmitted = earlier !== undefined;
 		this.#subjects = {parts: request.metadata.sharedParts, identity: request.identity};
-		this.#destinations = DestinationChoice.create(parts, request, this.#subjects, earlier?.choices);
+		this.#destinations = DestinationChoice.create(parts, request, this.#subjects, earlier && {choices: earlier.choices, hasArrived: earlier.counts.receivedSends > 0});
 		this.#records = AttemptRecords.create(parts, request, this.#subjects);
 		this.#response = ClientResponse.create(request, parts.clock);
 		this.#wait = PlaceWait.create(parts, request, this.#destinations, earlier?.waits ?? 0);
@@ -396,7 +396,9 @@
 			case 'server': {
 				const {choice} = prepared;
 				const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
-				this.#destinations.recordServer(faultyServer.id, {isBroken: result.outcome.kind === 'broken' && !this.#attempts.isReady, isNotConnected: result.isNotConnected ?? false});
+				this.#destinations.recordServer(faultyServer.id, {
+					isBroken: result.outcome.kind === 'broken' && !this.#attempts.isReady, isNotConnected: result.isNotConnected ?? false, isUnsent: result.isUnsent ?? false,
+				});
 				this.#records.guard(() => {
 					this.#records.recordAttempt(choice, result, faultyServer, next);
 				});
