--- a/tests/held-long-prompts.test.ts
+++ b/tests/held-long-prompts.test.ts
@@ -27,13 +27,13 @@
 	fixture = await FlowFixture.create({
 		daemons: LARGE_FLEET, service: {engine: firstSiteProfile}, route: {targetLatencyMs: 8000, timeoutMs: 20_000}, ...options,
 	});
-	for (const name of ['i-1', 'i-2']) {
-		await fixture.addServer(name, (req, res) => {
-			const id = String(req.headers['fireflyport-attempt-id']);
-			arrivals.push(id);
-			res.writeHead(200, signedHeaders(id)).end('whole');
-		});
-	}
+	const answer: RequestListener = (req, res) => {
+		const id = String(req.headers['fireflyport-attempt-id']);
+		arrivals.push(id);
+		res.writeHead(200, signedHeaders(id)).end('whole');
+	};
+	await fixture.addServer('i-1', answer);
+	await fixture.addServer('i-2', answer);
 }
 
 /** Opens a long prompt of another daemon on the first engine, whose prefill takes `prefillMs`. */
