--- a/tests/held-long-prompts.test.ts
+++ b/tests/held-long-prompts.test.ts
@@ -32,6 +32,7 @@
 		arrivals.push(id);
 		res.writeHead(200, signedHeaders(id)).end('whole');
 	};
+
 	await fixture.addServer('i-1', answer);
 	await fixture.addServer('i-2', answer);
 }
