Charge one retry token for one further attempt of a waiting request

Cause: the decision to repeat a refused request took a token, and its place after the wait a second one; a request whose wait a new configuration ended was sent again without one. Change: the token is kept until the attempt is prepared, taken then at the latest, and given back if the request ends before. In fleets without a queue tokens are charged as before.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -48,7 +48,7 @@
 	| 'overdue'
 	/** A place no longer helps. */
 	| 'given_up'
-	/** The known time of the next place is too late to help. */
+	/** The known time of the next place is too late to help, or the servers that are left could never hold the prompt. */
 	| 'no_forecast'
 	| 'quarantined'
 	/** A new configuration is in force, by which the request is handled anew. */
@@ -68,7 +68,7 @@
 	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean}
 	/** There is a place, and the retry budget has no token for the request, which a server has refused before. */
 	| {readonly kind: 'no_token'}
-	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path'};
+	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path' | 'no_forecast'};
 
 export type WaitingRequest = QueuedRequest & {
 	/** Why it found no place. */
--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -1,4 +1,5 @@
 /** Chooses and prepares the next attempt of one request, and takes the tokens of the retry budget that this needs. */
+import type {RetryBudget} from '../util/retry-budget.js';
 import type {AttemptRecords} from './attempt-records.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {Destination, DestinationChoice, Exclusions} from './destination-choice.js';
@@ -28,6 +29,8 @@
 	readonly #preparation: AttemptPreparation;
 	/** Takes over from the attempt that has just ended. */
 	#next: PreparedAttempt | undefined;
+	/** A token of the retry budget has been taken for the next attempt at a server. */
+	#hasToken = false;
 
 	private constructor(private readonly options: NextAttemptOptions) {
 		const {parts, request, records} = options;
@@ -45,8 +48,23 @@
 		return next;
 	}
 
+	/** Takes a token of the retry budget for the next attempt at a server, unless it has one. Returns whether it has. */
+	takeToken(): boolean {
+		this.#hasToken ||= this.#budget.tryRetry();
+		return this.#hasToken;
+	}
+
+	/** Returns the token of an attempt that is not made. */
+	giveTokenBack(): void {
+		if (this.#hasToken) {
+			this.#hasToken = false;
+			this.#budget.giveBack();
+		}
+	}
+
 	/** Prepares an attempt at a destination. The placement is open when this returns, before the promise resolves. */
 	async prepare(destination: Destination, now: number): Promise<PreparedAttempt | RefusedAttempt> {
+		this.#hasToken = false;
 		if (destination.kind === 'host') {
 			return destination;
 		}
@@ -72,8 +90,10 @@
 	 * `runs` counts the attempts that may have run or are running.
 	 */
 	async prepareAnother(runs: number, exclusions: Exclusions): Promise<HandOver | undefined> {
-		const {parts, request, records, destinations, retryState} = this.options;
-		const budget = parts.retryBudget(request.service.name);
+		const {parts, records, destinations, retryState} = this.options;
+		const budget = this.#budget;
+		// A token for an attempt that found no server is lost, as that attempt was decided on.
+		this.#hasToken = false;
 		let hasToken = false;
 		try {
 			const now = parts.clock();
@@ -108,6 +128,11 @@
 		}
 	}
 
+	get #budget(): RetryBudget {
+		const {parts, request} = this.options;
+		return parts.retryBudget(request.service.name);
+	}
+
 	async #prepareChoice(choice: Destination | undefined, now: number): Promise<PreparedAttempt | undefined> {
 		if (choice?.kind !== 'server') {
 			return choice;
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -103,6 +103,15 @@
 		}
 	}
 
+	/** Why no room helps the request. */
+	#findEnd(now: number): 'quarantined' | 'no_path' | 'no_forecast' {
+		if (this.destinations.findQuarantine('not_run', now)) {
+			return 'quarantined';
+		}
+
+		return this.parts.relay.isNeeded ? 'no_path' : 'no_forecast';
+	}
+
 	#offer(taker: PlaceTaker, now: number): Offer {
 		const {destinations, request} = this;
 		const next = destinations.choose('not_run', now, now - request.arrivedAt);
@@ -112,6 +121,6 @@
 
 		return next.shortage
 			? {kind: 'none', ...next.shortage}
-			: {kind: 'ended', end: this.parts.relay.isNeeded ? 'no_path' : 'quarantined'};
+			: {kind: 'ended', end: this.#findEnd(now)};
 	}
 }
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -8,7 +8,7 @@
 import {AttemptRecords, hasRun} from './attempt-records.js';
 import {AttemptRunner, noAttempts, type AttemptCounts} from './attempt-runner.js';
 import {ClientResponse} from './client-response.js';
-import {DestinationChoice, type Shortage} from './destination-choice.js';
+import {DestinationChoice, type Destination, type Shortage} from './destination-choice.js';
 import type {WaitEnd} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
 import {
@@ -171,6 +171,10 @@
 		if (!this.#isEnded) {
 			this.#isEnded = true;
 			clearTimeout(this.#deadlineTimer);
+			if (this.#wait.isAsked) {
+				this.#attempts.giveTokenBack();
+			}
+
 			this.#resolve({...result, hosts: this.#destinations.relayTries === 0 ? undefined : this.#destinations.relayTries, stoppedBy: this.#stoppedBy});
 		}
 	}
@@ -232,13 +236,10 @@
 		}
 
 		let placed: Promise<PreparedAttempt | RefusedAttempt> | undefined;
-		const budget = this.parts.retryBudget(this.request.service.name);
-		// The budget limits what servers receive beyond the first attempt of each request.
-		const isFree = (): boolean => this.#runner.counts.receivedSends === 0;
 		const ended = this.#wait.begin(shortage, {
-			isFree,
+			isFree: () => this.#runner.counts.receivedSends === 0,
 			take: (destination, at) => {
-				const isTaken = isFree() || destination.kind === 'host' || budget.tryRetry();
+				const isTaken = this.#maySendTo(destination);
 				placed = isTaken ? this.#attempts.prepare(destination, at) : undefined;
 				return isTaken;
 			},
@@ -330,9 +331,25 @@
 			return undefined;
 		}
 
+		if (!this.#maySendTo(choice)) {
+			this.#failOrAwait(failure({
+				code: 'no_capacity',
+				message: 'the retry budget has no token for a further attempt',
+				ran: this.#ran,
+				step: 'reserve',
+				retryAfterMs: this.#destinations.retryAdviceMs({kind: 'full'}, now),
+			}), this.#destinations.shortageOfRefusals(now));
+			return undefined;
+		}
+
 		return this.#takePrepared(await this.#attempts.prepare(choice, now));
 	}
 
+	/** The budget limits what servers receive beyond the first attempt of each request. A token may be left from the decision to repeat it. */
+	#maySendTo({kind}: Destination): boolean {
+		return kind === 'host' || this.#runner.counts.receivedSends === 0 || this.#attempts.takeToken();
+	}
+
 	#takePrepared(prepared: PreparedAttempt | RefusedAttempt): PreparedAttempt | undefined {
 		if (prepared.kind !== 'unprepared') {
 			return prepared;
@@ -429,7 +446,7 @@
 	}
 
 	#retryState(now: number): RetryState {
-		const {parts, request: {route, deadline, service}} = this;
+		const {parts, request: {route, deadline}} = this;
 		const {runs, sends, receivedSends, unconnectedSends} = this.#runner.counts;
 		const isQueued = this.#wait.isAsked;
 		return {
@@ -442,7 +459,7 @@
 			hasPatience: isQueued && this.#wait.hasPatience(now),
 			waits: this.#wait.waits,
 			timeLeftMs: deadline - now,
-			tryBudget: () => parts.retryBudget(service.name).tryRetry(),
+			tryBudget: () => this.#attempts.takeToken(),
 		};
 	}
 
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -301,6 +301,46 @@
 		expect(arrivals.filter(id => id === 'attempt-1')).toHaveLength(2);
 	});
 
+	it('should take one token of the retry budget for one further attempt, whether or not it waits for that', async () => {
+		// Guards against a token for the decision to repeat a request and another one for its place.
+		const budget = RetryBudget.create(0, () => 2);
+		const handlers = [reject, answer];
+		await start({parts: {retryBudget: () => budget}}, (res, id) => {
+			closeServer(200);
+			handlers.shift()!(res, id);
+		});
+		expect(await send()).toMatchObject({status: 200});
+		expect(fixture.waitEnds).toEqual(['placed']);
+		expect([budget.tryRetry(), budget.tryRetry()]).toEqual([true, false]);
+	});
+
+	it('should take its token also when a new configuration ended its wait', async () => {
+		const earlier = {
+			counts: {
+				runs: 0, sends: 1, receivedSends: 1, unconnectedSends: 0,
+			},
+			waits: 1,
+			choices: 1,
+		};
+		await start({earlier, parts: {retryBudget: () => RetryBudget.create(0, () => 0)}});
+		const {status, body} = await send();
+		expect({status, body: JSON.parse(body) as unknown}).toMatchObject({status: 503, body: {error: {ran: 'not_run'}}});
+		expect(arrivals).toEqual([]);
+	});
+
+	it('should give its token back if it leaves before its place comes', async () => {
+		const budget = RetryBudget.create(0, () => 1);
+		await start({parts: {retryBudget: () => budget}}, (res, id) => {
+			closeServer(500);
+			reject(res, id);
+		});
+		const response = send();
+		await waitUntil(isWaiting());
+		fixture.flows[0]!.stop({kind: 'shutdown'}, fixture.parts.clock());
+		await response;
+		expect(budget.tryRetry()).toBe(true);
+	});
+
 	it('should look further than four servers if none of them took a connection, and only in a large fleet', async () => {
 		// Guards against ending the request: 36 requests of that day ended after four refused connections, when a failure domain had gone.
 		for (const {daemons, status} of [{daemons: LARGE_FLEET, status: 200}, {daemons: 24, status: 503}]) {
