Fail responses of plain services that end with a reset

Cause: undici takes a reset for the end of a response without a length, and the client of plain services passed that on as a whole response; a non-idempotent call was even recorded as done with the part. The gateway had its own check.

Ruled out: one connection for each idempotent call, which would cost a round trip; replacing the error code alone, since a reset can also be reported as a plain end of the stream.

Change: CheckedClient watches the current connection and fails such a response. Plain services, engines and forwarded requests use it, and the exchange no longer has its own copy of the check.

--- a/src/backend/checked-connector.ts
+++ b/src/backend/checked-connector.ts
@@ -14,6 +14,9 @@
 	}
 }
 
+/** A connector of undici in the form of a function. */
+export type ConnectionOpener = buildConnector.connector;
+
 /** Returns the reason why an open connection may not be used, or undefined if it may. */
 export type ConnectionCheck = () => string | undefined;
 
@@ -27,7 +30,7 @@
  * Creates a connector that fails with {@link NotConnectedError}. `check` can refuse an open connection before its first
  * use.
  */
-export function createCheckedConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onOpen}: ConnectorOptions = {}): buildConnector.connector {
+export function createCheckedConnector(check: ConnectionCheck, {timeoutMs = CONNECT_TIMEOUT_MS, onOpen}: ConnectorOptions = {}): ConnectionOpener {
 	const connect = buildConnector({timeout: timeoutMs});
 	return (options, callback) => {
 		connect(options, (...[err, socket]) => {
--- a/src/backend/engine-connection.ts
+++ b/src/backend/engine-connection.ts
@@ -1,7 +1,8 @@
 /** Opens a separate connection for each request to a backend server, so that a stalled connection affects no other request. */
-import {Client, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {EngineCallOptions} from '../streams/engine-streams.js';
 import {LimitedSignal} from '../util/limited-signal.js';
+import {CheckedClient} from './checked-client.js';
 import {createCheckedConnector} from './checked-connector.js';
 
 /** The request to send. `body` is sent as JSON. */
@@ -47,7 +48,7 @@
 		attempt.connected ||= attempt.withheld === undefined;
 		return attempt.withheld;
 	});
-	const client = new Client(`http://${address}`, {connect, headersTimeout: 0, bodyTimeout: 0});
+	const client = new CheckedClient(`http://${address}`, {connect, headersTimeout: 0, bodyTimeout: 0});
 	const limit = LimitedSignal.create(timeoutMs, signal);
 	try {
 		const response = await client.request({
--- a/src/backend/plain-service-client.ts
+++ b/src/backend/plain-service-client.ts
@@ -1,7 +1,8 @@
 /** HTTP client of plain services. Its outcomes tell whether a request may have run. */
 import {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
-import {Agent, Client} from 'undici';
+import {Agent} from 'undici';
+import {CheckedClient, createCheckedPool} from './checked-client.js';
 import {createCheckedConnector, NotConnectedError, type ConnectionCheck} from './checked-connector.js';
 import type {
 	PlainResponseHead, PlainSendOutcome, PlainServiceClient, PlainServiceRequest, SentOnceOutcome,
@@ -18,8 +19,8 @@
 		return new UndiciPlainServiceClient();
 	}
 
-	readonly #agent = new Agent({connect: createCheckedConnector(() => undefined), keepAliveTimeout: IDLE_CONNECTION_MS, pipelining: 1});
-	readonly #clients = new Set<Client>();
+	readonly #agent = new Agent({connect: createCheckedConnector(() => undefined), keepAliveTimeout: IDLE_CONNECTION_MS, factory: createCheckedPool});
+	readonly #clients = new Set<CheckedClient>();
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
@@ -46,7 +47,7 @@
 			opened ||= refusal === undefined;
 			return refusal;
 		});
-		const client = new Client(originOf(request), {connect, pipelining: 1});
+		const client = new CheckedClient(originOf(request), {connect});
 		this.#clients.add(client);
 		try {
 			return await exchangeOnce(client, request);
@@ -63,7 +64,7 @@
 	}
 }
 
-async function exchangeOnce(client: Client, request: PlainServiceRequest): Promise<SentOnceOutcome> {
+async function exchangeOnce(client: CheckedClient, request: PlainServiceRequest): Promise<SentOnceOutcome> {
 	const signal = AbortSignal.timeout(Math.ceil(request.timeoutMs));
 	const res = await client.request({...optionsOf(request), signal});
 	const head = {status: res.statusCode, headers: res.headers};
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -5,7 +5,8 @@
  * responding. A new one costs a millisecond and guarantees that no bytes of one request reach another.
  */
 import {Buffer} from 'node:buffer';
-import {Client, type Dispatcher} from 'undici';
+import type {Client, Dispatcher} from 'undici';
+import {CheckedClient} from '../backend/checked-client.js';
 import {createCheckedConnector, NotConnectedError} from '../backend/checked-connector.js';
 import {watchReset} from '../backend/reset-watch.js';
 
@@ -66,19 +67,17 @@
 export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
 	let isEnded = false;
 	let isStarting = true;
-	let connectionError: Error | undefined;
 	let isConnected = false;
 	let isDisconnected = false;
 	let bodyBytes = 0;
 	let client: Client | undefined;
-	const openClient = (): Client => new Client(`http://${req.address}`, {
+	const openClient = (): Client => new CheckedClient(`http://${req.address}`, {
 		connect: createCheckedConnector(() => undefined, {
 			timeoutMs: connectTimeoutMs,
 			onOpen(socket) {
 				isConnected = true;
 				handler.onConnected();
-				watchReset(socket, err => {
-					connectionError = err;
+				watchReset(socket, () => {
 					isDisconnected = true;
 				});
 				// Runs before undici reports the end as an error.
@@ -92,7 +91,6 @@
 				});
 			},
 		}),
-		pipelining: 1,
 		// The caller applies its own timeout for missing data.
 		headersTimeout: 0,
 		bodyTimeout: 0,
@@ -146,7 +144,7 @@
 				}
 			},
 			onResponseEnd() {
-				end(connectionError ? {kind: 'broken', message: connectionError.message, isDisconnected} : {kind: 'complete', isDisconnected});
+				end({kind: 'complete', isDisconnected});
 			},
 			onResponseError(_controller, err) {
 				if (isStarting) {
