Fail responses with a status over 599

Cause: undici passes any three-digit status from 200 on, so 600 to 999 reached clients as responses. RFC 9110, section 15, calls statuses outside 100 to 599 invalid and has a client process them as a 5xx.

Ruled out: passing the body on under status 502, which would look like a response that the server meant.

Change: such a response counts as none, as with 000 and 099, so the request is repeated where that is allowed and ends otherwise with 502 and ran: unknown.

--- a/src/backend/checked-client.ts
+++ b/src/backend/checked-client.ts
@@ -1,9 +1,12 @@
-/** An undici client that fails responses of which undici does not notice that they are incomplete. */
+/** An undici client that fails responses of which undici does not notice that they are incomplete or invalid. */
 import type {Socket} from 'node:net';
 import {Client, Pool, type Dispatcher} from 'undici';
 import type {ConnectionOpener} from './checked-connector.js';
 import {watchReset} from './reset-watch.js';
 
+/** Statuses above are invalid (RFC 9110, section 15). undici itself fails those below 100. */
+const MAX_STATUS = 599;
+
 type HandlerMethods = Readonly<Record<string, ((...args: unknown[]) => unknown) | undefined>>;
 
 /** Uses one connection at a time, for one request at a time. */
@@ -43,6 +46,14 @@
 	#check(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
 		const methods = handler as HandlerMethods;
 		const replacements: HandlerMethods = {
+			onHeaders(...args) {
+				checkStatus(args[0]);
+				return methods.onHeaders?.(...args);
+			},
+			onResponseStart(...args) {
+				checkStatus(args[1]);
+				methods.onResponseStart?.(...args);
+			},
 			onComplete: (...args) => {
 				const err = this.#reset;
 				return err ? methods.onError?.(err) : methods.onComplete?.(...args);
@@ -65,6 +76,13 @@
 	}
 }
 
+/** Throws on an invalid status. undici then fails the request with the error. */
+function checkStatus(status: unknown): void {
+	if (Number(status) > MAX_STATUS) {
+		throw new Error(`${String(status)} is no HTTP status`);
+	}
+}
+
 /** Creates a pool of such clients for one origin, for use as the `factory` of an `Agent`. */
 export const createCheckedPool = (origin: string | URL, options: object): Pool =>
 	new Pool(origin, {...options, factory: (url, clientOptions) => new CheckedClient(url, clientOptions as {readonly connect: ConnectionOpener})});
--- a/tests/truncated-answers.test.ts
+++ b/tests/truncated-answers.test.ts
@@ -135,7 +135,7 @@
 ];
 
 const NO_ANSWERS: ReadonlyArray<readonly [string, string]> = [
-	...['000', '001', '099', '100', '101', '150', '199'].map(status => [`status ${status}`, `HTTP/1.1 ${status} Odd\r\ncontent-length: 4\r\n\r\nbody`] as const),
+	...['000', '001', '099', '100', '101', '150', '199', '600', '700', '999'].map(status => [`status ${status}`, `HTTP/1.1 ${status} Odd\r\ncontent-length: 4\r\n\r\nbody`] as const),
 	...['000', '099', '101'].map(status => [`status ${status} without a length`, `HTTP/1.1 ${status} Odd\r\n\r\nbody`] as const),
 	...['', '2', '20', '2000', '02000', '-20', '2x0', '+200', ' 200'].map(status => [`status "${status}"`, `HTTP/1.1 ${status} Odd\r\ncontent-length: 4\r\n\r\nbody`] as const),
 	['an upgrade that nobody asked for', 'HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: x\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody'],
