Fail a success without a length that ends before the request is written

Cause: a reset that a system reports as an orderly end looks like the end of a response without a length. A server that answers early with 200, sends part of the body and stops reading the upload is such a case.

Ruled out: waiting for a late reset after the end, since undici destroys the connection first; failing error responses too, since those may rightly come before the request is read and an orderly end makes them whole.

Change: CheckedClient fails a 2xx response without a length if part of the request was still unwritten when the server closed.

--- a/src/backend/checked-client.ts
+++ b/src/backend/checked-client.ts
@@ -6,13 +6,20 @@
 
 /** Statuses above are invalid (RFC 9110, section 15). undici itself fails those below 100. */
 const MAX_STATUS = 599;
+const MAX_SUCCESS_STATUS = 299;
+
+/** What the socket of the current connection shows about its end. */
+type ConnectionEnd = {
+	reset: Error | undefined;
+	/** The server closed the connection before the whole request had been written. */
+	isUploadUnfinished: boolean;
+};
 
 type HandlerMethods = Readonly<Record<string, ((...args: unknown[]) => unknown) | undefined>>;
 
 /** Uses one connection at a time, for one request at a time. */
 export class CheckedClient extends Client {
-	/** Of the current connection. */
-	#reset: Error | undefined;
+	#end: ConnectionEnd = {reset: undefined, isUploadUnfinished: false};
 
 	constructor(origin: string | URL, {connect, ...options}: Client.Options & {readonly connect: ConnectionOpener}) {
 		super(origin, {
@@ -36,30 +43,35 @@
 	}
 
 	#watch(socket: Socket): void {
-		this.#reset = undefined;
+		const end: ConnectionEnd = {reset: undefined, isUploadUnfinished: false};
+		this.#end = end;
 		watchReset(socket, err => {
-			this.#reset ??= err;
+			end.reset ??= err;
+		});
+		socket.prependListener('end', () => {
+			end.isUploadUnfinished = socket.writableLength > 0;
 		});
 	}
 
-	/** Wraps a handler of either of undici's two interfaces. A response that ends after a reset has no length, and may be incomplete. */
+	/** Wraps a handler of either of undici's two interfaces. */
 	#check(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
 		const methods = handler as HandlerMethods;
+		let status = 0;
 		const replacements: HandlerMethods = {
 			onHeaders(...args) {
-				checkStatus(args[0]);
+				status = checkedStatus(args[0]);
 				return methods.onHeaders?.(...args);
 			},
 			onResponseStart(...args) {
-				checkStatus(args[1]);
+				status = checkedStatus(args[1]);
 				methods.onResponseStart?.(...args);
 			},
 			onComplete: (...args) => {
-				const err = this.#reset;
+				const err = this.#incompleteness(status);
 				return err ? methods.onError?.(err) : methods.onComplete?.(...args);
 			},
 			onResponseEnd: (...args) => {
-				const err = this.#reset;
+				const err = this.#incompleteness(status);
 				return err ? methods.onResponseError?.(args[0], err) : methods.onResponseEnd?.(...args);
 			},
 		};
@@ -74,13 +86,31 @@
 			},
 		});
 	}
+
+	/**
+	 * Why a response that has ended may be incomplete; undefined if it is whole. Only one without a length ends after its
+	 * connection.
+	 */
+	#incompleteness(status: number): Error | undefined {
+		const {reset, isUploadUnfinished} = this.#end;
+		if (reset) {
+			return reset;
+		}
+
+		// Some systems report a reset as an orderly end, and a server that does not read on resets the connection. An error may be early.
+		return isUploadUnfinished && status <= MAX_SUCCESS_STATUS
+			? new Error(`a response with status ${status} and no length ended before the request had been written`)
+			: undefined;
+	}
 }
 
-/** Throws on an invalid status. undici then fails the request with the error. */
-function checkStatus(status: unknown): void {
+/** Returns a valid status, and throws on another one. undici then fails the request with the error. */
+function checkedStatus(status: unknown): number {
 	if (Number(status) > MAX_STATUS) {
 		throw new Error(`${String(status)} is no HTTP status`);
 	}
+
+	return Number(status);
 }
 
 /** Creates a pool of such clients for one origin, for use as the `factory` of an `Agent`. */
--- a/tests/truncated-answers.test.ts
+++ b/tests/truncated-answers.test.ts
@@ -167,6 +167,13 @@
 		await expect(ask(server.address, {upload: LARGE_UPLOAD})).resolves.toMatchObject({isWhole: false});
 	});
 
+	it('should not be taken for whole as a success without a length whose server closes before the request is written', async () => {
+		const server = await startServer(socket => {
+			socket.end(`${OK}\r\npart`);
+		});
+		await expect(ask(server.address, {upload: LARGE_UPLOAD})).resolves.toMatchObject({isWhole: false});
+	});
+
 	it.each([
 		['without a length', `${OK}\r\nbody`],
 		['with a length', `${OK}content-length: 4\r\n\r\nbody`],
