Reset broken-off responses of plain services to HTTP/1.0 callers

Cause: a response to an HTTP/1.0 caller has no chunks and ends with its connection. When the service broke off, the daemon closed the connection orderly, so the part looked complete. The gateway reset it already, except after an unexpected error.

Ruled out: resetting after the pipeline has failed, since that has closed the connection by then.

Change: one function breaks a response off, and is used for plain services and after unexpected errors too. Test with a body that fails: HTTP/1.0 saw an orderly end before and a reset now; HTTP/1.1 saw missing chunks in both. The test detects the reset as the daemon does, since libuv reports a reset behind unread bytes as an end of the stream.

--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import {stackOf} from '../util/stack-of.js';
+import {breakOff} from '../http/break-off.js';
 import {errorBody, sendFailure, httpStatusOf} from '../http/error-response.js';
 import {createRequestContext, type RequestContext, type RequestHandler} from './request-context.js';
 import type {Lifecycle} from './lifecycle.js';
@@ -192,7 +193,7 @@
 		const message = stackOf(err);
 		this.options.logger.error('unexpected_error', {request: context.requestId, message});
 		if (context.res.headersSent) {
-			context.res.destroy();
+			breakOff(context.res);
 		}
 
 		return failure({
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -1,5 +1,6 @@
 /** The response to one client: a whole response, a failure, or the events of a stream over several attempts. */
 import type {RawEvent} from '../forwarding/event-splitter.js';
+import {breakOff} from '../http/break-off.js';
 import {sendFailure} from '../http/error-response.js';
 import type {Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
@@ -66,13 +67,7 @@
 
 	/** Closes the connection, so that the response can't be taken for complete. */
 	destroy(): void {
-		const {req, res} = this.request;
-		if (req.httpVersion === '1.0') {
-			// A response without chunks ends with its connection, so only a reset shows that it is incomplete.
-			res.socket?.resetAndDestroy();
-		}
-
-		res.destroy();
+		breakOff(this.request.res);
 	}
 
 	end(): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {BODY_TIMEOUT_MS, BodyReader} from '../http/body-reader.js';
+import {breakOff} from '../http/break-off.js';
 import {MAX_HEADER_BYTES} from '../http/connection-headers.js';
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {RequestIdentity} from '../quarantine/request-identity.js';
@@ -320,7 +321,7 @@
 			}
 		}
 
-		res.destroy();
+		breakOff(res);
 		return 'broken_off';
 	}
 
--- a/src/operations/plain-http.ts
+++ b/src/operations/plain-http.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {pipeline} from 'node:stream/promises';
+import {breakOff} from '../http/break-off.js';
 import {failure, type Failure} from '../util/failure.js';
 import type {PlainAnswer} from './plain-call.js';
 
@@ -41,9 +42,13 @@
 		return;
 	}
 
+	// Before `pipeline` destroys the response, which closes the connection orderly.
+	answer.body.prependListener('error', () => {
+		breakOff(res);
+	});
 	try {
 		await pipeline(answer.body, res);
 	} catch {
-		res.destroy();
+		breakOff(res);
 	}
 }
--- a/tests/plain-services.test.ts
+++ b/tests/plain-services.test.ts
@@ -1,14 +1,18 @@
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {createServer, type IncomingHttpHeaders} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
+import {Readable} from 'node:stream';
 import {text} from 'node:stream/consumers';
-import type {AddressInfo} from 'node:net';
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
+import {watchReset} from '../src/backend/reset-watch.js';
 import {UndiciPlainServiceClient} from '../src/backend/plain-service-client.js';
 import type {PlainService} from '../src/configuration/schema.js';
 import type {OperationExecutor} from '../src/operations/operation-executor.js';
 import type {PlainCall, PlainReservations, PlainResult} from '../src/operations/plain-call.js';
+import {writePlainAnswer} from '../src/operations/plain-http.js';
 import {findRoute, PlainRouter} from '../src/operations/plain-router.js';
 import {PlainServiceStandIn} from '../testing/stand-ins/plain-service/plain-service-stand-in.js';
 import {plainService, workspace} from './fixtures/operation-daemons.js';
@@ -165,3 +169,41 @@
 		expect([headers.authorization, headers['x-drop'], headers['x-keep'], headers['x-request-id']]).toEqual([undefined, undefined, '2', 'r1']);
 	});
 });
+
+describe('response that breaks off', () => {
+	async function * breakingBody(): AsyncGenerator<string> {
+		yield 'part';
+		throw new Error('the service closed the connection');
+	}
+
+	// To a client of HTTP/1.0, an orderly end of the connection is the end of the response.
+	it.each([
+		['1.0', 'reset'],
+		['1.1', 'open'],
+	])('should not look complete to a caller that uses HTTP/%s', async (version, expected) => {
+		const server = createServer(async (_req, res) => {
+			await writePlainAnswer(res, {
+				kind: 'answered', status: 200, headers: {}, body: Readable.from(breakingBody()),
+			}, 'r1');
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		cleanups.push(async () => new Promise(resolve => {
+			server.close(resolve);
+		}));
+		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+		let end = 'open';
+		let received = '';
+		socket.on('data', chunk => {
+			received += chunk.toString();
+		});
+		socket.on('error', () => undefined);
+		watchReset(socket, () => {
+			end = 'reset';
+		});
+		socket.write(`GET / HTTP/${version}\r\nhost: x\r\n\r\n`);
+		await once(socket, 'close');
+		expect(end).toBe(expected);
+		expect(received).not.toContain('\r\n0\r\n');
+	});
+});
