Refuse responses of peers and relays with a status over 599

Cause: the client of tRPC reads a result from a body of any status, so a response with status 600 or 999 counted as the answer to a call to a peer or to a relay of the store.

Ruled out: answers that end early, for these calls and for those to the object API, the metadata store and engines. They are JSON objects, which do not parse when cut; tests cut them after each byte in each framing.

--- a/src/backend/checked-client.ts
+++ b/src/backend/checked-client.ts
@@ -1,11 +1,10 @@
 /** An undici client that fails responses of which undici does not notice that they are incomplete or invalid. */
 import type {Socket} from 'node:net';
 import {Client, Pool, type Dispatcher} from 'undici';
+import {checkedStatus} from '../http/response-status.js';
 import type {ConnectionOpener} from './checked-connector.js';
 import {watchReset} from './reset-watch.js';
 
-/** Statuses above are invalid (RFC 9110, section 15). undici itself fails those below 100. */
-const MAX_STATUS = 599;
 const MAX_SUCCESS_STATUS = 299;
 
 /** What the socket of the current connection shows about its end. */
@@ -57,13 +56,14 @@
 	#check(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
 		const methods = handler as HandlerMethods;
 		let status = 0;
+		// What these throw becomes the failure of the request.
 		const replacements: HandlerMethods = {
 			onHeaders(...args) {
-				status = checkedStatus(args[0]);
+				status = checkedStatus(Number(args[0]));
 				return methods.onHeaders?.(...args);
 			},
 			onResponseStart(...args) {
-				status = checkedStatus(args[1]);
+				status = checkedStatus(Number(args[1]));
 				methods.onResponseStart?.(...args);
 			},
 			onComplete: (...args) => {
@@ -104,15 +104,6 @@
 	}
 }
 
-/** Returns a valid status, and throws on another one. undici then fails the request with the error. */
-function checkedStatus(status: unknown): number {
-	if (Number(status) > MAX_STATUS) {
-		throw new Error(`${String(status)} is no HTTP status`);
-	}
-
-	return Number(status);
-}
-
 /** Creates a pool of such clients for one origin, for use as the `factory` of an `Agent`. */
 export const createCheckedPool = (origin: string | URL, options: object): Pool =>
 	new Pool(origin, {...options, factory: (url, clientOptions) => new CheckedClient(url, clientOptions as {readonly connect: ConnectionOpener})});
--- a/src/peer/undici-fetch.ts
+++ b/src/peer/undici-fetch.ts
@@ -1,5 +1,6 @@
 /** Replacement of `fetch` for tRPC clients, based on undici's `request`, which uses less CPU per call. */
 import type {Dispatcher} from 'undici';
+import {checkedStatus} from '../http/response-status.js';
 
 type FetchInit = {
 	readonly method?: 'GET' | 'POST';
@@ -17,5 +18,7 @@
 	const {statusCode, body} = await dispatcher.request({
 		origin, path: `${pathname}${search}`, method: method ?? 'POST', headers, body: requestBody, signal, headersTimeout: 0, bodyTimeout: 0,
 	});
+	// A client of tRPC reads a result from a body of any status.
+	checkedStatus(statusCode);
 	return {ok: statusCode >= 200 && statusCode < 300, json: async () => body.json()};
 };
