Test early ends and odd statuses through the gateway and other hosts

The tests guard what holds: a reset while a server does not read the upload, in each framing, for calls and streams; statuses 000, 099, 101, 199, 600 and 999; requests cut in their body; and resets, cuts and odd statuses behind a relaying host.

--- a/tests/hosts-without-servers.test.ts
+++ b/tests/hosts-without-servers.test.ts
@@ -3,12 +3,14 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {eventStreamBody, promptHeaders} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
 import {RelayFleet} from './fixtures/relay-fleet.js';
 
 /** Time in ms after the beginning of the cut from which first attempts have to be served. */
 const STABLE_WINDOW_MS = 3000;
 const MIN_SERVED_SHARE = 0.9;
 const EVENTS = 6;
+const ODD_STATUS = {kind: 'raw', framing: 'length', isReset: false} as const;
 
 const SERVERS = [
 	...['d-1', 'd-2', 'd-3'].map(instance => ({service: 'desk', instance, paceMs: 20})),
@@ -181,4 +183,27 @@
 		await delay(500);
 		expect(fleet.servers.reduce((sum, {abortedRequests}) => sum + abortedRequests, 0)).toBe(1);
 	});
+
+	it.each([
+		{answer: 'that a reset cuts', fault: {kind: 'reset', isChunked: false}},
+		{answer: 'that a reset cuts between chunks', fault: {kind: 'reset', isChunked: true}},
+		{answer: 'that ends before its length', fault: {kind: 'break'}},
+		{answer: 'with status 600', fault: {...ODD_STATUS, statusLine: 'HTTP/1.1 600 Odd'}},
+		{answer: 'with status 000', fault: {...ODD_STATUS, statusLine: 'HTTP/1.1 000 Odd'}},
+	] as const)('should not pass on an answer $answer through another host', async ({fault}) => {
+		fleet = await RelayFleet.create({cuttable: 1, servers: SERVERS.slice(0, 3)});
+		await loseServerPath(0);
+		// A daemon that has just started may not know yet which hosts could relay.
+		await waitUntil(async () => {
+			const {status} = await fleet.send(0, '/look/x');
+			return status === 200;
+		});
+		for (const server of fleet.servers) {
+			server.injectFaults(fault);
+		}
+
+		await expect(fleet.send(0, '/book/x', {id: 'cut'})).resolves.toMatchObject({status: 502, isBroken: false});
+		expect(fleet.arrivals.filter(id => id === 'cut')).toHaveLength(1);
+		expect(fleet.members[0]!.logs.some(line => line.includes('event=relayed') && line.includes('request=cut'))).toBe(true);
+	});
 });
--- a/tests/misleading-responses.test.ts
+++ b/tests/misleading-responses.test.ts
@@ -5,7 +5,10 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {listen} from '../src/util/listen.js';
-import {GatewayFixture, platformConfiguration} from './fixtures/gateway-fixture.js';
+import {
+	API_KEY, GatewayFixture, HOST, platformConfiguration,
+} from './fixtures/gateway-fixture.js';
+import {RawConnection} from './fixtures/raw-connection.js';
 
 let fixture: GatewayFixture;
 let server: Server;
@@ -126,3 +129,73 @@
 		}
 	});
 });
+
+describe('response that ends early', () => {
+	const head = (id: string, fields: string) => `HTTP/1.1 200 OK\r\nfireflyport-attempt-id: ${id}\r\nfireflyport-response-seal: seal\r\n${fields}\r\n`;
+	const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+	const chunk = (text: string) => `${text.length.toString(16)}\r\n${text}\r\n`;
+	const framings = [
+		{framing: 'no length', fields: '', frame: (text: string) => text},
+		{framing: 'a length', fields: 'content-length: 1000\r\n', frame: (text: string) => text},
+		{framing: 'chunks', fields: 'transfer-encoding: chunked\r\n', frame: chunk},
+	];
+	// Less than the limit on bodies, and more than the server reads.
+	const upload = 'x'.repeat(900_000);
+
+	it.each(framings)('should not be a success when a reset meets the upload of a call ($framing)', async ({fields, frame}) => {
+		reply = (socket, id) => {
+			socket.pause();
+			socket.write(`${head(id, fields)}${frame('booked')}`, () => {
+				socket.resetAndDestroy();
+			});
+		};
+
+		await expect(fixture.send('/book/x', {body: upload})).resolves.toMatchObject({status: 502, isBroken: false});
+	});
+
+	it.each(framings)('should not look complete when a reset meets the upload of a stream ($framing)', async ({fields, frame}) => {
+		reply = (socket, id) => {
+			socket.pause();
+			socket.write(`${head(id, fields)}${frame(events)}`, () => {
+				socket.resetAndDestroy();
+			});
+		};
+
+		const {status, isBroken} = await fixture.send('/once/x', {body: upload, headers: {'fireflyport-token-counts': '100,10'}});
+		expect(status === 502 || isBroken).toBe(true);
+	});
+
+	it.each(['000', '099', '101', '199', '600', '999'])('should be reported as unknown when its status is %s', async status => {
+		reply = (socket, id) => {
+			socket.end(answer(id).replace('200', status));
+		};
+
+		for (const path of ['/book/x', '/once/x']) {
+			const response = await fixture.send(path, {headers: {'fireflyport-token-counts': '100,10'}});
+			expect(response).toMatchObject({status: 502, isBroken: false});
+			expect(JSON.parse(response.body)).toMatchObject({error: {ran: 'unknown'}});
+		}
+	});
+});
+
+describe('request that ends early', () => {
+	it.each([
+		['chunks', 'transfer-encoding: chunked\r\n', '4\r\npart\r\n'],
+		['the last chunk without its end', 'transfer-encoding: chunked\r\n', '4\r\npart\r\n0\r\n'],
+		['a length', 'content-length: 9\r\n', 'part'],
+	])('should not be passed on (%s)', async (_, fields, part) => {
+		let runs = 0;
+		reply = (socket, id) => {
+			runs++;
+			socket.end(answer(id));
+		};
+
+		const client = await RawConnection.open(fixture.ports.port);
+		client.write(`POST /book/x HTTP/1.1\r\nhost: ${HOST}\r\nfireflyport-attempt-id: cut\r\nfireflyport-credential: ${API_KEY}\r\n${fields}\r\n${part}`);
+		client.socket.end();
+		await client.waitForClose();
+		await fixture.send('/book/x', {headers: {'fireflyport-attempt-id': 'whole'}});
+		expect(runs).toBe(1);
+		expect(client.statuses).not.toContain(200);
+	});
+});
