--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -1,5 +1,4 @@
 /** Chooses and prepares the next attempt of one request, and takes the tokens of the retry budget that this needs. */
-import type {RetryBudget} from '../util/retry-budget.js';
 import type {AttemptRecords} from './attempt-records.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {Destination, DestinationChoice, Exclusions} from './destination-choice.js';
@@ -128,7 +127,7 @@
 		}
 	}
 
-	get #budget(): RetryBudget {
+	get #budget(): ReturnType<FlowParts['retryBudget']> {
 		const {parts, request} = this.options;
 		return parts.retryBudget(request.service.name);
 	}
