Hold long prompts back only while twice their forecast fits into their target

Cause: prefills take longer than forecast while engines are short. Change: a prompt is held no longer than leaves twice its expected time until its target.

--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -17,6 +17,12 @@
 /** A prompt is refused at once if its first event is expected after this share of the client's silence limit. */
 const MAX_EXPECTED_SHARE = 0.9;
 
+/**
+ * A long prompt is not held back beyond the time at which this multiple of its expected time to the first event is left until its target: while
+ * engines are short, prefills take up to twice as long as forecast, since short prompts are read in between.
+ */
+const HOLD_EXPECTED_TIME_FACTOR = 2;
+
 /** A server, or the daemon of another host at IP:PORT that relays the request. */
 export type Destination =
 	| {readonly kind: 'server'; readonly choice: ServerChoice}
@@ -289,7 +295,7 @@
 		}
 
 		const holdMs = longPromptHoldMs(
-			{prefillMs: placement.prefillMs, engines: 1 + helpers.length, dueAt: arrivedAt + route.targetLatencyMs - expectedMs},
+			{prefillMs: placement.prefillMs, engines: 1 + helpers.length, dueAt: arrivedAt + route.targetLatencyMs - (HOLD_EXPECTED_TIME_FACTOR * expectedMs)},
 			allowedServers(parts, request, now).map(({id}) => parts.placements.entriesOn(id)),
 			now,
 		);
@@ -301,7 +307,7 @@
 					code: 'overloaded', message: 'long prompts hold their share of the engines', ran: 'not_run', step: 'reserve', retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
 				}),
 				shortage: {
-					why: 'long_prompts', placeInMs: holdMs, isKnown: true, serviceMs: expectedMs,
+					why: 'long_prompts', placeInMs: holdMs, isKnown: true, serviceMs: HOLD_EXPECTED_TIME_FACTOR * expectedMs,
 				},
 			};
 	}
