Pace servers that start or return by how they answer

Cause: a server that has just started or recovered looks the emptiest to all daemons at once and is flooded, or it is suspect and left idle. The evidence is that of the messages that exist (opened, started, closed), so no message was added. Off unless FIREFLYPORT_SERVER_PACE is adaptive.

--- a/src/fleet/fleet-links.ts
+++ b/src/fleet/fleet-links.ts
@@ -60,6 +60,11 @@
 		return this.topology.responsiveMembers(now);
 	}
 
+	/** Share of the known daemons that this one hears now, with itself. */
+	heardShare(now: number): number {
+		return this.topology.heardShare(now);
+	}
+
 	/** Adds daemons and returns those that were not known. */
 	addMembers(members: Iterable<Member>, now: number): readonly Member[] {
 		const added = this.topology.addMembers(members);
--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -20,6 +20,9 @@
 /** Time in ms without a message after which a follower is removed: three of its reports, which it sends every second. */
 const FOLLOWER_TIMEOUT_MS = 3500;
 
+/** Time in ms without a message after which a daemon of a mesh is not heard: one of its reports, and a margin. */
+const HEARD_MS = 1500;
+
 /** A daemon, as described by its registration. */
 export type Member = {
 	/** IP address. */
@@ -97,6 +100,27 @@
 			.map(({member}) => member);
 	}
 
+	/**
+	 * Share of the known daemons whose messages reach this one now, with itself. A follower hears all others through its relay, a relay
+	 * hears its followers, and through each relay of another failure domain the daemons of that domain.
+	 */
+	heardShare(now: number): number {
+		const isFresh = ({lastContactAt}: LinkCandidate, timeoutMs: number): boolean => now - lastContactAt <= timeoutMs;
+		if (this.isMesh) {
+			return (1 + this.#ranked.filter(candidate => isFresh(candidate, HEARD_MS)).length) / this.size;
+		}
+
+		const {failureDomain} = this.self;
+		const isOwnDomain = ({member}: LinkCandidate): boolean => member.failureDomain === failureDomain;
+		if (this.#ranked.some(candidate => isOwnDomain(candidate) && compareRank(candidate.member, this.self) < 0 && isFresh(candidate, LINK_TIMEOUT_MS))) {
+			return 1;
+		}
+
+		const heardDomains = new Set(this.#ranked.filter(candidate => isFresh(candidate, LINK_TIMEOUT_MS)).map(({member}) => member.failureDomain));
+		const heard = this.#ranked.filter(candidate => isOwnDomain(candidate) ? isFresh(candidate, FOLLOWER_TIMEOUT_MS) : heardDomains.has(candidate.member.failureDomain));
+		return (1 + heard.length) / this.size;
+	}
+
 	/** Adds daemons and returns those that were not known. */
 	addMembers(members: Iterable<Member>): readonly Member[] {
 		const added: Member[] = [];
--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -112,6 +112,11 @@
 		return this.#links.responsiveMembers(now);
 	}
 
+	/** Share of the known daemons that this one hears now, with itself. */
+	heardShare(now: number): number {
+		return this.#links.heardShare(now);
+	}
+
 	/** Number of requests that this daemon has on backend servers. */
 	get ownPlacements(): number {
 		return this.options.placements.entriesOf(this.options.daemon).length;
@@ -172,7 +177,7 @@
 	/** `isAnswered`: a server has run the request and sent a whole answer that is no stream. */
 	closePlacement(id: string, isAnswered = false): void {
 		const {placements, daemon} = this.options;
-		placements.close(daemon, id);
+		placements.close(daemon, id, {isAnswered, now: this.options.clock()});
 		this.#broadcast({
 			kind: 'closed', daemon, domain: this.#domain, id, isAnswered: isAnswered || undefined,
 		});
@@ -279,7 +284,7 @@
 			}
 
 			case 'closed': {
-				placements.close(message.daemon, message.id);
+				placements.close(message.daemon, message.id, {isAnswered: message.isAnswered ?? false, now});
 				if (message.isAnswered) {
 					quarantine.recordStart(now);
 				}
--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -42,6 +42,15 @@
 /** An open placement, as listed in a report of its daemon. */
 export type OpenPlacement = Pick<PlacementEntry, 'id' | 'startedAt'>;
 
+/** Learns how the placements of all daemons go. A placement whose daemon has fallen silent ends without a call. */
+export type PlacementListener = {
+	opened(entry: PlacementEntry, now: number): void;
+	/** Called at the first event. */
+	started(entry: PlacementEntry, now: number): void;
+	/** `isAnswered`: a server has run the request and sent a whole answer that is no stream. */
+	closed(entry: PlacementEntry, isAnswered: boolean, now: number): void;
+};
+
 type DaemonRecord = {
 	lastContactAt: number;
 	readonly entries: Map<string, PlacementEntry>;
@@ -56,9 +65,14 @@
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
+	#listener: PlacementListener | undefined;
 
 	private constructor() {} // eslint-disable-line @typescript-eslint/no-empty-function
 
+	listen(listener: PlacementListener): void {
+		this.#listener = listener;
+	}
+
 	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
 	open(daemon: string, placement: Placement, now: number, startedAt?: number): boolean {
 		const known = this.#recordsOf(daemon, now).entries.get(placement.id);
@@ -70,9 +84,11 @@
 			return false;
 		}
 
-		this.#put({
+		const entry = {
 			...placement, daemon, placedAt: now, startedAt,
-		});
+		};
+		this.#put(entry);
+		this.#listener?.opened(entry, now);
 		return true;
 	}
 
@@ -80,11 +96,14 @@
 	start(daemon: string, id: string, now: number): void {
 		const entry = this.#daemons.get(daemon)?.entries.get(id);
 		if (entry && entry.startedAt === undefined) {
-			this.#put({...entry, startedAt: now});
+			const started = {...entry, startedAt: now};
+			this.#put(started);
+			this.#listener?.started(started, now);
 		}
 	}
 
-	close(daemon: string, id: string): void {
+	/** `end`: what its daemon tells about it; undefined if only the entry is dropped. */
+	close(daemon: string, id: string, end?: {readonly isAnswered: boolean; readonly now: number}): void {
 		const entries = this.#daemons.get(daemon)?.entries;
 		const entry = entries?.get(id);
 		if (entry) {
@@ -92,6 +111,10 @@
 			for (const server of participants(entry)) {
 				this.#byServer.get(server)?.delete(id);
 			}
+
+			if (end) {
+				this.#listener?.closed(entry, end.isAnswered, end.now);
+			}
 		}
 	}
 
--- a/src/gateway/attempt-records.ts
+++ b/src/gateway/attempt-records.ts
@@ -43,8 +43,9 @@
 		this.parts.logger.error('unexpected_error', {request: this.request.id, message: stackOf(err)});
 	}
 
-	openPlacement({placement}: ServerChoice, now: number): void {
+	openPlacement({placement, expectedMs}: ServerChoice, now: number): void {
 		this.guard(() => {
+			this.parts.pace?.recordExpected(placement.id, expectedMs);
 			this.parts.loadExchange.openPlacement(placement, now);
 		});
 	}
@@ -116,6 +117,9 @@
 		const now = parts.clock();
 		if (!result.isBlameless) {
 			parts.health.recordOutcome(faultyServer.id, isSuccess, now);
+			if (!isSuccess) {
+				parts.pace?.recordFailure(faultyServer.id, {placement: choice.placement.id, isRejected: outcome.kind === 'rejected' && !isNotConnected}, now);
+			}
 		}
 
 		if (faultyServer !== choice.server && faultyServer.failureDomain !== choice.server.failureDomain) {
--- a/src/gateway/fleet-feeds.ts
+++ b/src/gateway/fleet-feeds.ts
@@ -18,6 +18,7 @@
 	readonly fleet: FleetView;
 	readonly health: ServerHealth;
 	readonly limits: ServerLimits;
+	readonly pace?: {retain(known: ReadonlySet<string>): void};
 	readonly clock: Clock;
 	readonly logger: Logger;
 	/** Time in ms for which a watch waits for a change. */
@@ -152,6 +153,7 @@
 				const serverIds = this.options.fleet.serverIds();
 				this.options.health.retain(serverIds);
 				this.options.limits.retain(serverIds);
+				this.options.pace?.retain(serverIds);
 			},
 			onEvent: (event, now) => {
 				if (event.kind === 'changed') {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -17,6 +17,7 @@
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
 import {RequestRelay} from '../relaying/request-relay.js';
+import {ServerPace} from '../scheduling/server-pace.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -91,6 +92,7 @@
 	readonly schedule: ReadSchedule;
 	readonly metrics: GatewayMetrics;
 	readonly limits: ServerLimits;
+	readonly pace: ServerPace | undefined;
 	readonly quarantine: PromptQuarantine;
 	readonly quarantineStore: QuarantineStore;
 	readonly relay: RequestRelay;
@@ -102,12 +104,36 @@
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
 		const turnClock = createTurnClock(clock);
+		const isPaced = settings.serverPace === 'adaptive';
 		const metrics = GatewayMetrics.create({
-			droppedLines: dependencies.droppedLines, quarantinedParts: () => quarantine.size, limitedServers: () => limits.size, isServerPathLost: () => relay.isNeeded,
+			droppedLines: dependencies.droppedLines,
+			quarantinedParts: () => quarantine.size,
+			limitedServers: () => limits.size,
+			isServerPathLost: () => relay.isNeeded,
+			pacedServers: isPaced ? () => pace!.phases : undefined,
 		});
 		const placements = PlacementTable.create();
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
 		const limits = ServerLimits.create();
+		const daemonId = `${settings.daemon}/${randomBytes(4).toString('hex')}`;
+		const pace = isPaced
+			? ServerPace.create({
+				placements,
+				daemon: daemonId,
+				daemons: () => loadExchange.daemons,
+				heardShare: now => loadExchange.heardShare(now),
+				unixTime: wallClockMs,
+				onPhase({server, before, phase, limit}) {
+					logger.info('server_pace', {
+						server, phase, before, limit,
+					});
+				},
+			})
+			: undefined;
+		if (pace) {
+			placements.listen(pace);
+		}
+
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
@@ -141,7 +167,7 @@
 		const loadExchange = await LoadExchange.create({
 			quarantine,
 			limits,
-			daemon: `${settings.daemon}/${randomBytes(4).toString('hex')}`,
+			daemon: daemonId,
 			self,
 			port: settings.peerPort,
 			placements,
@@ -167,7 +193,7 @@
 			daemon.#handleRelayed(req, res);
 		});
 		const daemon = new GatewayDaemon(settings, dependencies, {
-			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, quarantine, quarantineStore, relay, random, turnClock,
+			self, fleet, placements, loadExchange, store, reader, server, schedule, metrics, limits, pace, quarantine, quarantineStore, relay, random, turnClock,
 		});
 		await daemon.#start();
 		return daemon;
@@ -248,7 +274,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore, relay, random, turnClock,
+				self, fleet, placements, loadExchange, store, schedule, limits, pace, quarantine, quarantineStore, relay, random, turnClock,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -256,6 +282,7 @@
 			placements,
 			health: this.#health,
 			limits,
+			pace,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
 			regionOf: domain => settings.regions[domain],
@@ -306,6 +333,7 @@
 			fleet,
 			health: this.#health,
 			limits,
+			pace,
 			clock,
 			logger,
 			watchWaitMs: schedule.watchWaitMs,
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -12,6 +12,8 @@
 
 /** Values that are read whenever the metrics are. */
 export type GatewayMetricSources = {
+	/** Number of servers in each phase of their pace; undefined if servers are not paced. */
+	readonly pacedServers?: (() => Readonly<Record<string, number>>) | undefined;
 	/** Number of log lines dropped so far. */
 	droppedLines(): number;
 	/** Number of quarantined prompt parts. */
@@ -63,12 +65,15 @@
 	#server: Server | undefined;
 
 	private constructor({
-		droppedLines, quarantinedParts, limitedServers, isServerPathLost,
+		droppedLines, quarantinedParts, limitedServers, isServerPathLost, pacedServers,
 	}: GatewayMetricSources) {
 		this.#addGauge('fireflyport_log_lines_dropped', 'Log lines dropped because output was slow', droppedLines);
 		this.#addGauge('fireflyport_quarantined_parts', 'Prompt parts whose requests are refused because engines crash on them', quarantinedParts);
 		this.#addGauge('fireflyport_limited_servers', 'Servers that name a limit on their requests per second', limitedServers);
 		this.#addGauge('fireflyport_server_path_lost', '1 while this host has no path to the backend servers and other hosts relay its requests', () => Number(isServerPathLost()));
+		if (pacedServers) {
+			this.#addPhaseGauge(pacedServers);
+		}
 	}
 
 	observe(service: string, outcome: FlowResult['outcome'], ms: number): void {
@@ -130,6 +135,20 @@
 		});
 	}
 
+	#addPhaseGauge(read: () => Readonly<Record<string, number>>): void {
+		const gauge: Gauge = new Gauge({
+			name: 'fireflyport_server_pace',
+			help: 'Servers by phase of their pace',
+			labelNames: ['phase'],
+			registers: [this.#registry],
+			collect() {
+				for (const [phase, servers] of Object.entries(read())) {
+					gauge.set({phase}, servers);
+				}
+			},
+		});
+	}
+
 	async #respond(res: ServerResponse): Promise<void> {
 		const text = await this.text();
 		res.writeHead(200, {'content-type': this.#registry.contentType});
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,4 +1,8 @@
 /** Settings of a gateway daemon, under fireflyport's own names. */
+/** `adaptive`: the requests to a server that has started or returned are limited by how it answers. */
+export const serverPaceModes = ['off', 'adaptive'] as const;
+export type ServerPaceMode = typeof serverPaceModes[number];
+
 export type GatewaySettings = {
 	readonly daemon: string;
 	readonly ip: string;
@@ -27,4 +31,5 @@
 	/** Limits on retries at backend servers: a share of the requests, and a number that all daemons share. */
 	readonly retryShare: number;
 	readonly retrySlack: number;
+	readonly serverPace: ServerPaceMode;
 };
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -8,6 +8,7 @@
 import {chooseLeastLoaded} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
 import {placeGeneration} from '../placement/generation-placement.js';
+import type {ServerPace} from '../scheduling/server-pace.js';
 import type {GatewayRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
@@ -15,6 +16,9 @@
 /** Weight of a plain request. Plain requests never share engines with prompts, so it is not compared with their weights. */
 const PLAIN_REQUEST_WEIGHT = 1;
 
+/** Time in ms after which a server at the limit of its pace may have room: about that of a first event. */
+const PACED_WAIT_MS = 250;
+
 export type ServerChoice = {
 	readonly server: BackendServer;
 	readonly helpers: readonly BackendServer[];
@@ -32,6 +36,8 @@
 	readonly placements: PlacementTable;
 	readonly health: ServerHealth;
 	readonly limits: ServerLimits;
+	/** Undefined if servers that start or return are not paced. */
+	readonly pace?: Pick<ServerPace, 'blockedServers' | 'recordExpected' | 'recordFailure'>;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
 	/** Region of a failure domain. */
@@ -46,16 +52,19 @@
 
 /** Returns the server for the next attempt, or undefined if none can take the request. */
 export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count}: EarlierChoices, now: number): ServerChoice | undefined {
-	const servers = parts.fleet.usableServers(request.service.name, now)
+	const usable = parts.fleet.usableServers(request.service.name, now);
+	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
+	const isAtLimit = (server: BackendServer): boolean => waitMs(parts, request, server, now) > 0 || (paced?.has(server.id) ?? false);
+	const servers = usable
 		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedDomain(parts, request, server.failureDomain));
 	const id = `${request.id}#${count}`;
 	const targetMs = request.arrivedAt + request.route.targetLatencyMs - now;
 	const {engine} = request.service;
 	return engine && request.metadata.promptTokens !== undefined
 		? chooseEngine(parts, request, {
-			servers, engine, id, targetMs,
+			servers, engine, id, targetMs, isAtLimit,
 		}, now)
-		: choosePlainServer(parts, servers.filter(server => waitMs(parts, request, server, now) === 0), {id, targetMs}, now);
+		: choosePlainServer(parts, servers.filter(server => !isAtLimit(server)), {id, targetMs}, now);
 }
 
 /** Time in ms until `server` may get a further request. */
@@ -64,9 +73,11 @@
 
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
 export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
-	const waits = parts.fleet.usableServers(request.service.name, now)
+	const usable = parts.fleet.usableServers(request.service.name, now);
+	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
+	const waits = usable
 		.filter(server => isAllowedDomain(parts, request, server.failureDomain))
-		.map(server => waitMs(parts, request, server, now))
+		.map(server => Math.max(waitMs(parts, request, server, now), paced?.has(server.id) ? PACED_WAIT_MS : 0))
 		.filter(ms => ms > 0);
 	return waits.length === 0 ? undefined : Math.min(...waits);
 }
@@ -104,10 +115,12 @@
 	readonly engine: EngineProfile;
 	readonly id: string;
 	readonly targetMs: number;
+	/** Whether a server takes no further request now. */
+	isAtLimit(server: BackendServer): boolean;
 };
 
 function chooseEngine(parts: ChoiceParts, gatewayRequest: GatewayRequest, {
-	servers, engine, id, targetMs,
+	servers, engine, id, targetMs, isAtLimit,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {metadata, route} = gatewayRequest;
 	const {
@@ -121,7 +134,7 @@
 		promptTokens, outputTokens, gapTargetMs, targetMs, weight, failureDomain,
 	};
 	const candidates = servers.map(server => ({
-		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: waitMs(parts, gatewayRequest, server, now) > 0,
+		server, entries: placements.entriesOn(server.id), isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now, isAtLimit: isAtLimit(server),
 	}));
 	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
 		.map(group => placeGeneration(request, group, engine, now))
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -54,6 +54,7 @@
 				serverHeartbeatMs: 1200,
 				retryShare: 0.2,
 				retrySlack: 106,
+				serverPace: 'off',
 			},
 		});
 	});
