Test the pace of servers on played fleets, and compare it with published methods

A server that refuses its only request counts as failed: other daemons cannot tell a refusal from a failure, and never held a server that fails all. A server that failed all and serves again is found within 1 s (longest back-off) and grows as a new one. The played load (testing/load/server-returns.ts) runs in process; npm run bench -- server-pace compares no limit, slow start by time, additive increase with multiplicative decrease, a gradient limit and the pace.

--- a/src/scheduling/pace-phase.ts
+++ b/src/scheduling/pace-phase.ts
@@ -12,9 +12,9 @@
 /** Factors of the limit after a slow or refused request, which shows where the limit is, and after a failed one. */
 const SLOW_FACTOR = 0.7;
 const FAILED_FACTOR = 0.5;
-/** Time in ms for which a limit that has fallen does not rise. Doubles with each failure in a row. */
+/** Time in ms for which a limit that has fallen does not rise. Doubles with each failure in a row; a server that serves again is found within the maximum. */
 const MIN_BACKOFF_MS = 250;
-const MAX_BACKOFF_MS = 4000;
+const MAX_BACKOFF_MS = 1000;
 /** Failures in a row from which a server gets no requests until its back-off is over. */
 const HELD_FAILURES = 2;
 
@@ -87,7 +87,8 @@
 
 		case 'backed_off': {
 			if (observation.kind === 'good') {
-				return now < phase.until ? phase : grow(phase.limit, {isCautious: true, since: now}, observation, now);
+				// The load at which a server failed all says nothing about what it bears once it serves again.
+				return now < phase.until ? phase : grow(phase.limit, {isCautious: phase.failures < HELD_FAILURES, since: now}, observation, now);
 			}
 
 			// Requests sent before the limit fell show the same fault again.
@@ -108,7 +109,8 @@
 }
 
 function backOff(limit: number, earlierFailures: number, {kind, open}: Observation, now: number): PacePhase {
-	const isFailure = kind === 'failed';
+	// A server that refuses its only request is not full.
+	const isFailure = kind === 'failed' || (kind === 'rejected' && open <= 1);
 	const failures = isFailure ? earlierFailures + 1 : 0;
 	const factor = isFailure ? FAILED_FACTOR : SLOW_FACTOR;
 	return {
--- a/testing/bench/benchmarks.ts
+++ b/testing/bench/benchmarks.ts
@@ -11,8 +11,9 @@
 import {flood} from './flood.js';
 import {longPromptShare} from './long-prompt-share.js';
 import type {Benchmark} from './benchmark.js';
+import {serverPace} from './server-pace.js';
 import {tokenGap} from './token-gap.js';
 
 export const benchmarks: readonly Benchmark[] = [
-	firstToken, blocking, longPromptShare, flood, domainLeave, domainLoss, tokenGap, daemonCost, controlCost, configurationDelivery, claims, decisionCost, evidenceCost,
+	firstToken, blocking, longPromptShare, flood, domainLeave, domainLoss, tokenGap, daemonCost, controlCost, configurationDelivery, claims, decisionCost, evidenceCost, serverPace,
 ];
--- /dev/null
+++ b/testing/bench/server-pace.ts
@@ -0,0 +1,67 @@
+/** Compares methods that limit the requests to servers that return, on the same played load. */
+import {limitMethods} from '../baselines/limit-methods.js';
+import {ServerPace} from '../../src/scheduling/server-pace.js';
+import {
+	measureReturn, PLAY_UNIX_MS, playReturns, type Play, type PlayedDaemon, type PlayedMethod, type ReturnFigures,
+} from '../load/server-returns.js';
+import type {Benchmark} from './benchmark.js';
+import type {ResultRow} from './row.js';
+
+const BENCHMARK_NAME = 'server-pace';
+const FLEETS = [9, 77];
+const RETURNED_AT_MS = 3500;
+const SPAN_MS = 10_000;
+const WARM_UP_MS = 3000;
+const SLOTS = 11;
+const WORK_MS = 60;
+const OTHERS = ['a', 'b', 'c', 'd'];
+const RETURNED = ['x', 'y'];
+/** The others have work for nearly all their slots. */
+const REQUESTS_PER_SECOND = 0.9 * OTHERS.length * SLOTS * 1000 / WORK_MS;
+
+export const createPace = ({id, placements, daemons, heardShare}: PlayedDaemon, onPhase: Parameters<typeof ServerPace.create>[0]['onPhase'] = () => undefined): PlayedMethod => ServerPace.create({
+	placements, daemon: id, daemons: () => daemons, heardShare, unixTime: () => PLAY_UNIX_MS, onPhase,
+});
+
+const createPlay = (daemons: number, seed: number, coldFactor: number): Omit<Play, 'createMethod'> => ({
+	seed,
+	daemons,
+	requestsPerSecond: REQUESTS_PER_SECOND,
+	servers: [...OTHERS.map(id => ({id, from: -60_000})), ...RETURNED.map(id => ({id, from: RETURNED_AT_MS, warmAt: RETURNED_AT_MS + WARM_UP_MS}))],
+	slots: SLOTS,
+	workMs: WORK_MS,
+	durationMs: RETURNED_AT_MS + SPAN_MS + 500,
+	coldFactor,
+});
+
+const formatFigures = ({rejected, slow, answered, refused, carriesAfterMs}: ReturnFigures): string =>
+	`rejected ${rejected}, slow ${slow}, answered ${answered}, refused by all ${refused}, 80 % of its share after ${carriesAfterMs ?? '-'} ms`;
+
+export const serverPace: Benchmark = {
+	name: BENCHMARK_NAME,
+	title: 'Requests in the first 10 s of two servers that return to four busy ones, by the method that limits them',
+	async run({seed, log}) {
+		const rows: ResultRow[] = [];
+		for (const coldFactor of [1, 3]) {
+			for (const daemons of FLEETS) {
+				for (const [name, createMethod] of [...Object.entries(limitMethods), ['pace', createPace] as const]) {
+					log(`${daemons} daemons, ${name}`);
+					const figures = measureReturn(playReturns({...createPlay(daemons, seed, coldFactor), createMethod}), {
+						returned: RETURNED, others: OTHERS, returnedAt: RETURNED_AT_MS, spanMs: SPAN_MS,
+					});
+					rows.push({
+						measure: BENCHMARK_NAME,
+						metric: `${name}, ${daemons} daemons, work x ${coldFactor} for 3 s: rejected or slow`,
+						unit: 'requests',
+						baseline: undefined,
+						value: figures.rejected + figures.slow,
+						bound: {kind: 'none'},
+						note: formatFigures(figures),
+					});
+				}
+			}
+		}
+
+		return rows;
+	},
+};
