--- a/src/scheduling/server-pace.ts
+++ b/src/scheduling/server-pace.ts
@@ -29,7 +29,7 @@
 const SLOW_FIRST_EVENT = 2;
 const FIRST_EVENT_MARGIN_MS = 100;
 /** A plain answer is slow after this multiple of the usual duration of its service, and at least this much more in ms. */
-const SLOW_ANSWER = 3;
+const SLOW_ANSWER = 2;
 const ANSWER_MARGIN_MS = 50;
 /** Weight of a new answer in the moving average of the usual duration. */
 const DURATION_WEIGHT = 0.1;
@@ -210,7 +210,12 @@
 		let service = this.#services.get(name);
 		if (!service) {
 			service = {
-				firstOfferAt: now, lastOfferAt: -Infinity, lastRequest: undefined, offers: DecayingCount.create(RATE_HALF_LIFE_MS), placements: DecayingCount.create(RATE_HALF_LIFE_MS), usualMs: undefined,
+				firstOfferAt: now,
+				lastOfferAt: -Infinity,
+				lastRequest: undefined,
+				offers: DecayingCount.create(RATE_HALF_LIFE_MS),
+				placements: DecayingCount.create(RATE_HALF_LIFE_MS),
+				usualMs: undefined,
 			};
 			this.#services.set(name, service);
 		}
@@ -237,13 +242,13 @@
 	/** Records that the server is usable, and finds out whether it has just started or returned. */
 	#offer(server: BackendServer, service: ServiceState, now: number): ServerState {
 		const state = this.#stateOf(server.id);
-		const isFirst = state.server === undefined;
+		const known = state.server;
 		state.server = server;
-		if (isFirst) {
+		if (known === undefined) {
 			if (!this.#isNew(server, service, now)) {
 				this.#setPhase(server.id, state, {kind: 'full'});
 			}
-		} else if (state.phase.kind === 'full' && state.offeredAt < service.lastOfferAt && now - state.offeredAt > AWAY_MS) {
+		} else if (state.phase.kind === 'full' && (isBack(state, service, now) || (known.coldUntil <= state.offeredAt && server.coldUntil > now))) {
 			this.#setPhase(server.id, state, {kind: 'born'});
 		}
 
@@ -339,6 +344,9 @@
 	}
 }
 
+/** Whether the server was not usable for some time while others of its service were. */
+const isBack = ({offeredAt}: ServerState, {lastOfferAt}: ServiceState, now: number): boolean => offeredAt < lastOfferAt && now - offeredAt > AWAY_MS;
+
 const heldUntil = ({phase}: ServerState): number => phase.kind === 'backed_off' ? phase.until : -Infinity;
 
 const allowedAnswerMs = (usualMs: number | undefined, targetMs: number): number =>
--- a/testing/bench/server-pace.ts
+++ b/testing/bench/server-pace.ts
@@ -16,14 +16,14 @@
 const WORK_MS = 60;
 const OTHERS = ['a', 'b', 'c', 'd'];
 const RETURNED = ['x', 'y'];
-/** The others have work for nearly all their slots. */
-const REQUESTS_PER_SECOND = 0.9 * OTHERS.length * SLOTS * 1000 / WORK_MS;
+/** The others have work for most of their slots. */
+const REQUESTS_PER_SECOND = 0.75 * OTHERS.length * SLOTS * 1000 / WORK_MS;
 
 export const createPace = ({id, placements, daemons, heardShare}: PlayedDaemon, onPhase: Parameters<typeof ServerPace.create>[0]['onPhase'] = () => undefined): PlayedMethod => ServerPace.create({
 	placements, daemon: id, daemons: () => daemons, heardShare, unixTime: () => PLAY_UNIX_MS, onPhase,
 });
 
-const createPlay = (daemons: number, seed: number, coldFactor: number): Omit<Play, 'createMethod'> => ({
+const createPlay = (daemons: number, seed: number, coldSlots: number): Omit<Play, 'createMethod'> => ({
 	seed,
 	daemons,
 	requestsPerSecond: REQUESTS_PER_SECOND,
@@ -31,7 +31,7 @@
 	slots: SLOTS,
 	workMs: WORK_MS,
 	durationMs: RETURNED_AT_MS + SPAN_MS + 500,
-	coldFactor,
+	coldSlots,
 });
 
 const formatFigures = ({rejected, slow, answered, refused, carriesAfterMs}: ReturnFigures): string =>
@@ -42,16 +42,16 @@
 	title: 'Requests in the first 10 s of two servers that return to four busy ones, by the method that limits them',
 	async run({seed, log}) {
 		const rows: ResultRow[] = [];
-		for (const coldFactor of [1, 3]) {
+		for (const coldSlots of [SLOTS, 2]) {
 			for (const daemons of FLEETS) {
 				for (const [name, createMethod] of [...Object.entries(limitMethods), ['pace', createPace] as const]) {
 					log(`${daemons} daemons, ${name}`);
-					const figures = measureReturn(playReturns({...createPlay(daemons, seed, coldFactor), createMethod}), {
+					const figures = measureReturn(playReturns({...createPlay(daemons, seed, coldSlots), createMethod}), {
 						returned: RETURNED, others: OTHERS, returnedAt: RETURNED_AT_MS, spanMs: SPAN_MS,
 					});
 					rows.push({
 						measure: BENCHMARK_NAME,
-						metric: `${name}, ${daemons} daemons, work x ${coldFactor} for 3 s: rejected or slow`,
+						metric: `${name}, ${daemons} daemons, bears ${coldSlots} at first: rejected or slow`,
 						unit: 'requests',
 						baseline: undefined,
 						value: figures.rejected + figures.slow,
--- a/testing/load/server-returns.ts
+++ b/testing/load/server-returns.ts
@@ -35,7 +35,7 @@
 
 export type PlayedServer = {
 	readonly id: string;
-	/** Time at which it is registered, at which it answers at its full speed, and at which it ends. */
+	/** Time at which it is registered, at which it bears as many requests as it has slots, and at which it ends. */
 	readonly from: number;
 	readonly warmAt?: number;
 	readonly until?: number;
@@ -51,8 +51,11 @@
 	readonly slots: number;
 	readonly workMs: number;
 	readonly durationMs: number;
-	/** Factor of the work of a server that is not warm. */
-	readonly coldFactor?: number;
+	/**
+	 * Requests that a server bears at once when it is registered; they grow evenly to its slots until it is warm. Beyond them the time of each
+	 * request grows with their number.
+	 */
+	readonly coldSlots?: number;
 	/** Daemons that hear no other daemon and are not heard. */
 	readonly cutDaemons?: number;
 	/** A daemon starts anew at this time. */
@@ -173,7 +176,7 @@
 		}
 
 		host.running++;
-		const workMs = play.workMs * (0.7 + (0.6 * chance())) * (now < (host.warmAt ?? -Infinity) ? play.coldFactor ?? 1 : 1);
+		const workMs = play.workMs * (0.7 + (0.6 * chance())) * Math.max(1, host.running / bearableRequests(play, host, now));
 		at(now + workMs, time => {
 			host.running--;
 			host.waiting.shift()?.(time);
@@ -207,6 +210,10 @@
 	return {sent, refusedAt};
 }
 
+function bearableRequests({slots, coldSlots = slots}: Play, {from, warmAt = from}: PlayedServer, now: number): number {
+	return now >= warmAt ? slots : coldSlots + ((slots - coldSlots) * (now - from) / (warmAt - from));
+}
+
 function createDaemon(play: Play, index: number): Daemon {
 	const isCut = index < (play.cutDaemons ?? 0);
 	const placements = PlacementTable.create();
--- /dev/null
+++ b/tests/paced-gateway.test.ts
@@ -0,0 +1,55 @@
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {GatewayFixture, platformConfiguration, promptHeaders} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
+
+let fixture: GatewayFixture;
+
+beforeEach(async () => {
+	fixture = await GatewayFixture.create();
+	fixture.store.put('config', 'main', platformConfiguration(3));
+});
+
+afterEach(async () => {
+	await fixture.close();
+});
+
+const services = [
+	{
+		service: 'desk', path: '/look/x', headers: {}, events: undefined,
+	},
+	{
+		service: 'model', path: '/chat/x', headers: promptHeaders(1000, 50), events: 4,
+	},
+] as const;
+
+describe.each(services)('a daemon before servers of $service', ({service, path, headers, events}) => {
+	/** Starts a server that is registered as cold, and sends ten requests at once. Returns how many it got. */
+	async function flood(mode: 'off' | 'adaptive'): Promise<number> {
+		await fixture.start(mode);
+		await fixture.waitForLog('event=configuration');
+		const server = await fixture.addServer(service, {instance: 'i-new', events, paceMs: 100});
+		fixture.register(service, server, {'cold-remaining-ms': 3000});
+		await fixture.waitForLog('server=i-new');
+		// The others are there before the first two are answered.
+		server.injectFaults({kind: 'pause', ms: 60}, {kind: 'pause', ms: 60});
+		await Promise.all(Array.from({length: 10}, async () => fixture.statusOf(path, {headers})));
+		return server.arrivals.length;
+	}
+
+	it('should send all requests to a server that has just started when the pace is off, without a metric or a log line', async () => {
+		expect(await flood('off')).toBe(10);
+		expect(await fixture.daemon.metrics.text()).not.toContain('server_pace');
+		expect(fixture.logs.filter(line => line.includes('server_pace'))).toEqual([]);
+	});
+
+	it('should send the first two, show the phase, and send more after good answers when it is adaptive', async () => {
+		expect(await flood('adaptive')).toBe(2);
+		expect(fixture.logs.some(line => line.includes('event=server_pace server=i-new phase=probed before=born limit=2'))).toBe(true);
+		await waitUntil(() => fixture.logs.some(line => /event=server_pace server=i-new phase=(?:growing|full)/v.test(line)));
+		expect(await fixture.daemon.metrics.text()).toMatch(/fireflyport_server_pace\{phase="(?:growing|full)"\} 1/v);
+		const statuses = await Promise.all(Array.from({length: 4}, async () => fixture.statusOf(path, {headers})));
+		expect(statuses).toEqual([200, 200, 200, 200]);
+	});
+});
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -59,6 +59,14 @@
 		});
 	});
 
+	it('should pace servers only if the environment asks for it, and refuse another value', () => {
+		expect(parseSettings(JSON.stringify(settings), 'local.json', 'adaptive').gateway.serverPace).toBe('adaptive');
+		expect(parseSettings(JSON.stringify(settings), 'local.json', 'off').gateway.serverPace).toBe('off');
+		for (const value of ['on', '', 'Adaptive']) {
+			expect(() => parseSettings(JSON.stringify(settings), 'local.json', value)).toThrow(`FIREFLYPORT_SERVER_PACE is "${value}": expected one of off, adaptive`);
+		}
+	});
+
 	it('should report the field, the value and the accepted format of each invalid setting', () => {
 		const invalid = {...settings, listen: {...settings.listen, front: 'everywhere'}, bounds: {...settings.bounds, 'grace-s': -1}};
 		expect(() => parseSettings(JSON.stringify(invalid), 'local.json')).toThrow(SettingsError);
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -52,7 +52,7 @@
 	await world.close();
 });
 
-function startProgram(settings: unknown): {readonly child: ChildProcess; readonly output: () => string} {
+function startProgram(settings: unknown, environment: Readonly<Record<string, string>> = {}): {readonly child: ChildProcess; readonly output: () => string} {
 	const file = path.join(folder, 'local.json');
 	writeFileSync(file, JSON.stringify(settings));
 	const chunks: string[] = [];
@@ -60,7 +60,7 @@
 		chunks.push(String(chunk));
 	};
 
-	child = spawn(process.execPath, [...platformNodeFlags(), program], {env: {...process.env, FIREFLYPORT_CONFIG: file}});
+	child = spawn(process.execPath, [...platformNodeFlags(), program], {env: {...process.env, ...environment, FIREFLYPORT_CONFIG: file}});
 	child.stdout!.on('data', recordOutput);
 	child.stderr!.on('data', recordOutput);
 	return {child, output: () => chunks.join('')};
@@ -91,6 +91,13 @@
 		expect(started.output()).toContain('ip is "here"');
 	});
 
+	it('should exit with code 2 and name the accepted values of an invalid environment variable', async () => {
+		const started = startProgram(world.settingsFile(), {FIREFLYPORT_SERVER_PACE: 'fast'});
+		const [code] = await once(started.child, 'close') as [number];
+		expect(code).toBe(2);
+		expect(started.output()).toContain('FIREFLYPORT_SERVER_PACE is "fast": expected one of off, adaptive');
+	});
+
 	it('should not start from the code cache of an earlier build', async () => {
 		const other = mkdtempSync(path.join(tmpdir(), 'fireflyport-'));
 		const bundle = path.join(other, 'fireflyportd-bundle.cjs');
--- a/tests/server-pace.test.ts
+++ b/tests/server-pace.test.ts
@@ -17,7 +17,7 @@
 
 const play = (servers: readonly PlayedServer[], changes: Partial<Play> = {}): ReturnType<typeof playReturns> => playReturns({
 	seed: 1,
-	daemons: 77,
+	daemons: 32,
 	requestsPerSecond: 500,
 	servers: [...OTHERS.map(id => ({id, from: -60_000})), ...servers],
 	slots: SLOTS,
@@ -31,8 +31,8 @@
 
 describe('pace of servers over all daemons', () => {
 	it('should not flood a server that has just started, which 77 daemons find the emptiest at once', () => {
-		const flooded = sentTo(play([{id: 'x', from: RETURNED_AT}], {createMethod: limitMethods['no limit']!, durationMs: 4500}), 'x', RETURNED_AT, RETURNED_AT + 45);
-		const paced = sentTo(play([{id: 'x', from: RETURNED_AT}], {durationMs: 4500}), 'x', RETURNED_AT, RETURNED_AT + 45);
+		const flooded = sentTo(play([{id: 'x', from: RETURNED_AT}], {createMethod: limitMethods['no limit']!, daemons: 77, durationMs: 4500}), 'x', RETURNED_AT, RETURNED_AT + 45);
+		const paced = sentTo(play([{id: 'x', from: RETURNED_AT}], {daemons: 77, durationMs: 4500}), 'x', RETURNED_AT, RETURNED_AT + 45);
 		expect(flooded.length).toBeGreaterThan(SLOTS);
 		expect(paced.length).toBeLessThanOrEqual(6);
 		expect(paced.length).toBeGreaterThan(0);
@@ -130,6 +130,14 @@
 		expect(pace.phases).toMatchObject({full: 1, born: 1});
 	});
 
+	it('should start a server over that has become cold under the same id', () => {
+		const {pace, blocked} = createOne();
+		blocked(0);
+		expect(pace.phases.full).toBe(1);
+		blocked(100, [server('x', {coldUntil: 3000})]);
+		expect(pace.phases.born).toBe(1);
+	});
+
 	it('should change nothing while the store is away and the registrations stay as they are', () => {
 		const {pace, blocked} = createOne();
 		const fleet = FleetView.create(4800);
