--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -19,6 +19,7 @@
 import {RequestRelay} from '../relaying/request-relay.js';
 import {RetryAllowance} from '../scheduling/retry-allowance.js';
 import {ServiceRetries} from '../scheduling/service-retries.js';
+import {ServerPace} from '../scheduling/server-pace.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -92,6 +93,7 @@
 	readonly schedule: ReadSchedule;
 	readonly metrics: GatewayMetrics;
 	readonly limits: ServerLimits;
+	readonly pace: ServerPace | undefined;
 	readonly quarantine: PromptQuarantine;
 	readonly quarantineStore: QuarantineStore;
 	readonly relay: RequestRelay;
@@ -105,12 +107,14 @@
 	static async create(settings: GatewaySettings, dependencies: GatewayDaemonDependencies): Promise<GatewayDaemon> {
 		const {adapter, clock, logger} = dependencies;
 		const turnClock = createTurnClock(clock);
+		const isPaced = settings.serverPace === 'adaptive';
 		const metrics = GatewayMetrics.create({
 			droppedLines: dependencies.droppedLines,
 			quarantinedParts: () => quarantine.size,
 			limitedServers: () => limits.size,
 			isServerPathLost: () => relay.isNeeded,
 			waitingRequests: () => dispatcher.size,
+			pacedServers: isPaced ? () => pace!.phases : undefined,
 		});
 		const dispatcher = Dispatcher.create({
 			daemon: settings.daemon, clock, logger, metrics, maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE, daemons: () => loadExchange.daemons,
@@ -119,9 +123,30 @@
 			dispatcher.recordRelease(server, kind, entry);
 		});
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
-		const limits = ServerLimits.create(() => {
+		const limits = ServerLimits.create({
+			daemons: () => loadExchange.daemons, share: now => loadExchange.heardShare(now), heardAt: (id, now) => loadExchange.heardAt(id, now),
+		}, () => {
 			dispatcher.wake();
 		});
+		const daemonId = `${settings.daemon}/${randomBytes(4).toString('hex')}`;
+		const pace = isPaced
+			? ServerPace.create({
+				placements,
+				daemon: daemonId,
+				daemons: () => loadExchange.daemons,
+				heardShare: now => loadExchange.heardShare(now),
+				unixTime: wallClockMs,
+				onPhase({server, before, phase, limit}) {
+					logger.info('server_pace', {
+						server, phase, before, limit,
+					});
+				},
+			})
+			: undefined;
+		if (pace) {
+			placements.listen(pace);
+		}
+
 		const schedule = ReadSchedule.create(settings);
 		const reader = ReplicaClient.create(settings.peerPort, logger);
 		const self: Member = {address: settings.ip, failureDomain: settings.failureDomain, cores: settings.cores};
@@ -154,7 +179,6 @@
 			},
 		});
 		const random = createRandom();
-		const daemonId = `${settings.daemon}/${randomBytes(4).toString('hex')}`;
 		const retryAllowance = RetryAllowance.create({
 			daemon: daemonId, share: settings.retryShare, slack: settings.retrySlack, otherDaemons: () => loadExchange.othersByDomain, random,
 		});
@@ -188,6 +212,7 @@
 			},
 			hasStoreRelays: schedule.hasStoreRelays,
 			storeState: now => store.state(now),
+			hasColdServers: now => fleet.servingServers(now).some(({coldUntil}) => coldUntil > now),
 			onRelayHeartbeat(relay, state, now) {
 				store.recordRelayState(relay, state, now);
 			},
@@ -217,6 +242,7 @@
 			schedule,
 			metrics,
 			limits,
+			pace,
 			quarantine,
 			quarantineStore,
 			relay,
@@ -305,7 +331,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, quarantine, quarantineStore, relay, random, turnClock, dispatcher,
+				self, fleet, placements, loadExchange, store, schedule, limits, pace, quarantine, quarantineStore, relay, random, turnClock, dispatcher,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -313,6 +339,7 @@
 			placements,
 			health: this.#health,
 			limits,
+			pace,
 			partitions: DomainPartitions.create(),
 			failureDomain: settings.failureDomain,
 			placementSpread: () => loadExchange.isMesh ? undefined : random(),
@@ -366,6 +393,7 @@
 			fleet,
 			health: this.#health,
 			limits,
+			pace,
 			clock,
 			logger,
 			watchWaitMs: schedule.watchWaitMs,
