--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,8 +1,8 @@
-/** Settings of a gateway daemon, under fireflyport's own names. */
 /** `adaptive`: the requests to a server that has started or returned are limited by how it answers. */
 export const serverPaceModes = ['off', 'adaptive'] as const;
 export type ServerPaceMode = typeof serverPaceModes[number];
 
+/** Settings of a gateway daemon, under fireflyport's own names. */
 export type GatewaySettings = {
 	readonly daemon: string;
 	readonly ip: string;
