Offer places to requests behind those that are held back or lack a token

A round of offers left a lane after two requests without a place, whatever they lacked. Two long prompts that were held back for short ones, or two requests without a retry token, therefore kept all requests behind them from free engines: for as long as the hold lasts, or 200 ms for each pair without a token. A held prompt whose own target allowed no longer hold was not asked either if two requests before it lacked room, and its known time was not set again.

Asking all of them in each round was ruled out, as each offer costs a choice of engines. Requests remember what they lacked at their last offer; two of each kind are asked, and a held one at its known time in any case.

The new test fails in both cases without the change, and passes with it. dispatch-queue, held-long-prompts and waiting-requests pass.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -26,7 +26,10 @@
  * takes about 0.9 ms, so the rounds of one service take at most a fourteenth of a core while requests wait.
  */
 const ROUND_INTERVAL_MS = 25;
-/** Requests that find no place in one round, after which the others of their lane are not asked: they differ in size and regions only. */
+/**
+ * Requests that find no place in one round, after which the others of their lane are not asked: they differ in size and regions only. Of
+ * those that are held back or lack a token, as many are asked, which says nothing of the room for the others.
+ */
 const MAX_FAILED_OFFERS = 2;
 
 /** A placement without an event counts as served if it was open for this time in ms; servers refuse a request within some ms. */
@@ -64,8 +67,8 @@
 export type Offer =
 	/** The placement is open. */
 	| {readonly kind: 'placed'}
-	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. */
-	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean}
+	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. `isHeld`: there is one, which is kept for short prompts. */
+	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean; readonly isHeld?: boolean}
 	/** There is a place, and the retry budget has no token for the request, which a server has refused before. */
 	| {readonly kind: 'no_token'}
 	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path' | 'no_forecast'};
@@ -100,11 +103,16 @@
 	daemons(): number;
 };
 
+/** What a request lacked at its last offer. */
+type Lack = 'room' | 'share' | 'token';
+
 type Entry = Omit<QueuedRequest, 'giveUpAt'> & {
 	giveUpAt: number;
 	readonly request: WaitingRequest;
 	readonly since: number;
 	lookAt: number;
+	/** Undefined if it is to be asked next, whatever others lack. */
+	lack: Lack | undefined;
 	resolve(end: WaitEnd): void;
 };
 
@@ -150,7 +158,7 @@
 		let entry: Entry | undefined;
 		const ended = new Promise<WaitEnd>(resolve => {
 			entry = {
-				id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, request, since: now, lookAt: now + placeInMs, resolve,
+				id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, request, since: now, lookAt: now + placeInMs, lack: why === 'long_prompts' ? 'share' : 'room', resolve,
 			};
 		});
 		const admission = this.#isClosed ? {kind: 'full', bound: 'requests'} as const : this.#queue.add(entry!);
@@ -272,6 +280,8 @@
 		for (const entry of this.#queue.ordered(now)) {
 			if (entry.lookAt <= now) {
 				entry.lookAt = Infinity;
+				// The hold may have ended, whatever room others lack.
+				entry.lack = entry.lack === 'share' ? undefined : entry.lack;
 				entry.request.readmit();
 				this.#offerAt = now;
 			}
@@ -288,53 +298,56 @@
 		this.#setTimer(now);
 	}
 
-	/** Offers a place to each of the requests in turn, until several have found none. */
+	/** Offers a place to each of the requests in turn, until several have found no room. */
 	#offerLane(entries: readonly Entry[], now: number): void {
-		let failed = 0;
+		const failed = {room: 0, share: 0, token: 0};
 		for (const entry of entries) {
-			failed += this.#offer(entry, now) ? 0 : 1;
-			if (failed >= MAX_FAILED_OFFERS) {
-				return;
+			if (entry.lack === undefined || Math.max(failed.room, failed[entry.lack]) < MAX_FAILED_OFFERS) {
+				entry.lack = this.#offer(entry, now);
+				if (entry.lack !== undefined) {
+					failed[entry.lack]++;
+				}
 			}
 		}
 	}
 
-	/** Returns whether the request no longer waits. */
-	#offer(entry: Entry, now: number): boolean {
+	/** Returns what the request lacks; undefined if it no longer waits. */
+	#offer(entry: Entry, now: number): Lack | undefined {
 		const offer = this.#guard(entry, () => entry.request.offer(now), undefined, now);
 		switch (offer?.kind) {
 			case undefined: {
-				return true;
+				return undefined;
 			}
 
 			case 'placed': {
 				this.#end(entry, 'placed', now);
-				return true;
+				return undefined;
 			}
 
 			case 'ended': {
 				this.#end(entry, offer.end, now);
-				return true;
+				return undefined;
 			}
 
 			case 'no_token': {
 				entry.giveUpAt = Math.min(entry.giveUpAt, now + TOKEN_WAIT_MS);
-				return false;
+				return 'token';
 			}
 
 			case 'none': {
+				const lack = offer.isHeld ? 'share' : 'room';
 				// An estimate that has not come true is not repeated; the next event tells more.
 				if (!offer.isKnown) {
-					return false;
+					return lack;
 				}
 
 				entry.lookAt = now + Math.max(ROUND_INTERVAL_MS, offer.placeInMs);
 				if (entry.lookAt < entry.giveUpAt) {
-					return false;
+					return lack;
 				}
 
 				this.#end(entry, 'no_forecast', now);
-				return true;
+				return undefined;
 			}
 		}
 	}
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -120,7 +120,7 @@
 		}
 
 		return next.shortage
-			? {kind: 'none', ...next.shortage}
+			? {kind: 'none', ...next.shortage, isHeld: next.shortage.why === 'long_prompts'}
 			: {kind: 'ended', end: this.#findEnd(now)};
 	}
 }
--- a/tests/dispatch-queue.test.ts
+++ b/tests/dispatch-queue.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import * as fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
 import {Dispatcher, type Offer, type WaitingRequest} from '../src/gateway/dispatcher.js';
@@ -172,6 +173,34 @@
 		dispatcher.close();
 	});
 
+	it.each<{readonly name: string; readonly offer: Offer}>([
+		{
+			name: 'are held back for short prompts', offer: {
+				kind: 'none', placeInMs: 5000, isKnown: true, isHeld: true,
+			},
+		},
+		{name: 'lack a token', offer: {kind: 'no_token'}},
+	])('should offer places to a request behind several that $name', async ({offer}) => {
+		// Guards against leaving the lane after two of them, although there is room: a short prompt then waited as long as the long ones before it.
+		const dispatcher = createDispatcher();
+		const offered: number[] = [];
+		for (let index = 0; index < 4; index++) {
+			void wait(dispatcher, {...createRequest(`first-${index}`, {rank: 0}), giveUpAt: 10_000}, () => {
+				offered.push(index);
+				return offer;
+			});
+		}
+
+		const chat = wait(dispatcher, createRequest('chat', {rank: 1}), () => ({kind: 'placed'}));
+		dispatcher.serveBefore('model', createRequest('new', {rank: 4}), now);
+		expect(await Promise.race([chat, delay(100)])).toBe('placed');
+		// Asking all of them would cost a choice of engines each.
+		offered.length = 0;
+		dispatcher.serveBefore('model', createRequest('new', {rank: 4}), now);
+		expect(offered.length).toBeLessThanOrEqual(2);
+		dispatcher.close();
+	});
+
 	it('should go on with the others when an offer throws, and end the wait of that request', async () => {
 		const dispatcher = createDispatcher();
 		const broken = wait(dispatcher, createRequest('broken', {rank: 0}), () => {
