Keep the known time of a place for those that remain when others leave

A round of offers asks two requests without room, and only these get the known time of the next place, such as the end of a limit. When both left or were given up before it, no request kept that time: the others waited in vain, unless another daemon's placement ended meanwhile.

Asking all requests in a round was ruled out, as each offer costs a choice of engines. The next round is now held at the earliest time of a request that has left without a place.

--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -368,6 +368,11 @@
 			return;
 		}
 
+		if (end !== 'placed') {
+			// Those that remain may not have a known time of their own, as they were not asked when it was told.
+			this.#offerAt = Math.min(this.#offerAt, Math.max(now, entry.lookAt));
+		}
+
 		const {logger, metrics} = this.options;
 		const ms = now - entry.since;
 		metrics.observeWait(end, ms);
--- a/tests/dispatch-queue.test.ts
+++ b/tests/dispatch-queue.test.ts
@@ -6,6 +6,7 @@
 import {offerDelayMs} from '../src/scheduling/offer-delay.js';
 import {PlaceForecast} from '../src/scheduling/place-forecast.js';
 import {decideWait} from '../src/scheduling/wait-decision.js';
+import {monotonicMs, type Clock} from '../src/util/clock.js';
 import {createLogger} from '../src/util/logger.js';
 
 const createRequest = (id: string, overrides: Partial<QueuedRequest> = {}): QueuedRequest => ({
@@ -122,9 +123,9 @@
 describe('dispatcher', () => {
 	const now = 0;
 	let inversions = 0;
-	const createDispatcher = () => Dispatcher.create({
+	const createDispatcher = (clock: Clock = () => now) => Dispatcher.create({
 		daemon: 'd-1',
-		clock: () => now,
+		clock,
 		logger: createLogger('error', {}, () => undefined),
 		metrics: {
 			observeWait: () => undefined,
@@ -201,6 +202,31 @@
 		dispatcher.close();
 	});
 
+	it('should offer a place at its known time to those that remain when the requests before them leave', async () => {
+		// Guards against a known time that only those had kept: the others then waited in vain, unless another daemon's placement ended.
+		const dispatcher = createDispatcher(monotonicMs);
+		const startedAt = monotonicMs();
+		const times = {arrivedAt: startedAt, dueAt: startedAt + 5000, giveUpAt: startedAt + 10_000};
+		const endsAt = startedAt + 200;
+		const item = (id: string): WaitingRequest => ({
+			...createRequest(id, times),
+			why: 'limited',
+			placeInMs: 20,
+			offer: at => at < endsAt ? {kind: 'none', placeInMs: endsAt - at, isKnown: true} : {kind: 'placed'},
+			hasPlace: () => false,
+			readmit: () => undefined,
+		});
+		const items = ['first', 'second', 'third'].map(id => item(id));
+		const ends = items.map(async waiting => dispatcher.wait(waiting, startedAt));
+		await delay(100);
+		for (const waiting of items.slice(0, 2)) {
+			dispatcher.end(waiting, 'left', monotonicMs());
+		}
+
+		expect(await Promise.race([ends[2], delay(1000)])).toBe('placed');
+		dispatcher.close();
+	});
+
 	it('should go on with the others when an offer throws, and end the wait of that request', async () => {
 		const dispatcher = createDispatcher();
 		const broken = wait(dispatcher, createRequest('broken', {rank: 0}), () => {
