Resume interrupted streams of a large fleet with the token that was taken when they broke off

A stream that breaks off takes a retry token to be sent again. If no server is there, it is interrupted and looks for one every 250 ms; that look dropped the token and took another one. After the loss of a failure domain each of its streams thus used two tokens for one attempt, and where the budget had no second one, the stream was broken off at its deadline while a server had room.

Keeping the token through the pauses was ruled out, as it would deny it to requests that have a server now. It is given back before the look, where requests may wait for a place; other services and small fleets behave as before.

--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -90,9 +90,15 @@
 	 * `runs` counts the attempts that may have run or are running.
 	 */
 	async prepareAnother(runs: number, exclusions: Exclusions): Promise<HandOver | undefined> {
-		const {parts, records, destinations, retryState} = this.options;
+		const {
+			parts, request, records, destinations, retryState,
+		} = this.options;
 		const budget = this.#budget;
-		// A token for an attempt that found no server is lost, as that attempt was decided on.
+		if (parts.dispatcher.isAsked(request.service)) {
+			this.giveTokenBack();
+		}
+
+		// Elsewhere, a token for an attempt that found no server is lost, as that attempt was decided on.
 		this.#hasToken = false;
 		let hasToken = false;
 		try {
--- a/tests/resumed-streams.test.ts
+++ b/tests/resumed-streams.test.ts
@@ -6,6 +6,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import {RetryBudget} from '../src/util/retry-budget.js';
+import {firstSiteProfile} from './fixtures/engine-profiles.js';
 import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 
@@ -101,6 +102,17 @@
 		expect(budget.tryRetry()).toBe(false);
 	});
 
+	it('should be resumed in a large fleet with the token that was taken when it broke off', async () => {
+		// Guards against the loss of that token while no server is there: the stream then needed another one, and waited for it in vain.
+		const budget = RetryBudget.create(0, () => 1);
+		await start([breakOff], {daemons: 25, service: {engine: firstSiteProfile}, parts: {retryBudget: () => budget}});
+		const response = fixture.send();
+		await delay(500);
+		await addServer('i-new', [breakOff, finish]);
+		expect(await response).toMatchObject({status: 200, body: whole, isBroken: false});
+		expect(budget.tryRetry()).toBe(false);
+	});
+
 	it('should be resumed on the server that refused it as soon as that takes requests again', async () => {
 		await start([breakOff, refuse, finish]);
 		fixture.fleet.unregister('i-2', fixture.parts.clock());
