Give back a retry token that is taken after the end of a request

When a request ended while memory was being reserved for its next attempt, and the reservation was then refused, the refusal led to the decision to repeat the request, which took a token that nobody gave back. In a large fleet each such request cost the daemon one retry of its part.

Not deciding after the end was ruled out, as the decision is part of the record of the attempt. The token is now also returned when the attempts of a request are over, where requests may wait for a place; small fleets behave as before.

--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -172,14 +172,18 @@
 		if (!this.#isEnded) {
 			this.#isEnded = true;
 			clearTimeout(this.#deadlineTimer);
-			if (this.#wait.isAsked) {
-				this.#attempts.giveTokenBack();
-			}
-
+			this.#returnToken();
 			this.#resolve({...result, hosts: this.#destinations.relayTries === 0 ? undefined : this.#destinations.relayTries, stoppedBy: this.#stoppedBy});
 		}
 	}
 
+	/** Returns the token of an attempt that was decided on and is not made. */
+	#returnToken(): void {
+		if (this.#wait.isAsked) {
+			this.#attempts.giveTokenBack();
+		}
+	}
+
 	async #runToEnd(): Promise<void> {
 		try {
 			await this.#runAttempts();
@@ -213,6 +217,8 @@
 			}
 		} finally {
 			this.#attempts.close(this.#attempts.take(), false);
+			// An attempt that ended after its request may have led to the decision to repeat that.
+			this.#returnToken();
 		}
 	}
 
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -5,6 +5,7 @@
 	afterEach, describe, expect, it,
 } from 'vitest';
 import type {Placement} from '../src/fleet/placement-table.js';
+import type {OrderOutcome} from '../src/gateway/memory-reservation.js';
 import {RetryBudget} from '../src/util/retry-budget.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
 import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
@@ -341,6 +342,45 @@
 		expect(budget.tryRetry()).toBe(true);
 	});
 
+	it('should give its token back if it ends while memory is being reserved, which is then refused', async () => {
+		// Guards against a token for a repeat that was decided on after the end of the request.
+		const budget = RetryBudget.create(0, () => 2);
+		const replies: Array<(outcome: OrderOutcome) => void> = [];
+		let orders = 0;
+		await start({
+			service: {engine: {...firstSiteProfile, memoryTokens: 2000}},
+			parts: {
+				retryBudget: () => budget,
+				memoryOrders: {
+					reserve: async () => orders++ === 0
+						? 'done'
+						: new Promise(resolve => {
+							replies.push(resolve);
+						}),
+					release: async () => 'done',
+				},
+			},
+		}, reject);
+		for (let index = 2; index <= 4; index++) {
+			await fixture.addServer(`i-${index}`, (_req, res) => {
+				reject(res, 'attempt-1');
+			});
+		}
+
+		const response = fixture.send({'fireflyport-token-counts': '3000,200'});
+		await waitUntil(() => replies.length > 0);
+		fixture.flows[0]!.stop({kind: 'shutdown'}, fixture.parts.clock());
+		for (const reply of replies) {
+			reply('refused');
+		}
+
+		expect(await response).toMatchObject({status: 503});
+		await waitUntil(() => fixture.openPlacements === 0);
+		await delay(20);
+		// The attempt whose memory was refused has used one.
+		expect(budget.tryRetry()).toBe(true);
+	});
+
 	it('should look further than four servers if none of them took a connection, and only in a large fleet', async () => {
 		// Guards against ending the request: 36 requests of that day ended after four refused connections, when a failure domain had gone.
 		for (const {daemons, status} of [{daemons: LARGE_FLEET, status: 200}, {daemons: 24, status: 503}]) {
