Offer places to requests without a stream that have waited longer than the client of a stream accepts

Each offer compared the expected time to the first event with what the time waited had left of the silence limit of a stream. Requests without a stream wait for up to 0.3 of the time to their deadline, which may be longer: with a target of 200 ms and a deadline of 20 s, no place was accepted after 1.8 s, and the request was refused after 6 s although a server had been free since 2.5 s.

Ending their waits at the silence limit was ruled out, as their clients wait until the deadline. The time waited now counts for streams only; the expected time itself is still limited for all, as without a wait.

The new test fails without the change (503 after 6 s) and passes with it. waiting-requests and held-long-prompts pass.

--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -78,7 +78,7 @@
 			why: shortage.why,
 			placeInMs: shortage.placeInMs,
 			offer: at => this.#offer(taker, at),
-			hasPlace: at => taker.isFree() && this.destinations.hasPlace(at, at - arrivedAt),
+			hasPlace: at => taker.isFree() && this.destinations.hasPlace(at, this.#silentMs(at)),
 			readmit: server => {
 				this.destinations.readmit(server);
 			},
@@ -103,6 +103,12 @@
 		}
 	}
 
+	/** Time in ms for which the client has waited for the first event of a stream. Others wait for their response until the deadline. */
+	#silentMs(now: number): number {
+		const {route, arrivedAt} = this.request;
+		return route.kind.kind === 'stream' ? now - arrivedAt : 0;
+	}
+
 	/** Why no room helps the request. */
 	#findEnd(now: number): 'quarantined' | 'no_path' | 'no_forecast' {
 		if (this.destinations.findQuarantine('not_run', now)) {
@@ -113,8 +119,8 @@
 	}
 
 	#offer(taker: PlaceTaker, now: number): Offer {
-		const {destinations, request} = this;
-		const next = destinations.choose('not_run', now, now - request.arrivedAt);
+		const {destinations} = this;
+		const next = destinations.choose('not_run', now, this.#silentMs(now));
 		if (next.kind !== 'refused') {
 			return taker.take(next, now) ? {kind: 'placed'} : {kind: 'no_token'};
 		}
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -72,6 +72,14 @@
 		expect(fixture.openPlacements).toBe(0);
 	});
 
+	it('should be served without a stream after a longer wait than the client of a stream accepts', async () => {
+		// Guards against a wait in vain: each place was too late for the silence limit of a stream, although this client waits until the deadline.
+		await start({route: {timeoutMs: 20_000}});
+		closeServer(2500);
+		expect(await send()).toMatchObject({status: 200, body: 'whole'});
+		expect(fixture.waitEnds).toEqual(['placed']);
+	});
+
 	it('should be served at once when a placement of another daemon ends', async () => {
 		await start();
 		fillMemory();
