Explain where a request would go now with `fireflyport explain`

Operators could see where a request went only from the log lines of one that had been sent.

Ruled out: a dry-run header on the request path (callers reach it, and a daemon of an earlier version would run the request), and a copy of the decision in the command (it lacks the daemon's state and would differ from the cost model after its next change).

GET /explain on the metrics port of a gateway daemon runs DestinationChoice.choose; chooseServer reports the inputs of its choice to onConsidered, so decision and explanation come from one call. Matching of routes, services and ranks moved from Gateway to request-admission.ts, and the decision to wait to decideRequestWait, so that both paths use them; behaviour is unchanged.

tests/explain.test.ts: in 1,500 random states the decision equals that of the flow's own choice and the state is the same afterwards. It fails when the explanation draws other random numbers, opens a placement or keeps a hold that the flow ends (tried each).

--- a/src/cli/exit-codes.ts
+++ b/src/cli/exit-codes.ts
@@ -17,7 +17,7 @@
 	'0  done',
 	'1  the object API, a daemon or a file could not be reached or read; nothing was changed',
 	'2  the command line is invalid',
-	'3  refused: the configuration or the change is invalid; nothing was changed',
+	'3  refused: the configuration or the change is invalid; nothing was changed. The explained request would be refused',
 	'4  conflict: another version was written in the meantime; nothing was changed',
 	'5  the outcome is unknown; check it with `config show` or `config diff`',
 	'6  partial: some daemons did not respond',
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -11,10 +11,11 @@
 import {configShow} from './config-show.js';
 import {domainIn, domainOut} from './domain.js';
 import {EXIT, EXIT_CODE_HELP, type ExitCode} from './exit-codes.js';
+import {explain} from './explain.js';
 import {reportBurn} from './report-burn.js';
 import {status} from './status.js';
 
-const COMMANDS: readonly Command[] = [configCheck, configApply, configShow, configDiff, domainOut, domainIn, status, reportBurn];
+const COMMANDS: readonly Command[] = [configCheck, configApply, configShow, configDiff, domainOut, domainIn, status, reportBurn, explain];
 
 /** First words of the two-word commands. */
 const COMMAND_GROUPS: ReadonlySet<string> = new Set(COMMANDS.map(command => command.usage.split(' ')).filter(words => /^[a-z]/v.test(words[1] ?? '')).map(words => words[0]!));
--- a/src/fleet/fleet-view.ts
+++ b/src/fleet/fleet-view.ts
@@ -39,6 +39,9 @@
 	readonly contradicts: Contradiction | undefined;
 };
 
+/** `lost`: does not answer at its address; `doubtful`: its registration may be a late write. */
+export type UnusableReason = 'draining' | 'domain_out' | 'lost' | 'doubtful';
+
 export class FleetView {
 	/**
 	 * `confirmationMs` is the time in ms after which a server that the store still contains is alive, since the store removes those
@@ -140,6 +143,15 @@
 		return doubtful.length === 0 ? servers : [...servers, ...doubtful.filter(server => !servers.some(other => other.service === server.service))];
 	}
 
+	/** All registered servers of a service, and why one may get no new request; undefined if it may. */
+	describeServers(service: string, now: number): ReadonlyArray<{readonly server: BackendServer; readonly unusable: UnusableReason | undefined}> {
+		const usable = new Set(this.usableServers(service, now));
+		return [...this.#servers.values()]
+			.flatMap(({record}) => record.server ?? record.doubt?.server ?? [])
+			.filter(server => server.service === service)
+			.map(server => ({server, unusable: usable.has(server) ? undefined : this.#unusableReason(server, now)}));
+	}
+
 	/** The service of a server, also after its end. */
 	serviceOf(id: string): string | undefined {
 		return this.#services.get(id);
@@ -150,6 +162,18 @@
 		return new Set([...this.#servers.values()].flatMap(({record}) => serversOf(record)).map(({id}) => id));
 	}
 
+	#unusableReason(server: BackendServer, now: number): UnusableReason {
+		if (server.isDraining || this.#leaving.has(server.id, now)) {
+			return 'draining';
+		}
+
+		if (this.domainsOut.has(server.failureDomain, now)) {
+			return 'domain_out';
+		}
+
+		return this.#lost.has(server.id, now) ? 'lost' : 'doubtful';
+	}
+
 	#merge(name: string, entry: ServerEntry, now: number): Registration {
 		this.#recordService(entry.server);
 		const known = this.#settle(name, now);
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -4,7 +4,7 @@
 import {longPromptHoldMs} from '../scheduling/long-prompt-quota.js';
 import {failure, type Failure} from '../util/failure.js';
 import type {FlowParts} from './flow-parts.js';
-import {clientSilenceLimitMs, urgencyOf, type GatewayRequest} from './gateway-request.js';
+import {clientSilenceLimitMs, urgencyOf, type RoutedRequest} from './gateway-request.js';
 import {earliestPlaceMs, retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
 	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, type EarlierChoices, type ServerChoice,
@@ -48,7 +48,7 @@
 
 export class DestinationChoice {
 	/** `earlier`: the choices for the request before the configuration in force. */
-	static create(parts: FlowParts, request: GatewayRequest, subjects: RequestSubjects, earlier: EarlierDestinations = noneEarlier): DestinationChoice {
+	static create(parts: FlowParts, request: RoutedRequest, subjects: RequestSubjects, earlier: EarlierDestinations = noneEarlier): DestinationChoice {
 		return new DestinationChoice(parts, request, subjects, earlier);
 	}
 
@@ -69,7 +69,7 @@
 
 	private constructor(
 		private readonly parts: FlowParts,
-		private readonly request: GatewayRequest,
+		private readonly request: RoutedRequest,
 		private readonly subjects: RequestSubjects,
 		earlier: EarlierDestinations,
 	) {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -135,9 +135,19 @@
 		return engine !== undefined && this.options.daemons() > MAX_MESH_SIZE;
 	}
 
+	/** Number of waiting requests of the lane that go before a new one. */
+	requestsAhead(lane: string, urgency: Urgency, now: number): number {
+		return this.#queue.ordered(now, lane).filter(other => compareUrgency(other, urgency, now) <= 0).length;
+	}
+
+	/** Whether a request with a body of `bytes` could wait. */
+	admits(bytes: number): boolean {
+		return !this.#isClosed && this.#queue.admit(bytes).kind === 'added';
+	}
+
 	/** Time in ms until a request of the lane would get a place on `servers` behind those that go before it; undefined if nothing ended there lately. */
 	placeInMs(lane: string, urgency: Urgency, servers: Iterable<string>, now: number): number | undefined {
-		const ahead = this.#queue.ordered(now, lane).filter(other => compareUrgency(other, urgency, now) <= 0).length;
+		const ahead = this.requestsAhead(lane, urgency, now);
 		return this.#forecast.placeInMs(servers, {ahead, daemons: this.options.daemons()}, now);
 	}
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -29,10 +29,12 @@
 import type {Logger} from '../util/logger.js';
 import {pause} from '../util/pause.js';
 import type {RetryLimit} from '../util/retry-budget.js';
+import {stackOf} from '../util/stack-of.js';
 import {createTurnClock} from '../util/turn-clock.js';
 import {Dispatcher} from './dispatcher.js';
 import {FleetFeeds} from './fleet-feeds.js';
-import {GatewayMetrics} from './gateway-metrics.js';
+import {describeQueryError, explainQuerySchema} from './explanation.js';
+import {GatewayMetrics, type JsonPage} from './gateway-metrics.js';
 import {Gateway} from './gateway.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import type {PlatformAdapter} from './platform-adapter.js';
@@ -336,7 +338,7 @@
 		await this.#listenReadiness();
 		this.metrics.listen(settings.ip, settings.metricsPort, err => {
 			logger.warn('metrics_unavailable', {message: err.message});
-		});
+		}, params => this.#explain(params));
 		this.#registry = DaemonRegistry.start({
 			kind: adapter.kinds.daemons,
 			store,
@@ -400,6 +402,28 @@
 		}
 	}
 
+	/** Never throws, and never logs the query, in which a key may have been pasted. */
+	#explain(params: URLSearchParams): JsonPage {
+		const {logger} = this.dependencies;
+		const query = explainQuerySchema.safeParse(Object.fromEntries(params));
+		if (!query.success) {
+			return {status: 400, body: describeQueryError(query.error)};
+		}
+
+		try {
+			const body = this.#gateway.explain(query.data);
+			if ('error' in body) {
+				return {status: 400, body};
+			}
+
+			logger.info('request_explained', {route: body.request?.route, service: body.request?.service, decision: body.decision.kind});
+			return {status: 200, body};
+		} catch (err) {
+			logger.error('unexpected_error', {message: stackOf(err)});
+			return {status: 500, body: undefined};
+		}
+	}
+
 	async #listenReadiness(): Promise<void> {
 		this.#readinessServer = createServer((_req, res) => {
 			res.writeHead(this.#gateway.isReady ? 200 : NOT_READY_STATUS, {'content-length': 0});
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,11 +1,14 @@
 /** Counters and latency histograms of a gateway, served in the Prometheus exposition format. */
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {RetryDecision} from '../scheduling/service-retries.js';
 import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
 import type {WaitEnd} from './dispatcher.js';
+import {EXPLAIN_PATH} from './explanation.js';
 import type {FlowResult} from './flow-result.js';
 
 /** Upper bounds in ms; the latency targets of both users lie between 193 ms and 15 s. */
@@ -14,6 +17,9 @@
 const WAIT_BUCKETS_MS = [10, 30, 100, 200, 300, 500, 800, 1200, 2000, 4000];
 const DELAY_BUCKETS_MS = [5, 20, 50, 100, 250, 500, 1000, 3000];
 
+/** A JSON response. */
+export type JsonPage = {readonly status: number; readonly body: unknown};
+
 /** Values that are read whenever the metrics are. */
 export type GatewayMetricSources = {
 	/** Number of log lines dropped so far. */
@@ -149,10 +155,10 @@
 		return this.#registry.metrics();
 	}
 
-	/** Serves the metrics on `host:port` under any path. */
-	listen(host: string, port: number, onError: (err: Error) => void): void {
-		this.#server = createServer((_req, res) => {
-			void this.#respond(res);
+	/** Serves `explain` on `host:port` under its path, and the metrics under any other. */
+	listen(host: string, port: number, onError: (err: Error) => void, explain: (params: URLSearchParams) => JsonPage): void {
+		this.#server = createServer((req, res) => {
+			void this.#respond(req, res, explain);
 		});
 		this.#server.on('error', onError);
 		this.#server.listen(port, host);
@@ -174,7 +180,14 @@
 		});
 	}
 
-	async #respond(res: ServerResponse): Promise<void> {
+	async #respond(req: IncomingMessage, res: ServerResponse, explain: (params: URLSearchParams) => JsonPage): Promise<void> {
+		const [path, query = ''] = req.url!.split('?', 2);
+		if (path === EXPLAIN_PATH) {
+			const {status, body} = explain(new URLSearchParams(query));
+			res.writeHead(status, {'content-type': 'application/json'}).end(JSON.stringify(body));
+			return;
+		}
+
 		const text = await this.text();
 		res.writeHead(200, {'content-type': this.#registry.contentType});
 		res.end(text);
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -6,14 +6,11 @@
 import type {Route, Service, Workspace} from './serving-configuration.js';
 import type {ClientMetadata} from './wire-format.js';
 
-export type GatewayRequest = {
-	readonly req: IncomingMessage;
-	readonly res: ServerResponse;
+/** What the choice of a destination for a request depends on. */
+export type RoutedRequest = {
 	/** Id in logs and in the placement table. */
 	readonly id: string;
 	readonly metadata: ClientMetadata;
-	readonly identity: RequestIdentity;
-	readonly body: Uint8Array;
 	/** Another host, which has no path to the backend servers, sent the request on to this one. */
 	readonly isRelayed: boolean;
 	readonly route: Route;
@@ -28,6 +25,13 @@
 	/** Times on the monotonic clock, in ms. */
 	readonly arrivedAt: number;
 	readonly deadline: number;
+};
+
+export type GatewayRequest = RoutedRequest & {
+	readonly req: IncomingMessage;
+	readonly res: ServerResponse;
+	readonly identity: RequestIdentity;
+	readonly body: Uint8Array;
 	/** The deadline is not that of the client and the route, since this daemon stops before. */
 	readonly isShortened: boolean;
 	/** Makes the client use another connection for its next request, if it can still be told. */
@@ -46,11 +50,11 @@
 }
 
 /** Time at which the client of a stream leaves without an event, or at which the deadline of the request passes. */
-export const patienceEndsAt = ({route, arrivedAt, deadline}: GatewayRequest): number =>
+export const patienceEndsAt = ({route, arrivedAt, deadline}: RoutedRequest): number =>
 	route.kind.kind === 'stream' ? Math.min(deadline, arrivedAt + clientSilenceLimitMs(route)) : deadline;
 
 /** What the order of a request among those of its service follows from, as long as it does not wait. */
-export const urgencyOf = (request: GatewayRequest): Urgency => {
+export const urgencyOf = (request: RoutedRequest): Urgency => {
 	const {rank, arrivedAt, route} = request;
 	return {
 		rank, arrivedAt, dueAt: arrivedAt + route.targetLatencyMs, giveUpAt: latestWaitAt({arrivedAt, patienceEndsAt: patienceEndsAt(request)}),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,20 +8,21 @@
 import {sendFailure, httpStatusOf} from '../http/error-response.js';
 import {RequestIdentity} from '../quarantine/request-identity.js';
 import {readRelayedConfiguration} from '../relaying/relayed-response.js';
-import {requestRank} from '../scheduling/request-rank.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
 import {processorMs} from '../util/clock.js';
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
 import {TurnMonitor} from '../util/turn-monitor.js';
-import {chooseWeighted} from '../util/weighted-choice.js';
 import {ClientConnections} from './client-connections.js';
+import type {ExplainError, ExplainQuery, Explanation} from './explanation.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
 import {describeOpenRequest, requestId, type OpenRequest} from './open-request.js';
 import type {FlowParts} from './flow-parts.js';
 import type {EarlierHandling, FlowResult} from './flow-result.js';
+import {admitToRoute, findRoute, noConfigurationFailure} from './request-admission.js';
+import {explainQuery} from './request-explanation.js';
 import {RequestFlow} from './request-flow.js';
 import {OTHER_DAEMON_RETRY_MS} from './retry-advice.js';
 import {RouteDurations} from './route-durations.js';
@@ -124,6 +125,14 @@
 		void this.#own(req, res, true);
 	}
 
+	/** Explains where a request would go now, without sending it. */
+	explain(query: ExplainQuery): Explanation | ExplainError {
+		const {parts} = this;
+		return explainQuery({
+			...parts, limitDeadline: (route, deadline) => this.#limitDeadline(route, deadline) ?? this.#stoppingFailure(),
+		}, query, parts.clock());
+	}
+
 	startStopping(plan: StopPlan): void {
 		this.#phase = {kind: 'stopping', plan};
 	}
@@ -355,9 +364,7 @@
 
 		const table = parts.routeTable();
 		if (!table) {
-			return failure({
-				code: 'not_ready', message: 'this daemon has no configuration yet', ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
-			});
+			return noConfigurationFailure();
 		}
 
 		const required = isRelayed ? readRelayedConfiguration(req.headers) : undefined;
@@ -372,25 +379,14 @@
 		}
 
 		const [path = ''] = req.url!.split('?');
-		const route = table.match(req.headers.host ?? '', path);
-		if (!route) {
-			return failure({
-				code: 'unknown_service', message: `no route matches ${path} in configuration version ${table.version}`, ran: 'not_run', step: 'admit',
-			});
+		const route = findRoute(table, req.headers.host ?? '', path);
+		if ('code' in route) {
+			return route;
 		}
 
-		const access = table.checkAccess(route, metadata.apiKey);
-		if (access.kind === 'denied') {
-			return failure({
-				code: 'invalid_api_key', message: `unknown API key in configuration version ${table.version}`, ran: 'not_run', step: 'authenticate',
-			});
-		}
-
-		const service = table.service(chooseWeighted(route.services, ({weight}) => weight, parts.random())?.service ?? '');
-		if (!service) {
-			return failure({
-				code: 'no_capacity', message: `route ${route.name} refers to an unknown service`, ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
-			});
+		const admitted = admitToRoute(table, route, table.checkAccess(route, metadata.apiKey), () => parts.random());
+		if ('code' in admitted) {
+			return admitted;
 		}
 
 		const ownDeadline = arrivedAt + Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
@@ -399,23 +395,17 @@
 			return this.#stoppingFailure();
 		}
 
-		const workspace = access.kind === 'workspace' ? access.workspace : undefined;
-		const rank = requestRank(route, workspace);
 		return {
+			...admitted,
 			req,
 			res,
 			id: metadata.attemptId ?? 'none',
 			metadata,
 			identity: RequestIdentity.create({
-				host: req.headers.host ?? '', method: req.method!, path: req.url!, workspace: workspace?.name, body,
+				host: req.headers.host ?? '', method: req.method!, path: req.url!, workspace: admitted.workspace?.name, body,
 			}),
 			body,
 			isRelayed,
-			route,
-			service,
-			workspace,
-			rank,
-			urgency: table.urgency(service, rank),
 			configuration: table.version,
 			arrivedAt,
 			deadline,
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -1,9 +1,11 @@
 /** The waits of one request for a place: whether it waits, and the offers that it gets while it does. */
-import {decideWait, latestWaitAt} from '../scheduling/wait-decision.js';
+import {decideWait, latestWaitAt, type WaitDecision} from '../scheduling/wait-decision.js';
 import type {Destination, DestinationChoice, Shortage} from './destination-choice.js';
 import type {Offer, WaitEnd, WaitingRequest} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
-import {patienceEndsAt, urgencyOf, type GatewayRequest} from './gateway-request.js';
+import {
+	patienceEndsAt, urgencyOf, type GatewayRequest, type RoutedRequest,
+} from './gateway-request.js';
 
 /** Largest number of waits of one request, each of which can end in one attempt that a server refuses. */
 const MAX_WAITS = 4;
@@ -16,6 +18,14 @@
 	take(destination: Destination, now: number): boolean;
 };
 
+/** Whether a request that found no place would wait for one, and until when. */
+export function decideRequestWait(request: RoutedRequest, shortage: Shortage, now: number): WaitDecision {
+	const {arrivedAt, route} = request;
+	return decideWait({
+		arrivedAt, targetAt: arrivedAt + route.targetLatencyMs, patienceEndsAt: patienceEndsAt(request), ...shortage,
+	}, now);
+}
+
 export class PlaceWait {
 	/** `waits`: waits of the request before the configuration in force. */
 	static create(parts: FlowParts, request: GatewayRequest, destinations: DestinationChoice, waits: number): PlaceWait {
@@ -59,10 +69,8 @@
 			return undefined;
 		}
 
-		const {arrivedAt, route, service, rank, body, id} = request;
-		const decision = decideWait({
-			arrivedAt, targetAt: arrivedAt + route.targetLatencyMs, patienceEndsAt: patienceEndsAt(request), ...shortage,
-		}, now);
+		const {arrivedAt, service, rank, body, id} = request;
+		const decision = decideRequestWait(request, shortage, now);
 		if (decision.kind === 'refuse') {
 			return undefined;
 		}
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -5,10 +5,10 @@
 import type {PlacementTable, Placement} from '../fleet/placement-table.js';
 import type {ServerLimits} from '../fleet/server-limits.js';
 import type {ServerHealth} from '../fleet/server-health.js';
-import {chooseLeastLoaded} from '../placement/least-loaded.js';
+import {chooseLeastLoaded, type ServerCandidate} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
-import {placeGeneration} from '../placement/generation-placement.js';
-import type {GatewayRequest} from './gateway-request.js';
+import {placeGeneration, type EngineCandidate, type GenerationRequest} from '../placement/generation-placement.js';
+import type {RoutedRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
 
@@ -27,6 +27,11 @@
 	readonly considered: number;
 };
 
+/** The inputs of one choice. */
+export type ConsideredServers =
+	| {readonly kind: 'engines'; readonly request: GenerationRequest; readonly groups: ReadonlyArray<readonly EngineCandidate[]>}
+	| {readonly kind: 'plain'; readonly candidates: readonly ServerCandidate[]};
+
 export type ChoiceParts = {
 	readonly fleet: FleetView;
 	readonly placements: PlacementTable;
@@ -34,6 +39,8 @@
 	readonly limits: ServerLimits;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
+	/** Called with the inputs of each choice. */
+	readonly onConsidered?: (considered: ConsideredServers) => void;
 	/** Random number between 0 and 1 for an engine; undefined in a fleet whose daemons are few enough to hear of each other's placements at once. */
 	placementSpread(): number | undefined;
 	/** Region of a failure domain. */
@@ -49,7 +56,7 @@
 };
 
 /** Returns the server for the next attempt, or undefined if none can take the request. */
-export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
+export function chooseServer(parts: ChoiceParts, request: RoutedRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
 	const servers = parts.fleet.usableServers(request.service.name, now)
 		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedDomain(parts, request, server.failureDomain));
 	const id = `${request.id}#${count}`;
@@ -64,11 +71,11 @@
 }
 
 /** Time in ms until `server` may get a further request. */
-const waitMs = ({limits}: ChoiceParts, {service}: GatewayRequest, {id, coldUntil}: BackendServer, now: number): number =>
+export const waitMs = ({limits}: ChoiceParts, {service}: RoutedRequest, {id, coldUntil}: BackendServer, now: number): number =>
 	limits.waitMs(id, coldUntil > now && service.coldRequestsPerSecond > 0 ? service.coldRequestsPerSecond : undefined, now);
 
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
-export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
+export function limitWaitMs(parts: ChoiceParts, request: RoutedRequest, now: number): number | undefined {
 	const waits = parts.fleet.usableServers(request.service.name, now)
 		.filter(server => isAllowedDomain(parts, request, server.failureDomain))
 		.map(server => waitMs(parts, request, server, now))
@@ -77,11 +84,11 @@
 }
 
 /** Servers that may serve the request, whether or not they have room. */
-export const allowedServers = (parts: ChoiceParts, request: GatewayRequest, now: number): readonly BackendServer[] =>
+export const allowedServers = (parts: ChoiceParts, request: RoutedRequest, now: number): readonly BackendServer[] =>
 	parts.fleet.usableServers(request.service.name, now).filter(server => isAllowedDomain(parts, request, server.failureDomain));
 
 /** Whether the regions that the route and the workspace name allow servers and hosts of a failure domain. */
-export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: GatewayRequest, failureDomain: string): boolean {
+export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: RoutedRequest, failureDomain: string): boolean {
 	const region = parts.regionOf(failureDomain);
 	const isAllowed = (regions: readonly string[] | undefined): boolean => regions === undefined || (region !== undefined && regions.includes(region));
 	return isAllowed(route.regions) && isAllowed(workspace?.regions);
@@ -89,18 +96,20 @@
 
 function choosePlainServer(
 	{
-		placements, health, failureDomain, placementSpread,
+		placements, health, failureDomain, placementSpread, onConsidered,
 	}: ChoiceParts,
 	servers: readonly BackendServer[],
 	{id, targetMs}: {readonly id: string; readonly targetMs: number},
 	now: number,
 ): ServerChoice | undefined {
-	const server = chooseLeastLoaded(servers.map(server => ({
+	const candidates = servers.map((server): ServerCandidate => ({
 		server,
 		requests: placements.entriesOn(server.id).length,
 		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 		spread: placementSpread(),
-	})), failureDomain);
+	}));
+	onConsidered?.({kind: 'plain', candidates});
+	const server = chooseLeastLoaded(candidates, failureDomain);
 	return server && {
 		server,
 		helpers: [],
@@ -120,7 +129,7 @@
 	readonly targetMs: number;
 };
 
-function chooseEngine(parts: ChoiceParts, gatewayRequest: GatewayRequest, {
+function chooseEngine(parts: ChoiceParts, gatewayRequest: RoutedRequest, {
 	servers, engine, id, targetMs,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {metadata, route} = gatewayRequest;
@@ -141,7 +150,9 @@
 		isAtLimit: waitMs(parts, gatewayRequest, server, now) > 0,
 		spread: parts.placementSpread(),
 	}));
-	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
+	const groups = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now);
+	parts.onConsidered?.({kind: 'engines', request, groups});
+	const [best] = groups
 		.map(group => placeGeneration(request, group, engine, now))
 		.filter(option => option !== undefined)
 		.sort((a, b) => a.loss - b.loss);
--- a/src/scheduling/dispatch-queue.ts
+++ b/src/scheduling/dispatch-queue.ts
@@ -62,21 +62,30 @@
 		return this.#items.size;
 	}
 
-	add(item: T): Admission {
+	/** Whether a request with a body of `bytes` could be added. */
+	admit(bytes: number): Admission {
 		const {maxRequests, maxBytes} = this.bounds;
 		if (this.#items.size >= maxRequests) {
 			return {kind: 'full', bound: 'requests'};
 		}
 
-		if (this.#bytes + item.bytes > maxBytes) {
+		if (this.#bytes + bytes > maxBytes) {
 			return {kind: 'full', bound: 'bytes'};
 		}
 
-		this.#items.add(item);
-		this.#bytes += item.bytes;
 		return {kind: 'added'};
 	}
 
+	add(item: T): Admission {
+		const admission = this.admit(item.bytes);
+		if (admission.kind === 'added') {
+			this.#items.add(item);
+			this.#bytes += item.bytes;
+		}
+
+		return admission;
+	}
+
 	/** Returns whether the request was waiting. */
 	remove(item: T): boolean {
 		const wasWaiting = this.#items.delete(item);
