Name equal servers across partitions and behind full ones

Servers without room for the prompt took up the eight that are examined, and only one group of failure domains that can reach each other was repeated.

Servers that cannot take the request alone now come last, and the repetition covers all groups through placeOnGroups, which chooseEngine uses too. Examining more servers was ruled out: each takes a whole choice on the event loop.

--- a/src/gateway/request-explanation.ts
+++ b/src/gateway/request-explanation.ts
@@ -18,7 +18,7 @@
 import {admitToRoute, findRoute, noConfigurationFailure} from './request-admission.js';
 import type {RouteTable} from './route-table.js';
 import {
-	isAllowedDomain, waitMs, type ConsideredServers, type ServerChoice,
+	isAllowedDomain, placeOnGroups, waitMs, type ConsideredServers, type ServerChoice,
 } from './server-choice.js';
 import type {EngineProfile, Route} from './serving-configuration.js';
 
@@ -249,7 +249,7 @@
 ): string[] {
 	const candidates: ReadonlyArray<Pick<EngineCandidate, 'server' | 'spread'>> = considered.kind === 'plain'
 		? considered.candidates
-		: considered.groups.find(group => group.some(({server}) => server.id === chosen)) ?? [];
+		: [...new Map(considered.groups.flat().map(candidate => [candidate.server.id, candidate])).values()];
 	if (candidates.every(({spread}) => spread === undefined)) {
 		return [];
 	}
@@ -259,8 +259,9 @@
 		items.map(item => ({...item, spread: item.server.id === favoured ? 0 : 1}));
 	const chooseWith = (favoured: string): string | undefined => considered.kind === 'plain'
 		? chooseLeastLoaded(favour(considered.candidates, favoured), failureDomain)?.id
-		: engine && placeGeneration(considered.request, favour(candidates as readonly EngineCandidate[], favoured), engine, now)?.server.id;
-	const lossOf = (id: string): number => (engine && placeAlone(considered, id, engine, now)?.loss) ?? 0;
+		: engine && placeOnGroups(considered.request, considered.groups.map(group => favour(group, favoured)), engine, now)?.server.id;
+	/** Servers that cannot take the request alone come last. */
+	const lossOf = (id: string): number => (engine && placeAlone(considered, id, engine, now)?.loss) ?? Number.MAX_VALUE;
 	const nearest = candidates
 		.map(({server: {id}}) => ({id, loss: lossOf(id)}))
 		.filter(({id}) => id !== chosen)
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -7,7 +7,9 @@
 import type {ServerHealth} from '../fleet/server-health.js';
 import {chooseLeastLoaded, type ServerCandidate} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
-import {placeGeneration, type EngineCandidate, type GenerationRequest} from '../placement/generation-placement.js';
+import {
+	placeGeneration, type EngineCandidate, type GenerationPlacement, type GenerationRequest,
+} from '../placement/generation-placement.js';
 import type {RoutedRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
@@ -122,6 +124,15 @@
 	};
 }
 
+/** The placement with the least expected loss on any of the groups of engines that can reach each other. */
+export function placeOnGroups(request: GenerationRequest, groups: ReadonlyArray<readonly EngineCandidate[]>, engine: EngineProfile, now: number): GenerationPlacement | undefined {
+	const [best] = groups
+		.map(group => placeGeneration(request, group, engine, now))
+		.filter(option => option !== undefined)
+		.sort((a, b) => a.loss - b.loss);
+	return best;
+}
+
 type EngineChoiceInput = {
 	readonly servers: readonly BackendServer[];
 	readonly engine: EngineProfile;
@@ -152,10 +163,7 @@
 	}));
 	const groups = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now);
 	parts.onConsidered?.({kind: 'engines', request, groups});
-	const [best] = groups
-		.map(group => placeGeneration(request, group, engine, now))
-		.filter(option => option !== undefined)
-		.sort((a, b) => a.loss - b.loss);
+	const best = placeOnGroups(request, groups, engine, now);
 	return best && {
 		server: best.server,
 		helpers: best.helpers,
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -24,6 +24,8 @@
 
 const NOW = 100_000;
 const RUNS = 1500;
+/** Bound of the explanation on servers that are named as equal. */
+const MAX_EQUAL_SERVERS = 8;
 const DOMAINS = ['braga', 'famalicao', 'centro-a'];
 const REGIONS: Readonly<Record<string, string>> = {braga: 'pt-norte', famalicao: 'pt-norte', 'centro-a': 'mx-centro'};
 
@@ -167,8 +169,8 @@
 		deadline: NOW + 10_000,
 	} as unknown as GatewayRequest;
 	/** Parts whose random numbers begin anew. */
-	const createParts = (): FlowParts => {
-		const numbers = createRandom(seed + RUNS);
+	const createParts = (numberSeed = seed + RUNS): FlowParts => {
+		const numbers = createRandom(numberSeed);
 		return {
 			loadExchange: forbidden,
 			memoryOrders: forbidden,
@@ -254,6 +256,11 @@
 				});
 				expect(servers.filter(({leftOut}) => leftOut === null).map(({server: id}) => id).sort()).toEqual([server, ...helpers].map(({id}) => id).sort());
 				count(decision.equalServers.length > 1 ? 'equal' : 'single');
+				const again = runFlow(createParts(seed + (2 * RUNS)), request, () => undefined);
+				if (servers.length <= MAX_EQUAL_SERVERS && again.kind === 'server') {
+					expect([server.id, ...decision.equalServers], `seed ${seed}`).toContain(again.choice.server.id);
+				}
+
 				count(helpers.length > 0 ? 'helped' : 'alone');
 			} else if (decision.kind === 'refused' && reached.kind === 'refused') {
 				expect(decision, `seed ${seed}`).toMatchObject({code: reached.failure.code, message: reached.failure.message});
