--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -5,11 +5,13 @@
 import type {PlacementTable, Placement} from '../fleet/placement-table.js';
 import type {ServerLimits} from '../fleet/server-limits.js';
 import type {ServerHealth} from '../fleet/server-health.js';
-import {chooseLeastLoaded} from '../placement/least-loaded.js';
+import {chooseLeastLoaded, type ServerCandidate} from '../placement/least-loaded.js';
 import {OUTPUT_TOKEN_WEIGHT} from '../placement/engine-model.js';
-import {placeGeneration} from '../placement/generation-placement.js';
+import {
+	placeGeneration, type EngineCandidate, type GenerationPlacement, type GenerationRequest,
+} from '../placement/generation-placement.js';
 import type {ServerPace} from '../scheduling/server-pace.js';
-import type {GatewayRequest} from './gateway-request.js';
+import type {RoutedRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
 
@@ -31,15 +33,22 @@
 	readonly considered: number;
 };
 
+/** The inputs of one choice. */
+export type ConsideredServers =
+	| {readonly kind: 'engines'; readonly request: GenerationRequest; readonly groups: ReadonlyArray<readonly EngineCandidate[]>}
+	| {readonly kind: 'plain'; readonly candidates: readonly ServerCandidate[]};
+
 export type ChoiceParts = {
 	readonly fleet: FleetView;
 	readonly placements: PlacementTable;
 	readonly health: ServerHealth;
 	readonly limits: ServerLimits;
 	/** Undefined if servers that start or return are not paced. */
-	readonly pace?: Pick<ServerPace, 'blockedServers' | 'recordExpected' | 'recordFailure'>;
+	readonly pace?: Pick<ServerPace, 'blockedServers' | 'wouldBlock' | 'recordExpected' | 'recordFailure'>;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
+	/** Called with the inputs of each choice. */
+	readonly onConsidered?: (considered: ConsideredServers) => void;
 	/** Random number between 0 and 1 for an engine; undefined in a fleet whose daemons are few enough to hear of each other's placements at once. */
 	placementSpread(): number | undefined;
 	/** Region of a failure domain. */
@@ -55,7 +64,7 @@
 };
 
 /** Returns the server for the next attempt, or undefined if none can take the request. */
-export function chooseServer(parts: ChoiceParts, request: GatewayRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
+export function chooseServer(parts: ChoiceParts, request: RoutedRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
 	const usable = parts.fleet.usableServers(request.service.name, now);
 	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
 	const isAtLimit = (server: BackendServer): boolean => waitMs(parts, request, server, now) > 0 || (paced?.has(server.id) ?? false);
@@ -73,11 +82,11 @@
 }
 
 /** Time in ms until `server` may get a further request. */
-const waitMs = ({limits}: ChoiceParts, {service}: GatewayRequest, {id, coldUntil}: BackendServer, now: number): number =>
+export const waitMs = ({limits}: ChoiceParts, {service}: RoutedRequest, {id, coldUntil}: BackendServer, now: number): number =>
 	limits.waitMs(id, coldUntil > now && service.coldRequestsPerSecond > 0 ? service.coldRequestsPerSecond : undefined, now);
 
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
-export function limitWaitMs(parts: ChoiceParts, request: GatewayRequest, now: number): number | undefined {
+export function limitWaitMs(parts: ChoiceParts, request: RoutedRequest, now: number): number | undefined {
 	const usable = parts.fleet.usableServers(request.service.name, now);
 	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
 	const waits = usable
@@ -88,11 +97,11 @@
 }
 
 /** Servers that may serve the request, whether or not they have room. */
-export const allowedServers = (parts: ChoiceParts, request: GatewayRequest, now: number): readonly BackendServer[] =>
+export const allowedServers = (parts: ChoiceParts, request: RoutedRequest, now: number): readonly BackendServer[] =>
 	parts.fleet.usableServers(request.service.name, now).filter(server => isAllowedDomain(parts, request, server.failureDomain));
 
 /** Whether the regions that the route and the workspace name allow servers and hosts of a failure domain. */
-export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: GatewayRequest, failureDomain: string): boolean {
+export function isAllowedDomain(parts: ChoiceParts, {route, workspace}: RoutedRequest, failureDomain: string): boolean {
 	const region = parts.regionOf(failureDomain);
 	const isAllowed = (regions: readonly string[] | undefined): boolean => regions === undefined || (region !== undefined && regions.includes(region));
 	return isAllowed(route.regions) && isAllowed(workspace?.regions);
@@ -100,18 +109,20 @@
 
 function choosePlainServer(
 	{
-		placements, health, failureDomain, placementSpread,
+		placements, health, failureDomain, placementSpread, onConsidered,
 	}: ChoiceParts,
 	servers: readonly BackendServer[],
 	{id, targetMs}: {readonly id: string; readonly targetMs: number},
 	now: number,
 ): ServerChoice | undefined {
-	const server = chooseLeastLoaded(servers.map(server => ({
+	const candidates = servers.map((server): ServerCandidate => ({
 		server,
 		requests: placements.entriesOn(server.id).length,
 		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 		spread: placementSpread(),
-	})), failureDomain);
+	}));
+	onConsidered?.({kind: 'plain', candidates});
+	const server = chooseLeastLoaded(candidates, failureDomain);
 	return server && {
 		server,
 		helpers: [],
@@ -124,6 +135,15 @@
 	};
 }
 
+/** The placement with the least expected loss on any of the groups of engines that can reach each other. */
+export function placeOnGroups(request: GenerationRequest, groups: ReadonlyArray<readonly EngineCandidate[]>, engine: EngineProfile, now: number): GenerationPlacement | undefined {
+	const [best] = groups
+		.map(group => placeGeneration(request, group, engine, now))
+		.filter(option => option !== undefined)
+		.sort((a, b) => a.loss - b.loss);
+	return best;
+}
+
 type EngineChoiceInput = {
 	readonly servers: readonly BackendServer[];
 	readonly engine: EngineProfile;
@@ -133,7 +153,7 @@
 	isAtLimit(server: BackendServer): boolean;
 };
 
-function chooseEngine(parts: ChoiceParts, gatewayRequest: GatewayRequest, {
+function chooseEngine(parts: ChoiceParts, gatewayRequest: RoutedRequest, {
 	servers, engine, id, targetMs, isAtLimit,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {metadata, route} = gatewayRequest;
@@ -154,10 +174,9 @@
 		isAtLimit: isAtLimit(server),
 		spread: parts.placementSpread(),
 	}));
-	const [best] = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now)
-		.map(group => placeGeneration(request, group, engine, now))
-		.filter(option => option !== undefined)
-		.sort((a, b) => a.loss - b.loss);
+	const groups = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now);
+	parts.onConsidered?.({kind: 'engines', request, groups});
+	const best = placeOnGroups(request, groups, engine, now);
 	return best && {
 		server: best.server,
 		helpers: best.helpers,
--- a/src/scheduling/server-pace.ts
+++ b/src/scheduling/server-pace.ts
@@ -134,6 +134,13 @@
 		return new Set(blocked.filter(state => state !== probed).map(({server}) => server!.id));
 	}
 
+	/** Returns what `blockedServers` would return, as far as is known without the offer, and records nothing. */
+	wouldBlock({request, service: name, servers}: Offer, now: number): ReadonlySet<string> {
+		const service = this.#services.get(name);
+		const states = servers.map(({id}) => this.#servers.get(id)).filter(state => state?.server !== undefined);
+		return new Set(service ? states.filter(state => isHeld(state!.phase, now) || !this.#hasRoom(state!, {request, service}, now)).map(state => state!.server!.id) : []);
+	}
+
 	/** Records the expected time in ms to the first event of a request that this daemon is about to place. */
 	recordExpected(placement: string, expectedMs: number): void {
 		this.#ownExpectedMs.set(placement, expectedMs);
--- a/tests/server-pace.test.ts
+++ b/tests/server-pace.test.ts
@@ -29,6 +29,36 @@
 
 const sentTo = ({sent}: ReturnType<typeof playReturns>, server: string, from = 0, until = Infinity) => sent.filter(({server: id, at}) => id === server && at >= from && at < until);
 
+describe('preview of the pace', () => {
+	it('should name the servers that a request would not get, and record nothing', () => {
+		// Guards against an explanation of a request that counts as one.
+		const placements = PlacementTable.create();
+		const changes: PhaseChange[] = [];
+		const pace = ServerPace.create({
+			placements, daemon: 'd-1', daemons: () => 1, heardShare: () => 1, unixTime: () => UNIX_MS, onPhase: change => changes.push(change),
+		});
+		placements.listen(pace);
+		const server: BackendServer = {
+			id: 'x', instanceId: 'x', service: 'desk', address: '10.0.0.1:80', failureDomain: 'braga', slots: SLOTS, isDraining: false, coldUntil: -Infinity, startedAt: UNIX_MS - 1000,
+		};
+		const offer = {request: 'r-1', service: 'desk', servers: [server]};
+		expect(pace.wouldBlock(offer, 0)).toEqual(new Set());
+		expect(pace.phases.born).toBe(0);
+		expect(pace.blockedServers(offer, 0)).toEqual(new Set());
+		for (const id of ['a#0', 'b#0']) {
+			placements.open('d-1', {
+				id, server: 'x', helpers: [], prefillMs: 0, contextTokens: 0, reserved: [], gapTargetMs: 0, weight: 1, targetMs: 200,
+			}, 10);
+		}
+
+		const before = [pace.phases, changes.length];
+		const preview = pace.wouldBlock({...offer, request: 'r-2'}, 20);
+		expect(preview).toEqual(new Set(['x']));
+		expect([pace.phases, changes.length]).toEqual(before);
+		expect(pace.blockedServers({...offer, request: 'r-2'}, 20)).toEqual(preview);
+	});
+});
+
 describe('pace of servers over all daemons', () => {
 	it('should not flood a server that has just started, which 77 daemons find the emptiest at once', () => {
 		const flooded = sentTo(play([{id: 'x', from: RETURNED_AT}], {createMethod: limitMethods['no limit']!, daemons: 77, durationMs: 4500}), 'x', RETURNED_AT, RETURNED_AT + 45);
