--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -16,6 +16,8 @@
 	| {readonly kind: 'reject'; readonly status: 503 | 421; readonly helper?: string; readonly retryAfter?: string}
 	/** Is silent for `ms` before the response to a call, or after `events` events of a stream, and goes on. */
 	| {readonly kind: 'pause'; readonly ms: number; readonly events?: number}
+	/** Is silent until `until` resolves before the response to a call or the first event of a stream, and goes on. */
+	| {readonly kind: 'hold'; readonly until: Promise<void>}
 	/** Answers a call with a body of `bytes` bytes. */
 	| {readonly kind: 'large'; readonly bytes: number}
 	/** Runs the request, sends a response that is written byte for byte, and closes or resets the connection. */
@@ -274,6 +276,8 @@
 		await this.#waitPace();
 		if (fault?.kind === 'pause') {
 			await pause(fault.ms);
+		} else if (fault?.kind === 'hold') {
+			await fault.until;
 		}
 
 		if (fault?.kind === 'large') {
@@ -347,6 +351,8 @@
 async function pauseBefore(event: number, fault: InjectedFault | undefined): Promise<void> {
 	if (fault?.kind === 'pause' && event === (fault.events ?? 0)) {
 		await pause(fault.ms);
+	} else if (fault?.kind === 'hold' && event === 0) {
+		await fault.until;
 	}
 }
 
--- a/tests/paced-gateway.test.ts
+++ b/tests/paced-gateway.test.ts
@@ -8,7 +8,9 @@
 
 beforeEach(async () => {
 	fixture = await GatewayFixture.create();
-	fixture.store.put('config', 'main', platformConfiguration(3));
+	const {routes, ...configuration} = platformConfiguration(3);
+	// Answers that are held until all requests have been seen are on time also on a busy machine.
+	fixture.store.put('config', 'main', {...configuration, routes: routes.map(route => ({...route, 'target-latency-ms': 2000}))});
 });
 
 afterEach(async () => {
@@ -20,7 +22,7 @@
 		service: 'desk', path: '/look/x', headers: {}, events: undefined,
 	},
 	{
-		service: 'model', path: '/chat/x', headers: promptHeaders(1000, 50), events: 4,
+		service: 'model', path: '/chat/x', headers: promptHeaders(20_000, 50), events: 4,
 	},
 ] as const;
 
@@ -29,13 +31,27 @@
 	async function flood(mode: 'off' | 'adaptive'): Promise<number> {
 		await fixture.start(mode);
 		await fixture.waitForLog('event=configuration');
-		const server = await fixture.addServer(service, {instance: 'i-new', events, paceMs: 100});
+		const server = await fixture.addServer(service, {instance: 'i-new', events});
 		fixture.register(service, server, {'cold-remaining-ms': 3000});
 		await fixture.waitForLog('server=i-new');
-		// The others are there before the first two are answered.
-		server.injectFaults({kind: 'pause', ms: 60}, {kind: 'pause', ms: 60});
-		await Promise.all(Array.from({length: 10}, async () => fixture.statusOf(path, {headers})));
-		return server.arrivals.length;
+		let answer = (): void => undefined;
+		const until = new Promise<void>(resolve => {
+			answer = resolve;
+		});
+		server.injectFaults(...Array.from({length: 10}, () => ({kind: 'hold', until} as const)));
+		let refused = 0;
+		const statuses = Array.from({length: 10}, async () => {
+			const status = await fixture.statusOf(path, {headers});
+			refused += status === 503 ? 1 : 0;
+		});
+		// No request is answered before all ten have been sent or refused.
+		await waitUntil(() => server.arrivals.length + refused === 10);
+		const {length: sent} = server.arrivals;
+		server.clearFaults();
+		answer();
+		await Promise.all(statuses);
+		expect(server.arrivals.length).toBe(sent);
+		return sent;
 	}
 
 	it('should send all requests to a server that has just started when the pace is off, without a metric or a log line', async () => {
