--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -290,7 +290,7 @@
 	#hold({expectedMs, helpers, placement}: ServerChoice, now: number): NextDestination | undefined {
 		const {parts, request} = this;
 		const {service, arrivedAt, route, urgency, isRelayed} = request;
-		if (!this.#mayBeHeld || isRelayed || urgency === 0 || !parts.dispatcher.isAsked(service)) {
+		if (!this.#mayBeHeld || isRelayed || urgency === 0 || !parts.dispatcher.mayWait(service)) {
 			return undefined;
 		}
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -139,7 +139,7 @@
 	}
 
 	/** Whether requests to the service may wait: in fleets that are no mesh, where requests of many daemons meet on the engines. */
-	isAsked({engine}: Service): boolean {
+	mayWait({engine}: Service): boolean {
 		return engine !== undefined && this.options.daemons() > MAX_MESH_SIZE;
 	}
 
--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -94,7 +94,7 @@
 			parts, request, records, destinations, retryState,
 		} = this.options;
 		const budget = this.#budget;
-		if (parts.dispatcher.isAsked(request.service)) {
+		if (parts.dispatcher.mayWait(request.service)) {
 			this.giveTokenBack();
 		}
 
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -50,8 +50,8 @@
 	}
 
 	/** Whether requests like this one may wait. One that another host relays waits there, where its client is. */
-	get isAsked(): boolean {
-		return !this.request.isRelayed && this.parts.dispatcher.isAsked(this.request.service);
+	get mayWait(): boolean {
+		return !this.request.isRelayed && this.parts.dispatcher.mayWait(this.request.service);
 	}
 
 	/** Whether the client would still wait for a place. */
@@ -65,7 +65,7 @@
 	 */
 	begin(shortage: Shortage, taker: PlaceTaker, now: number): Promise<WaitEnd> | undefined {
 		const {parts, request} = this;
-		if (!this.isAsked || this.#waits >= MAX_WAITS) {
+		if (!this.mayWait || this.#waits >= MAX_WAITS) {
 			return undefined;
 		}
 
@@ -106,7 +106,7 @@
 	/** Lets waiting requests that go before this one take places first. */
 	serveEarlier(now: number): void {
 		const {parts: {dispatcher}, request} = this;
-		if (this.isAsked) {
+		if (this.mayWait) {
 			dispatcher.serveBefore(request.service.name, urgencyOf(request), now);
 		}
 	}
--- a/src/gateway/request-explanation.ts
+++ b/src/gateway/request-explanation.ts
@@ -110,7 +110,7 @@
 	const {next, longestMs} = decide(parts, request, destinations, now);
 	const choice = next.kind === 'server' ? next.choice : undefined;
 	return {
-		queue: {isUsed: dispatcher.isAsked(service), waiting: dispatcher.size, position: dispatcher.requestsAhead(service.name, urgencyOf(request), now) + 1},
+		queue: {isUsed: dispatcher.mayWait(service), waiting: dispatcher.size, position: dispatcher.requestsAhead(service.name, urgencyOf(request), now) + 1},
 		servers: describeServers(parts, request, {considered, choice, paced}, now),
 		decision: describeDecision(next, longestMs, choice && considered ? findEqual(considered, choice, {engine: service.engine, failureDomain: parts.failureDomain}, now) : []),
 	};
@@ -125,7 +125,7 @@
 	}
 
 	const bytes = (request.metadata.promptTokens ?? 0) * BYTES_PER_TOKEN;
-	const wait = parts.dispatcher.isAsked(request.service) && parts.dispatcher.admits(bytes) ? decideRequestWait(request, shortage, now) : undefined;
+	const wait = parts.dispatcher.mayWait(request.service) && parts.dispatcher.admits(bytes) ? decideRequestWait(request, shortage, now) : undefined;
 	if (wait?.kind === 'wait') {
 		return {next, longestMs: wait.giveUpAt - now};
 	}
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -179,7 +179,7 @@
 
 	/** Returns the token of an attempt that was decided on and is not made. */
 	#returnToken(): void {
-		if (this.#wait.isAsked) {
+		if (this.#wait.mayWait) {
 			this.#attempts.giveTokenBack();
 		}
 	}
@@ -468,7 +468,7 @@
 	#retryState(now: number): RetryState {
 		const {parts, request: {route, deadline}} = this;
 		const {runs, sends, receivedSends, unconnectedSends} = this.#runner.counts;
-		const isQueued = this.#wait.isAsked;
+		const isQueued = this.#wait.mayWait;
 		return {
 			kind: route.kind,
 			maxAttempts: parts.quarantine.allowsRetry(this.#subjects, now) ? this.#maxRuns : runs,
