Gather the engines of a held prompt only for long ones, and use one copy of three rules

Read again: in large fleets each prompt, also a short one, listed the placements of all engines to find that it is not held back; the question whether a request has a place built a refusal and drew a random number for it. The limit on the expected time, the size of a mesh and a hash to a number stood in two or three places each. Behaviour is unchanged, but for the values of the hash: spread over the same range.

--- a/src/fleet/fleet-topology.ts
+++ b/src/fleet/fleet-topology.ts
@@ -15,6 +15,10 @@
 
 /** Largest mesh: 23 datagrams for each change, about 1 ms of processor time for the three changes of a request. */
 export const MAX_MESH_SIZE = 24;
+
+/** Whether a fleet of `daemons` exchanges all messages directly, so that each daemon hears of the others' placements at once. */
+export const isMeshSize = (daemons: number): boolean => daemons <= MAX_MESH_SIZE;
+
 /** Time in ms without a message after which a link counts as lost: three heartbeats of a relay. */
 export const LINK_TIMEOUT_MS = 1000;
 /** Time in ms without a message after which a follower is removed: three of its reports, which it sends every second. */
@@ -92,7 +96,7 @@
 	}
 
 	get isMesh(): boolean {
-		return this.size <= MAX_MESH_SIZE;
+		return isMeshSize(this.size);
 	}
 
 	/** Number of daemons of a mesh that read the store if all can reach each other. */
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -1,7 +1,7 @@
 /** Chooses where one request goes next, from its earlier attempts: a server, another host that relays it, or a refusal. */
 import {parseSubject, type RequestSubjects} from '../quarantine/crash-subject.js';
 import type {RefusedSubject} from '../quarantine/prompt-quarantine.js';
-import {longPromptHoldMs} from '../scheduling/long-prompt-quota.js';
+import {isLongPrefill, longPromptHoldMs} from '../scheduling/long-prompt-quota.js';
 import {failure, type Failure} from '../util/failure.js';
 import type {FlowParts} from './flow-parts.js';
 import {clientSilenceLimitMs, urgencyOf, type RoutedRequest} from './gateway-request.js';
@@ -194,15 +194,14 @@
 			};
 		}
 
-		const silenceLimitMs = clientSilenceLimitMs(request.route);
-		const limitMs = (MAX_EXPECTED_SHARE * silenceLimitMs) - waitedMs;
+		const limitMs = this.#expectedLimitMs(waitedMs);
 		if (ran === 'not_run' && choice.expectedMs > limitMs) {
 			const cause: RefusalCause = {kind: 'too_late', expectedMs: choice.expectedMs, limitMs};
 			return {
 				kind: 'refused',
 				failure: failure({
 					code: 'overloaded',
-					message: `expected time to the first event (${Math.round(choice.expectedMs)} ms) is too long for the client's limit of ${silenceLimitMs} ms`,
+					message: `expected time to the first event (${Math.round(choice.expectedMs)} ms) is too long for the client's limit of ${clientSilenceLimitMs(request.route)} ms`,
 					ran,
 					step: 'reserve',
 					retryAfterMs: this.retryAdviceMs(cause, now),
@@ -211,7 +210,8 @@
 			};
 		}
 
-		return (ran === 'not_run' ? this.#hold(choice, now) : undefined) ?? this.#take(choice);
+		const holdMs = ran === 'not_run' ? this.#holdMs(choice, now) : 0;
+		return holdMs === 0 ? this.#take(choice) : this.#hold(choice, holdMs, now);
 	}
 
 	/** Places the request from here on without regard to the share of engines that long prompts may hold. */
@@ -221,9 +221,8 @@
 
 	/** Whether `choose` would return a server for a request that has run nowhere. */
 	hasPlace(now: number, waitedMs: number): boolean {
-		const {route} = this.request;
 		const choice = this.#chooseServer({excluded: this.#excluded, hasArrived: this.#hasArrived}, now);
-		return choice !== undefined && this.#hold(choice, now) === undefined && choice.expectedMs <= (MAX_EXPECTED_SHARE * clientSilenceLimitMs(route)) - waitedMs;
+		return choice !== undefined && choice.expectedMs <= this.#expectedLimitMs(waitedMs) && this.#holdMs(choice, now) === 0;
 	}
 
 	/**
@@ -243,7 +242,7 @@
 
 		for (const excluded of exclusions) {
 			const choice = this.#chooseServer({excluded, hasArrived: true}, now);
-			if (choice && choice.expectedMs <= MAX_EXPECTED_SHARE * clientSilenceLimitMs(request.route)) {
+			if (choice && choice.expectedMs <= this.#expectedLimitMs()) {
 				return this.#take(choice);
 			}
 		}
@@ -286,30 +285,39 @@
 		};
 	}
 
-	/** Refuses a long prompt for now that would take engines which short prompts need. The most urgent ones are not held back. */
-	#hold({expectedMs, helpers, placement}: ServerChoice, now: number): NextDestination | undefined {
+	/** Longest expected time in ms to the first event with which the request is sent. */
+	#expectedLimitMs(waitedMs = 0): number {
+		return (MAX_EXPECTED_SHARE * clientSilenceLimitMs(this.request.route)) - waitedMs;
+	}
+
+	/** Time in ms for which a long prompt is held back that would take engines which short prompts need. The most urgent ones are not. */
+	#holdMs({expectedMs, helpers, placement: {prefillMs}}: ServerChoice, now: number): number {
 		const {parts, request} = this;
-		const {service, arrivedAt, route, urgency, isRelayed} = request;
-		if (!this.#mayBeHeld || isRelayed || urgency === 0 || !parts.dispatcher.mayWait(service)) {
-			return undefined;
+		const {
+			service, arrivedAt, route, urgency, isRelayed,
+		} = request;
+		// Most prompts are short, so the engines are looked at last.
+		if (!isLongPrefill(prefillMs) || !this.#mayBeHeld || isRelayed || urgency === 0 || !parts.dispatcher.mayWait(service)) {
+			return 0;
 		}
 
-		const holdMs = longPromptHoldMs(
-			{prefillMs: placement.prefillMs, engines: 1 + helpers.length, dueAt: arrivedAt + route.targetLatencyMs - (HOLD_EXPECTED_TIME_FACTOR * expectedMs)},
+		return longPromptHoldMs(
+			{prefillMs, engines: 1 + helpers.length, dueAt: arrivedAt + route.targetLatencyMs - (HOLD_EXPECTED_TIME_FACTOR * expectedMs)},
 			allowedServers(parts, request, now).map(({id}) => parts.placements.entriesOn(id)),
 			now,
 		);
-		return holdMs === 0
-			? undefined
-			: {
-				kind: 'refused',
-				failure: failure({
-					code: 'overloaded', message: 'long prompts hold their share of the engines', ran: 'not_run', step: 'reserve', retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
-				}),
-				shortage: {
-					why: 'long_prompts', placeInMs: holdMs, isKnown: true, serviceMs: HOLD_EXPECTED_TIME_FACTOR * expectedMs,
-				},
-			};
+	}
+
+	#hold({expectedMs}: ServerChoice, holdMs: number, now: number): NextDestination {
+		return {
+			kind: 'refused',
+			failure: failure({
+				code: 'overloaded', message: 'long prompts hold their share of the engines', ran: 'not_run', step: 'reserve', retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
+			}),
+			shortage: {
+				why: 'long_prompts', placeInMs: holdMs, isKnown: true, serviceMs: HOLD_EXPECTED_TIME_FACTOR * expectedMs,
+			},
+		};
 	}
 
 	#chooseServer(earlier: Omit<EarlierChoices, 'count'>, now: number): ServerChoice | undefined {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -4,7 +4,7 @@
  * Wake-ups are events: a placement of any daemon starts or ends, a server appears, a limit is lifted, a configuration. One timer covers the
  * known times: a delayed offer, the forecast of a place, and the time after which a place no longer helps.
  */
-import {MAX_MESH_SIZE} from '../fleet/fleet-topology.js';
+import {isMeshSize} from '../fleet/fleet-topology.js';
 import type {PlacementEntry} from '../fleet/placement-table.js';
 import {
 	agedRank, compareUrgency, DispatchQueue, type QueuedRequest, type Urgency,
@@ -140,7 +140,7 @@
 
 	/** Whether requests to the service may wait: in fleets that are no mesh, where requests of many daemons meet on the engines. */
 	mayWait({engine}: Service): boolean {
-		return engine !== undefined && this.options.daemons() > MAX_MESH_SIZE;
+		return engine !== undefined && !isMeshSize(this.options.daemons());
 	}
 
 	/** Number of waiting requests of the lane that go before a new one. */
--- a/src/scheduling/long-prompt-quota.ts
+++ b/src/scheduling/long-prompt-quota.ts
@@ -23,18 +23,19 @@
 	readonly dueAt: number;
 };
 
-const isLongPrefill = ({startedAt, prefillMs}: PlacementEntry): boolean => startedAt === undefined && prefillMs >= LONG_PREFILL_MS;
+/** Whether a prefill of `prefillMs` on each engine is long. */
+export const isLongPrefill = (prefillMs: number): boolean => prefillMs >= LONG_PREFILL_MS;
 
 /**
  * Returns the time in ms for which the prompt waits before its placement is looked at again; 0 if it may be placed now. `engines` has the
  * placements on each engine that the prompt may use.
  */
 export function longPromptHoldMs({prefillMs, engines: needed, dueAt}: LongPrompt, engines: ReadonlyArray<readonly PlacementEntry[]>, now: number): number {
-	if (prefillMs < LONG_PREFILL_MS || now >= dueAt) {
+	if (!isLongPrefill(prefillMs) || now >= dueAt) {
 		return 0;
 	}
 
-	const held = engines.map(entries => entries.filter(entry => isLongPrefill(entry))).filter(entries => entries.length > 0);
+	const held = engines.map(entries => entries.filter(entry => entry.startedAt === undefined && isLongPrefill(entry.prefillMs))).filter(entries => entries.length > 0);
 	const quota = Math.max(1, Math.floor(LONG_PREFILL_SHARE * engines.length));
 	if (held.length === 0 || held.length + needed <= quota) {
 		return 0;
--- a/src/scheduling/offer-delay.ts
+++ b/src/scheduling/offer-delay.ts
@@ -4,7 +4,7 @@
  * More urgent requests, and those that have waited longer, go first. The spread differs by daemon and by place, so that no daemon is first at
  * all places. Messages take 5 to 45 ms, so the delay thins simultaneous choices out; it cannot exclude them.
  */
-import {createHash} from 'node:crypto';
+import {uniformHash} from '../util/uniform-hash.js';
 import {agedRank, waitedShare, type Urgency} from './dispatch-queue.js';
 
 /** Delay in ms of each rank, of a request that has not waited. */
@@ -13,15 +13,10 @@
 const MAX_DELAYED_RANK = 3;
 /** Largest part of the delay in ms that differs by daemon. */
 const SPREAD_MS = 8;
-const HASH_RANGE = 2 ** 32;
 
 /** Time in ms after which the first of the waiting requests is offered a place. `place` is the server, if a server has become free. */
 export function offerDelayMs(request: Urgency, {daemon, place = ''}: {readonly daemon: string; readonly place?: string}, now: number): number {
 	const rank = Math.min(MAX_DELAYED_RANK, Math.max(0, agedRank(request, now)));
 	const rankMs = RANK_DELAY_MS * rank * (1 - waitedShare(request, now));
-	return rankMs + (SPREAD_MS * spreadOf(daemon, place));
+	return rankMs + (SPREAD_MS * uniformHash(daemon, place));
 }
-
-/** A number from 0 to 1 that is the same for the same daemon and place. */
-const spreadOf = (daemon: string, place: string): number =>
-	createHash('sha256').update(daemon).update('\0').update(place).digest().readUInt32BE(0) / HASH_RANGE;
--- a/src/scheduling/retry-allowance.ts
+++ b/src/scheduling/retry-allowance.ts
@@ -13,7 +13,7 @@
  *
  * docs/design/retry-allowance.md has the reasons. Designed for some dozens to some hundreds of daemons.
  */
-import {LINK_TIMEOUT_MS, MAX_MESH_SIZE} from '../fleet/fleet-topology.js';
+import {isMeshSize, LINK_TIMEOUT_MS, MAX_MESH_SIZE} from '../fleet/fleet-topology.js';
 import {FleetHearing, type OtherDaemons} from './fleet-hearing.js';
 import {RetryCounts, RETRY_WINDOW_MS} from './retry-counts.js';
 
@@ -89,7 +89,7 @@
 
 	/** Whether the fleet is large enough to be asked for retries beyond the own parts. */
 	get isShared(): boolean {
-		return this.#daemons > MAX_MESH_SIZE;
+		return !isMeshSize(this.#daemons);
 	}
 
 	/** Largest number of retries of one service that one daemon can have saved up as its own part. */
