Watch a connection for resets in one place only

The client that checks responses watches its connection for resets; the exchange did so again to learn that the connection has ended, beside a listener of its own for the orderly end. It now listens for the two ways in which a connection ends. Behaviour is unchanged.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,7 +8,6 @@
 import type {Client, Dispatcher} from 'undici';
 import {CheckedClient} from '../backend/checked-client.js';
 import {createCheckedConnector, NotConnectedError} from '../backend/checked-connector.js';
-import {watchReset} from '../backend/reset-watch.js';
 
 /** Largest response head that is read: four times the limit for requests. */
 const MAX_HEADER_BYTES = 65_536;
@@ -77,13 +76,13 @@
 			onOpen(socket) {
 				isConnected = true;
 				handler.onConnected();
-				watchReset(socket, () => {
-					isDisconnected = true;
-				});
 				// Runs before undici reports the end as an error.
-				socket.prependListener('end', () => {
+				const onDisconnected = (): void => {
 					isDisconnected = true;
-				});
+				};
+
+				socket.prependListener('error', onDisconnected);
+				socket.prependListener('end', onDisconnected);
 				socket.on('readable', () => {
 					if (socket.bytesRead > MAX_FRAMING_BYTES + (2 * bodyBytes)) {
 						end({kind: 'broken', message: `received ${socket.bytesRead} bytes with only ${bodyBytes} bytes of a body`, isDisconnected});
