Register the paced server of a test as cold from the start

Cause: the fixture registered the server as warm and the test once more as cold. A daemon that read the first entry took it for an old server, which has no limit. Shown by waiting for the first entry before the second: 10 sent, both times. Change: one registration, cold. The expected number is the same.

--- a/tests/paced-gateway.test.ts
+++ b/tests/paced-gateway.test.ts
@@ -31,8 +31,7 @@
 	async function flood(mode: 'off' | 'adaptive'): Promise<number> {
 		await fixture.start(mode);
 		await fixture.waitForLog('event=configuration');
-		const server = await fixture.addServer(service, {instance: 'i-new', events});
-		fixture.register(service, server, {'cold-remaining-ms': 3000});
+		const server = await fixture.addServer(service, {instance: 'i-new', events, coldMs: 3000});
 		await fixture.waitForLog('server=i-new');
 		let answer = (): void => undefined;
 		const until = new Promise<void>(resolve => {
