Keep the ports of servers that a test stops for its own worker

Beside ten copies of the test, 3 of 1,160 plays failed in its set-up: the path of the cut daemon was not lost. The log of one: a server of another test run listened at the port of a gate that was cut and answered 404, so the daemon told the others of two lost servers and kept its path. Another one failed with EADDRINUSE, as two workers had chosen the same port.

Gates and server stand-ins had ports that the system gives to any process; they now take them from the range of their worker, in turn. Ruled out: stale messages between the daemons and hosts not yet heard (both were heard 200 ms before).

--- a/testing/free-port.ts
+++ b/testing/free-port.ts
@@ -1,17 +1,36 @@
-/** Finds free ports. Another process that listens can take a port before it is used. */
+/**
+ * Finds free ports, also for servers that stop listening for a while and must not be replaced by another process meanwhile.
+ *
+ * Each worker of a parallel test run has a range of its own and goes through it in turn. Ports that are chosen at random, or by the system, are
+ * taken by other workers between the search and the use, or while a test expects connections to them to be refused.
+ */
 import {randomInt} from 'node:crypto';
 import {createSocket} from 'node:dgram';
 import {createServer} from 'node:net';
+import process from 'node:process';
 import {listen} from '../src/util/listen.js';
 
 /** Below the ports that Linux gives to outgoing connections (from 32,768), which parallel tests open by the hundred. */
 const FIRST_PORT = 15_000;
 const LAST_PORT = 32_000;
 
+/** Ranges: more than a test run has workers. */
+const RANGES = 16;
+const RANGE_PORTS = Math.floor((LAST_PORT - FIRST_PORT) / RANGES);
+
+/** First port of the range of a worker. Workers are numbered from 1 on. */
+export const firstPortOf = (worker: number): number => FIRST_PORT + ((worker % RANGES) * RANGE_PORTS);
+
+/** Processes outside of a test run take any range. */
+const firstPort = firstPortOf(Number(process.env.VITEST_POOL_ID ?? randomInt(RANGES)));
+/** Test files of one worker begin at different places, since connections to the ports of the previous one may linger. */
+let nextOffset = randomInt(RANGE_PORTS);
+
 /** Returns a TCP port that is free on all local addresses and that no outgoing connection gets. */
 export async function freePort(): Promise<number> {
 	for (;;) {
-		const port = randomInt(FIRST_PORT, LAST_PORT);
+		const port = firstPort + nextOffset;
+		nextOffset = (nextOffset + 1) % RANGE_PORTS;
 		if (await isFreeForTcp(port)) {
 			return port;
 		}
--- a/testing/stand-ins/platform/platform-server-stand-in.ts
+++ b/testing/stand-ins/platform/platform-server-stand-in.ts
@@ -5,6 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {monotonicMs} from '../../../src/util/clock.js';
 import {listen} from '../../../src/util/listen.js';
+import {freePort} from '../../free-port.js';
 import {pause} from '../../../src/util/pause.js';
 import {readBytes} from '../stand-in-server.js';
 
@@ -86,7 +87,8 @@
 export class PlatformServerStandIn {
 	static async create(options: PlatformServerOptions): Promise<PlatformServerStandIn> {
 		const standIn = new PlatformServerStandIn(options);
-		await listen(standIn.#server, {port: 0, host: '127.0.0.1'});
+		// Tests expect connections to be refused once it is closed.
+		await listen(standIn.#server, {port: await freePort(), host: '127.0.0.1'});
 		return standIn;
 	}
 
--- a/tests/free-port.test.ts
+++ b/tests/free-port.test.ts
@@ -1,6 +1,7 @@
 import {readFileSync} from 'node:fs';
 import {describe, expect, it} from 'vitest';
-import {freePeerPort, freePort} from '../testing/free-port.js';
+import {firstPortOf, freePeerPort, freePort} from '../testing/free-port.js';
+import {ServerGate} from './fixtures/server-gate.js';
 
 describe('free ports', () => {
 	it('should not be ports that outgoing connections of parallel tests may take', async () => {
@@ -11,4 +12,29 @@
 			expect(await freePeerPort()).toBeLessThan(first!);
 		}
 	});
+
+	it('should be of different ranges in parallel workers', () => {
+		// Two workers chose the same port: one of them failed with EADDRINUSE.
+		const ranges = [1, 2, 3, 4, 5, 6, 7, 8].map(worker => firstPortOf(worker)).sort((a, b) => a - b);
+		for (const [index, first] of ranges.slice(1).entries()) {
+			expect(first - ranges[index]!).toBeGreaterThan(1000);
+		}
+	});
+
+	it('should not be chosen again soon, as their users may listen again later', async () => {
+		const ports: number[] = [];
+		for (let count = 0; count < 400; count++) {
+			ports.push(await freePort());
+		}
+
+		expect(new Set(ports).size).toBe(400);
+	});
+
+	it('should be those of gates, which other processes must not replace while they are cut', async () => {
+		// The server of another test answered at the port of a gate that was cut, so the daemon did not notice the loss of its path.
+		const [first] = readFileSync('/proc/sys/net/ipv4/ip_local_port_range', 'utf8').trim().split(/\s+/v).map(Number);
+		const gate = await ServerGate.create('127.0.0.1:1');
+		await gate.close();
+		expect(Number(gate.address.split(':')[1])).toBeLessThan(first!);
+	});
 });
