--- a/tests/free-port.test.ts
+++ b/tests/free-port.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
+import {connect, createServer} from 'node:net';
 import {describe, expect, it} from 'vitest';
 import {firstPortOf, freePeerPort, freePort} from '../testing/free-port.js';
 import {ServerGate} from './fixtures/server-gate.js';
@@ -29,12 +31,19 @@
 
 		expect(new Set(ports).size).toBe(400);
 	});
+});
 
-	it('should be those of gates, which other processes must not replace while they are cut', async () => {
-		// The server of another test answered at the port of a gate that was cut, so the daemon did not notice the loss of its path.
-		const [first] = readFileSync('/proc/sys/net/ipv4/ip_local_port_range', 'utf8').trim().split(/\s+/v).map(Number);
+describe('gate', () => {
+	it('should have an address that no other process uses while it is cut', async () => {
+		// The server of another test answered at the address of a gate that was cut, so the daemon did not notice the loss of its path.
 		const gate = await ServerGate.create('127.0.0.1:1');
-		await gate.close();
-		expect(Number(gate.address.split(':')[1])).toBeLessThan(first!);
+		const [host, port] = gate.address.split(':');
+		await gate.cut('refuse');
+		const others = ['127.0.0.1', '127.0.0.2'].map(address => createServer().listen(Number(port), address));
+		await Promise.all(others.map(async other => once(other, 'listening')));
+		await expect(once(connect({host, port: Number(port)}), 'connect')).rejects.toThrow('ECONNREFUSED');
+		await Promise.all([gate.close(), ...others.map(async other => new Promise(resolve => {
+			other.close(resolve);
+		}))]);
 	});
 });
