Process no request that is read after a response has announced the close

Ruled out: a close header that was kept although the request had been read before the head was sent (the header is removed then), and a request that was waiting when the close was decided (the close is then left to its response).

- A request that is read behind an announced close is dropped at once, also after the response has ended, when it was passed on before.
The log names it with reason=close_announced.
- A refusal with an unread body is recorded as the closing response too.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -13,7 +13,7 @@
 	/** Starts the requests that wait for an earlier one of the connection, or drops them. */
 	readonly waiting: Array<(turn: Turn) => void>;
 	lastRequest: IncomingMessage | undefined;
-	/** The response that has been told to close the connection, while a further request may still prevent that. */
+	/** The response that has been told to close the connection. A further request prevents that until its head has been sent. */
 	closing: ServerResponse | undefined;
 	/** The response to `lastRequest` while that is open. */
 	lastResponse: ServerResponse | undefined;
@@ -23,8 +23,11 @@
 	isClosing: boolean;
 };
 
-/** `dropped`: the connection has closed, or closes after the response before; the request is not passed on. */
-export type Turn = 'started' | 'dropped';
+/**
+ * Only a `started` request may be passed on. `connection_closed`: the connection has closed before its turn. `close_announced`: it was read
+ * after a response had announced that the connection closes, behind which no request may be processed (RFC 9112, section 9.6).
+ */
+export type Turn = 'started' | 'connection_closed' | 'close_announced';
 
 const BAD_REQUEST_STATUS_LINE = '400 Bad Request';
 
@@ -58,10 +61,16 @@
 	async startRequest(req: IncomingMessage, res: ServerResponse): Promise<Turn> {
 		const connection = this.#connections.get(req.socket);
 		if (!connection) {
-			return 'dropped';
+			return 'connection_closed';
+		}
+
+		if (connection.closing?.headersSent) {
+			// Its body is read and discarded, since unread bytes would reset the connection and the response before with it.
+			req.resume();
+			return 'close_announced';
 		}
 
-		if (connection.closing && !connection.closing.headersSent) {
+		if (connection.closing) {
 			// This request has been read before its client was told that the connection closes.
 			connection.closing.removeHeader('connection');
 		}
@@ -130,7 +139,7 @@
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			for (const drop of connection.waiting.splice(0)) {
-				drop('dropped');
+				drop('connection_closed');
 			}
 		});
 	}
@@ -145,7 +154,7 @@
 		}
 
 		// The socket is no longer writable if the response announced that the connection closes.
-		waiting.shift()?.(socket.writable ? 'started' : 'dropped');
+		waiting.shift()?.(socket.writable ? 'started' : 'connection_closed');
 	}
 
 	/** Answers bytes that are no request, unless the client would take the answer for the one to an open request. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -194,8 +194,9 @@
 		const {req, res} = open;
 		open.metadata = this.parts.wire.readClientMetadata(req.headers);
 		// Another host opens a connection for each request.
-		if (!open.isRelayed && await this.#connections.startRequest(req, res) === 'dropped') {
-			this.#logUnanswered(open, 'connection_closed');
+		const turn = open.isRelayed ? 'started' : await this.#connections.startRequest(req, res);
+		if (turn !== 'started') {
+			this.#logUnanswered(open, turn);
 			return;
 		}
 
@@ -211,7 +212,7 @@
 				this.#logUnanswered(open, 'client_left');
 			} else {
 				// The rest of the body is not read, so the connection cannot be used again.
-				res.setHeader('connection', 'close');
+				this.#connections.closeAfter(req, res);
 				this.#refuse(open, body);
 			}
 
@@ -453,7 +454,7 @@
 		});
 	}
 
-	#logUnanswered(open: OpenRequest, reason: 'client_left' | 'connection_closed' | 'process_exits'): void {
+	#logUnanswered(open: OpenRequest, reason: 'client_left' | 'connection_closed' | 'close_announced' | 'process_exits'): void {
 		const {clock, logger} = this.parts;
 		logger.warn('request_unanswered', {...describeOpenRequest(open, clock()), reason});
 	}
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -70,6 +70,24 @@
 		expect(fixture.logs.filter(line => line.includes('event=request_unanswered'))).toEqual([]);
 	});
 
+	it('should not pass on a request that is read after a response has announced the close, and say so in the log', async () => {
+		const engine = await fixture.addServer('model', {instance: 'e-1', events: 6, paceMs: 100});
+		const desk = await fixture.addServer('desk', {instance: 'i-1'});
+		await fixture.waitForLog('server=i-1');
+		const connection = await openConnection();
+		const drained = fixture.daemon.drain();
+		connection.write(rawRequest('/once/x', 'first', {headers: promptHeaders(500)}));
+		await waitUntil(() => /connection: close/iv.test(connection.text));
+		connection.write(rawRequest('/book/x', 'second', {body: 'order'}));
+		await connection.waitForClose();
+		await drained;
+		expect(connection.statuses).toEqual([200]);
+		expect(connection.text.endsWith('0\r\n\r\n')).toBe(true);
+		expect(engine.arrivals).toHaveLength(1);
+		expect(desk.arrivals).toEqual([]);
+		expect(fixture.logs.find(line => line.includes('event=request_unanswered'))).toMatch(/request=second phase=reading sent=false age_ms=\d+ reason=close_announced/v);
+	});
+
 	it('should name in the log a request behind a stream that is broken off, and not pass it on', async () => {
 		const engine = await fixture.addServer('model', {instance: 'e-1', events: 4, paceMs: 30});
 		const desk = await fixture.addServer('desk', {instance: 'i-1'});
--- a/tests/one-final-answer.test.ts
+++ b/tests/one-final-answer.test.ts
@@ -2,7 +2,9 @@
 import process from 'node:process';
 import fc from 'fast-check';
 import {it} from 'vitest';
-import {playTroubles, sequenceArbitrary, type TroubleSequence} from './fixtures/trouble-run.js';
+import {
+	playTroubles, sequenceArbitrary, type RequestTrouble, type TroubleSequence,
+} from './fixtures/trouble-run.js';
 
 const RUNS_PER_SEED = 3;
 /** Time in which shorter sequences that fail are looked for; none are unless FIREFLYPORT_SHRINK_S is set. */
@@ -18,7 +20,19 @@
 	}
 }
 
+const late = (more: Partial<RequestTrouble>): RequestTrouble => ({
+	kind: 'request', route: 'once', body: 'length', connection: 'new', client: 'reads', deadlineMs: 2500, workMs: 0, field: '', ...more,
+});
+
 if (FIREFLYPORT_REPLAY === undefined) {
+	// Guards against a request that is read behind a response that closes its connection, and is passed on or taken for an earlier one.
+	it.each([
+		['that its client has received', late({workMs: 600}), 640],
+		['that its client has not read yet', late({client: 'reads slowly', workMs: 300}), 370],
+	])('should agree with RFC 9112 on a request behind the announcement of a close %s', {timeout: TIMEOUT_MS}, async (_, first, afterMs) => {
+		await check({steps: [], late: [{afterMs: 100, trouble: first}, {afterMs, trouble: late({connection: 'pipelined'})}]});
+	});
+
 	it.concurrent.each(seeds)('should give each request that was read exactly one final answer under random troubles (seed %d)', {timeout: TIMEOUT_MS + SHRINK_MS}, async seed => {
 		await fc.assert(fc.asyncProperty(fc.noBias(sequenceArbitrary), check), {
 			seed, numRuns: RUNS_PER_SEED, ...(SHRINK_MS > 0 ? {plugins: [fc.interruptAfterTimeLimit(SHRINK_MS)]} : {endOnFailure: true}),
