Let connections linger after their last response

A client that writes 8 MB under a limit of 300 bytes before it reads got no response (test "should get the refusal after it has sent the rest": fails before, passes now).

Ruled out: a refusal that was not sent. The log of the failing test has request_refused status=413, and a client that reads at once gets it.

Change: the socket's destroySoon sends FIN, and what the client still sends is read and discarded until the client closes, for 2 s and 8 MiB at most (RFC 9112, section 9.6). The rest of a refused body is resumed for that. Both client servers use it.

Not covered: a daemon that exits at the end of a stop still closes all connections at once.

--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -10,6 +10,7 @@
 import {pause} from '../util/pause.js';
 import {stackOf} from '../util/stack-of.js';
 import {breakOff} from '../http/break-off.js';
+import {lingerOnClose} from '../http/lingering-close.js';
 import {errorBody, sendFailure, httpStatusOf} from '../http/error-response.js';
 import {createRequestContext, type RequestContext, type RequestHandler} from './request-context.js';
 import type {Lifecycle} from './lifecycle.js';
@@ -73,6 +74,7 @@
 		server.on('request', (req: IncomingMessage, res: ServerResponse) => {
 			void this.#serve(req, res);
 		});
+		server.on('connection', lingerOnClose);
 		server.on('clientError', respondToClientError);
 	}
 
@@ -121,6 +123,10 @@
 		const failed = await this.#respond(context, route);
 		if (failed && !res.headersSent && !res.destroyed) {
 			res.shouldKeepAlive &&= req.complete;
+			res.once('close', () => {
+				// A body that was refused midway is paused; the rest of it is discarded.
+				req.resume();
+			});
 			sendFailure(res, failed);
 		}
 
--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import {lingerOnClose} from '../http/lingering-close.js';
 
 type ClientConnection = {
 	readonly socket: Socket;
@@ -85,6 +86,8 @@
 				connection.lastResponse = undefined;
 			}
 
+			// A body that was refused midway is paused; the rest of it is discarded.
+			req.resume();
 			this.#endRequest(connection);
 		});
 		return connection.open === 1
@@ -136,6 +139,7 @@
 			socket, open: 0, waiting: [], lastRequest: undefined, closing: undefined, lastResponse: undefined, bytesAtLastResponse: undefined, isClosing: false,
 		};
 		this.#connections.set(socket, connection);
+		lingerOnClose(socket);
 		socket.once('close', () => {
 			this.#connections.delete(socket);
 			for (const drop of connection.waiting.splice(0)) {
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -198,6 +198,76 @@
 	});
 });
 
+// Guards against a reset by unread bytes, which takes the refusal from the client, and against a close that never ends.
+describe('a client that is refused while it sends its body', () => {
+	/** More than the buffers of a loopback connection hold. */
+	const BODY_BYTES = 8_000_000;
+	const PIECE = 'x'.repeat(400_000);
+
+	/** Sends the head and the first piece of a body, and waits for the refusal without reading it. */
+	const sendRefused = async (): Promise<RawConnection> => {
+		fixture.store.put('config', 'main', platformConfiguration(4, {
+			limits: {'max-body-bytes': 300, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000},
+		}));
+		await fixture.waitForLog('event=configuration version=4');
+		const connection = await openConnection();
+		connection.socket.pause();
+		connection.write(rawRequest('/book/x', 'long', {headers: {'content-length': String(BODY_BYTES)}}));
+		connection.write(PIECE);
+		await fixture.waitForLog('code=request_too_large');
+		return connection;
+	};
+
+	it('should get the refusal after it has sent the rest', async () => {
+		const connection = await sendRefused();
+		for (let bytes = PIECE.length; bytes < BODY_BYTES; bytes += PIECE.length) {
+			connection.write(PIECE);
+			await delay(10);
+		}
+
+		connection.socket.resume();
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([413]);
+	});
+
+	it('should not have a request passed on that follows the rest', async () => {
+		const desk = await fixture.addServer('desk', {instance: 'i-1'});
+		await fixture.waitForLog('server=i-1');
+		const connection = await sendRefused();
+		connection.write('x'.repeat(BODY_BYTES - PIECE.length) + rawRequest('/book/x', 'second'));
+		await fixture.waitForLog('event=request_unanswered');
+		connection.socket.resume();
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([413]);
+		expect(desk.arrivals).toEqual([]);
+		expect(fixture.logs.find(line => line.includes('event=request_unanswered'))).toMatch(/request=second .*reason=close_announced/v);
+	});
+
+	it('should lose its connection when it sends without end', async () => {
+		const connection = await sendRefused();
+		const startedAt = performance.now();
+		while (!connection.isClosed && connection.socket.bytesWritten < 10 * BODY_BYTES) {
+			connection.write(PIECE);
+			await delay(5);
+		}
+
+		expect(connection.isClosed).toBe(true);
+		expect(performance.now() - startedAt).toBeLessThan(1500);
+	});
+
+	it('should lose its connection when it neither sends nor closes', async () => {
+		const connection = await sendRefused();
+		const hasClosed = (): boolean => {
+			connection.write('x');
+			return connection.isClosed;
+		};
+
+		await delay(1000);
+		expect(hasClosed()).toBe(false);
+		await waitUntil(hasClosed, 2000);
+	});
+});
+
 describe('limits of a new configuration', () => {
 	const putLimits = async (version: number, limits: Record<string, number>): Promise<void> => {
 		fixture.store.put('config', 'main', platformConfiguration(version, {
