--- a/testing/free-port.ts
+++ b/testing/free-port.ts
@@ -14,8 +14,8 @@
 const FIRST_PORT = 15_000;
 const LAST_PORT = 32_000;
 
-/** Ranges: more than a test run has workers. */
-const RANGES = 16;
+/** Ranges: more than a test run has workers. Fewer, larger ones make it rarer that runs that go on at the same time meet. */
+const RANGES = 8;
 const RANGE_PORTS = Math.floor((LAST_PORT - FIRST_PORT) / RANGES);
 
 /** First port of the range of a worker. Workers are numbered from 1 on. */
