Let one long prompt delay at most half of the engines of a large fleet

Prompts of 325,176 and 357,765 tokens were placed on 12 and 10 of 14 engines within 0.12 s. Each part took less than a second, so the share of engines for long prompts did not count them, and the loss of a placement counts the requests that are there, not those that arrive. Clients of 12 streams left after 1.5 s.

Ruled out: streams that were given up too early (the engines wrote again after 3 s; their clients leave after 1.5 s).

--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -22,6 +22,13 @@
 
 /** Group sizes (decoding engine and helpers) that are tried for a prompt. The protocol allows 16 helpers. */
 const ENGINE_GROUP_SIZES = [1, 2, 3, 4, 6, 8, 10, 12, 14, 17] as const;
+/**
+ * Largest share of the engines of a large fleet that one prompt delays for longer than `LONG_PART_MS`, unless its memory needs more. With most
+ * engines in one group, short prompts that arrive meanwhile all wait behind it; the forecast knows only of those that are there.
+ */
+const MAX_GROUP_SHARE = 0.5;
+/** Delay in ms of a running stream that its reader notices: the target of the gaps of short answers. */
+const LONG_PART_MS = 250;
 /** Smaller parts save less time than waiting for the slowest helper costs: half a prefill chunk of 2,048 tokens. */
 const MIN_PART_TOKENS = 1024;
 /** Share of a request's value that is lost when it is late: both users still pay about a quarter for a late response. */
@@ -128,6 +135,10 @@
 			break;
 		}
 
+		if (best && isTooWide(request, context, size)) {
+			break;
+		}
+
 		const placement = placeOnGroup(request, context, size);
 		if (placement && (!best || placement.loss < best.loss)) {
 			best = placement;
@@ -137,6 +148,9 @@
 	return best;
 }
 
+const isTooWide = ({promptTokens}: GenerationRequest, {engines, profile}: PlacementContext, size: number): boolean =>
+	size > MAX_GROUP_SHARE * engines.length && engines.some(({spread}) => spread !== undefined) && prefillMs(profile, promptTokens) / size > LONG_PART_MS;
+
 function placeOnGroup(request: GenerationRequest, context: PlacementContext, size: number): GenerationPlacement | undefined {
 	const {engines, profile} = context;
 	const partMs = prefillMs(profile, request.promptTokens) / size;
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -48,6 +48,26 @@
 
 const participantsOf = (placed: ReturnType<typeof placeGeneration>): readonly string[] => [placed!.server.id, ...placed!.helpers.map(({id}) => id)];
 
+describe('engines of one long prompt', () => {
+	const groupSize = (request: GenerationRequest, spread: number | undefined): number => {
+		const placements = placementsWithShortPrompts(2, 1);
+		return participantsOf(placeGeneration(request, candidatesOf(placements).map(candidate => ({...candidate, spread})), profile, 100)).length;
+	};
+
+	const hugePrompt = {...longPrompt, promptTokens: 330_000, weight: 337_800, targetMs: 1500};
+
+	it('should be at most half of the engines of a large fleet that the prompt delays noticeably', () => {
+		// Guards against prompts of 325,000 and 358,000 tokens on 12 and 10 of 14 engines: all streams stood still for up to 3 s.
+		expect(groupSize(hugePrompt, 0.5)).toBeLessThanOrEqual(8);
+		expect(groupSize(hugePrompt, undefined)).toBeGreaterThan(8);
+	});
+
+	it('should be as many as its memory needs', () => {
+		const needed = {...hugePrompt, promptTokens: Math.floor(10 * profile.memoryTokens), outputTokens: 0};
+		expect(groupSize(needed, 0.5)).toBeGreaterThan(8);
+	});
+});
+
 describe('spread of simultaneous placements', () => {
 	const placeAll = (spread?: () => number): ReadonlySet<string> => {
 		const placements = placementsWithShortPrompts(16, 1);
