Tell rejected clients a place in an order of returns

Cause: Retry-After followed from the cause of one rejection alone. Clients that were rejected in the same seconds were told 0.7 to 1.05 s, came back while room was still short, and were rejected again, beside new requests that could have been on time. Change: where requests may wait, a daemon gives each request that it rejects for want of room the next place of its part of the ending placements, behind the requests that wait there and the returns promised to the same or a more urgent rank, never before the usual time and never later than a third of the time that the client has left. A request that the usual time still leaves on time keeps that. The explanation of a request shows the place and keeps none. Metric fireflyport_return_advice_total, log event return_advised. Fleets of up to 24 daemons and services without an engine profile are advised as before. The explanation was checked with a place kept by it: its test fails then.

--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -147,6 +147,38 @@
 		return retryAdviceMs(cause, this.request.deadline - now, this.parts.random());
 	}
 
+	/**
+	 * The failure of a request that found no room and does not wait, with its place in the order of returns where requests like it may wait.
+	 * `isTold`: the client is told, so the place is kept for it.
+	 */
+	orderReturn(failed: Failure, {why, serviceMs}: Shortage, now: number, isTold: boolean): Failure {
+		const {parts: {dispatcher, random}, request} = this;
+		const {id, service, rank, arrivedAt, deadline, route} = request;
+		if (failed.retryAfterMs === undefined || failed.ran !== 'not_run' || request.isRelayed || !dispatcher.mayWait(service)) {
+			return failed;
+		}
+
+		// A choice that finds no server does not tell whether they are full or absent.
+		const usualMs = why === 'full' ? Math.min(failed.retryAfterMs, this.retryAdviceMs({kind: 'full'}, now)) : failed.retryAfterMs;
+		const rejected = {
+			id,
+			service: service.name,
+			rank,
+			urgency: urgencyOf(request),
+			timeLeftMs: deadline - now,
+			dueInMs: arrivedAt + route.targetLatencyMs - serviceMs - now,
+			usualMs,
+			servers: allowedServers(this.parts, request, now).map(server => server.id),
+		};
+		const advice = dispatcher.adviseReturn(rejected, random(), now);
+		const retryAfterMs = advice?.ms ?? failed.retryAfterMs;
+		if (isTold) {
+			dispatcher.recordAdvice(rejected, {advice, ms: retryAfterMs}, now);
+		}
+
+		return {...failed, retryAfterMs};
+	}
+
 	/**
 	 * Returns where the request goes next, or why it is refused. `ran`: whether a server may have run it. `waitedMs`: time for which the
 	 * client of a request that has waited has seen nothing.
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -11,6 +11,7 @@
 } from '../scheduling/dispatch-queue.js';
 import {offerDelayMs} from '../scheduling/offer-delay.js';
 import {PlaceForecast} from '../scheduling/place-forecast.js';
+import {ReturnOrder, type RejectedRequest, type ReturnAdvice} from '../scheduling/return-order.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
 import {stackOf} from '../util/stack-of.js';
@@ -89,6 +90,14 @@
 	observeWait(end: WaitEnd, ms: number): void;
 	countRefusedWait(reason: 'full_requests' | 'full_bytes'): void;
 	countInversion(): void;
+	countReturnAdvice(kind: ReturnAdvice['kind'] | 'cause'): void;
+};
+
+/** A rejected request, and the servers that may come to have room for it. */
+export type RejectedForRoom = RejectedRequest & {
+	readonly id: string;
+	readonly urgency: Urgency;
+	readonly servers: readonly string[];
 };
 
 export type DispatcherOptions = {
@@ -123,6 +132,7 @@
 
 	readonly #queue: DispatchQueue<Entry>;
 	readonly #forecast = PlaceForecast.create();
+	readonly #returns = ReturnOrder.create();
 	#timer: NodeJS.Timeout | undefined;
 	/** Time of the next round of offers after a wake-up. */
 	#offerAt = Infinity;
@@ -159,6 +169,30 @@
 		return this.#forecast.placeInMs(servers, {ahead, daemons: this.options.daemons()}, now);
 	}
 
+	/**
+	 * Returns when the client of a rejected request should come back, and changes nothing; undefined if nothing ended on the servers lately.
+	 * `random` is from 0 to below 1.
+	 */
+	adviseReturn(request: RejectedForRoom, random: number, now: number): ReturnAdvice | undefined {
+		const {service, urgency, servers} = request;
+		const intervalMs = this.#forecast.intervalMs(servers, this.options.daemons(), now);
+		return intervalMs === undefined ? undefined : this.#returns.advise(request, {intervalMs, ahead: this.requestsAhead(service, urgency, now)}, random, now);
+	}
+
+	/** Records that the client of a rejected request is told to come back after `ms`. `advice` is undefined if that follows from the cause alone. */
+	recordAdvice({id, service, rank}: RejectedForRoom, {advice, ms}: {readonly advice: ReturnAdvice | undefined; readonly ms: number}, now: number): void {
+		const {logger, metrics} = this.options;
+		if (advice) {
+			this.#returns.promise({service, rank}, advice, now);
+		}
+
+		const kind = advice?.kind ?? 'cause';
+		metrics.countReturnAdvice(kind);
+		logger.info('return_advised', {
+			request: id, service, kind, ms: Math.round(ms), place_ms: advice && Math.round(advice.placeMs), rank, promised: this.#returns.promised(now),
+		});
+	}
+
 	/** Resolves when the wait has ended; undefined if the queue is full. */
 	wait(request: WaitingRequest, now: number): Promise<WaitEnd> | undefined {
 		const {logger, metrics} = this.options;
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -5,6 +5,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {ReturnAdvice} from '../scheduling/return-order.js';
 import type {RetryDecision} from '../scheduling/service-retries.js';
 import type {StoreCallResult, StoreOperation} from '../store/counted-store.js';
 import type {WaitEnd} from './dispatcher.js';
@@ -93,6 +94,10 @@
 		name: 'fireflyport_rank_inversions_total', help: 'Requests that this daemon placed while a more urgent one waited that could have used the place', registers: [this.#registry],
 	});
 
+	readonly #returnAdvice = new Counter({
+		name: 'fireflyport_return_advice_total', help: 'Clients that were rejected for want of room, by what their time to come back follows from', labelNames: ['kind'], registers: [this.#registry],
+	});
+
 	#server: Server | undefined;
 
 	private constructor({
@@ -152,6 +157,11 @@
 		this.#inversions.inc();
 	}
 
+	/** `cause`: too little is known of the room for an order. */
+	countReturnAdvice(kind: ReturnAdvice['kind'] | 'cause'): void {
+		this.#returnAdvice.inc({kind});
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
--- a/src/gateway/request-explanation.ts
+++ b/src/gateway/request-explanation.ts
@@ -119,11 +119,11 @@
 /** The last choice that the flow of a request would make before it sends, waits or fails. `longestMs`: longest wait in ms; undefined without one. */
 function decide(parts: FlowParts, request: RoutedRequest, destinations: DestinationChoice, now: number): {readonly next: NextDestination; readonly longestMs: number | undefined} {
 	const next = destinations.choose('not_run', now);
-	const shortage = next.kind === 'refused' ? next.shortage : undefined;
-	if (!shortage) {
+	if (next.kind !== 'refused' || !next.shortage) {
 		return {next, longestMs: undefined};
 	}
 
+	const {shortage} = next;
 	const bytes = (request.metadata.promptTokens ?? 0) * BYTES_PER_TOKEN;
 	const wait = parts.dispatcher.mayWait(request.service) && parts.dispatcher.admits(bytes) ? decideRequestWait(request, shortage, now) : undefined;
 	if (wait?.kind === 'wait') {
@@ -131,7 +131,7 @@
 	}
 
 	if (shortage.why !== 'long_prompts') {
-		return {next, longestMs: undefined};
+		return {next: {...next, failure: destinations.orderReturn(next.failure, shortage, now, false)}, longestMs: undefined};
 	}
 
 	// A request that was only held back for others is placed instead.
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -241,7 +241,7 @@
 		if (shortage?.why === 'long_prompts') {
 			this.#destinations.endHold();
 		} else {
-			this.#fail(failed);
+			this.#fail(shortage ? this.#destinations.orderReturn(failed, shortage, this.parts.clock(), true) : failed);
 		}
 	}
 
--- a/src/gateway/retry-advice.ts
+++ b/src/gateway/retry-advice.ts
@@ -3,8 +3,10 @@
  *
  * Designed for prompts that are refused during a burst or while engines are missing. The known work of an engine shrinks by
  * one ms each ms, so a prompt whose first event is expected too late fits once the difference has passed. Clients that are
- * refused together are spread, since otherwise they would return together and be refused again.
+ * refused together are spread, since otherwise they would return together and be refused again. Where requests may wait, a client that found no
+ * room is told a place in the order of returns instead (`src/scheduling/return-order.ts`).
  */
+import {MAX_TIME_SHARE} from '../scheduling/return-order.js';
 
 /** A typical response ends and frees a slot in this time, in ms. */
 const SLOT_TIME_MS = 700;
@@ -12,8 +14,6 @@
 export const OTHER_DAEMON_RETRY_MS = 200;
 /** Registrations of restarted servers need about this time in ms. */
 const REGISTRATION_MS = 2000;
-/** Clients honour advice up to this share of the time that they have left. */
-const MAX_TIME_SHARE = 0.33;
 /** Clients return within this share of the time after the earliest moment. */
 const SPREAD_SHARE = 0.5;
 
--- a/src/scheduling/place-forecast.ts
+++ b/src/scheduling/place-forecast.ts
@@ -43,10 +43,16 @@
 		return count;
 	}
 
+	/** Time in ms between two places of one of `daemons` daemons; undefined if too few placements ended lately. */
+	intervalMs(servers: Iterable<string>, daemons: number, now: number): number | undefined {
+		const ends = this.recentEnds(servers, now);
+		return ends < MIN_ENDS ? undefined : daemons * RATE_WINDOW_MS / ends;
+	}
+
 	/** Time in ms until the request with `ahead` others before it here gets a place; undefined if too few placements ended lately. */
 	placeInMs(servers: Iterable<string>, {ahead, daemons}: {readonly ahead: number; readonly daemons: number}, now: number): number | undefined {
-		const ends = this.recentEnds(servers, now);
-		return ends < MIN_ENDS ? undefined : (ahead + 0.5) * daemons * RATE_WINDOW_MS / ends;
+		const intervalMs = this.intervalMs(servers, daemons, now);
+		return intervalMs === undefined ? undefined : (ahead + 0.5) * intervalMs;
 	}
 
 	/** Forgets servers that are not in `known`. */
--- a/tests/dispatch-load.test.ts
+++ b/tests/dispatch-load.test.ts
@@ -2,7 +2,7 @@
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {
-	simulateDispatch, type CallerOutcome, type DispatchLoadOptions, type LoadKind,
+	simulateDispatch, type CallerOutcome, type LoadKind, type ReturnRules,
 } from './fixtures/dispatch-load.js';
 
 const chat: LoadKind = {
@@ -66,3 +66,36 @@
 		expect(waiting.inversions).toBe(0);
 	});
 });
+
+describe.each([
+	{daemons: 10, minGain: -0.01, restart: undefined},
+	{daemons: 77, minGain: 0.03, restart: undefined},
+	{daemons: 77, minGain: 0.03, restart: {daemons: 8, atMs: 3000}},
+])('$daemons daemons that reject many clients while most engines are out, with restarts: $restart', ({daemons, minGain, restart}) => {
+	const kinds = [{...chat, deadlineMs: 15_000}, {...contract, deadlineMs: 15_000}, {...audit, deadlineMs: 20_000}];
+
+	const simulateReturns = async (advice: ReturnRules['advice']): Promise<readonly CallerOutcome[]> => {
+		const outcomes: CallerOutcome[] = [];
+		for (const seed of seeds) {
+			const result = await simulateDispatch({
+				...load, kinds, shortage: {engines: 20, fromMs: 2000, untilMs: 4000}, daemons, hasQueue: true, hasSharedBudget: true, seed, returns: {advice, earlyShare: 0.1, restart},
+			});
+			outcomes.push(...result.outcomes);
+		}
+
+		return outcomes.filter(({isEarly}) => !isEarly);
+	};
+
+	const rejectedAgain = (outcomes: readonly CallerOutcome[]): number => outcomes.reduce((sum, {refusals}) => sum + Math.max(0, refusals - 1), 0);
+
+	it('should reject fewer of them again than a time that follows from the cause, and serve as many, in time and at all', async () => {
+		// Guards against an order in which the clients of many daemons are late: without the usual time where that meets the target, 0.84 of the contracts were on time instead of 0.87.
+		const byCause = await simulateReturns('cause');
+		const inOrder = await simulateReturns('order');
+		expect(rejectedAgain(inOrder)).toBeLessThan(0.75 * rejectedAgain(byCause));
+		for (const [index, kind] of kinds.entries()) {
+			expect(share(inOrder, kind)).toBeGreaterThan(share(byCause, kind) - 0.003);
+			expect(share(inOrder, kind, kind.targetMs)).toBeGreaterThan(share(byCause, kind, kind.targetMs) + (index === 0 ? minGain : -0.02));
+		}
+	});
+});
--- a/tests/dispatch-queue.test.ts
+++ b/tests/dispatch-queue.test.ts
@@ -137,6 +137,7 @@
 		metrics: {
 			observeWait: () => undefined,
 			countRefusedWait: () => undefined,
+			countReturnAdvice: () => undefined,
 			countInversion() {
 				inversions++;
 			},
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -128,7 +128,14 @@
 	}
 
 	const dispatcher = Dispatcher.create({
-		daemon: 'daemon-1', clock: () => NOW, logger, metrics: {observeWait() {}, countRefusedWait() {}, countInversion() {}}, maxBufferedBodyBytes: 1e9, daemons: () => isLarge ? 77 : 9, // eslint-disable-line @typescript-eslint/no-empty-function
+		daemon: 'daemon-1',
+		clock: () => NOW,
+		logger,
+		metrics: {
+			observeWait() {}, countRefusedWait() {}, countInversion() {}, countReturnAdvice() {}, // eslint-disable-line @typescript-eslint/no-empty-function
+		},
+		maxBufferedBodyBytes: 1e9,
+		daemons: () => isLarge ? 77 : 9,
 	});
 	// The bound on waiting requests is reached in some states.
 	const waiting = random.isTrue(0.3) ? 64 : random.below(4);
@@ -149,6 +156,7 @@
 		}, NOW);
 	}
 
+	recordEnds(dispatcher, servers);
 	const isPathLost = random.isTrue(0.1);
 	const hasHost = random.isTrue(0.5);
 	const targetLatencyMs = isLong ? 12_000 : [200, 400, 3000][random.below(3)]!;
@@ -208,22 +216,31 @@
 	};
 }
 
+/** Ends placements on all servers, which give an order of returns. */
+function recordEnds(dispatcher: Dispatcher, servers: readonly string[]): void {
+	for (const server of servers) {
+		for (let index = 0; index < 10; index++) {
+			dispatcher.recordRelease(server, 'closed', {placedAt: NOW - 500, startedAt: NOW - 400});
+		}
+	}
+}
+
 /** The destination that the flow of a request reaches, with a wait that it begins. */
 function runFlow(parts: FlowParts, request: GatewayRequest, onHoldEnded: () => void) {
 	const destinations = DestinationChoice.create(parts, request, {parts: request.metadata.sharedParts, identity: {digest: 'none'}});
 	const next = destinations.choose('not_run', NOW);
-	const shortage = next.kind === 'refused' ? next.shortage : undefined;
-	if (!shortage) {
+	if (next.kind !== 'refused' || !next.shortage) {
 		return next;
 	}
 
+	const {shortage} = next;
 	const waited = PlaceWait.create(parts, request, destinations, 0).begin(shortage, {isFree: () => true, take: () => true}, NOW);
 	if (waited) {
 		return {kind: 'wait' as const};
 	}
 
 	if (shortage.why !== 'long_prompts') {
-		return next;
+		return {...next, failure: destinations.orderReturn(next.failure, shortage, NOW, true)};
 	}
 
 	onHoldEnded();
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -144,6 +144,42 @@
 		expect(Number(headers['retry-after'])).toBeGreaterThan(0);
 	});
 
+	it.each([
+		{
+			name: 'its place in the order of returns', options: {daemons: 30}, ends: 10, kinds: ['place', 'place', 'latest'], times: [1.5, 4.5, 4.95],
+		},
+		{
+			name: 'the time that follows from the cause if nothing is known of the rate of places', options: {daemons: 30}, ends: 9, kinds: ['cause', 'cause', 'cause'], times: [2.5, 2.5, 2.5],
+		},
+		{
+			name: 'the time that follows from the cause in a fleet of 24 daemons', options: {daemons: 24}, ends: 10, kinds: [], times: [2.5, 2.5, 2.5],
+		},
+		{
+			name: 'the time that follows from the cause for a service without an engine profile', options: {daemons: 30, service: {}}, ends: 10, kinds: [], times: [2.5, 2.5, 2.5],
+		},
+	])('should be refused with $name', async ({options, ends, kinds, times}) => {
+		await start({route: {kind: {kind: 'stream', resumable: true, gapTargetMs: 200}, targetLatencyMs: 400, timeoutMs: 15_000}, ...options}, reject);
+		const now = fixture.parts.clock();
+		for (let index = 0; index < ends; index++) {
+			fixture.dispatcher.recordRelease('i-1', 'closed', {placedAt: now, startedAt: now});
+		}
+
+		const told = [];
+		for (const id of ['a', 'b', 'c']) {
+			const {headers, body} = await send(id);
+			expect(JSON.parse(body)).toMatchObject({error: {ran: 'not_run'}});
+			told.push(Number(headers['retry-after']));
+		}
+
+		expect(fixture.returnAdvice).toEqual(kinds);
+		for (const [index, seconds] of times.entries()) {
+			// The places of earlier rejections have come nearer by the time that passed since.
+			expect(Math.abs(told[index]! - seconds)).toBeLessThan(0.15);
+		}
+
+		expect(fixture.logs.filter(line => line.includes('event=return_advised'))).toHaveLength(kinds.length);
+	});
+
 	it('should be refused at once if all engines together could never hold its prompt', async () => {
 		await start();
 		expect(await fixture.send({'fireflyport-token-counts': `${2 * firstSiteProfile.memoryTokens},200`})).toMatchObject({status: 503});
