Check that each metric of the gateway is documented

Cause: the test of the operators' pages covered settings and log events, not metrics; six of the gateway's metrics were named on no page.

--- a/tests/operator-page.test.ts
+++ b/tests/operator-page.test.ts
@@ -22,4 +22,10 @@
 		expect(events.length).toBeGreaterThan(20);
 		expect([...new Set(events)].filter(event => !documentation.includes(`\`${event}\``))).toEqual([]);
 	});
+
+	it('should document each metric of the gateway', () => {
+		const names = [...readFileSync(path.join(root, 'src/gateway/gateway-metrics.ts'), 'utf8').matchAll(/'(?<name>fireflyport_[a-z_]+)'/gv)].map(({groups}) => groups!.name!);
+		expect(names.length).toBeGreaterThan(10);
+		expect(names.filter(name => !documentation.includes(name))).toEqual([]);
+	});
 });
