Print the logs of both daemons when a resumed coordinator keeps its lease

Ruled out by reading: calls without a time limit (all calls of the lease have one of 1.5 or 2 s), and an order that is sent twice before the pause, which would make the test count a pool twice (repeated after 60 s only).

The assertions are unchanged; their message now has the logs, without which the failure cannot be traced.

--- a/tests/engine-orders-deployment.test.ts
+++ b/tests/engine-orders-deployment.test.ts
@@ -36,6 +36,11 @@
 const loggedEvents = (daemon: Deployment['daemons'][number], event: string) =>
 	daemon.process.log.map(line => parseLogLine(line)).filter(fields => fields.event === event);
 
+/** What the daemons have logged, without the debug lines. */
+const leaseLogs = ({daemons}: Deployment, paused: string): string => daemons
+	.map(({id, process}) => [`${id}${id === paused ? ', paused' : ''}:`, ...process.log.filter(line => !line.includes('level=debug'))].join('\n'))
+	.join('\n');
+
 afterEach(async () => {
 	await Promise.all(closeables.splice(0).map(async item => item.close()));
 });
@@ -100,8 +105,9 @@
 
 		// Once the resumed daemon has applied the configuration, it has run for longer than a reconciliation interval of the orders.
 		await vi.waitFor(() => {
-			expect(loggedEvents(pausedDaemon!, 'pool_lease_lost')).toHaveLength(pools.length);
-			expect(loggedEvents(pausedDaemon!, 'configuration')).toHaveLength(2);
+			// The message names the logs, as this has failed beside other work and was not traced.
+			expect(loggedEvents(pausedDaemon!, 'pool_lease_lost'), leaseLogs(deployment, pausedDaemon!.id)).toHaveLength(pools.length);
+			expect(loggedEvents(pausedDaemon!, 'configuration'), leaseLogs(deployment, pausedDaemon!.id)).toHaveLength(2);
 		}, {timeout: 15_000, interval: 50});
 		expect(loggedEvents(pausedDaemon!, 'order_sent')).toHaveLength(ordersBefore);
 		expect(await engineCounts(deployment, 'ordersRefused')).toEqual([0, 0]);
