Go on with the lease of a pool after a step that failed unexpectedly

The steps of a lease run one after another in a chain of promises. One that threw, for example on a stored lease that its schema refuses, rejected the chain: no later step ran, so the lease was neither renewed nor given up, and the process logged only an unhandled rejection.

A step that throws is now logged as pool_lease_step_failed, and the next one follows at the usual interval.

--- a/src/capacity/coordinator-lease.ts
+++ b/src/capacity/coordinator-lease.ts
@@ -9,6 +9,7 @@
 import type {ObjectApi, WriteCondition} from '../object-api/object-api.js';
 import type {Clock} from '../util/clock.js';
 import type {Logger} from '../util/logger.js';
+import {stackOf} from '../util/stack-of.js';
 import {LeaseCandidates} from './lease-candidates.js';
 import {
 	askForPromises, askToStepDown, type LeaseDirectory, type LeasePeers, type Predecessor, predecessorName,
@@ -199,12 +200,19 @@
 		}
 	}
 
-	/** Runs steps one after another, since each write of the lease is conditional on the previous version. */
+	/**
+	 * Runs steps one after another, since each write of the lease is conditional on the previous version. One that fails, for example on a
+	 * stored lease that cannot be read, must not prevent the next.
+	 */
 	#enqueue(next: () => Promise<void>): void {
 		const previous = this.#pendingStep;
 		const run = async (): Promise<void> => {
 			await previous;
-			await next();
+			try {
+				await next();
+			} catch (err) {
+				this.options.logger.error('pool_lease_step_failed', {pool: this.options.pool, message: stackOf(err)});
+			}
 		};
 
 		this.#pendingStep = run();
@@ -212,15 +220,17 @@
 
 	async #runStep(): Promise<void> {
 		const startedAtMs = this.options.clock();
-		if (this.#held) {
-			await this.#renew(this.#held);
-			await this.#confirmPredecessors();
-		} else {
-			await this.#considerTakeover();
+		try {
+			if (this.#held) {
+				await this.#renew(this.#held);
+				await this.#confirmPredecessors();
+			} else {
+				await this.#considerTakeover();
+			}
+		} finally {
+			const intervalMs = this.#held ? RENEWAL_INTERVAL_MS : WATCH_INTERVAL_MS;
+			this.#schedule(Math.max(0, startedAtMs + intervalMs - this.options.clock()));
 		}
-
-		const intervalMs = this.#held ? RENEWAL_INTERVAL_MS : WATCH_INTERVAL_MS;
-		this.#schedule(Math.max(0, startedAtMs + intervalMs - this.options.clock()));
 	}
 
 	async #renew(held: LeaseRecord): Promise<void> {
