Let a workspace that is over its share leave scarce room to the others

A daemon now learns the workspace of each placement of a large fleet, by a hash of 32 bits in the placement message, and holds a request of a workspace over its share back while at most a sixteenth of the slots is free. The request waits in the queue, or is refused as when all engines are full.

Counter fireflyport_share_yields_total, log event workspace_over_share.

--- a/src/fleet/load-message.ts
+++ b/src/fleet/load-message.ts
@@ -14,6 +14,7 @@
 	weight: z.number(),
 	targetMs: z.number(),
 	isRepeat: z.boolean().optional(),
+	workspace: z.number().int().nonnegative().optional(),
 });
 
 /** Time in ms since the first event of a placement; absent while its prompt is being prefilled. */
--- a/src/fleet/placement-table.ts
+++ b/src/fleet/placement-table.ts
@@ -31,6 +31,8 @@
 	readonly targetMs: number;
 	/** An earlier attempt of the request may have reached a server. Daemons of earlier versions, which make few retries, do not tell. */
 	readonly isRepeat?: boolean;
+	/** 32-bit hash of the name of its workspace; absent where room is not shared between workspaces. Daemons of earlier versions do not tell. */
+	readonly workspace?: number;
 };
 
 /** A placement as known to this daemon. Times are on its monotonic clock. */
@@ -56,6 +58,13 @@
 	closed(entry: PlacementEntry, isAnswered: boolean, now: number): void;
 };
 
+/** A placement without an event counts as served if it was open for this time in ms; servers refuse a request within some ms. */
+const MIN_SERVED_MS = 100;
+
+/** Whether a placement that ends now has held a place; a server that refuses a request gives it none. */
+export const wasServed = ({startedAt, placedAt}: Pick<PlacementEntry, 'startedAt' | 'placedAt'>, now: number): boolean =>
+	startedAt !== undefined || now - placedAt >= MIN_SERVED_MS;
+
 type DaemonRecord = {
 	lastContactAt: number;
 	readonly entries: Map<string, PlacementEntry>;
@@ -71,12 +80,12 @@
 
 	readonly #daemons = new Map<string, DaemonRecord>();
 	readonly #byServer = new Map<string, Map<string, PlacementEntry>>();
-	#listener: PlacementListener | undefined;
+	readonly #listeners: PlacementListener[] = [];
 
 	private constructor(private readonly onReleased: ReleaseListener) {}
 
 	listen(listener: PlacementListener): void {
-		this.#listener = listener;
+		this.#listeners.push(listener);
 	}
 
 	/** Adds a placement. For a known id, only the time of the first event is added. Returns whether the id was not known. */
@@ -94,7 +103,10 @@
 			...placement, daemon, placedAt: now, startedAt,
 		};
 		this.#put(entry);
-		this.#listener?.opened(entry, now);
+		for (const listener of this.#listeners) {
+			listener.opened(entry, now);
+		}
+
 		return true;
 	}
 
@@ -104,7 +116,10 @@
 		if (entry && entry.startedAt === undefined) {
 			const started = {...entry, startedAt: now};
 			this.#put(started);
-			this.#listener?.started(started, now);
+			for (const listener of this.#listeners) {
+				listener.started(started, now);
+			}
+
 			this.#announce(entry, 'started');
 		}
 	}
@@ -120,7 +135,9 @@
 			}
 
 			if (end) {
-				this.#listener?.closed(entry, end.isAnswered, end.now);
+				for (const listener of this.#listeners) {
+					listener.closed(entry, end.isAnswered, end.now);
+				}
 			}
 
 			this.#announce(entry, 'closed');
@@ -167,6 +184,11 @@
 		return entries === undefined || entries.size === 0 ? noEntries : [...entries.values()];
 	}
 
+	/** Number of placements that a backend server participates in. */
+	countOn(server: string): number {
+		return this.#byServer.get(server)?.size ?? 0;
+	}
+
 	entriesOf(daemon: string): readonly PlacementEntry[] {
 		return [...this.#daemons.get(daemon)?.entries.values() ?? noEntries];
 	}
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -3,11 +3,12 @@
 import type {RefusedSubject} from '../quarantine/prompt-quarantine.js';
 import {isLongPrefill, longPromptHoldMs} from '../scheduling/long-prompt-quota.js';
 import {failure, type Failure} from '../util/failure.js';
+import type {WaitReason} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
 import {clientSilenceLimitMs, urgencyOf, type RoutedRequest} from './gateway-request.js';
 import {earliestPlaceMs, retryAdviceMs, type RefusalCause} from './retry-advice.js';
 import {
-	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, type EarlierChoices, type ServerChoice,
+	allowedServers, chooseServer, isAllowedDomain, limitWaitMs, waitMs, type EarlierChoices, type ServerChoice,
 } from './server-choice.js';
 
 /** Servers that this host could not connect to for one request, after which the request goes through another host, whatever the reason. */
@@ -30,7 +31,7 @@
 
 /** A want of room that may end. */
 export type Shortage = {
-	readonly why: RefusalCause['kind'] | 'long_prompts';
+	readonly why: WaitReason;
 	/** Time in ms until a place is forecast. */
 	readonly placeInMs: number;
 	/** The time is known, not estimated. */
@@ -211,7 +212,11 @@
 		}
 
 		const holdMs = ran === 'not_run' ? this.#holdMs(choice, now) : 0;
-		return holdMs === 0 ? this.#take(choice) : this.#hold(choice, holdMs, now);
+		if (holdMs > 0) {
+			return this.#hold(choice, holdMs, now);
+		}
+
+		return ran === 'not_run' && this.#isRoomReserved(now) ? this.#yieldRoom(choice, now) : this.#take(choice);
 	}
 
 	/** Places the request from here on without regard to the share of engines that long prompts may hold. */
@@ -222,7 +227,7 @@
 	/** Whether `choose` would return a server for a request that has run nowhere. */
 	hasPlace(now: number, waitedMs: number): boolean {
 		const choice = this.#chooseServer({excluded: this.#excluded, hasArrived: this.#hasArrived}, now);
-		return choice !== undefined && choice.expectedMs <= this.#expectedLimitMs(waitedMs) && this.#holdMs(choice, now) === 0;
+		return choice !== undefined && choice.expectedMs <= this.#expectedLimitMs(waitedMs) && this.#holdMs(choice, now) === 0 && !this.#isRoomReserved(now);
 	}
 
 	/**
@@ -267,7 +272,7 @@
 	 * A limit has a known end. Otherwise places come at the rate at which they have come lately, or, without a cause, on servers that are full
 	 * or not there. Returns undefined for a prompt that all servers together could not hold if they were empty.
 	 */
-	#createShortage(given: RefusalCause | undefined, serviceMs: number, now: number): Shortage | undefined {
+	#createShortage(given: RefusalCause | undefined, serviceMs: number, now: number, why?: WaitReason): Shortage | undefined {
 		const {parts, request: {service: {engine}, metadata: {promptTokens = 0}}, request} = this;
 		const servers = allowedServers(parts, request, now).map(({id}) => id);
 		const hasServer = servers.some(id => !this.#unconnected.has(id));
@@ -279,9 +284,9 @@
 		this.#mayBeHeld = false;
 		const cause = given ?? {kind: hasServer ? 'full' : 'no_server'};
 		const isKnown = cause.kind === 'limited';
-		const placeInMs = isKnown || !hasServer ? undefined : parts.dispatcher.placeInMs(request.service.name, urgencyOf(request), servers, now);
+		const placeInMs = isKnown || !hasServer ? undefined : parts.dispatcher.placeInMs(request.service.name, urgencyOf(request, parts.roomShares), servers, now);
 		return {
-			why: cause.kind, placeInMs: placeInMs ?? earliestPlaceMs(cause), isKnown, serviceMs,
+			why: why ?? cause.kind, placeInMs: placeInMs ?? earliestPlaceMs(cause), isKnown, serviceMs,
 		};
 	}
 
@@ -320,6 +325,29 @@
 		};
 	}
 
+	/** Whether the room that is left is kept for workspaces under their share. */
+	#isRoomReserved(now: number): boolean {
+		const {parts, request} = this;
+		return parts.roomShares?.isReserved(request, () => allowedServers(parts, request, now)
+			.filter(server => !parts.limits.isClosed(server.id, now) && waitMs(parts, request, server, now) === 0)
+			.map(({id}) => parts.placements.countOn(id)), now) ?? false;
+	}
+
+	/** Leaves a place to workspaces under their share. */
+	#yieldRoom({expectedMs}: ServerChoice, now: number): NextDestination {
+		return {
+			kind: 'refused',
+			failure: failure({
+				code: 'overloaded',
+				message: 'the workspace has had its share of the engines, and others need the rest',
+				ran: 'not_run',
+				step: 'reserve',
+				retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
+			}),
+			shortage: this.#createShortage({kind: 'full'}, expectedMs, now, 'workspace_share'),
+		};
+	}
+
 	#chooseServer(earlier: Omit<EarlierChoices, 'count'>, now: number): ServerChoice | undefined {
 		return chooseServer(this.parts, this.request, {...earlier, count: this.#choices}, now);
 	}
@@ -327,7 +355,8 @@
 	/** Only choices that are used count, so that the first attempt of a request that has waited is known as such by its placement. */
 	#take(choice: ServerChoice): Destination {
 		this.#choices++;
-		return {kind: 'server', choice};
+		const workspace = this.parts.roomShares?.keyOf(this.request);
+		return {kind: 'server', choice: workspace === undefined ? choice : {...choice, placement: {...choice.placement, workspace}}};
 	}
 }
 
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -5,7 +5,7 @@
  * known times: a delayed offer, the forecast of a place, and the time after which a place no longer helps.
  */
 import {isMeshSize} from '../fleet/fleet-topology.js';
-import type {PlacementEntry} from '../fleet/placement-table.js';
+import {wasServed, type PlacementEntry} from '../fleet/placement-table.js';
 import {
 	agedRank, compareUrgency, DispatchQueue, type QueuedRequest, type Urgency,
 } from '../scheduling/dispatch-queue.js';
@@ -15,6 +15,7 @@
 import type {Logger} from '../util/logger.js';
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
+import type {RefusalCause} from './retry-advice.js';
 import type {Service} from './serving-configuration.js';
 
 /** Waiting requests of one daemon: a daemon of a large fleet gets a few requests a second, and none waits longer than some seconds. */
@@ -32,9 +33,6 @@
  */
 const MAX_FAILED_OFFERS = 2;
 
-/** A placement without an event counts as served if it was open for this time in ms; servers refuse a request within some ms. */
-const MIN_SERVED_MS = 100;
-
 /**
  * Longest time in ms that a request waits for a token of the retry budget once it lacked one. A client that is refused comes back after about
  * that time, and its next attempt needs no token.
@@ -67,15 +65,21 @@
 export type Offer =
 	/** The placement is open. */
 	| {readonly kind: 'placed'}
-	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. `isHeld`: there is one, which is kept for short prompts. */
+	/** There is no place for the request. `isKnown`: the time of the next one is known, not estimated. `isHeld`: there is one, which is kept for short prompts or for other workspaces. */
 	| {readonly kind: 'none'; readonly placeInMs: number; readonly isKnown: boolean; readonly isHeld?: boolean}
 	/** There is a place, and the retry budget has no token for the request, which a server has refused before. */
 	| {readonly kind: 'no_token'}
 	| {readonly kind: 'ended'; readonly end: 'quarantined' | 'no_path' | 'no_forecast'};
 
+/** Why a request found no place. `long_prompts`, `workspace_share`: there is one, which is kept for others. */
+export type WaitReason = RefusalCause['kind'] | 'long_prompts' | 'workspace_share';
+
+/** Whether a request is only held back for others. */
+export const isHeldFor = (why: WaitReason): boolean => why === 'long_prompts' || why === 'workspace_share';
+
 export type WaitingRequest = QueuedRequest & {
 	/** Why it found no place. */
-	readonly why: string;
+	readonly why: WaitReason;
 	readonly placeInMs: number;
 	/** Chooses a place, and opens the placement if there is one. */
 	offer(now: number): Offer;
@@ -163,12 +167,24 @@
 	wait(request: WaitingRequest, now: number): Promise<WaitEnd> | undefined {
 		const {logger, metrics} = this.options;
 		const {
-			id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, why, placeInMs,
+			id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, isOverShare, why, placeInMs,
 		} = request;
 		let entry: Entry | undefined;
 		const ended = new Promise<WaitEnd>(resolve => {
 			entry = {
-				id, lane, rank, bytes, arrivedAt, dueAt, giveUpAt, request, since: now, lookAt: now + placeInMs, lack: why === 'long_prompts' ? 'share' : 'room', resolve,
+				id,
+				lane,
+				rank,
+				bytes,
+				arrivedAt,
+				dueAt,
+				giveUpAt,
+				isOverShare,
+				request,
+				since: now,
+				lookAt: now + placeInMs,
+				lack: isHeldFor(why) ? 'share' : 'room',
+				resolve,
 			};
 		});
 		const admission = this.#isClosed ? {kind: 'full', bound: 'requests'} as const : this.#queue.add(entry!);
@@ -212,15 +228,15 @@
 	}
 
 	/** Records that a placement of any daemon on `server` has started or ended. */
-	recordRelease(server: string, kind: 'started' | 'closed', {startedAt, placedAt}: Pick<PlacementEntry, 'startedAt' | 'placedAt'>): void {
+	recordRelease(server: string, kind: 'started' | 'closed', entry: Pick<PlacementEntry, 'startedAt' | 'placedAt'>): void {
 		const now = this.options.clock();
 		// A request that the server refused has not held a place, so its end frees none there.
-		const wasServed = startedAt !== undefined || now - placedAt >= MIN_SERVED_MS;
-		if (kind === 'closed' && wasServed) {
+		const hasFreed = wasServed(entry, now);
+		if (kind === 'closed' && hasFreed) {
 			this.#forecast.recordEnd(server, now);
 		}
 
-		this.#wake(server, wasServed || kind === 'started', now);
+		this.#wake(server, hasFreed || kind === 'started', now);
 	}
 
 	/** Looks for places soon, since something has changed. */
--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -8,6 +8,7 @@
 import type {RetryLimit} from '../util/retry-budget.js';
 import type {Dispatcher} from './dispatcher.js';
 import type {MemoryOrders} from './memory-reservation.js';
+import type {RoomShares} from './room-shares.js';
 import type {ChoiceParts} from './server-choice.js';
 import type {WireFormat} from './wire-format.js';
 
@@ -15,6 +16,8 @@
 	readonly wire: WireFormat;
 	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
 	readonly dispatcher: Dispatcher;
+	/** Undefined if room is not shared between workspaces. */
+	readonly roomShares?: RoomShares;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
 	readonly relay: Pick<RequestRelay, 'isNeeded' | 'isPathDoubtful' | 'chooseAddress' | 'skip' | 'recordConfiguration' | 'requiredConfiguration' | 'recordConnected' | 'recordNotConnected'>;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -20,6 +20,7 @@
 import {RetryAllowance} from '../scheduling/retry-allowance.js';
 import {ServiceRetries} from '../scheduling/service-retries.js';
 import {ServerPace} from '../scheduling/server-pace.js';
+import {WorkspaceShares} from '../scheduling/workspace-shares.js';
 import {CountedStore} from '../store/counted-store.js';
 import {ReadSchedule} from '../store/read-schedule.js';
 import {RelayedStore} from '../store/relayed-store.js';
@@ -39,6 +40,7 @@
 import {Gateway} from './gateway.js';
 import type {GatewaySettings} from './gateway-settings.js';
 import type {PlatformAdapter} from './platform-adapter.js';
+import {RoomShares} from './room-shares.js';
 import {planStop} from './stop-policy.js';
 
 const DRAIN_POLL_MS = 50;
@@ -103,6 +105,7 @@
 	readonly random: () => number;
 	readonly turnClock: Clock;
 	readonly dispatcher: Dispatcher;
+	readonly roomShares: RoomShares;
 };
 
 export class GatewayDaemon {
@@ -125,6 +128,16 @@
 			dispatcher.recordRelease(server, kind, entry);
 		});
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
+		const roomShares = RoomShares.create({
+			shares: WorkspaceShares.create(),
+			logger,
+			mayWait: service => dispatcher.mayWait(service),
+			serviceOf: server => fleet.serviceOf(server),
+			countYield(service) {
+				metrics.countShareYield(service);
+			},
+		});
+		placements.listen(roomShares);
 		const limits = ServerLimits.create({
 			daemons: () => loadExchange.daemons, share: now => loadExchange.heardShare(now), heardAt: (id, now) => loadExchange.heardAt(id, now),
 		}, () => {
@@ -252,6 +265,7 @@
 			random,
 			turnClock,
 			dispatcher,
+			roomShares,
 		});
 		await daemon.#start();
 		return daemon;
@@ -333,7 +347,7 @@
 	async #start(): Promise<void> {
 		const {
 			settings, dependencies: {adapter, clock, logger}, parts: {
-				self, fleet, placements, loadExchange, store, schedule, limits, pace, quarantine, quarantineStore, relay, random, turnClock, dispatcher,
+				self, fleet, placements, loadExchange, store, schedule, limits, pace, quarantine, quarantineStore, relay, random, turnClock, dispatcher, roomShares,
 			},
 		} = this;
 		this.#gateway = await Gateway.listen(settings.listen, {
@@ -349,6 +363,7 @@
 			wire: adapter.wire,
 			memoryOrders: adapter.memoryOrders,
 			dispatcher,
+			roomShares,
 			buffers: ResponseBuffers.create(settings.memoryBytes * RESPONSE_MEMORY_SHARE),
 			maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE,
 			loadExchange,
@@ -411,6 +426,7 @@
 			},
 			onConfiguration: () => {
 				this.#gateway.applyConfiguration();
+				roomShares.retain(new Set(this.#feeds?.routeTable?.configuration.services.map(({name}) => name)));
 			},
 			onServers(serverIds) {
 				// Cold servers renew their registrations with each heartbeat, too often to look through all servers each time.
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -93,6 +93,13 @@
 		name: 'fireflyport_rank_inversions_total', help: 'Requests that this daemon placed while a more urgent one waited that could have used the place', registers: [this.#registry],
 	});
 
+	readonly #shareYields = new Counter({
+		name: 'fireflyport_share_yields_total',
+		help: 'Requests that left scarce room to other workspaces, as theirs had had more than its share of the service',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	#server: Server | undefined;
 
 	private constructor({
@@ -152,6 +159,10 @@
 		this.#inversions.inc();
 	}
 
+	countShareYield(service: string): void {
+		this.#shareYields.inc({service});
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -3,6 +3,7 @@
 import type {RequestIdentity} from '../quarantine/request-identity.js';
 import {latestWaitAt} from '../scheduling/wait-decision.js';
 import type {Urgency} from '../scheduling/dispatch-queue.js';
+import type {RoomShares} from './room-shares.js';
 import type {Route, Service, Workspace} from './serving-configuration.js';
 import type {ClientMetadata} from './wire-format.js';
 
@@ -16,6 +17,8 @@
 	readonly route: Route;
 	readonly service: Service;
 	readonly workspace: Workspace | undefined;
+	/** 32-bit hash of the name of its workspace; absent where the configuration leaves no room to share between workspaces. */
+	readonly workspaceKey?: number;
 	/** Priority of the workspace, or else of the route; 0 is the most urgent. */
 	readonly rank: number;
 	/** Urgency for the engine, from 0 (first) to 9; undefined where all requests to the service have one rank. */
@@ -54,9 +57,13 @@
 	route.kind.kind === 'stream' ? Math.min(deadline, arrivedAt + clientSilenceLimitMs(route)) : deadline;
 
 /** What the order of a request among those of its service follows from, as long as it does not wait. */
-export const urgencyOf = (request: RoutedRequest): Urgency => {
+export const urgencyOf = (request: RoutedRequest, shares?: Pick<RoomShares, 'isOverShare'>): Urgency => {
 	const {rank, arrivedAt, route} = request;
 	return {
-		rank, arrivedAt, dueAt: arrivedAt + route.targetLatencyMs, giveUpAt: latestWaitAt({arrivedAt, patienceEndsAt: patienceEndsAt(request)}),
+		rank,
+		arrivedAt,
+		dueAt: arrivedAt + route.targetLatencyMs,
+		giveUpAt: latestWaitAt({arrivedAt, patienceEndsAt: patienceEndsAt(request)}),
+		isOverShare: shares && (now => shares.isOverShare(request, now)),
 	};
 };
--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -149,9 +149,9 @@
 	}
 
 	async #prepare(choice: ServerChoice, now: number): ReturnType<AttemptPreparation['prepare']> {
-		const {parts: {dispatcher}, request, records} = this.options;
+		const {parts: {dispatcher, roomShares}, request, records} = this.options;
 		records.guard(() => {
-			dispatcher.recordPlacement({id: request.id, lane: request.service.name, urgency: urgencyOf(request)}, now);
+			dispatcher.recordPlacement({id: request.id, lane: request.service.name, urgency: urgencyOf(request, roomShares)}, now);
 		});
 		return this.#preparation.prepare(choice, now);
 	}
--- a/src/gateway/place-wait.ts
+++ b/src/gateway/place-wait.ts
@@ -1,7 +1,9 @@
 /** The waits of one request for a place: whether it waits, and the offers that it gets while it does. */
 import {decideWait, latestWaitAt, type WaitDecision} from '../scheduling/wait-decision.js';
 import type {Destination, DestinationChoice, Shortage} from './destination-choice.js';
-import type {Offer, WaitEnd, WaitingRequest} from './dispatcher.js';
+import {
+	isHeldFor, type Offer, type WaitEnd, type WaitingRequest,
+} from './dispatcher.js';
 import type {FlowParts} from './flow-parts.js';
 import {
 	patienceEndsAt, urgencyOf, type GatewayRequest, type RoutedRequest,
@@ -83,6 +85,7 @@
 			arrivedAt,
 			dueAt: decision.dueAt,
 			giveUpAt: decision.giveUpAt,
+			isOverShare: urgencyOf(request, parts.roomShares).isOverShare,
 			why: shortage.why,
 			placeInMs: shortage.placeInMs,
 			offer: at => this.#offer(taker, at),
@@ -105,9 +108,9 @@
 
 	/** Lets waiting requests that go before this one take places first. */
 	serveEarlier(now: number): void {
-		const {parts: {dispatcher}, request} = this;
+		const {parts: {dispatcher, roomShares}, request} = this;
 		if (this.mayWait) {
-			dispatcher.serveBefore(request.service.name, urgencyOf(request), now);
+			dispatcher.serveBefore(request.service.name, urgencyOf(request, roomShares), now);
 		}
 	}
 
@@ -134,7 +137,7 @@
 		}
 
 		return next.shortage
-			? {kind: 'none', ...next.shortage, isHeld: next.shortage.why === 'long_prompts'}
+			? {kind: 'none', ...next.shortage, isHeld: isHeldFor(next.shortage.why)}
 			: {kind: 'ended', end: this.#findEnd(now)};
 	}
 }
--- a/src/gateway/request-admission.ts
+++ b/src/gateway/request-admission.ts
@@ -7,7 +7,7 @@
 import type {AccessResult, RouteTable} from './route-table.js';
 import type {Route} from './serving-configuration.js';
 
-export type AdmittedRequest = Pick<RoutedRequest, 'route' | 'service' | 'workspace' | 'rank' | 'urgency'>;
+export type AdmittedRequest = Pick<RoutedRequest, 'route' | 'service' | 'workspace' | 'workspaceKey' | 'rank' | 'urgency'>;
 
 export const noConfigurationFailure = (): Failure => failure({
 	code: 'not_ready', message: 'this daemon has no configuration yet', ran: 'not_run', step: 'admit', retryAfterMs: OTHER_DAEMON_RETRY_MS,
@@ -37,6 +37,6 @@
 	const workspace = access.kind === 'workspace' ? access.workspace : undefined;
 	const rank = requestRank(route, workspace);
 	return {
-		route, service, workspace, rank, urgency: table.urgency(service, rank),
+		route, service, workspace, workspaceKey: workspace && table.workspaceKey(service, workspace), rank, urgency: table.urgency(service, rank),
 	};
 }
--- a/src/gateway/request-explanation.ts
+++ b/src/gateway/request-explanation.ts
@@ -110,7 +110,7 @@
 	const {next, longestMs} = decide(parts, request, destinations, now);
 	const choice = next.kind === 'server' ? next.choice : undefined;
 	return {
-		queue: {isUsed: dispatcher.mayWait(service), waiting: dispatcher.size, position: dispatcher.requestsAhead(service.name, urgencyOf(request), now) + 1},
+		queue: {isUsed: dispatcher.mayWait(service), waiting: dispatcher.size, position: dispatcher.requestsAhead(service.name, urgencyOf(request, parts.roomShares), now) + 1},
 		servers: describeServers(parts, request, {considered, choice, paced}, now),
 		decision: describeDecision(next, longestMs, choice && considered ? findEqual(considered, choice, {engine: service.engine, failureDomain: parts.failureDomain}, now) : []),
 	};
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -345,6 +345,10 @@
 		this.#wait.serveEarlier(now);
 		const choice = this.#destinations.choose(this.#ran, now);
 		if (choice.kind === 'refused') {
+			if (choice.shortage?.why === 'workspace_share') {
+				this.parts.roomShares?.recordYield(this.request, now);
+			}
+
 			this.#failOrAwait(choice.failure, choice.shortage);
 			return undefined;
 		}
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -1,5 +1,6 @@
 /** Looks up routes, services and workspaces in one version of the serving configuration. */
 import {UrgencyScale} from '../scheduling/request-rank.js';
+import {hash32} from '../util/uniform-hash.js';
 import type {
 	Route, Service, ServingConfiguration, Workspace,
 } from './serving-configuration.js';
@@ -19,6 +20,8 @@
 	readonly #services: ReadonlyMap<string, Service>;
 	readonly #workspaces = new Map<string, Workspace>();
 	readonly #urgencies: UrgencyScale;
+	/** Keys of the workspaces by name; empty if there are not several. */
+	readonly #workspaceKeys: ReadonlyMap<string, number>;
 
 	private constructor(readonly configuration: ServingConfiguration) {
 		for (const route of configuration.routes) {
@@ -34,7 +37,9 @@
 
 		this.#urgencies = UrgencyScale.create(configuration);
 		this.#services = new Map(configuration.services.map(service => [service.name, service]));
-		for (const workspace of configuration.workspaces ?? []) {
+		const {workspaces = []} = configuration;
+		this.#workspaceKeys = new Map((workspaces.length < 2 ? [] : workspaces).map(({name}) => [name, hash32(name)]));
+		for (const workspace of workspaces) {
 			for (const key of workspace.apiKeys) {
 				this.#workspaces.set(key, workspace);
 			}
@@ -60,6 +65,11 @@
 		return service.engine && this.#urgencies.urgency(service.name, rank);
 	}
 
+	/** Key of a workspace in messages about placements; undefined where there is no other to share the room of the service with. */
+	workspaceKey(service: Service, {name}: Workspace): number | undefined {
+		return service.engine && this.#workspaceKeys.get(name);
+	}
+
 	/** Checks the API key of a request to `route`. */
 	checkAccess(route: Route, apiKey: string | undefined): AccessResult {
 		const workspace = apiKey === undefined ? undefined : this.#workspaces.get(apiKey);
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -404,3 +404,56 @@
 		}
 	});
 });
+
+describe('a request of a workspace over its share', () => {
+	const [large, small] = [1, 2];
+	const options: FlowFixtureOptions = {workspaceKeyOf: id => id.startsWith('large') ? large : small};
+
+	/** Fills all slots of the only engine with placements of another daemon, all but the first for the large workspace. */
+	function fillSlots(): void {
+		const now = fixture.parts.clock();
+		for (let index = 0; index < firstSiteProfile.slots; index++) {
+			fixture.placements.open('daemon-2', {
+				id: `other#${index}`,
+				server: 'i-1',
+				helpers: [],
+				prefillMs: 0,
+				contextTokens: 1000,
+				reserved: [],
+				gapTargetMs: 200,
+				weight: 1000,
+				targetMs: 200,
+				workspace: index === 0 ? small : large,
+			}, now, now);
+		}
+	}
+
+	it('should leave scarce room to another workspace, and be served when there is more', async () => {
+		// Guards against a workspace that takes the last slots of the engines from all others.
+		await start(options);
+		fillSlots();
+		const held = send('large-1');
+		await waitUntil(isWaiting());
+		expect(fixture.logs.some(line => line.includes('event=request_waits') && line.includes('why=workspace_share'))).toBe(true);
+		expect(await send('small-1')).toMatchObject({status: 200});
+		expect(arrivals).toEqual(['small-1']);
+		for (let index = 0; index < 4; index++) {
+			fixture.placements.close('daemon-2', `other#${index}`);
+		}
+
+		expect(await held).toMatchObject({status: 200});
+		expect(fixture.waitEnds).toEqual(['placed']);
+	});
+
+	it('should be served at once in a small fleet, by a placement that does not name the workspace', async () => {
+		const placed: Array<Placement | undefined> = [];
+		await start({...options, daemons: LARGE_FLEET - 1}, (res, id) => {
+			placed.push(fixture.placements.entriesOn('i-1').at(-1));
+			answer(res, id);
+		});
+		fillSlots();
+		expect(await send('large-1')).toMatchObject({status: 200});
+		expect(placed.map(entry => [entry?.id, entry?.workspace])).toEqual([['large-1#0', undefined]]);
+		expect(fixture.waitEnds).toEqual([]);
+	});
+});
