Hold requests of a workspace over its share without an end of its own

The hold ended after three quarters of half the patience, but in a quiet fleet nothing woke the queue at that time, so a request could be refused although it was free to go.

The hold now has no end: the workspace gets all that is free beyond a sixteenth of the slots, and any place once it is below its share. Ageing applies to the order of the queue.

A test of a whole daemon that hears of the placements of another one covers configuration, message, explanation, log line and counter.

--- a/src/gateway/room-shares.ts
+++ b/src/gateway/room-shares.ts
@@ -2,7 +2,7 @@
 import {wasServed, type PlacementEntry, type PlacementListener} from '../fleet/placement-table.js';
 import {isRoomReserved, type PlacedWork, type WorkspaceShares} from '../scheduling/workspace-shares.js';
 import type {Logger} from '../util/logger.js';
-import {urgencyOf, type RoutedRequest} from './gateway-request.js';
+import type {RoutedRequest} from './gateway-request.js';
 import type {Service} from './serving-configuration.js';
 
 /** Time in ms without a request that left room to others, after which the next one of its workspace is logged. */
@@ -49,7 +49,7 @@
 			return false;
 		}
 
-		return isRoomReserved(requests().map(count => ({slots: engine.slots, requests: count})), urgencyOf(request, this), now);
+		return isRoomReserved(requests().map(count => ({slots: engine.slots, requests: count})));
 	}
 
 	/** Counts a request that leaves room to others, and logs the first one of its workspace after a while. */
--- a/src/scheduling/workspace-shares.ts
+++ b/src/scheduling/workspace-shares.ts
@@ -5,7 +5,6 @@
  * too few requests of its own to tell which workspace takes the room, and hears of all placements within 5 to 45 ms.
  */
 import {DecayingCount} from '../util/decaying-count.js';
-import {waitedShare, type Urgency} from './dispatch-queue.js';
 
 /** Half-life in ms of work: the shares of a burst are known within a second, and a dozen requests a second are enough to tell them apart. */
 const HALF_LIFE_MS = 1000;
@@ -25,8 +24,6 @@
  * its daemons hear of each other, and a few more.
  */
 const RESERVED_SLOTS_SHARE = 1 / 16;
-/** Share of the time that a request may wait after which it takes any place, so that no request is starved: the last step of its ageing. */
-const MAX_YIELDED_SHARE = 0.75;
 /** Longest time in ms between two judgements while there are placements, so that workspaces without work are forgotten. */
 const MAX_JUDGEMENT_AGE_MS = 10_000;
 
@@ -60,14 +57,10 @@
 const noWork: ShareState = {workspaces: 0, over: new Set(), level: Infinity};
 
 /**
- * Whether the room on `engines` is so scarce that a request of a workspace over its share leaves it to others. One that has waited for most of
- * its time does not.
+ * Whether the room on `engines` is so scarce that a request of a workspace over its share leaves it to others. Its workspace still
+ * gets what is free beyond that, and any place once it is below its share.
  */
-export function isRoomReserved(engines: readonly EngineRoom[], urgency: Urgency, now: number): boolean {
-	if (waitedShare(urgency, now) >= MAX_YIELDED_SHARE) {
-		return false;
-	}
-
+export function isRoomReserved(engines: readonly EngineRoom[]): boolean {
 	let slots = 0;
 	let free = 0;
 	for (const engine of engines) {
--- a/tests/waiting-requests-of-daemon.test.ts
+++ b/tests/waiting-requests-of-daemon.test.ts
@@ -1,7 +1,15 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {request} from 'undici';
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {GatewayFixture, platformConfiguration, promptHeaders} from './fixtures/gateway-fixture.js';
+import {hash32} from '../src/util/uniform-hash.js';
+import {engineFields} from '../testing/stand-ins/platform/engine-fields.js';
+import {
+	API_KEY, GatewayFixture, platformConfiguration, promptHeaders,
+} from './fixtures/gateway-fixture.js';
+import {waitUntil} from './fixtures/http.js';
 
 /** Daemons that are registered beside the one of the test, so that the fleet is no mesh. */
 const OTHER_DAEMONS = 24;
@@ -104,3 +112,47 @@
 		expect(arrivals()).toBe(1);
 	});
 });
+
+describe('a workspace of which the daemon hears from another one', () => {
+	it('should leave scarce room to the other workspace of the configuration, and say so', async () => {
+		// Guards against a daemon that judges by its own requests only, of which it has one a second.
+		fixture.store.put('config', 'main', configuration(4, {tenants: [{name: 'quintas', 'api-keys': [API_KEY]}, {name: 'lojas', 'api-keys': ['key-of-lojas']}]}));
+		await fixture.addServer('model', {instance: 'e-1', events: 4});
+		await fixture.waitForLog('server=e-1');
+		await fixture.waitForLog('version=4');
+		const other = createSocket('udp4');
+		other.bind(fixture.ports.peerPort, '127.0.1.1');
+		await once(other, 'listening');
+		const tell = (message: Record<string, unknown>): void => {
+			other.send(JSON.stringify({
+				as: 'follower', failureDomain: 'famalicao', cores: 0.1, messages: [{daemon: 'other', domain: 'famalicao', ...message}],
+			}), fixture.ports.peerPort, '127.0.0.1');
+		};
+
+		const ids = Array.from({length: engineFields.slots}, (_, index) => `r-${index}#0`);
+		for (const [index, id] of ids.entries()) {
+			const workspace = hash32(index === 0 ? 'lojas' : 'quintas');
+			tell({
+				kind: 'opened', ageMs: 0, startedAgeMs: 0, placement: {
+					id, server: 'e-1@1', helpers: [], prefillMs: 0, contextTokens: 1000, reserved: [], gapTargetMs: 200, weight: 1000, targetMs: 200, workspace,
+				},
+			});
+		}
+
+		await waitUntil(async () => {
+			const {body} = await request(`http://127.0.0.1:${fixture.ports.metricsPort}/explain?route=chat&workspace=quintas&promptTokens=1000`);
+			const {decision} = await body.json() as {decision: {kind: string; why?: string}};
+			return decision.kind === 'wait' && decision.why === 'workspace_share';
+		});
+		const response = fixture.send('/chat/x', {headers: promptHeaders(1000)});
+		await fixture.waitForLog('event=workspace_over_share');
+		await fixture.waitForLog('why=workspace_share');
+		expect(await fixture.daemon.metrics.text()).toContain('fireflyport_share_yields_total{service="model"} 1');
+		for (const id of ids) {
+			tell({kind: 'closed', id});
+		}
+
+		expect(await response).toMatchObject({status: 200});
+		other.close();
+	});
+});
