--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -98,6 +98,13 @@
 		name: 'fireflyport_return_advice_total', help: 'Clients that were rejected for want of room, by what their time to come back follows from', labelNames: ['kind'], registers: [this.#registry],
 	});
 
+	readonly #shareYields = new Counter({
+		name: 'fireflyport_share_yields_total',
+		help: 'Requests that left scarce room to other workspaces, as theirs had had more than its share of the service',
+		labelNames: ['service'],
+		registers: [this.#registry],
+	});
+
 	#server: Server | undefined;
 
 	private constructor({
@@ -162,6 +169,10 @@
 		this.#returnAdvice.inc({kind});
 	}
 
+	countShareYield(service: string): void {
+		this.#shareYields.inc({service});
+	}
+
 	countStoreCall(kind: string, operation: StoreOperation, result: StoreCallResult): void {
 		this.#storeCalls.inc({kind, operation, result});
 	}
