Make the pace of servers a preference, and compare a server with its peers

So the refusals come from (a) limits that refuse although servers have room, (b) refusals of servers whose slots are taken, each of which lowers the limit to 0.7 times what it had, until the whole service is limited, (c) the same evidence at all servers at once, taken for a fault of each. The probability of each daemon was too low where several servers are limited, as all unheard requests were counted for each of them.

Change: a server beyond its pace gets a request if no server within its pace has a free slot, by its load relative to its limit; one that fails again and again comes last. For engines the pace is a charge of the placement as large as that of being late. Limits in force otherwise bind as before. An answer is held against a server only if its share of bad answers is more than twice that of the others of its service, and a refusal at three quarters of its slots not at all. Unheard requests are divided among the limited servers. A good answer raises the limit at least to what the server had.

--- a/src/gateway/request-explanation.ts
+++ b/src/gateway/request-explanation.ts
@@ -7,6 +7,7 @@
 import {placeGeneration, type EngineCandidate} from '../placement/generation-placement.js';
 import {chooseLeastLoaded} from '../placement/least-loaded.js';
 import {forecastServer} from '../placement/server-forecast.js';
+import type {BeyondPace} from '../scheduling/server-pace.js';
 import type {Failure} from '../util/failure.js';
 import {DestinationChoice, type NextDestination} from './destination-choice.js';
 import type {
@@ -89,16 +90,16 @@
 	const {dispatcher} = parts;
 	const {service, metadata: {sharedParts}} = request;
 	let considered: ConsideredServers | undefined;
-	let paced: ReadonlySet<string> = new Set();
+	let beyondPace: BeyondPace = new Map();
 	const {pace} = parts;
 	const observed: FlowParts = {
 		...parts,
 		pace: pace && {
-			blockedServers(offer, at) {
-				paced = pace.wouldBlock(offer, at);
-				return paced;
+			findBeyondPace(offer, at) {
+				beyondPace = pace.previewBeyondPace(offer, at);
+				return beyondPace;
 			},
-			wouldBlock: (offer, at) => pace.wouldBlock(offer, at),
+			previewBeyondPace: (offer, at) => pace.previewBeyondPace(offer, at),
 			recordExpected() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 			recordFailure() {}, // eslint-disable-line @typescript-eslint/no-empty-function
 		},
@@ -111,7 +112,7 @@
 	const choice = next.kind === 'server' ? next.choice : undefined;
 	return {
 		queue: {isUsed: dispatcher.mayWait(service), waiting: dispatcher.size, position: dispatcher.requestsAhead(service.name, urgencyOf(request), now) + 1},
-		servers: describeServers(parts, request, {considered, choice, paced}, now),
+		servers: describeServers(parts, request, {considered, choice, beyondPace}, now),
 		decision: describeDecision(next, longestMs, choice && considered ? findEqual(considered, choice, {engine: service.engine, failureDomain: parts.failureDomain}, now) : []),
 	};
 }
@@ -199,8 +200,7 @@
 type MadeChoice = {
 	readonly considered: ConsideredServers | undefined;
 	readonly choice: ServerChoice | undefined;
-	/** Servers that get no further request at their pace. */
-	readonly paced: ReadonlySet<string>;
+	readonly beyondPace: BeyondPace;
 };
 
 function describeServers(parts: FlowParts, request: RoutedRequest, made: MadeChoice, now: number): ExplainedServer[] {
@@ -224,7 +224,7 @@
 				return 'at_limit';
 			}
 
-			if (made.paced.has(id)) {
+			if (made.beyondPace.has(id)) {
 				return 'at_pace';
 			}
 
--- a/src/gateway/server-choice.ts
+++ b/src/gateway/server-choice.ts
@@ -10,7 +10,7 @@
 import {
 	placeGeneration, type EngineCandidate, type GenerationPlacement, type GenerationRequest,
 } from '../placement/generation-placement.js';
-import type {ServerPace} from '../scheduling/server-pace.js';
+import type {BeyondPace, ServerPace} from '../scheduling/server-pace.js';
 import type {RoutedRequest} from './gateway-request.js';
 import type {MemoryShare} from './memory-reservation.js';
 import type {EngineProfile} from './serving-configuration.js';
@@ -18,9 +18,6 @@
 /** Weight of a plain request. Plain requests never share engines with prompts, so it is not compared with their weights. */
 const PLAIN_REQUEST_WEIGHT = 1;
 
-/** Time in ms after which a server at the limit of its pace may have room: about that of a first event. */
-const PACED_WAIT_MS = 250;
-
 export type ServerChoice = {
 	readonly server: BackendServer;
 	readonly helpers: readonly BackendServer[];
@@ -44,7 +41,7 @@
 	readonly health: ServerHealth;
 	readonly limits: ServerLimits;
 	/** Undefined if servers that start or return are not paced. */
-	readonly pace?: Pick<ServerPace, 'blockedServers' | 'wouldBlock' | 'recordExpected' | 'recordFailure'>;
+	readonly pace?: Pick<ServerPace, 'findBeyondPace' | 'previewBeyondPace' | 'recordExpected' | 'recordFailure'>;
 	readonly partitions: DomainPartitions;
 	readonly failureDomain: string;
 	/** Called with the inputs of each choice. */
@@ -66,8 +63,8 @@
 /** Returns the server for the next attempt, or undefined if none can take the request. */
 export function chooseServer(parts: ChoiceParts, request: RoutedRequest, {excluded, count, hasArrived}: EarlierChoices, now: number): ServerChoice | undefined {
 	const usable = parts.fleet.usableServers(request.service.name, now);
-	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
-	const isAtLimit = (server: BackendServer): boolean => waitMs(parts, request, server, now) > 0 || (paced?.has(server.id) ?? false);
+	const beyondPace = parts.pace?.findBeyondPace({request: request.id, service: request.service.name, servers: usable}, now);
+	const isAtLimit = (server: BackendServer): boolean => waitMs(parts, request, server, now) > 0;
 	const servers = usable
 		.filter(server => !excluded.has(server.id) && !parts.limits.isClosed(server.id, now) && isAllowedDomain(parts, request, server.failureDomain));
 	const id = `${request.id}#${count}`;
@@ -75,9 +72,9 @@
 	const {engine} = request.service;
 	const choice = engine && request.metadata.promptTokens !== undefined
 		? chooseEngine(parts, request, {
-			servers, engine, id, targetMs, isAtLimit,
+			servers, engine, id, targetMs, isAtLimit, beyondPace,
 		}, now)
-		: choosePlainServer(parts, servers.filter(server => !isAtLimit(server)), {id, targetMs}, now);
+		: choosePlainServer(parts, servers.filter(server => !isAtLimit(server)), {id, targetMs, beyondPace}, now);
 	return choice && {...choice, placement: {...choice.placement, isRepeat: hasArrived || undefined}};
 }
 
@@ -88,10 +85,9 @@
 /** Time in ms until a server that would serve the request is below its limit; undefined if no server is at its limit. */
 export function limitWaitMs(parts: ChoiceParts, request: RoutedRequest, now: number): number | undefined {
 	const usable = parts.fleet.usableServers(request.service.name, now);
-	const paced = parts.pace?.blockedServers({request: request.id, service: request.service.name, servers: usable}, now);
 	const waits = usable
 		.filter(server => isAllowedDomain(parts, request, server.failureDomain))
-		.map(server => Math.max(waitMs(parts, request, server, now), paced?.has(server.id) ? PACED_WAIT_MS : 0))
+		.map(server => waitMs(parts, request, server, now))
 		.filter(ms => ms > 0);
 	return waits.length === 0 ? undefined : Math.min(...waits);
 }
@@ -112,7 +108,7 @@
 		placements, health, failureDomain, placementSpread, onConsidered,
 	}: ChoiceParts,
 	servers: readonly BackendServer[],
-	{id, targetMs}: {readonly id: string; readonly targetMs: number},
+	{id, targetMs, beyondPace}: {readonly id: string; readonly targetMs: number; readonly beyondPace: BeyondPace | undefined},
 	now: number,
 ): ServerChoice | undefined {
 	const candidates = servers.map((server): ServerCandidate => ({
@@ -120,6 +116,7 @@
 		requests: placements.entriesOn(server.id).length,
 		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 		spread: placementSpread(),
+		loadBeyondPace: beyondPace?.get(server.id),
 	}));
 	onConsidered?.({kind: 'plain', candidates});
 	const server = chooseLeastLoaded(candidates, failureDomain);
@@ -149,12 +146,14 @@
 	readonly engine: EngineProfile;
 	readonly id: string;
 	readonly targetMs: number;
+	/** Undefined if servers that start or return are not paced. */
+	readonly beyondPace: BeyondPace | undefined;
 	/** Whether a server takes no further request now. */
 	isAtLimit(server: BackendServer): boolean;
 };
 
 function chooseEngine(parts: ChoiceParts, gatewayRequest: RoutedRequest, {
-	servers, engine, id, targetMs, isAtLimit,
+	servers, engine, id, targetMs, isAtLimit, beyondPace,
 }: EngineChoiceInput, now: number): ServerChoice | undefined {
 	const {metadata, route} = gatewayRequest;
 	const {
@@ -172,6 +171,7 @@
 		entries: placements.entriesOn(server.id),
 		isSuspect: health.isSuspect(server.id, now) || server.coldUntil > now,
 		isAtLimit: isAtLimit(server),
+		loadBeyondPace: beyondPace?.get(server.id),
 		spread: parts.placementSpread(),
 	}));
 	const groups = partitions.connectedGroups(candidates, ({server}) => server.failureDomain, now);
--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -51,6 +51,11 @@
 const DECODE_DOMAIN_CHARGE = 0.15;
 /** Share of an engine's free memory available to a prompt larger than one engine; the rest is kept for growing outputs. */
 const FREE_MEMORY_SHARE = 0.9;
+/**
+ * Charge for decoding on an engine beyond its pace, as a share of the request's weight, for each unit of its load relative to its limit: as
+ * much as for being late, so that it is used if the request would be late on all others, and the one with the most room first.
+ */
+const BEYOND_PACE_CHARGE = LATE_LOSS_SHARE;
 /** Charge for an engine that is cold or has failed recently, as a share of the request's weight. */
 const SUSPECT_CHARGE = 0.5;
 
@@ -74,6 +79,8 @@
 	readonly isSuspect: boolean;
 	/** The engine takes no further request now; it may still help with others. */
 	readonly isAtLimit: boolean;
+	/** Load of an engine beyond its pace, relative to the limit of its pace (docs/design/server-pace.md); undefined within it. */
+	readonly loadBeyondPace?: number | undefined;
 	/** Random number between 0 and 1, by which simultaneous placements of a large fleet differ; undefined where daemons need not differ. */
 	readonly spread?: number;
 };
@@ -196,7 +203,7 @@
 function chooseOversizeGroup(request: GenerationRequest, ranked: readonly RankedEngine[], profile: EngineProfile, size: number): EngineGroup | undefined {
 	const freeTokens = ({engine}: RankedEngine): number => Math.floor(FREE_MEMORY_SHARE * (profile.memoryTokens - engine.forecast.usedTokens));
 	const byFreeTokens = [...ranked].sort((a, b) => freeTokens(b) - freeTokens(a));
-	const decoder = byFreeTokens.find(({engine}) => !engine.isAtLimit);
+	const decoder = byFreeTokens.find(({engine}) => !engine.isAtLimit && engine.loadBeyondPace === undefined) ?? byFreeTokens.find(({engine}) => !engine.isAtLimit);
 	if (!decoder) {
 		return undefined;
 	}
@@ -258,12 +265,12 @@
 
 /** Expected loss and tie-breaking charges of decoding the request on an engine. */
 function decodeCharge(request: GenerationRequest, engine: ForecastEngine, profile: EngineProfile, concurrentPlacements: number): number {
-	const {forecast, spread} = engine;
+	const {forecast, spread, loadBeyondPace = 0} = engine;
 	const overflowLoss = LATE_LOSS_SHARE * overflowProbability(profile.slots - forecast.requests, concurrentPlacements);
 	const freeSlots = Math.max(0, 1 - (forecast.requests / profile.slots));
 	const freeSlotsCharge = (FREE_SLOTS_CHARGE * freeSlots) + (forecast.requests === 0 ? EMPTY_ENGINE_CHARGE : 0);
 	const otherDomainCharge = isOwnDomain(request, engine) ? 0 : (spread === undefined ? OTHER_DOMAIN_CHARGE : DECODE_DOMAIN_CHARGE);
 	const spreadCharge = spread === undefined ? 0 : DECODE_SPREAD_CHARGE * spread;
 	const waitMs = slotWaitMs(forecast, profile) + forecast.backlogMs + passAfterPrefillMs(forecast);
-	return request.weight * (overflowLoss + freeSlotsCharge + otherDomainCharge + spreadCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)));
+	return request.weight * (overflowLoss + freeSlotsCharge + otherDomainCharge + spreadCharge + (LATENCY_CHARGE * waitMs / Math.max(1, request.targetMs)) + (BEYOND_PACE_CHARGE * loadBeyondPace));
 }
--- a/src/scheduling/pace-phase.ts
+++ b/src/scheduling/pace-phase.ts
@@ -15,7 +15,7 @@
 /** Time in ms for which a limit that has fallen does not rise. Doubles with each failure in a row; a server that serves again is found within the maximum. */
 const MIN_BACKOFF_MS = 250;
 const MAX_BACKOFF_MS = 1000;
-/** Failures in a row from which a server gets no requests until its back-off is over. */
+/** Failures in a row from which a server gets no requests that another one may get until its back-off is over. */
 const HELD_FAILURES = 2;
 
 export type PacePhase =
@@ -66,9 +66,15 @@
 	}
 }
 
-/** Whether the server gets no request at all for now. */
+/** Whether an answer shows a broken server. One that refuses its only request is not full. */
+export const isFailure = ({kind, open}: Pick<Observation, 'kind' | 'open'>): boolean => kind === 'failed' || (kind === 'rejected' && open <= 1);
+
+/** Whether the server has failed again and again and not served since. */
+export const isFailing = (phase: PacePhase): boolean => phase.kind === 'backed_off' && phase.failures >= HELD_FAILURES;
+
+/** Whether the server gets no request for now that another one may get. */
 export const isHeld = (phase: PacePhase, now: number): boolean =>
-	phase.kind === 'backed_off' && phase.failures >= HELD_FAILURES && now < phase.until;
+	phase.kind === 'backed_off' && isFailing(phase) && now < phase.until;
 
 export function nextPhase(phase: PacePhase, observation: Observation, now: number): PacePhase {
 	switch (phase.kind) {
@@ -100,7 +106,9 @@
 function grow(limit: number, {isCautious, since}: {readonly isCautious: boolean; readonly since: number}, {open, slots}: Observation, now: number): PacePhase {
 	// A limit that is not used is not shown to be borne.
 	const isUsed = 2 * open >= Math.floor(limit);
-	const raised = isUsed ? limit + (isCautious ? 1 / limit : GROWTH_PER_ANSWER) : limit;
+	// A server beyond its pace, because all others are, has shown to bear what it has.
+	const grown = isCautious ? limit + (1 / limit) : Math.max(limit + GROWTH_PER_ANSWER, open);
+	const raised = isUsed ? grown : limit;
 	return raised >= slots || now - since >= FULL_AFTER_MS
 		? {kind: 'full'}
 		: {
@@ -108,11 +116,10 @@
 		};
 }
 
-function backOff(limit: number, earlierFailures: number, {kind, open}: Observation, now: number): PacePhase {
-	// A server that refuses its only request is not full.
-	const isFailure = kind === 'failed' || (kind === 'rejected' && open <= 1);
-	const failures = isFailure ? earlierFailures + 1 : 0;
-	const factor = isFailure ? FAILED_FACTOR : SLOW_FACTOR;
+function backOff(limit: number, earlierFailures: number, observation: Observation, now: number): PacePhase {
+	const {open} = observation;
+	const failures = isFailure(observation) ? earlierFailures + 1 : 0;
+	const factor = isFailure(observation) ? FAILED_FACTOR : SLOW_FACTOR;
 	return {
 		kind: 'backed_off',
 		limit: Math.max(1, factor * Math.min(limit, Math.max(1, open))),
--- a/src/scheduling/server-pace.ts
+++ b/src/scheduling/server-pace.ts
@@ -1,5 +1,6 @@
 /**
- * Limits the requests that all daemons together have on a server that has just started, returned or failed, by how it answers.
+ * Finds, by how it answers, how many requests all daemons together should have on a server that has just started, returned or failed. The
+ * limit is a preference: a server beyond it gets a request that no server within its own may take.
  *
  * Each daemon learns from the placements of all daemons, so that all come to about the same limit and none has to find it out alone.
  * Placements are heard of 5 to 45 ms late. Of the daemons that see the same room at once, each sends with the probability by which the
@@ -11,8 +12,9 @@
 import type {PlacementEntry, PlacementListener, PlacementTable} from '../fleet/placement-table.js';
 import {DecayingCount} from '../util/decaying-count.js';
 import {uniformHash} from '../util/uniform-hash.js';
+import {OverloadEvidence, type JudgedServer} from './overload-evidence.js';
 import {
-	isHeld, limitOf, nextPhase, phaseKinds, type Observation, type PacePhase, type PhaseKind,
+	isFailing, isHeld, limitOf, nextPhase, phaseKinds, type Observation, type PacePhase, type PhaseKind,
 } from './pace-phase.js';
 
 /** Time in ms after which the placements of other daemons are known. */
@@ -41,6 +43,8 @@
 const TROUBLE_HALF_LIFE_MS = 1000;
 /** Failures, or slow answers, and their shares, above which a server without a limit gets one. */
 const TROUBLE = {failures: {least: 2.5, share: 0.3}, slow: {least: 5, share: 0.6}} as const;
+/** Factor of the load of a server that fails again and again, so that others are asked first however many requests they have. */
+const FAILING_LOAD = 1000;
 /** Interval in ms at which a daemon that does not hear all others draws again whether it may use a part of a request. */
 const SHARE_SLOT_MS = 1000;
 
@@ -64,6 +68,16 @@
 	onPhase(change: PhaseChange): void;
 };
 
+/** Tells bad answers that show an overload from those that show a fault of their server. */
+export type AnswerJudge = {
+	/** Records an answer. Returns whether it is a bad one that is no fault of its server. */
+	record(server: JudgedServer, observation: Observation, now: number): boolean;
+	retain(known: ReadonlySet<string>): void;
+};
+
+/** Servers beyond their pace: the requests that each would have with one more, relative to its limit. */
+export type BeyondPace = ReadonlyMap<string, number>;
+
 /** A request that looks for a server. */
 export type Offer = {
 	readonly request: string;
@@ -95,8 +109,8 @@
 type Trouble = {readonly answers: DecayingCount; readonly failures: DecayingCount; readonly slow: DecayingCount};
 
 export class ServerPace implements PlacementListener {
-	static create(options: ServerPaceOptions): ServerPace {
-		return new ServerPace(options);
+	static create(options: ServerPaceOptions, judge: AnswerJudge = OverloadEvidence.create()): ServerPace {
+		return new ServerPace(options, judge);
 	}
 
 	readonly #servers = new Map<string, ServerState>();
@@ -105,7 +119,7 @@
 	readonly #ownExpectedMs = new Map<string, number>();
 	#lastOwnEnd: {readonly id: string; readonly placedAt: number; readonly open: number} | undefined;
 
-	private constructor(private readonly options: ServerPaceOptions) {}
+	private constructor(private readonly options: ServerPaceOptions, private readonly judge: AnswerJudge) {}
 
 	/** Number of servers in each phase. */
 	get phases(): Readonly<Record<PhaseKind, number>> {
@@ -117,8 +131,8 @@
 		return counts;
 	}
 
-	/** Returns the ids of the offered servers that may not get the request now. */
-	blockedServers({request, service: name, servers}: Offer, now: number): ReadonlySet<string> {
+	/** Returns the offered servers that would be beyond their pace with the request. */
+	findBeyondPace({request, service: name, servers}: Offer, now: number): BeyondPace {
 		const service = this.#serviceOf(name, now);
 		const states = servers.map(server => this.#offer(server, service, now));
 		if (service.lastRequest !== request) {
@@ -127,18 +141,14 @@
 		}
 
 		service.lastOfferAt = now;
-		const blocked = states.filter(state => isHeld(state.phase, now) || !this.#hasRoom(state, {request, service}, now));
-		const [earliest] = blocked.filter(({phase}) => isHeld(phase, now)).sort((a, b) => heldUntil(a) - heldUntil(b));
-		// If no other server may be asked, the next probe need not wait.
-		const probed = blocked.length === states.length && earliest && this.#hasRoom(earliest, {request, service}, now) ? earliest : undefined;
-		return new Set(blocked.filter(state => state !== probed).map(({server}) => server!.id));
+		return this.#beyondPace(states, {request, service}, now);
 	}
 
-	/** Returns what `blockedServers` would return, as far as is known without the offer, and records nothing. */
-	wouldBlock({request, service: name, servers}: Offer, now: number): ReadonlySet<string> {
+	/** Returns what `findBeyondPace` would return, as far as is known without the offer, and records nothing. */
+	previewBeyondPace({request, service: name, servers}: Offer, now: number): BeyondPace {
 		const service = this.#services.get(name);
 		const states = servers.map(({id}) => this.#servers.get(id)).filter(state => state?.server !== undefined);
-		return new Set(service ? states.filter(state => isHeld(state!.phase, now) || !this.#hasRoom(state!, {request, service}, now)).map(state => state!.server!.id) : []);
+		return service ? this.#beyondPace(states as ServerState[], {request, service}, now) : new Map();
 	}
 
 	/** Records the expected time in ms to the first event of a request that this daemon is about to place. */
@@ -211,6 +221,8 @@
 				this.#servers.delete(server);
 			}
 		}
+
+		this.judge.retain(known);
 	}
 
 	#serviceOf(name: string, now: number): ServiceState {
@@ -293,23 +305,36 @@
 		}
 	}
 
-	#hasRoom(state: ServerState, {request, service}: {readonly request: string; readonly service: ServiceState}, now: number): boolean {
-		const limit = limitOf(state.phase);
-		if (limit === Infinity) {
-			return true;
-		}
+	#beyondPace(states: readonly ServerState[], {request, service}: {readonly request: string; readonly service: ServiceState}, now: number): BeyondPace {
+		const limited = states.filter(({phase}) => limitOf(phase) < Infinity);
+		return new Map(limited.flatMap(state => {
+			const load = this.#loadBeyond(state, {request, service, limited: limited.length}, now);
+			return load === undefined ? [] : [[state.server!.id, load]];
+		}));
+	}
 
+	/** Returns the load of a server with a limit, or undefined if it is within it. */
+	#loadBeyond({phase, server: known}: ServerState, {request, service, limited}: {
+		readonly request: string; readonly service: ServiceState; readonly limited: number;
+	}, now: number): number | undefined {
+		const limit = limitOf(phase);
 		const {daemon, daemons, heardShare} = this.options;
-		const server = state.server!.id;
+		const server = known!.id;
 		const share = heardShare(now);
 		const own = share < 1 ? wholeShare(limit * share, uniformHash(daemon, server, Math.floor(now / SHARE_SLOT_MS))) : Math.floor(limit);
 		const counted = this.options.placements.entriesOn(server).filter(({startedAt, placedAt}) => startedAt !== undefined || now - placedAt < ABANDONED_MS).length;
 		const room = own - counted;
 		const heard = Math.max(1, daemons() * share);
 		const perSecond = Math.max(service.placements.perSecond(now), heard * service.offers.perSecond(now)) * (heard - 1) / heard;
-		const unheard = perSecond * MESSAGE_DELAY_MS / 1000;
+		// Requests spread over the servers that are limited at the same time.
+		const unheard = perSecond * MESSAGE_DELAY_MS / 1000 / limited;
 		// A request that asks again does not raise its chance before the placements of the others are known.
-		return room >= 1 && (unheard <= room || uniformHash(request, server, Math.floor(now / MESSAGE_DELAY_MS)) < room / unheard);
+		if (!isHeld(phase, now) && room >= 1 && (unheard <= room || uniformHash(request, server, Math.floor(now / MESSAGE_DELAY_MS)) < room / unheard)) {
+			return undefined;
+		}
+
+		const load = (counted + 1) / limit;
+		return isFailing(phase) ? FAILING_LOAD * load : load;
 	}
 
 	/** Time in ms after which the first event of a prompt is slow. Other daemons do not tell what they expected, but the prefill times before it are known. */
@@ -328,11 +353,14 @@
 
 	#observe(id: string, observation: Omit<Observation, 'slots'>, now: number): void {
 		const state = this.#stateOf(id);
-		if (state.phase.kind === 'full' && !isInTrouble(state.trouble, observation.kind, now)) {
+		const {server} = state;
+		const judged = {...observation, slots: server?.slots ?? Infinity};
+		const isOverload = this.judge.record({id, service: server?.service}, judged, now);
+		if (isOverload || (state.phase.kind === 'full' && !isInTrouble(state.trouble, observation.kind, now))) {
 			return;
 		}
 
-		this.#setPhase(id, state, nextPhase(state.phase, {...observation, slots: state.server?.slots ?? Infinity}, now));
+		this.#setPhase(id, state, nextPhase(state.phase, judged, now));
 	}
 
 	#setPhase(id: string, state: ServerState, phase: PacePhase): void {
@@ -354,8 +382,6 @@
 /** Whether the server was not usable for some time while others of its service were. */
 const isBack = ({offeredAt}: ServerState, {lastOfferAt}: ServiceState, now: number): boolean => offeredAt < lastOfferAt && now - offeredAt > AWAY_MS;
 
-const heldUntil = ({phase}: ServerState): number => phase.kind === 'backed_off' ? phase.until : -Infinity;
-
 const allowedAnswerMs = (usualMs: number | undefined, targetMs: number): number =>
 	usualMs === undefined ? targetMs : Math.max(SLOW_ANSWER * usualMs, usualMs + ANSWER_MARGIN_MS);
 
--- a/testing/baselines/limit-methods.ts
+++ b/testing/baselines/limit-methods.ts
@@ -42,7 +42,7 @@
 				learn(limit, {ms: 0, isServed: false, open: placements.entriesOn(server).length + 1});
 			}
 		},
-		blockedServers({servers}, now) {
+		limitServers({servers}, now) {
 			firstAt ??= now;
 			const blocked = new Set<string>();
 			for (const {id: server, slots} of servers) {
@@ -55,7 +55,7 @@
 				}
 			}
 
-			return blocked;
+			return {blocked};
 		},
 	};
 }
--- a/testing/load/server-returns.ts
+++ b/testing/load/server-returns.ts
@@ -5,8 +5,10 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {BackendServer} from '../../src/fleet/backend-server.js';
+import {MAX_MESH_SIZE} from '../../src/fleet/fleet-topology.js';
 import {PlacementTable, type PlacementListener} from '../../src/fleet/placement-table.js';
 import {chooseLeastLoaded} from '../../src/placement/least-loaded.js';
+import type {BeyondPace, Offer} from '../../src/scheduling/server-pace.js';
 
 const MESSAGE_DELAY_MS = [5, 45] as const;
 const MAX_SENDS = 3;
@@ -21,7 +23,8 @@
 
 /** How one daemon limits servers. */
 export type PlayedMethod = PlacementListener & {
-	blockedServers(offer: {readonly request: string; readonly service: string; readonly servers: readonly BackendServer[]}, now: number): ReadonlySet<string>;
+	/** Servers that may not get the request, and servers that should not. */
+	limitServers(offer: Offer, now: number): {readonly blocked?: ReadonlySet<string>; readonly beyondPace?: BeyondPace};
 	recordFailure(server: string, failure: {readonly placement: string; readonly isRejected: boolean}, now: number): void;
 };
 
@@ -66,10 +69,21 @@
 export type SentRequest = {readonly server: string; readonly at: number; readonly end: 'answered' | 'slow' | 'rejected' | 'failed' | 'open'; readonly endedAt: number};
 
 type Daemon = PlayedDaemon & {readonly method: PlayedMethod; readonly isCut: boolean};
+/** A request of a caller. `answeredAfterMs` is undefined if it was refused or failed. */
+export type PlayedCall = {readonly arrivedAt: number; readonly answeredAfterMs: number | undefined};
+
+type CalledRequest = {readonly id: string; readonly arrivedAt: number; readonly sends: number; readonly tried: readonly string[]};
 type Host = PlayedServer & {running: number; readonly waiting: Array<(now: number) => void>};
 
-/** Returns all sent requests and the times at which requests found no server. */
-export function playReturns(play: Play): {readonly sent: readonly SentRequest[]; readonly refusedAt: readonly number[]} {
+export type PlayedReturns = {
+	readonly sent: readonly SentRequest[];
+	/** Times at which requests found no server. */
+	readonly refusedAt: readonly number[];
+	/** Requests that have ended. */
+	readonly calls: readonly PlayedCall[];
+};
+
+export function playReturns(play: Play): PlayedReturns {
 	const random = xoroshiro128plus(play.seed);
 	const chance = () => uniformFloat64(random);
 	const due = new Map<number, Array<(now: number) => void>>();
@@ -85,6 +99,7 @@
 
 	const sent: SentRequest[] = [];
 	const refusedAt: number[] = [];
+	const calls: PlayedCall[] = [];
 	const hosts = new Map<string, Host>(play.servers.map(server => [server.id, {...server, running: 0, waiting: []}]));
 	let daemons = Array.from({length: play.daemons}, (_, index) => createDaemon(play, index));
 	// Messages between two daemons arrive in their order.
@@ -111,14 +126,19 @@
 			id, instanceId: id, service: 'desk', address: '', failureDomain: 'braga', slots: play.slots, isDraining: false, coldUntil: -Infinity, startedAt: PLAY_UNIX_MS + from,
 		}));
 
-	const send = (daemon: Daemon, request: {readonly id: string; readonly sends: number; readonly tried: readonly string[]}, now: number): void => {
+	const send = (daemon: Daemon, request: CalledRequest, now: number): void => {
 		const servers = usable(now);
-		const blocked = daemon.method.blockedServers({request: request.id, service: 'desk', servers}, now);
-		const server = chooseLeastLoaded(servers.filter(({id}) => !blocked.has(id) && !request.tried.includes(id)).map(candidate => ({
-			server: candidate, requests: daemon.placements.entriesOn(candidate.id).length, isSuspect: false,
+		const {blocked, beyondPace} = daemon.method.limitServers({request: request.id, service: 'desk', servers}, now);
+		const server = chooseLeastLoaded(servers.filter(({id}) => !blocked?.has(id) && !request.tried.includes(id)).map(candidate => ({
+			server: candidate,
+			requests: daemon.placements.entriesOn(candidate.id).length,
+			isSuspect: false,
+			spread: play.daemons > MAX_MESH_SIZE ? chance() : undefined,
+			loadBeyondPace: beyondPace?.get(candidate.id),
 		})), 'braga');
 		if (!server) {
 			refusedAt.push(now);
+			calls.push({arrivedAt: request.arrivedAt, answeredAfterMs: undefined});
 			return;
 		}
 
@@ -136,6 +156,10 @@
 			tell(daemon, time, (other, heardAt) => {
 				other.placements.close(daemon.id, placement.id, {isAnswered, now: heardAt});
 			});
+			if (isAnswered || request.sends + 1 === MAX_SENDS) {
+				calls.push({arrivedAt: request.arrivedAt, answeredAfterMs: isAnswered ? time - request.arrivedAt : undefined});
+			}
+
 			if (!isAnswered) {
 				daemon.method.recordFailure(server.id, {placement: placement.id, isRejected: kind === 'rejected'}, time);
 				if (request.sends + 1 < MAX_SENDS) {
@@ -186,7 +210,9 @@
 
 	let requests = 0;
 	const sendNew = (now: number) => {
-		send(daemons[Math.floor(chance() * play.daemons)]!, {id: `r${requests++}`, sends: 0, tried: []}, now);
+		send(daemons[Math.floor(chance() * play.daemons)]!, {
+			id: `r${requests++}`, arrivedAt: now, sends: 0, tried: [],
+		}, now);
 	};
 
 	for (let now = 0; now < play.durationMs; now++) {
@@ -207,7 +233,7 @@
 		}
 	}
 
-	return {sent, refusedAt};
+	return {sent, refusedAt, calls};
 }
 
 function bearableRequests({slots, coldSlots = slots}: Play, {from, warmAt = from}: PlayedServer, now: number): number {
@@ -238,7 +264,7 @@
 };
 
 /** Figures of the servers in `returned` in the `spanMs` after their return. */
-export function measureReturn({sent, refusedAt}: ReturnType<typeof playReturns>, {returned, others, returnedAt, spanMs}: {
+export function measureReturn({sent, refusedAt}: Pick<PlayedReturns, 'sent' | 'refusedAt'>, {returned, others, returnedAt, spanMs}: {
 	readonly returned: readonly string[]; readonly others: readonly string[]; readonly returnedAt: number; readonly spanMs: number;
 }): ReturnFigures {
 	const isWithin = (time: number): boolean => time >= returnedAt && time < returnedAt + spanMs;
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -198,6 +198,20 @@
 		expect(participants.filter(id => suspects.has(id))).toEqual([]);
 	});
 
+	it('should leave an engine beyond its pace alone while the others are in time, and use the one with the most room when they are not', () => {
+		// Guards against requests that are refused or late because engines which have just started are at their pace.
+		const place = (perEngine: number) => {
+			const placements = placementsWithShortPrompts(14, perEngine);
+			return placeGeneration(shortPrompt, candidatesOf(placements).map(candidate => {
+				const load = {'e-14': 3, 'e-15': 1.5}[candidate.server.id];
+				return load === undefined ? candidate : {...candidate, loadBeyondPace: load};
+			}), profile, 100)!.server.id;
+		};
+
+		expect(place(8)).not.toMatch(/^e-1[45]$/v);
+		expect(place(14)).toBe('e-15');
+	});
+
 	it('should keep short prompts on time while long ones run on the same engines', () => {
 		// Simulates ten seconds of peak load, 25 short and 1.5 long prompts per second, with the cost model that placement uses.
 		const placements = PlacementTable.create();
