Draw the requests of each daemon among all limited servers together

Cause: the probability by which daemons that see the same room send to a server was raised in proportion to the number of limited servers. A request that passes the draw of any of them goes to one, so the servers together got up to that multiple of their room. Ruled out: daemons that choose the same server beyond its pace; a trial in which loads up to 1.25 times the least counted as equal gave the same figures. Change: the probability by which a request passes at least one of the draws is the share of the unheard requests for which the servers have room.

--- a/src/scheduling/server-pace.ts
+++ b/src/scheduling/server-pace.ts
@@ -326,10 +326,12 @@
 		const room = own - counted;
 		const heard = Math.max(1, daemons() * share);
 		const perSecond = Math.max(service.placements.perSecond(now), heard * service.offers.perSecond(now)) * (heard - 1) / heard;
-		// Requests spread over the servers that are limited at the same time.
-		const unheard = perSecond * MESSAGE_DELAY_MS / 1000 / limited;
+		const unheard = perSecond * MESSAGE_DELAY_MS / 1000;
+		// The servers that are limited at the same time share the requests. A request goes to one of those whose draw it passes.
+		const filling = limited * room / unheard;
+		const probability = filling < 1 ? 1 - ((1 - filling) ** (1 / limited)) : 1;
 		// A request that asks again does not raise its chance before the placements of the others are known.
-		if (!isHeld(phase, now) && room >= 1 && (unheard <= room || uniformHash(request, server, Math.floor(now / MESSAGE_DELAY_MS)) < room / unheard)) {
+		if (!isHeld(phase, now) && room >= 1 && uniformHash(request, server, Math.floor(now / MESSAGE_DELAY_MS)) < probability) {
 			return undefined;
 		}
 
