--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -17,7 +17,7 @@
 	readonly loadExchange: Pick<LoadExchange, 'openPlacement' | 'startPlacement' | 'closePlacement' | 'broadcastLimit' | 'broadcastLost'>;
 	readonly dispatcher: Dispatcher;
 	/** Undefined if room is not shared between workspaces. */
-	readonly roomShares?: RoomShares;
+	readonly roomShares?: RoomShares | undefined;
 	readonly memoryOrders: MemoryOrders;
 	readonly quarantine: PromptQuarantine;
 	readonly relay: Pick<RequestRelay, 'isNeeded' | 'isPathDoubtful' | 'chooseAddress' | 'skip' | 'recordConfiguration' | 'requiredConfiguration' | 'recordConnected' | 'recordNotConnected'>;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -105,7 +105,7 @@
 	readonly random: () => number;
 	readonly turnClock: Clock;
 	readonly dispatcher: Dispatcher;
-	readonly roomShares: RoomShares;
+	readonly roomShares: RoomShares | undefined;
 };
 
 export class GatewayDaemon {
@@ -128,16 +128,21 @@
 			dispatcher.recordRelease(server, kind, entry);
 		});
 		const fleet = FleetView.create(settings.serverHeartbeatMs * CONFIRMATION_HEARTBEATS);
-		const roomShares = RoomShares.create({
-			shares: WorkspaceShares.create(),
-			logger,
-			mayWait: service => dispatcher.mayWait(service),
-			serviceOf: server => fleet.serviceOf(server),
-			countYield(service) {
-				metrics.countShareYield(service);
-			},
-		});
-		placements.listen(roomShares);
+		const roomShares = settings.workspaceShares === 'off'
+			? undefined
+			: RoomShares.create({
+				shares: WorkspaceShares.create(),
+				logger,
+				mayWait: service => dispatcher.mayWait(service),
+				serviceOf: server => fleet.serviceOf(server),
+				countYield(service) {
+					metrics.countShareYield(service);
+				},
+			});
+		if (roomShares) {
+			placements.listen(roomShares);
+		}
+
 		const limits = ServerLimits.create({
 			daemons: () => loadExchange.daemons, share: now => loadExchange.heardShare(now), heardAt: (id, now) => loadExchange.heardAt(id, now),
 		}, () => {
@@ -426,7 +431,7 @@
 			},
 			onConfiguration: () => {
 				this.#gateway.applyConfiguration();
-				roomShares.retain(new Set(this.#feeds?.routeTable?.configuration.services.map(({name}) => name)));
+				roomShares?.retain(new Set(this.#feeds?.routeTable?.configuration.services.map(({name}) => name)));
 			},
 			onServers(serverIds) {
 				// Cold servers renew their registrations with each heartbeat, too often to look through all servers each time.
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -2,6 +2,10 @@
 export const serverPaceModes = ['off', 'adaptive'] as const;
 export type ServerPaceMode = typeof serverPaceModes[number];
 
+/** Whether room that is scarce is shared between workspaces. */
+export const workspaceShareModes = ['off', 'fair'] as const;
+export type WorkspaceShareMode = typeof workspaceShareModes[number];
+
 /** Settings of a gateway daemon, under fireflyport's own names. */
 export type GatewaySettings = {
 	readonly daemon: string;
@@ -32,4 +36,5 @@
 	readonly retryShare: number;
 	readonly retrySlack: number;
 	readonly serverPace: ServerPaceMode;
+	readonly workspaceShares: WorkspaceShareMode;
 };
--- a/tests/generation-placement.test.ts
+++ b/tests/generation-placement.test.ts
@@ -54,7 +54,9 @@
 		return participantsOf(placeGeneration(request, candidatesOf(placements).map(candidate => ({...candidate, spread})), profile, 100)).length;
 	};
 
-	const hugePrompt = {...longPrompt, promptTokens: 330_000, weight: 337_800, targetMs: 1500};
+	const hugePrompt = {
+		...longPrompt, promptTokens: 330_000, weight: 337_800, targetMs: 1500,
+	};
 
 	it('should be at most half of the engines of a large fleet that the prompt delays noticeably', () => {
 		// Guards against prompts of 325,000 and 358,000 tokens on 12 and 10 of 14 engines: all streams stood still for up to 3 s.
@@ -218,6 +220,20 @@
 		expect(participants.filter(id => suspects.has(id))).toEqual([]);
 	});
 
+	it('should leave an engine beyond its pace alone while the others are in time, and use the one with the most room when they are not', () => {
+		// Guards against requests that are refused or late because engines which have just started are at their pace.
+		const place = (perEngine: number) => {
+			const placements = placementsWithShortPrompts(14, perEngine);
+			return placeGeneration(shortPrompt, candidatesOf(placements).map(candidate => {
+				const load = {'e-14': 3, 'e-15': 1.5}[candidate.server.id];
+				return load === undefined ? candidate : {...candidate, loadBeyondPace: load};
+			}), profile, 100)!.server.id;
+		};
+
+		expect(place(8)).not.toMatch(/^e-1[45]$/v);
+		expect(place(14)).toBe('e-15');
+	});
+
 	it('should keep short prompts on time while long ones run on the same engines', () => {
 		// Simulates ten seconds of peak load, 25 short and 1.5 long prompts per second, with the cost model that placement uses.
 		const placements = PlacementTable.create();
--- a/tests/platform-adapter.test.ts
+++ b/tests/platform-adapter.test.ts
@@ -55,15 +55,20 @@
 				retryShare: 0.2,
 				retrySlack: 106,
 				serverPace: 'off',
+				workspaceShares: 'off',
 			},
 		});
 	});
 
-	it('should pace servers only if the environment asks for it, and refuse another value', () => {
-		expect(parseSettings(JSON.stringify(settings), 'local.json', 'adaptive').gateway.serverPace).toBe('adaptive');
-		expect(parseSettings(JSON.stringify(settings), 'local.json', 'off').gateway.serverPace).toBe('off');
-		for (const value of ['on', '', 'Adaptive']) {
-			expect(() => parseSettings(JSON.stringify(settings), 'local.json', value)).toThrow(`FIREFLYPORT_SERVER_PACE is "${value}": expected one of off, adaptive`);
+	it.each([
+		['FIREFLYPORT_SERVER_PACE', 'serverPace', 'adaptive'],
+		['FIREFLYPORT_WORKSPACE_SHARES', 'workspaceShares', 'fair'],
+	] as const)('should change what %s names only if the environment asks for it, and refuse another value', (variable, field, mode) => {
+		const parse = (value: string) => parseSettings(JSON.stringify(settings), 'local.json', {[variable]: value}).gateway[field];
+		expect(parse(mode)).toBe(mode);
+		expect(parse('off')).toBe('off');
+		for (const value of ['on', '', mode.toUpperCase()]) {
+			expect(() => parse(value)).toThrow(`${variable} is "${value}": expected one of off, ${mode}`);
 		}
 	});
 
--- a/tests/waiting-requests-of-daemon.test.ts
+++ b/tests/waiting-requests-of-daemon.test.ts
@@ -37,7 +37,7 @@
 		fixture.store.put('fireflyport-daemons', address, {address, failureDomain: 'famalicao', cores: 0.1});
 	}
 
-	await fixture.start();
+	await fixture.start('off', 'fair');
 	await fixture.waitForLog('event=configuration');
 	await fixture.waitForLog('event=registered');
 });
