Let refusals of half-sent bodies out before a stopped daemon exits

At the end of a planned stop a request whose body is still arriving gets 503, and the daemon closed all connections as soon as that was written: the rest of the body then reset the connection, and a client that had not read the refusal yet lost it.

Measured: the new test in tests/client-connections.test.ts fails before (no response) and passes now (3 of 3); client-connections, planned-stop, request-stop, drain and one-final-answer pass, 51 tests, load average 17.

--- a/src/gateway/client-connections.ts
+++ b/src/gateway/client-connections.ts
@@ -121,6 +121,11 @@
 		}
 	}
 
+	/** Whether a client still sends the rest of a body that was refused, and may not have read the refusal yet. */
+	get isDiscarding(): boolean {
+		return [...this.#connections.values()].some(({socket, lastRequest}) => lastRequest?.complete === false && socket.writableEnded && !socket.destroyed);
+	}
+
 	/** Accepts no new connections. `close` of an HTTP server would also cut responses that are still being sent. */
 	stopListening(): void {
 		NetServer.prototype.close.call(this.server);
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -316,7 +316,7 @@
 		}
 
 		await this.#gateway.endRequests();
-		while (this.#gateway.openRequests > 0 && clock() < plan.exitAt) {
+		while (this.#gateway.isSending && clock() < plan.exitAt) {
 			await pause(Math.min(DRAIN_POLL_MS, plan.exitAt - clock()));
 		}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,6 +104,11 @@
 		return this.#openRequests.size;
 	}
 
+	/** Whether a response may still be lost if all connections are closed now. */
+	get isSending(): boolean {
+		return this.openRequests > 0 || this.#connections.isDiscarding;
+	}
+
 	/** Whether the balancer should send new connections to this daemon. */
 	get isReady(): boolean {
 		return this.#phase.kind === 'serving' && this.parts.routeTable() !== undefined;
--- a/tests/client-connections.test.ts
+++ b/tests/client-connections.test.ts
@@ -230,6 +230,24 @@
 		expect(connection.statuses).toEqual([413]);
 	});
 
+	it('should get the refusal at the end of a planned stop', async () => {
+		const connection = await openConnection();
+		connection.socket.pause();
+		connection.write(rawRequest('/book/x', 'late', {headers: {'content-length': '1000000'}}));
+		await delay(100);
+		const drained = fixture.daemon.drain();
+		await waitUntil(() => fixture.logs.some(line => line.includes('event=request_ended_by_stop')), 8000);
+		for (let piece = 0; piece < 4; piece++) {
+			connection.write(PIECE.slice(0, 200_000));
+			await delay(40);
+		}
+
+		connection.socket.resume();
+		await connection.waitForClose();
+		expect(connection.statuses).toEqual([503]);
+		await drained;
+	}, 15_000);
+
 	it('should not have a request passed on that follows the rest', async () => {
 		const desk = await fixture.addServer('desk', {instance: 'i-1'});
 		await fixture.waitForLog('server=i-1');
