Order returns by the shares of workspaces like the queue

Three of four uses of urgencyOf passed the shares of workspaces and the one of the order of returns, written beside them, did not: with FIREFLYPORT_WORKSPACE_SHARES=fair it counted the waiting requests before a rejected one by another order than the queue's. The parameter is no longer optional, so that the compiler finds such a caller. Without the setting nothing changes. The new test fails before.

--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -165,7 +165,7 @@
 			id,
 			service: service.name,
 			rank,
-			urgency: urgencyOf(request),
+			urgency: urgencyOf(request, this.parts.roomShares),
 			timeLeftMs: deadline - now,
 			dueInMs: arrivedAt + route.targetLatencyMs - serviceMs - now,
 			usualMs,
--- a/src/gateway/gateway-request.ts
+++ b/src/gateway/gateway-request.ts
@@ -56,8 +56,8 @@
 export const patienceEndsAt = ({route, arrivedAt, deadline}: RoutedRequest): number =>
 	route.kind.kind === 'stream' ? Math.min(deadline, arrivedAt + clientSilenceLimitMs(route)) : deadline;
 
-/** What the order of a request among those of its service follows from, as long as it does not wait. */
-export const urgencyOf = (request: RoutedRequest, shares?: Pick<RoomShares, 'isOverShare'>): Urgency => {
+/** What the order of a request among those of its service follows from, as long as it does not wait. `shares`: undefined where room is not shared between workspaces. */
+export const urgencyOf = (request: RoutedRequest, shares: Pick<RoomShares, 'isOverShare'> | undefined): Urgency => {
 	const {rank, arrivedAt, route} = request;
 	return {
 		rank,
--- a/tests/explain.test.ts
+++ b/tests/explain.test.ts
@@ -209,7 +209,7 @@
 		health: servers.map(id => health.isSuspect(id, NOW)),
 		usable: fleet.usableServers('model', NOW),
 		quarantined: quarantine.list(NOW),
-		queue: [dispatcher.size, dispatcher.requestsAhead('model', urgencyOf(request), NOW)],
+		queue: [dispatcher.size, dispatcher.requestsAhead('model', urgencyOf(request, undefined), NOW)],
 	});
 	return {
 		request, createParts, snapshot, dispatcher,
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -2,7 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {
-	afterEach, describe, expect, it,
+	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type {Placement} from '../src/fleet/placement-table.js';
 import type {OrderOutcome} from '../src/gateway/memory-reservation.js';
@@ -180,6 +180,15 @@
 		expect(fixture.logs.filter(line => line.includes('event=return_advised'))).toHaveLength(kinds.length);
 	});
 
+	it('should get its place in the order of returns behind the same requests as in the queue', async () => {
+		// Guards against an order that does not know which workspaces are over their share.
+		await start({daemons: 30}, reject);
+		const advise = vi.spyOn(fixture.dispatcher, 'adviseReturn');
+		expect(await send()).toMatchObject({status: 503});
+		expect(advise).toHaveBeenCalledOnce();
+		expect(advise.mock.calls[0]![0].urgency.isOverShare).toBeTypeOf('function');
+	});
+
 	it('should be refused at once if all engines together could never hold its prompt', async () => {
 		await start();
 		expect(await fixture.send({'fireflyport-token-counts': `${2 * firstSiteProfile.memoryTokens},200`})).toMatchObject({status: 503});
