--- a/src/fleet/load-exchange.ts
+++ b/src/fleet/load-exchange.ts
@@ -313,9 +313,6 @@
 			}
 
 			attempts.recordContact(message.domain, now);
-		}
-
-		if ('domain' in message) {
 			this.#heardAt.set(message.daemon, now);
 		}
 
