Compute what all group sizes of a placement share once

The prefill time of the whole prompt was computed for each of ten group sizes, and again with whether the fleet is large by the limit of the group.

--- a/src/placement/generation-placement.ts
+++ b/src/placement/generation-placement.ts
@@ -111,6 +111,10 @@
 type PlacementContext = {
 	readonly engines: readonly ForecastEngine[];
 	readonly profile: EngineProfile;
+	/** Prefill time in ms of the prompt on one engine. */
+	readonly promptMs: number;
+	/** Largest number of engines that the prompt may delay for longer than `LONG_PART_MS`. */
+	readonly maxDelayed: number;
 	/** Expected number of concurrent placements by other daemons on the preferred engine. */
 	readonly concurrentPlacements: number;
 };
@@ -135,14 +139,21 @@
 	const engines = candidates.map((candidate): ForecastEngine => ({
 		...candidate, forecast: forecastServer(candidate.server.id, candidate.entries, profile, now),
 	}));
-	const context = {engines, profile, concurrentPlacements: expectedConcurrentPlacements(engines, now)};
+	const isLargeFleet = engines.some(({spread}) => spread !== undefined);
+	const context = {
+		engines,
+		profile,
+		promptMs: prefillMs(profile, request.promptTokens),
+		maxDelayed: isLargeFleet ? MAX_GROUP_SHARE * engines.length : Infinity,
+		concurrentPlacements: expectedConcurrentPlacements(engines, now),
+	};
 	let best: GenerationPlacement | undefined;
 	for (const size of ENGINE_GROUP_SIZES) {
 		if (size > 1 && (size > engines.length || request.promptTokens / size < MIN_PART_TOKENS)) {
 			break;
 		}
 
-		if (best && isTooWide(request, context, size)) {
+		if (best && size > context.maxDelayed && context.promptMs / size > LONG_PART_MS) {
 			break;
 		}
 
@@ -155,12 +166,9 @@
 	return best;
 }
 
-const isTooWide = ({promptTokens}: GenerationRequest, {engines, profile}: PlacementContext, size: number): boolean =>
-	size > MAX_GROUP_SHARE * engines.length && engines.some(({spread}) => spread !== undefined) && prefillMs(profile, promptTokens) / size > LONG_PART_MS;
-
 function placeOnGroup(request: GenerationRequest, context: PlacementContext, size: number): GenerationPlacement | undefined {
-	const {engines, profile} = context;
-	const partMs = prefillMs(profile, request.promptTokens) / size;
+	const {engines, profile, promptMs} = context;
+	const partMs = promptMs / size;
 	const ranked = engines
 		.map(engine => ({engine, charge: prefillCharge(request, engine, partMs)}))
 		.sort((a, b) => a.charge - b.charge);
