--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -199,13 +199,11 @@
 		if (parts.relay.isNeeded) {
 			return {
 				kind: 'refused',
-				failure: failure({
+				failure: this.#refusal({
 					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
 					message: `this host has no path to the backend servers${request.isRelayed ? ' either' : ', and no other host relays the request'}`,
 					ran,
-					step: 'reserve',
-					retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
-				}),
+				}, {kind: 'full'}, now),
 				shortage: undefined,
 			};
 		}
@@ -216,13 +214,11 @@
 			const cause: RefusalCause = waitMs === undefined ? {kind: 'no_server'} : {kind: 'limited', waitMs};
 			return {
 				kind: 'refused',
-				failure: failure({
+				failure: this.#refusal({
 					code: ran === 'not_run' ? 'no_capacity' : 'backend_failed',
 					message: `no available backend server for service ${request.service.name}${waitMs === undefined ? '' : ' takes a further request now'}`,
 					ran,
-					step: 'reserve',
-					retryAfterMs: this.retryAdviceMs(cause, now),
-				}),
+				}, cause, now),
 				shortage: this.#createShortage(waitMs === undefined ? undefined : cause, 0, now),
 			};
 		}
@@ -232,13 +228,11 @@
 			const cause: RefusalCause = {kind: 'too_late', expectedMs: choice.expectedMs, limitMs};
 			return {
 				kind: 'refused',
-				failure: failure({
+				failure: this.#refusal({
 					code: 'overloaded',
 					message: `expected time to the first event (${Math.round(choice.expectedMs)} ms) is too long for the client's limit of ${clientSilenceLimitMs(request.route)} ms`,
 					ran,
-					step: 'reserve',
-					retryAfterMs: this.retryAdviceMs(cause, now),
-				}),
+				}, cause, now),
 				shortage: this.#createShortage(cause, choice.placement.prefillMs, now),
 			};
 		}
@@ -348,9 +342,7 @@
 	#hold({expectedMs}: ServerChoice, holdMs: number, now: number): NextDestination {
 		return {
 			kind: 'refused',
-			failure: failure({
-				code: 'overloaded', message: 'long prompts hold their share of the engines', ran: 'not_run', step: 'reserve', retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
-			}),
+			failure: this.#refusal({code: 'overloaded', message: 'long prompts hold their share of the engines', ran: 'not_run'}, {kind: 'full'}, now),
 			shortage: {
 				why: 'long_prompts', placeInMs: holdMs, isKnown: true, serviceMs: HOLD_EXPECTED_TIME_FACTOR * expectedMs,
 			},
@@ -369,17 +361,18 @@
 	#yieldRoom({expectedMs}: ServerChoice, now: number): NextDestination {
 		return {
 			kind: 'refused',
-			failure: failure({
-				code: 'overloaded',
-				message: 'the workspace has had its share of the engines, and others need the rest',
-				ran: 'not_run',
-				step: 'reserve',
-				retryAfterMs: this.retryAdviceMs({kind: 'full'}, now),
-			}),
+			failure: this.#refusal({
+				code: 'overloaded', message: 'the workspace has had its share of the engines, and others need the rest', ran: 'not_run',
+			}, {kind: 'full'}, now),
 			shortage: this.#createShortage({kind: 'full'}, expectedMs, now, 'workspace_share'),
 		};
 	}
 
+	/** A failure whose client is told to come back when `cause` may have ended. */
+	#refusal(refused: Pick<Failure, 'code' | 'message' | 'ran'>, cause: RefusalCause, now: number): Failure {
+		return failure({...refused, step: 'reserve', retryAfterMs: this.retryAdviceMs(cause, now)});
+	}
+
 	#chooseServer(earlier: Omit<EarlierChoices, 'count'>, now: number): ServerChoice | undefined {
 		return chooseServer(this.parts, this.request, {...earlier, count: this.#choices}, now);
 	}
