--- a/tests/silent-servers.test.ts
+++ b/tests/silent-servers.test.ts
@@ -3,10 +3,11 @@
 import {
 	afterEach, describe, expect, it,
 } from 'vitest';
-import type {OrderOutcome} from '../src/gateway/memory-reservation.js';
 import {RetryBudget} from '../src/util/retry-budget.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
-import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
+import {
+	FlowFixture, holdLaterReservations, signedHeaders, type FlowFixtureOptions,
+} from './fixtures/flow-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 
 /** Half of the time after which clients leave a silent stream; the gateway then looks for another server. */
@@ -90,8 +91,7 @@
 	});
 
 	it('should finish its stream if it goes on while memory for another attempt is being reserved', async () => {
-		const replies: Array<(outcome: OrderOutcome) => void> = [];
-		let orders = 0;
+		const {replies, reserve} = holdLaterReservations();
 		let releases = 0;
 		const budget = budgetOf(1);
 		await start({silentMs: 1.5 * SILENCE_TIMEOUT_MS}, ['i-1', 'i-2', 'i-3', 'i-4'], {
@@ -100,11 +100,7 @@
 			parts: {
 				retryBudget: () => budget,
 				memoryOrders: {
-					reserve: async () => orders++ === 0
-						? 'done'
-						: new Promise(resolve => {
-							replies.push(resolve);
-						}),
+					reserve,
 					async release() {
 						releases++;
 						return 'done';
--- a/tests/waiting-requests.test.ts
+++ b/tests/waiting-requests.test.ts
@@ -5,10 +5,11 @@
 	afterEach, describe, expect, it, vi,
 } from 'vitest';
 import type {Placement} from '../src/fleet/placement-table.js';
-import type {OrderOutcome} from '../src/gateway/memory-reservation.js';
 import {RetryBudget} from '../src/util/retry-budget.js';
 import {firstSiteProfile} from './fixtures/engine-profiles.js';
-import {FlowFixture, signedHeaders, type FlowFixtureOptions} from './fixtures/flow-fixture.js';
+import {
+	FlowFixture, holdLaterReservations, signedHeaders, type FlowFixtureOptions,
+} from './fixtures/flow-fixture.js';
 import {waitUntil} from './fixtures/http.js';
 
 /** One more than the largest fleet without a queue. */
@@ -398,18 +399,13 @@
 	it('should give its token back if it ends while memory is being reserved, which is then refused', async () => {
 		// Guards against a token for a repeat that was decided on after the end of the request.
 		const budget = RetryBudget.create(0, () => 2);
-		const replies: Array<(outcome: OrderOutcome) => void> = [];
-		let orders = 0;
+		const {replies, reserve} = holdLaterReservations();
 		await start({
 			service: {engine: {...firstSiteProfile, memoryTokens: 2000}},
 			parts: {
 				retryBudget: () => budget,
 				memoryOrders: {
-					reserve: async () => orders++ === 0
-						? 'done'
-						: new Promise(resolve => {
-							replies.push(resolve);
-						}),
+					reserve,
 					release: async () => 'done',
 				},
 			},
