--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -1,39 +1,37 @@
 /**
- * A configuration moves two routes to another service, and the service that the first of them has left is taken away in the planned way.
- * The store turns one machine away meanwhile. That machine passes a request of the first route on by the new configuration, through another
- * machine, and then handles requests of the second one by the old configuration.
+ * Planned stops in turn. Now and then a sound runner falls silent for a second or so, here between the last piece of a stream and the end of
+ * its answer, and goes on.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	BOUNDS, ClientConnection, Daemon, freePorts, hasTrouble, runCase, Runner, Store,
+	BOUNDS, ClientConnection, Daemon, freePorts, hasTrouble, Ingress, runCase, Runner, Store,
 } from '../support-2/platform.mjs';
 
 const ZONES = {z1: 'r1', z2: 'r1', z3: 'r1'};
 const KEY = 'key-of-tenant-a';
-const WARM_UP_MS = 4000;
-/** How long the store turns the machine away, as in `platform_down` with `nodes` of the site files. */
-const TURNED_AWAY_MS = 9000;
-const ROLLBACK_SLACK_MS = 250;
-/** "Eight times that on a slowed machine": allowed to every machine here. */
-const ALLOWED_MS = 8 * ROLLBACK_SLACK_MS;
-const LINGER_MS = 1000;
-
-const createConfiguration = (version, [reports, looks]) => ({
-	version,
-	routes: [
-		{
-			name: 'report', host: 'desk.example', 'path-prefix': '/report/', kind: 'safe', service: reports, 'timeout-ms': 1500, 'target-latency-ms': 300, priority: 2, 'max-attempts': 2,
-		},
-		{
-			name: 'look', host: 'desk.example', 'path-prefix': '/look/', kind: 'safe', service: looks, 'timeout-ms': 1500, 'target-latency-ms': 300, priority: 2, 'max-attempts': 2,
-		},
-	],
-	services: ['reports-old', 'looks-old', 'desk'].map(name => ({name, 'health-path': '/health'})),
+const CLIENTS = 45;
+const DEADLINE_MS = 10_000;
+const RUN_MS = 40_000;
+const FIRST_STOP_MS = 5000;
+const BETWEEN_STOPS_MS = 1500;
+const GRACE_MS = BOUNDS['grace-s'] * 1000;
+/** "A second or so"; the clients of the route leave after two. */
+const SILENCE_MS = 1200;
+/** One stream in so many meets the silence. */
+const SILENT_EVERY = 4;
+const PIECE_MS = 120;
+
+const configuration = {
+	version: 3,
+	routes: [{
+		name: 'chat', host: 'desk.example', 'path-prefix': '/chat/', kind: 'stream', resumable: true, service: 'lm', 'timeout-ms': 10_000, 'target-latency-ms': 300, 'gap-target-ms': 200, priority: 1, 'max-attempts': 2, sticky: true,
+	}],
+	services: [{name: 'lm', 'health-path': '/health'}],
 	limits: {
-		'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 5000, 'idle-timeout-ms': 10_000,
+		'max-header-bytes': 16_384, 'max-body-bytes': 4_194_304, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000,
 	},
 	tenants: [{name: 'a', 'api-keys': [KEY]}],
-});
+};
 
 let ids = 0;
 const nextId = () => `a${String(++ids).padStart(7, '0')}`;
@@ -41,35 +39,42 @@
 await runCase(import.meta.dirname, async ({record, folder, address, daemons, onClose}) => {
 	const store = await Store.start(address());
 	onClose(() => store.close());
-	store.put('config', 'main', createConfiguration(3, ['reports-old', 'looks-old']));
+	store.put('config', 'main', configuration);
 	const runnerHost = address();
-	/** The service that ran each request. */
-	const ranBy = new Map();
-	const runners = new Map();
-	const zones = Object.keys(ZONES);
-	for (const service of ['reports-old', 'looks-old', 'desk']) {
-		for (const zone of zones) {
-			const id = `${service}-${zone}`;
-			runners.set(id, await Runner.start({
-				store, host: runnerHost, id, service, zone, slots: 6, serve,
-			}));
+	/** Ids of the streams that a runner has begun to run. */
+	const runs = new Set();
+	for (const zone of Object.keys(ZONES)) {
+		for (let index = 0; index < 2; index++) {
+			await Runner.start({
+				store, host: runnerHost, id: `lm-${zone}-${index}`, service: 'lm', zone, slots: 32, serve,
+			});
 		}
 	}
 
 	async function serve(req, res, _body, runner) {
 		const id = req.headers['fireflyport-attempt-id'];
-		ranBy.set(id, {service: runner.service, at: performance.now()});
-		record.add('run', {runner: runner.id, id});
-		await sleep(30);
-		if (!res.destroyed) {
-			const body = `answer of ${runner.id}`;
-			res.writeHead(200, {
-				'content-length': body.length, 'fireflyport-attempt-id': id, 'fireflyport-response-seal': `seal.${runner.id}.${id}`, ...(runner.state === 'draining' ? {'server-leaving': '1'} : {}),
-			});
-			res.end(body);
+		const last = Number(req.headers['last-event-id'] ?? 0);
+		const pieces = Number(req.headers['x-pieces']);
+		runs.add(id);
+		record.add('run', {
+			runner: runner.id, id, after: last, pieces,
+		});
+		res.writeHead(200, {'content-type': 'text/event-stream', 'fireflyport-attempt-id': id, 'fireflyport-response-seal': `seal.${runner.id}.${id}`});
+		res.flushHeaders();
+		for (let piece = last + 1; piece <= pieces && !res.destroyed; piece++) {
+			await sleep(PIECE_MS);
+			res.write(`id: ${piece}\ndata: piece ${piece}\n\n`);
+		}
+
+		if (hasTrouble && last === 0 && Number(id.slice(1)) % SILENT_EVERY === 0) {
+			await sleep(SILENCE_MS);
 		}
+
+		record.add('ends', {runner: runner.id, id, isCut: res.destroyed});
+		res.end();
 	}
 
+	const zones = Object.keys(ZONES);
 	const ips = zones.map(() => address());
 	const ports = await freePorts(ips, 4);
 	for (const [index, zone] of zones.entries()) {
@@ -86,91 +91,83 @@
 		await daemon.waitReady();
 	}
 
-	/** Sends a request to a machine. Resolves with its id, its status and the time at which it was sent. */
-	async function request(daemon, target) {
+	const ingress = await Ingress.start(address(), daemons);
+	onClose(() => ingress.close());
+	const broken = [];
+	/** Times of the latest SIGTERM. */
+	const stoppedAt = new Map();
+	const until = performance.now() + RUN_MS;
+	let otherEnds = 0;
+
+	/** Reads one stream on a connection of its own, to the daemon that the platform chooses. */
+	async function readStream() {
 		const id = nextId();
+		const pieces = 8 + Math.floor(Math.random() * 12);
+		const daemon = ingress.choose();
 		const sentAt = performance.now();
-		record.add('sent', {id, daemon: daemon.name, target});
-		const status = await new Promise(resolve => {
+		let received = '';
+		record.add('sent', {id, pieces, daemon: daemon.name});
+		const result = await new Promise(resolve => {
 			const connection = new ClientConnection(daemon.front, {
+				onEvent(text) {
+					received += text;
+				},
 				onResponse(response) {
 					connection.close();
-					resolve(response.status);
+					resolve({kind: 'response', ...response});
 				},
-				onEnd() {
-					resolve(undefined);
+				onEnd(reason) {
+					resolve({kind: 'end', reason});
 				},
 			});
 			connection.send({
-				target,
+				method: 'POST',
+				target: '/chat/1',
 				headers: {
-					Host: 'desk.example', 'Fireflyport-Credential': KEY, 'Fireflyport-Attempt-Id': id, 'Fireflyport-Deadline-Ms': 3000,
+					Host: 'desk.example', Connection: 'close', 'Fireflyport-Credential': KEY, 'Fireflyport-Attempt-Id': id, 'Fireflyport-Deadline-Ms': DEADLINE_MS, 'X-Pieces': pieces,
 				},
+				body: 'hello',
 			});
 		});
-		record.add('received', {id, status, service: ranBy.get(id)?.service});
-		return {id, status, sentAt};
-	}
-
-	const [turnedAway, ...others] = daemons;
-	for (const daemon of daemons) {
-		await request(daemon, '/report/1');
-		await request(daemon, '/look/1');
-	}
-
-	await sleep(WARM_UP_MS);
-	const startedAt = performance.now();
-	if (hasTrouble) {
-		store.treat = ({headers}) => headers['x-caller'] === turnedAway.name ? 'busy' : 'serve';
-		store.cut(turnedAway.name);
-		record.add('turned_away', {daemon: turnedAway.name});
-	}
-
-	await sleep(300);
-	store.put('config', 'main', createConfiguration(8, ['desk', 'desk']));
-	record.add('configuration', {version: 8});
-	await sleep(700);
-	// The service without a route is taken away: its runners drain, serve for drain-ms and a little longer, and exit.
-	const retired = zones.map(zone => runners.get(`reports-old-${zone}`));
-	for (const runner of retired) {
-		runner.state = 'draining';
-		runner.beat();
-		record.add('drains', {runner: runner.id});
-	}
+		const now = performance.now();
+		const got = received.match(/^id:/gmv)?.length ?? 0;
+		record.add('received', {
+			id, kind: result.kind, status: result.status, pieces: got,
+		});
+		if (result.kind !== 'end' || !runs.has(id)) {
+			return;
+		}
 
-	await sleep(BOUNDS['drain-ms'] + LINGER_MS);
-	for (const runner of retired) {
-		runner.close();
-		store.delete('servers', runner.id);
-		record.add('exits', {runner: runner.id});
+		const sinceStopMs = now - (stoppedAt.get(daemon) ?? Infinity);
+		if (sinceStopMs > 0 && sinceStopMs < (5 / 6) * GRACE_MS && now - sentAt < DEADLINE_MS) {
+			broken.push(`stream ${id} at ${daemon.name}, ${Math.round(sinceStopMs)} ms after its SIGTERM and ${Math.round(now - sentAt)} ms after it was sent, was passed on, and its connection ended after ${got} of ${pieces} pieces without the end of the answer`);
+		} else {
+			otherEnds++;
+		}
 	}
 
-	let seenAt;
-	const broken = [];
-	const until = startedAt + TURNED_AWAY_MS;
-	while (performance.now() < until) {
-		const {id, status} = await request(turnedAway, '/report/1');
-		if (seenAt === undefined && ranBy.get(id)?.service === 'desk') {
-			seenAt = ranBy.get(id).at;
-			record.add('effect_seen', {id, status});
+	async function readStreams() {
+		while (performance.now() < until) {
+			await readStream();
+			await sleep(100 + (Math.random() * 300));
 		}
+	}
 
-		for (const daemon of [turnedAway, ...others]) {
-			const look = await request(daemon, '/look/1');
-			const run = ranBy.get(look.id);
-			if (seenAt !== undefined && look.sentAt > seenAt + ALLOWED_MS && run?.service === 'looks-old') {
-				broken.push(`request ${look.id} was sent to ${daemon.name} ${Math.round(look.sentAt - seenAt)} ms after a runner had seen the effect of version 8 there, and was run by looks-old, as only version 3 allows`);
-			}
+	async function stopInTurn() {
+		await sleep(FIRST_STOP_MS);
+		for (const daemon of daemons) {
+			stoppedAt.set(daemon, performance.now());
+			await daemon.stop();
+			daemon.start();
+			await daemon.waitReady();
+			await sleep(BETWEEN_STOPS_MS);
 		}
-
-		await sleep(200);
 	}
 
-	store.treat = () => 'serve';
-	record.add('store_back');
-	await sleep(2000);
-	if (seenAt === undefined && !hasTrouble) {
-		throw new Error('no request was handled by the new configuration');
+	await Promise.all([stopInTurn(), ...Array.from({length: CLIENTS}, async () => readStreams())]);
+	record.add('counts', {streams: ids, broken: broken.length, otherEnds});
+	if (ids < 200) {
+		throw new Error(`only ${ids} streams were read`);
 	}
 
 	return broken;
--- a/review/support-2/platform.mjs
+++ b/review/support-2/platform.mjs
@@ -427,10 +427,15 @@
 		}));
 	}
 
-	#forward(client) {
+	/** The daemon for the next connection. */
+	choose() {
 		const inRotation = this.states.filter(({misses}) => misses < 2);
 		const candidates = inRotation.length * 2 >= this.states.length ? inRotation : this.states;
-		const {daemon} = candidates[this.#next++ % candidates.length];
+		return candidates[this.#next++ % candidates.length].daemon;
+	}
+
+	#forward(client) {
+		const daemon = this.choose();
 		const server = net.connect({
 			host: daemon.ip, port: daemon.ports[0], allowHalfOpen: true, noDelay: true,
 		});
