--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -8,7 +8,7 @@
 } from '../support-2/platform.mjs';
 
 const ZONES = {z1: 'r1', z2: 'r1', z3: 'r1'};
-const CLIENTS = 90;
+const CLIENTS = 180;
 const STREAM_DEADLINE_MS = 15_000;
 const ORDER_DEADLINE_MS = 3000;
 const KEY = 'key-of-tenant-a';
