--- a/review/support-2/platform.mjs
+++ b/review/support-2/platform.mjs
@@ -290,6 +290,9 @@
 
 /** A daemon, started by the `run` line of the deploy file. */
 export class Daemon {
+	/** Set at the end of a case, from which on no process is started. */
+	static isEnding = false;
+
 	static #command() {
 		const deploy = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8');
 		return /^run = "(?<run>.*)"$/mv.exec(deploy).groups.run.split(' ');
@@ -330,6 +333,10 @@
 	}
 
 	start() {
+		if (Daemon.isEnding) {
+			return;
+		}
+
 		const [program, ...args] = Daemon.#command();
 		const child = spawn(program === 'node' ? process.execPath : program, args, {
 			cwd: ROOT, env: {PATH: process.env.PATH, HOME: process.env.HOME, FIREFLYPORT_CONFIG: this.settings}, stdio: ['ignore', 'pipe', 'pipe'],
@@ -612,14 +619,20 @@
 	let code = 2;
 	const timer = setTimeout(() => {
 		record.add('case_timed_out');
-		finish();
+		void finish(); // eslint-disable-line no-void
 	}, 115_000);
-	const finish = () => {
+	/** Ends all processes of the case, and waits until each of them has ended, so that none is left without a parent. */
+	const finish = async () => {
 		clearTimeout(timer);
-		for (const daemon of daemons) {
-			daemon.child?.kill('SIGKILL');
+		if (Daemon.isEnding) {
+			return;
 		}
 
+		Daemon.isEnding = true;
+		await Promise.all(daemons.map(async daemon => {
+			daemon.child?.kill('SIGKILL');
+			await daemon.exited;
+		}));
 		if (process.env.KEEP_LOGS === '1') {
 			console.log(`logs in ${temporary}`);
 		} else {
@@ -651,7 +664,7 @@
 		console.log(`could not run: ${err.stack}`);
 	}
 
-	finish();
+	await finish();
 }
 
 /** A proxy before the store or a runner. Open connections can go silent without a reset, and new ones can be refused. */
