Don't pass on requests whose connection the daemon has ended

Cause: in a lingering close the daemon ends its side and reads on, so that unread bytes don't destroy the response before. What it read then was handled like any other request: whether a request may be passed on was asked once, by what a response had announced, not by whether it can still be answered. The response 408, and pipelined requests at the other entry, led to the same.

Ruled out: the idle timeout of Node.js, which destroys the socket; requests that wait behind another one; relayed requests, which have connections of their own.

Change: `canAnswer` is asked when the turn of a request comes and before each attempt; both entries handle the requests of a connection by `ClientConnections`, which moves to src/http/.

--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -2,7 +2,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import type {Clock} from '../util/clock.js';
 import {failure, type Failure} from '../util/failure.js';
 import {listen} from '../util/listen.js';
@@ -10,7 +10,7 @@
 import {pause} from '../util/pause.js';
 import {stackOf} from '../util/stack-of.js';
 import {breakOff} from '../http/break-off.js';
-import {lingerOnClose} from '../http/lingering-close.js';
+import {ClientConnections} from '../http/client-connections.js';
 import {errorBody, sendFailure, httpStatusOf} from '../http/error-response.js';
 import {createRequestContext, type RequestContext, type RequestHandler} from './request-context.js';
 import type {Lifecycle} from './lifecycle.js';
@@ -62,6 +62,7 @@
 
 	/** Returns the address that the server listens on, as IP:PORT. */
 	readonly address: () => string;
+	readonly #connections: ClientConnections;
 	readonly #openRequests = new Set<RequestContext>();
 	readonly #idleListeners: Array<() => void> = [];
 
@@ -74,8 +75,11 @@
 		server.on('request', (req: IncomingMessage, res: ServerResponse) => {
 			void this.#serve(req, res);
 		});
-		server.on('connection', lingerOnClose);
-		server.on('clientError', respondToClientError);
+		this.#connections = ClientConnections.create(server, {
+			errorBody: message => errorBody(failure({
+				code: 'invalid_request', message: `the request could not be read: ${message}`, ran: 'not_run', step: 'parse',
+			})),
+		});
 	}
 
 	/** Number of client requests whose response is not complete. */
@@ -114,10 +118,16 @@
 	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, lifecycle, logger} = this.options;
 		const context = createRequestContext(req, res, clock());
+		const turn = await this.#connections.startRequest(req, res);
+		if (turn !== 'started') {
+			logger.warn('request_unanswered', {request: context.requestId, path: context.path, reason: turn});
+			return;
+		}
+
 		const route = this.options.routes.find(candidate => matches(candidate, context));
 		if (lifecycle.phase !== 'serving') {
 			// Otherwise the client would send further requests on the kept-alive connection.
-			res.setHeader('connection', 'close');
+			this.#connections.closeAfter(req, res);
 		}
 
 		const failed = await this.#respond(context, route);
@@ -212,17 +222,3 @@
 	const isPathMatch = path.endsWith('/') ? context.path.startsWith(path) : context.path === path;
 	return isPathMatch && (method === undefined || method === context.method);
 }
-
-/** Responds to a request that is not valid HTTP, exceeds the header size limit, or is not received in time. */
-function respondToClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-	if (!socket.writable || err.code === 'ECONNRESET') {
-		socket.destroy();
-		return;
-	}
-
-	const body = JSON.stringify(errorBody(failure({
-		code: 'invalid_request', message: `the request could not be read: ${err.message}`, ran: 'not_run', step: 'parse',
-	})));
-	const status = err.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request';
-	socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`);
-}
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -1,6 +1,7 @@
 /** The response to one client: a whole response, a failure, or the events of a stream over several attempts. */
 import type {RawEvent} from '../forwarding/event-splitter.js';
 import {breakOff} from '../http/break-off.js';
+import {canAnswer} from '../http/can-answer.js';
 import {sendFailure} from '../http/error-response.js';
 import type {Clock} from '../util/clock.js';
 import type {Failure} from '../util/failure.js';
@@ -20,14 +21,14 @@
 	#longestGapMs = 0;
 
 	private constructor(private readonly request: GatewayRequest, private readonly clock: Clock) {
-		const {res, metadata} = request;
+		const {req, res, metadata} = request;
 		this.#lastEventId = metadata.lastEventId;
 		res.on('close', () => {
 			if (!res.writableFinished) {
 				this.#disconnectController.abort();
 			}
 		});
-		if (res.destroyed) {
+		if (res.destroyed || !canAnswer(req)) {
 			this.#disconnectController.abort();
 		}
 	}
@@ -37,6 +38,11 @@
 		return this.#disconnectController.signal;
 	}
 
+	/** Whether the connection of the client can still carry what is sent next. */
+	get isSendable(): boolean {
+		return canAnswer(this.request.req);
+	}
+
 	get lastEventId(): number | undefined {
 		return this.#lastEventId;
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 import {stackOf} from '../util/stack-of.js';
 import {timerDelay} from '../util/timer-delay.js';
 import {TurnMonitor} from '../util/turn-monitor.js';
-import {ClientConnections} from './client-connections.js';
+import {ClientConnections} from '../http/client-connections.js';
 import type {ExplainError, ExplainQuery, Explanation} from './explanation.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {GatewayRequest} from './gateway-request.js';
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -457,6 +457,11 @@
 	async #attempt(prepared: PreparedAttempt): Promise<void> {
 		let result: AttemptResult | undefined;
 		try {
+			if (!this.#isEnded && !this.#response.isSendable) {
+				// Asked before each attempt: the connection may have been closed while the request waited.
+				this.#leave();
+			}
+
 			if (this.#isEnded) {
 				return;
 			}
--- a/src/gateway/client-connections.ts
+++ b/src/http/client-connections.ts
@@ -2,10 +2,12 @@
  * The connections of clients. The requests of one connection are handled one after the other, so that none is passed on whose
  * response could no longer follow the one before it, and a connection is closed only when its responses have been sent.
  */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import {lingerOnClose} from '../http/lingering-close.js';
+import {canAnswer} from './can-answer.js';
+import {lingerOnClose} from './lingering-close.js';
 
 type ClientConnection = {
 	readonly socket: Socket;
@@ -25,8 +27,9 @@
 };
 
 /**
- * Only a `started` request may be passed on. `connection_closed`: the connection has closed before its turn. `close_announced`: it was read
- * after a response had announced that the connection closes, behind which no request may be processed (RFC 9112, section 9.6).
+ * Only a `started` request may be passed on. `connection_closed`: the daemon has ended its side of the connection before its turn, or the
+ * connection has closed. `close_announced`: it was read after a response had announced that the connection closes, behind which no request
+ * may be processed (RFC 9112, section 9.6).
  */
 export type Turn = 'started' | 'connection_closed' | 'close_announced';
 
@@ -39,62 +42,39 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+export type ClientConnectionsOptions = {
+	/** JSON body of the response to bytes that are no request; by default there is none. */
+	errorBody?(message: string): unknown;
+};
+
 export class ClientConnections {
-	static create(server: Server): ClientConnections {
-		return new ClientConnections(server);
+	static create(server: Server, options: ClientConnectionsOptions = {}): ClientConnections {
+		return new ClientConnections(server, options);
 	}
 
 	readonly #connections = new Map<Socket, ClientConnection>();
 
-	private constructor(private readonly server: Server) {
+	private constructor(private readonly server: Server, private readonly options: ClientConnectionsOptions) {
 		server.on('connection', socket => {
 			this.#add(socket);
 		});
 		server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
-			this.#refuseBytes(socket as Socket, STATUS_LINES[err.code ?? ''] ?? BAD_REQUEST_STATUS_LINE);
+			this.#refuseBytes(socket as Socket, STATUS_LINES[err.code ?? ''] ?? BAD_REQUEST_STATUS_LINE, err.message);
 		});
 		server.on('connect', (_req, socket) => {
-			this.#refuseBytes(socket as Socket, BAD_REQUEST_STATUS_LINE);
+			this.#refuseBytes(socket as Socket, BAD_REQUEST_STATUS_LINE, 'tunnels are not offered');
 		});
 	}
 
 	/** Resolves when the earlier requests of the connection have their responses. To be called once for each request. */
 	async startRequest(req: IncomingMessage, res: ServerResponse): Promise<Turn> {
-		const connection = this.#connections.get(req.socket);
-		if (!connection) {
-			return 'connection_closed';
-		}
-
-		if (connection.closing?.headersSent) {
+		const turn = await this.#awaitTurn(req, res);
+		if (turn !== 'started') {
 			// Its body is read and discarded, since unread bytes would reset the connection and the response before with it.
 			req.resume();
-			return 'close_announced';
-		}
-
-		if (connection.closing) {
-			// This request has been read before its client was told that the connection closes.
-			connection.closing.removeHeader('connection');
 		}
 
-		connection.closing = undefined;
-		this.#keepOpenAsAnnounced(connection, res);
-		connection.lastRequest = req;
-		connection.lastResponse = res;
-		connection.open++;
-		res.once('close', () => {
-			if (connection.lastResponse === res) {
-				connection.lastResponse = undefined;
-			}
-
-			// A body that was refused midway is paused; the rest of it is discarded.
-			req.resume();
-			this.#endRequest(connection);
-		});
-		return connection.open === 1
-			? 'started'
-			: new Promise(resolve => {
-				connection.waiting.push(resolve);
-			});
+		return turn;
 	}
 
 	/** Closes the connection after a response, unless that has begun or a further request waits for it, whose response then does. */
@@ -139,6 +119,42 @@
 		}
 	}
 
+	async #awaitTurn(req: IncomingMessage, res: ServerResponse): Promise<Turn> {
+		const connection = this.#connections.get(req.socket);
+		if (connection?.closing?.headersSent) {
+			return 'close_announced';
+		}
+
+		if (!connection || !canAnswer(req)) {
+			return 'connection_closed';
+		}
+
+		if (connection.closing) {
+			// This request has been read before its client was told that the connection closes.
+			connection.closing.removeHeader('connection');
+		}
+
+		connection.closing = undefined;
+		this.#keepOpenAsAnnounced(connection, res);
+		connection.lastRequest = req;
+		connection.lastResponse = res;
+		connection.open++;
+		res.once('close', () => {
+			if (connection.lastResponse === res) {
+				connection.lastResponse = undefined;
+			}
+
+			// A body that was refused midway is paused; the rest of it is discarded.
+			req.resume();
+			this.#endRequest(connection);
+		});
+		return connection.open === 1
+			? 'started'
+			: new Promise(resolve => {
+				connection.waiting.push(resolve);
+			});
+	}
+
 	#add(socket: Socket): void {
 		const connection: ClientConnection = {
 			socket, open: 0, waiting: [], lastRequest: undefined, closing: undefined, lastResponse: undefined, bytesAtLastResponse: undefined, isClosing: false,
@@ -167,7 +183,7 @@
 	}
 
 	/** Answers bytes that are no request, unless the client would take the answer for the one to an open request. */
-	#refuseBytes(socket: Socket, statusLine: string): void {
+	#refuseBytes(socket: Socket, statusLine: string, message: string): void {
 		const connection = this.#connections.get(socket);
 		const isWithinBody = connection?.lastRequest?.complete === false;
 		if (socket.readableEnded) {
@@ -175,7 +191,10 @@
 		} else if (connection && connection.open > (isWithinBody ? 1 : 0)) {
 			connection.isClosing = true;
 		} else if (socket.writable && !connection?.lastResponse?.headersSent) {
-			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			const {errorBody} = this.options;
+			const body = errorBody ? JSON.stringify(errorBody(message)) : '';
+			const type = errorBody ? 'Content-Type: application/json\r\n' : '';
+			socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n${type}Content-Length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
 			socket.destroySoon();
 		}
 	}
