Start another attempt beside a silent one instead of in its place

Cause: a silent attempt was aborted as soon as another one was prepared. When that one was refused, broke off or had nothing to add, the request had lost the server that was at work on it. A whole stream without a new event counted as broken, wherever the client stood.

Change: the other attempt runs beside the silent one, and the first that shows a new event or a final response goes on. `nextStep` decides on the end of an attempt by whether another one is going on. An empty stream is passed on to a client that itself asked for what follows an event; it never ends a begun stream.

Ruled out: completing a begun stream by the empty one of another server, which a faulty server sends as well (tests/misleading-responses.test.ts).

--- a/src/gateway/attempt-result.ts
+++ b/src/gateway/attempt-result.ts
@@ -18,8 +18,12 @@
 	readonly outcome: AttemptOutcome;
 	/** Set if the outcome is `answered`. */
 	readonly response?: BufferedResponse;
+	/** Set if the outcome is `nothing_left`: the headers for the client. */
+	readonly streamHead?: readonly string[];
 	/** Whether the backend server may have run the request. */
 	readonly mayHaveRun: boolean;
+	/** The server was silent when another attempt went on. */
+	readonly isGivenUp?: boolean;
 	/** Nothing was sent to the server. */
 	readonly isUnsent?: boolean;
 	/** The server had no part in the failure. */
--- a/src/gateway/attempt-runner.ts
+++ b/src/gateway/attempt-runner.ts
@@ -1,5 +1,7 @@
-/** Runs the attempts of one request one after the other, and counts them. */
-import {Attempt, type AttemptOptions, type EventSink} from './attempt.js';
+/** Runs the attempts of one request, at most two at the same time, and counts them. */
+import {
+	Attempt, type AbortReason, type AttemptOptions, type EventSink,
+} from './attempt.js';
 import type {AttemptTarget} from './attempt-request.js';
 import type {AttemptResult} from './attempt-result.js';
 import type {AttemptRecords} from './attempt-records.js';
@@ -7,17 +9,20 @@
 import type {FlowParts} from './flow-parts.js';
 import {clientSilenceLimitMs, type GatewayRequest} from './gateway-request.js';
 import type {PreparedAttempt, ServerAttempt} from './prepared-attempt.js';
-import type {HandOver} from './silence-watch.js';
+import type {ReadyAttempt} from './silence-watch.js';
 
-/** A retryable request without a stream is sent to another server after this multiple of its target latency. */
+/** A retryable request without a stream is also sent to another server after this multiple of its target latency. */
 const NON_STREAM_SILENCE_TARGETS = 2;
-/** A resumable stream is continued on another server after this share of the client's silence limit without an event. */
+/** A resumable stream is also asked for at another server after this share of the client's silence limit without an event. */
 const STREAM_SILENCE_SHARE = 0.5;
-/** A silent engine is not abandoned before this multiple of the expected time to the first event. */
+/** No other engine is asked beside a silent one before this multiple of the expected time to the first event. */
 const EXPECTED_TIME_FACTOR = 2;
-/** A relaying host is given up after this multiple of the time after which it gives up a silent server itself. */
+/** Another host is asked beside a silent one after this multiple of the time after which that asks another server itself. */
 const RELAY_SILENCE_FACTOR = 2;
 
+/** A silent attempt and one beside it. */
+const MAX_RUNNING = 2;
+
 /** Numbers of attempts of one request. */
 export type AttemptCounts = {
 	/** Attempts that may have run. */
@@ -40,8 +45,8 @@
 	readonly records: AttemptRecords;
 	readonly destinations: DestinationChoice;
 	readonly sink: EventSink;
-	/** Prepares another attempt beside the running one, which is at `server` or at a relaying host. */
-	prepareHandOver(server: string | undefined): Promise<HandOver | undefined>;
+	/** Prepares another attempt beside those that run. */
+	prepareBeside(): Promise<ReadyAttempt | undefined>;
 };
 
 export class AttemptRunner {
@@ -49,7 +54,8 @@
 		return new AttemptRunner(options, earlier);
 	}
 
-	#running: Attempt | undefined;
+	/** The attempts that run, with the id of their server unless they go through another host; the oldest first. */
+	readonly #running = new Map<Attempt, string | undefined>();
 	#server: string | undefined;
 	#counts: AttemptCounts;
 
@@ -68,7 +74,17 @@
 
 	/** Whether a backend server may have run the request, or may do so from what was sent. */
 	get mayHaveRun(): boolean {
-		return this.#counts.runs > 0 || (this.#running?.mayHaveRun ?? false);
+		return this.#counts.runs > 0 || [...this.#running.keys()].some(({mayHaveRun}) => mayHaveRun);
+	}
+
+	/** Attempts that may have run, and those that are running. */
+	get possibleRuns(): number {
+		return this.#counts.runs + this.#running.size;
+	}
+
+	/** Servers of the attempts that run. */
+	get runningServers(): readonly string[] {
+		return [...this.#running.values()].filter(server => server !== undefined);
 	}
 
 	/** Counts an attempt that was given up before anything was sent. */
@@ -80,16 +96,33 @@
 		return prepared.kind === 'server' ? this.#send(prepared) : this.#relay(prepared.address);
 	}
 
-	/** Returns a function that ends the attempt that runs now, if there is one. */
-	abortLater(): (reason: 'request_ended' | 'expired') => void {
-		const running = this.#running;
+	/** Returns a function that ends the attempts that run now. */
+	abortLater(): (reason: AbortReason) => void {
+		const running = [...this.#running.keys()];
 		return reason => {
-			running?.abort(reason);
+			for (const attempt of running) {
+				attempt.abort(reason);
+			}
 		};
 	}
 
+	/** Ends the oldest attempt if no further one may run beside those that do. */
+	makeRoom(): void {
+		const [oldest] = this.#running.keys();
+		if (this.#running.size >= MAX_RUNNING) {
+			oldest?.abort('overtaken');
+		}
+	}
+
+	/** Has the attempts that are silent look for another one again. */
+	lookAgain(): void {
+		for (const attempt of this.#running.keys()) {
+			attempt.lookAgain();
+		}
+	}
+
 	async #send({choice, memory, placedAt}: ServerAttempt): Promise<AttemptResult> {
-		const {parts, request, records, prepareHandOver} = this.options;
+		const {parts, request, records} = this.options;
 		this.#add({sends: 1});
 		this.#server = choice.server.instanceId;
 		parts.logger.info('placed', {
@@ -105,7 +138,6 @@
 		});
 		const result = await this.#run({kind: 'server', choice, memory}, {
 			silenceTimeoutMs: this.#silenceTimeoutMs(choice.expectedMs),
-			prepareHandOver: async () => prepareHandOver(choice.server.id),
 			onConnected() {
 				parts.relay.recordConnected(parts.clock());
 			},
@@ -124,13 +156,12 @@
 	}
 
 	async #relay(address: string): Promise<AttemptResult> {
-		const {parts, request, records, destinations, prepareHandOver} = this.options;
+		const {parts, request, records, destinations} = this.options;
 		destinations.recordRelay(address);
 		this.#server = address;
 		parts.logger.info('relayed', {request: request.id, host: address, try: destinations.relayTries});
 		return this.#run({kind: 'host', address, requiredConfiguration: parts.relay.requiredConfiguration(request.configuration)}, {
 			silenceTimeoutMs: RELAY_SILENCE_FACTOR * this.#silenceTimeoutMs(0),
-			prepareHandOver: async () => prepareHandOver(undefined),
 			onConnected: ignore,
 			onMetadata(metadata, relayNote) {
 				records.recordRelayedMetadata(metadata, relayNote);
@@ -139,12 +170,14 @@
 		});
 	}
 
-	/** Runs an attempt. The callbacks after `prepareHandOver` are for records that the answer does not depend on. */
+	/** Runs an attempt. The callbacks are for records that the answer does not depend on. */
 	async #run(target: AttemptTarget, {
-		silenceTimeoutMs, prepareHandOver, onConnected, onMetadata, onEvent,
-	}: Pick<AttemptOptions, 'silenceTimeoutMs' | 'prepareHandOver' | 'onConnected' | 'onMetadata' | 'onEvent'>): Promise<AttemptResult> {
-		const {parts, request, records, sink} = this.options;
-		this.#running = Attempt.start({
+		silenceTimeoutMs, onConnected, onMetadata, onEvent,
+	}: Pick<AttemptOptions, 'silenceTimeoutMs' | 'onConnected' | 'onMetadata' | 'onEvent'>): Promise<AttemptResult> {
+		const {
+			parts, request, records, sink, prepareBeside,
+		} = this.options;
+		const attempt = Attempt.start({
 			wire: parts.wire,
 			clock: parts.clock,
 			request,
@@ -152,7 +185,10 @@
 			sink,
 			buffers: parts.buffers,
 			silenceTimeoutMs,
-			prepareHandOver,
+			prepareAnother: async () => prepareBeside(),
+			onProgress: () => {
+				this.#abortOthers(attempt);
+			},
 			onConnected() {
 				records.guard(onConnected);
 			},
@@ -170,12 +206,22 @@
 				records.logError(err);
 			},
 		});
-		const result = await this.#running.result;
-		this.#running = undefined;
+		this.#running.set(attempt, target.kind === 'server' ? target.choice.server.id : undefined);
+		const result = await attempt.result;
+		this.#running.delete(attempt);
 		this.#add({runs: result.mayHaveRun ? 1 : 0});
 		return result;
 	}
 
+	/** What the client gets next comes from one attempt. */
+	#abortOthers(attempt: Attempt): void {
+		for (const other of this.#running.keys()) {
+			if (other !== attempt) {
+				other.abort('overtaken');
+			}
+		}
+	}
+
 	#silenceTimeoutMs(expectedMs: number): number {
 		const {route} = this.options.request;
 		return route.kind.kind === 'stream'
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -14,7 +14,7 @@
 	notConnected, rejection, relayFailureOf, type AttemptResult,
 } from './attempt-result.js';
 import type {GatewayRequest} from './gateway-request.js';
-import {SilenceWatch, type HandOver} from './silence-watch.js';
+import {SilenceWatch, type ReadyAttempt} from './silence-watch.js';
 import type {ResponseMetadata, WireFormat} from './wire-format.js';
 
 /** Time in ms to connect: round trips take a few ms, and a lost first packet is only retransmitted after a second. */
@@ -46,10 +46,12 @@
 	readonly target: AttemptTarget;
 	readonly sink: EventSink;
 	readonly buffers: ResponseBuffers;
-	/** Time in ms without a new event or response after which the attempt is given up as soon as another one is ready. */
+	/** Time in ms without a new event or response after which another attempt is started beside this one. */
 	readonly silenceTimeoutMs: number;
 	/** Prepares another attempt. Resolves with undefined if none is possible now; never rejects. */
-	prepareHandOver(): Promise<HandOver | undefined>;
+	prepareAnother(): Promise<ReadyAttempt | undefined>;
+	/** Called when a new event has arrived, before it is sent to the client. */
+	onProgress(): void;
 	/** Called when a connection has been opened. */
 	onConnected(): void;
 	/** Called with the metadata of the response head of a backend server, and with what a relaying host has added. */
@@ -75,6 +77,8 @@
 type RelayingPhase = {
 	readonly kind: 'relaying';
 	readonly head: readonly string[];
+	/** The end of the response is part of it, not the end of the connection. */
+	readonly isFramed: boolean;
 	readonly splitter: EventSplitter;
 	readonly account: ResponseAccount;
 	/** Events without an id, such as comments, before the first new event. They are no sign that the request is being served. */
@@ -83,6 +87,9 @@
 	stalledBytes: number;
 };
 
+/** `overtaken`: another attempt has shown more than this one. */
+export type AbortReason = 'request_ended' | 'expired' | 'overtaken';
+
 const OK_STATUS = 200;
 
 /** One running attempt. It has no deadline of its own: the request aborts it. */
@@ -104,6 +111,8 @@
 	#finished: AttemptResult | undefined;
 	#events = 0;
 	#isPaused = false;
+	/** Another attempt has been started since the last new event. */
+	#isSilent = false;
 
 	private constructor(private readonly options: AttemptOptions) {
 		this.result = new Promise(resolve => {
@@ -111,13 +120,13 @@
 		});
 		this.#silence = SilenceWatch.create({
 			timeoutMs: options.silenceTimeoutMs,
-			prepareHandOver: async () => options.prepareHandOver(),
-			onReady: this.#guard((handOver, isSilent) => {
+			prepareAnother: async () => options.prepareAnother(),
+			onReady: this.#guard((another, isSilent) => {
 				if (isSilent) {
-					handOver.accept();
-					this.#abortBroken(`no new event or response within ${options.silenceTimeoutMs} ms`);
+					this.#isSilent = true;
+					another.start();
 				} else {
-					handOver.discard();
+					another.discard();
 				}
 			}),
 		});
@@ -128,12 +137,35 @@
 		return this.#finished?.mayHaveRun ?? this.#exchange?.isConnected ?? false;
 	}
 
-	/** Ends the attempt because its request has ended. Does nothing if the attempt has ended. */
-	abort(reason: 'request_ended' | 'expired'): void {
+	/** Ends the attempt because its request has ended, or another attempt goes on. Does nothing if the attempt has ended. */
+	abort(reason: AbortReason): void {
 		const {mayHaveRun} = this;
-		this.#abort({
-			outcome: reason === 'expired' ? {kind: 'expired', wasSent: mayHaveRun} : {kind: 'aborted'}, mayHaveRun, isUnsent: !mayHaveRun,
-		});
+		const end = {mayHaveRun, isUnsent: !mayHaveRun};
+		switch (reason) {
+			case 'expired': {
+				this.#abort({...end, outcome: {kind: 'expired', wasSent: mayHaveRun}});
+				break;
+			}
+
+			case 'request_ended': {
+				this.#abort({...end, outcome: {kind: 'aborted'}});
+				break;
+			}
+
+			case 'overtaken': {
+				this.#abort(this.#isSilent
+					? {...end, outcome: {kind: 'broken', reason: `no new event or response within ${this.options.silenceTimeoutMs} ms`}, isGivenUp: true}
+					: {...end, outcome: {kind: 'aborted'}});
+				break;
+			}
+		}
+	}
+
+	/** Has a silent attempt look again for another one, after the one beside it has failed. */
+	lookAgain(): void {
+		if (this.#isSilent) {
+			this.#silence.lookAgain();
+		}
 	}
 
 	#start(): void {
@@ -186,7 +218,7 @@
 			this.#abortBroken(`response with status ${head.status} lacks a signature`);
 		} else if (request.route.kind.kind === 'stream' && head.status === OK_STATUS) {
 			this.#phase = {
-				kind: 'relaying', head: this.#clientHeaders(head), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
+				kind: 'relaying', head: this.#clientHeaders(head), isFramed: isFramed(head), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
 			};
 		} else if (this.options.sink.hasBegun) {
 			this.#abortBroken(`response with status ${head.status} instead of the rest of the stream`);
@@ -272,7 +304,9 @@
 
 	#relayNewEvent(phase: RelayingPhase, event: RawEvent): void {
 		phase.stalledBytes = phase.splitter.pendingBytes;
+		this.#isSilent = false;
 		this.#restartSilence();
+		this.options.onProgress();
 		for (const earlier of phase.preamble) {
 			this.#write(phase.head, earlier);
 		}
@@ -332,9 +366,13 @@
 			}
 
 			case 'relaying': {
-				return phase.splitter.pendingBytes > 0 || this.#events === 0
-					? {outcome: {kind: 'broken', reason: 'the stream ended before a complete event'}, mayHaveRun: true, isDisconnected}
-					: {outcome: {kind: 'delivered'}, mayHaveRun: true};
+				if (phase.splitter.pendingBytes === 0 && this.#events > 0) {
+					return {outcome: {kind: 'delivered'}, mayHaveRun: true};
+				}
+
+				return this.#isEmptyRest(phase)
+					? {outcome: {kind: 'nothing_left'}, mayHaveRun: true, streamHead: phase.head}
+					: {outcome: {kind: 'broken', reason: 'the stream ended before a complete event'}, mayHaveRun: true, isDisconnected};
 			}
 
 			case 'collecting': {
@@ -347,6 +385,15 @@
 		}
 	}
 
+	/**
+	 * Whether an empty stream is the answer to a client that asks for what follows the last event of an earlier response. A stream that this
+	 * daemon has begun to pass on is not ended by it: a faulty server sends the same, and the server of the stream, if it is only silent, knows better.
+	 */
+	#isEmptyRest({stalledBytes, isFramed}: RelayingPhase): boolean {
+		const {request: {route: {kind}}, sink} = this.options;
+		return stalledBytes === 0 && isFramed && !sink.hasBegun && sink.lastEventId !== undefined && kind.kind === 'stream' && kind.resumable;
+	}
+
 	#restartSilence(): void {
 		if (!this.#isPaused && !this.#finished) {
 			this.#silence.restart();
@@ -394,3 +441,5 @@
 		this.#resolve(this.#finished);
 	}
 }
+
+const isFramed = ({headers}: ExchangeHead): boolean => headers['transfer-encoding'] !== undefined || headers['content-length'] !== undefined;
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -77,8 +77,14 @@
 		breakOff(this.request.res);
 	}
 
-	end(): void {
-		this.request.res.end();
+	/** Ends a stream. `head`: the headers of one without events. */
+	end(head: readonly string[] = []): void {
+		const {res} = this.request;
+		if (!res.headersSent) {
+			res.writeHead(200, [...head]);
+		}
+
+		res.end();
 	}
 
 	/** Sends a whole response. `onDropped` is called if it is broken off because its client reads too slowly. */
--- a/src/gateway/destination-choice.ts
+++ b/src/gateway/destination-choice.ts
@@ -94,9 +94,13 @@
 		return this.#relayAddresses.size;
 	}
 
-	/** Leaves out the servers of earlier attempts, and `current` if given. */
-	exclusionsBeside(current?: string): Exclusions {
-		return [current === undefined ? this.#excluded : new Set([...this.#excluded, current])];
+	/**
+	 * Leaves out the servers of earlier attempts and those of the attempts that are `running`. If an attempt `hasFailed` beside them and there is no
+	 * other server, those that are silent may be asked again, as only the connection may have stopped.
+	 */
+	exclusionsBeside(running: readonly string[], hasFailed: boolean): Exclusions {
+		const others = new Set([...this.#excluded, ...running]);
+		return hasFailed ? [others, this.#broken] : [others];
 	}
 
 	/** Leaves out the servers of earlier attempts, or, if there is no other, only those that broke off. */
--- a/src/gateway/next-attempt.ts
+++ b/src/gateway/next-attempt.ts
@@ -8,7 +8,6 @@
 import {AttemptPreparation, type PreparedAttempt} from './prepared-attempt.js';
 import {canRunAgain, type RetryState} from './retry-policy.js';
 import type {ServerChoice} from './server-choice.js';
-import type {HandOver} from './silence-watch.js';
 
 export type NextAttemptOptions = {
 	readonly parts: FlowParts;
@@ -18,6 +17,9 @@
 	retryState(now: number): RetryState;
 };
 
+/** An attempt that has been prepared beside another one. It is made, or discarded. */
+export type AnotherAttempt = {readonly prepared: PreparedAttempt; discard(): void};
+
 /** An attempt at a server that could not be prepared, as if the server had refused it. */
 export type RefusedAttempt = {readonly kind: 'unprepared'; readonly attempt: PreparedAttempt; readonly result: AttemptResult};
 
@@ -27,8 +29,6 @@
 	}
 
 	readonly #preparation: AttemptPreparation;
-	/** Takes over from the attempt that has just ended. */
-	#next: PreparedAttempt | undefined;
 	/** A token of the retry budget has been taken for the next attempt at a server. */
 	#hasToken = false;
 
@@ -37,17 +37,6 @@
 		this.#preparation = AttemptPreparation.create(parts, request.id, records);
 	}
 
-	get isReady(): boolean {
-		return this.#next !== undefined;
-	}
-
-	/** Returns the attempt that was prepared beside another one or accepted. It is then no longer ready. */
-	take(): PreparedAttempt | undefined {
-		const next = this.#next;
-		this.#next = undefined;
-		return next;
-	}
-
 	/** Takes a token of the retry budget for the next attempt at a server, unless it has one. Returns whether it has. */
 	takeToken(): boolean {
 		this.#hasToken ||= this.#budget.tryRetry();
@@ -89,7 +78,7 @@
 	 * path to the servers, and takes its token of the retry budget.
 	 * `runs` counts the attempts that may have run or are running.
 	 */
-	async prepareAnother(runs: number, exclusions: Exclusions): Promise<HandOver | undefined> {
+	async prepareAnother(runs: number, exclusions: Exclusions): Promise<AnotherAttempt | undefined> {
 		const {
 			parts, request, records, destinations, retryState,
 		} = this.options;
@@ -104,16 +93,14 @@
 		try {
 			const now = parts.clock();
 			hasToken = canRunAgain({...retryState(now), runs}) && budget.tryRetry();
-			const another = hasToken ? await this.#prepareChoice(destinations.chooseAnother(exclusions, now), now) : undefined;
-			if (another) {
+			const prepared = hasToken ? await this.#prepareChoice(destinations.chooseAnother(exclusions, now), now) : undefined;
+			if (prepared) {
 				hasToken = false;
 				return {
-					accept: () => {
-						this.#next = another;
-					},
+					prepared,
 					discard: () => {
 						budget.giveBack();
-						this.close(another, false);
+						this.close(prepared, false);
 					},
 				};
 			}
@@ -128,10 +115,8 @@
 		return undefined;
 	}
 
-	close(prepared: PreparedAttempt | undefined, isAnswered: boolean): void {
-		if (prepared) {
-			this.#preparation.close(prepared, isAnswered);
-		}
+	close(prepared: PreparedAttempt, isAnswered: boolean): void {
+		this.#preparation.close(prepared, isAnswered);
 	}
 
 	get #budget(): RetryLimit {
--- a/src/gateway/request-flow.ts
+++ b/src/gateway/request-flow.ts
@@ -18,8 +18,9 @@
 import {NextAttempt, type RefusedAttempt} from './next-attempt.js';
 import {PlaceWait} from './place-wait.js';
 import type {PreparedAttempt} from './prepared-attempt.js';
+import type {ReadyAttempt} from './silence-watch.js';
 import {
-	canRunAgain, nextStep, type NextStep, type RetryState,
+	canRunAgain, isEndWithoutFault, nextStep, type NextStep, type RetryState,
 } from './retry-policy.js';
 
 /** Interval in ms at which an interrupted stream looks for another server: several times before its client leaves after two seconds. */
@@ -60,6 +61,12 @@
 	#isInterrupted = false;
 	/** Set while the request waits for a place. */
 	#waiting: Waiting | undefined;
+	/** Attempts that were started beside a silent one. Each resolves when its end has been handled. */
+	readonly #beside: Array<Promise<void>> = [];
+	/** Number of attempts whose end has not been handled yet. An attempt that has ended counts until then. */
+	#unsettled = 0;
+	/** An attempt has ended without a result while another one was going on. */
+	#hasFailedBeside = false;
 
 	private constructor(private readonly parts: FlowParts, private readonly request: GatewayRequest, earlier: EarlierHandling | undefined) {
 		this.#isReadmitted = earlier !== undefined;
@@ -77,7 +84,7 @@
 			records: this.#records,
 			destinations: this.#destinations,
 			sink: this.#response,
-			prepareHandOver: async server => this.#attempts.prepareAnother(this.#runner.counts.runs + 1, this.#destinations.exclusionsBeside(server)),
+			prepareBeside: async () => this.#prepareBeside(),
 		}, earlier?.counts ?? noAttempts);
 		this.#result = new Promise(resolve => {
 			this.#resolve = resolve;
@@ -209,14 +216,16 @@
 
 		try {
 			while (!this.#isEnded) {
-				const prepared = this.#attempts.take() ?? await this.#prepareNext();
+				const prepared = await this.#prepareNext();
 				if (prepared) {
 					this.#isInterrupted = false;
 					await this.#attempt(prepared);
+					for (let beside = this.#beside.pop(); beside; beside = this.#beside.pop()) {
+						await beside;
+					}
 				}
 			}
 		} finally {
-			this.#attempts.close(this.#attempts.take(), false);
 			// An attempt that ended after its request may have led to the decision to repeat that.
 			this.#returnToken();
 		}
@@ -335,8 +344,27 @@
 		}
 
 		const next = await this.#attempts.prepareAnother(this.#runner.counts.runs, this.#destinations.exclusionsOfInterrupted);
-		next?.accept();
-		return this.#attempts.take();
+		return next?.prepared;
+	}
+
+	/** Prepares an attempt beside those that run, which are silent. */
+	async #prepareBeside(): Promise<ReadyAttempt | undefined> {
+		const another = await this.#attempts.prepareAnother(this.#runner.possibleRuns, this.#destinations.exclusionsBeside(this.#runner.runningServers, this.#hasFailedBeside));
+		return another && {
+			start: () => {
+				this.parts.logger.info('silent_attempt', {
+					request: this.request.id,
+					servers: this.#runner.runningServers.join(','),
+					last_event: this.#response.lastEventId,
+					time_left_ms: Math.round(this.request.deadline - this.parts.clock()),
+				});
+				this.#runner.makeRoom();
+				this.#beside.push(this.#attempt(another.prepared));
+			},
+			discard() {
+				another.discard();
+			},
+		};
 	}
 
 	/** Chooses a server and prepares an attempt. Returns undefined if that failed; the request has then ended, waits, or another server may do. */
@@ -384,12 +412,12 @@
 
 	/** Records an attempt, and ends the request unless another attempt follows. */
 	#continueAfter(prepared: PreparedAttempt, result: AttemptResult): void {
-		const next: NextStep = this.#attempts.isReady ? {kind: 'repeat'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
-		if (result.outcome.kind !== 'delivered' && result.outcome.kind !== 'aborted') {
+		const next: NextStep = this.#isEnded ? {kind: 'finished'} : nextStep(result.outcome, this.#retryState(this.parts.clock()));
+		if (!isEndWithoutFault(result.outcome)) {
 			this.#recordPrepared(prepared, result, next.kind);
 		}
 
-		if (next.kind !== 'deliver' || this.#isEnded) {
+		if (next.kind !== 'deliver') {
 			result.response?.account.close();
 		}
 
@@ -402,8 +430,14 @@
 				return;
 			}
 
+			case 'wait': {
+				this.#hasFailedBeside = true;
+				this.#runner.lookAgain();
+				return;
+			}
+
 			case 'finished': {
-				this.#finish();
+				this.#finish(result.streamHead);
 				return;
 			}
 
@@ -436,7 +470,7 @@
 				const {choice} = prepared;
 				const faultyServer = [choice.server, ...choice.helpers].find(({address}) => address === result.faultyAddress) ?? choice.server;
 				this.#destinations.recordServer(faultyServer.id, {
-					isBroken: result.outcome.kind === 'broken' && !this.#attempts.isReady, isNotConnected: result.isNotConnected ?? false, isUnsent: result.isUnsent ?? false,
+					isBroken: result.outcome.kind === 'broken' && !result.isGivenUp, isNotConnected: result.isNotConnected ?? false, isUnsent: result.isUnsent ?? false,
 				});
 				this.#records.guard(() => {
 					this.#records.recordAttempt(choice, result, faultyServer, next);
@@ -453,8 +487,27 @@
 		}
 	}
 
-	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
+	/** Makes a prepared attempt and handles its end. Never rejects. */
 	async #attempt(prepared: PreparedAttempt): Promise<void> {
+		this.#unsettled++;
+		try {
+			const result = await this.#runPrepared(prepared);
+			// In the same turn as the decision, for which the other attempt must count if that has ended as well.
+			this.#unsettled--;
+			if (result) {
+				this.#continueAfter(prepared, result);
+			}
+		} catch (err) {
+			this.#failUnexpectedly(err);
+		}
+
+		if (this.#isEnded) {
+			this.#runner.abortLater()('overtaken');
+		}
+	}
+
+	/** Makes a prepared attempt, unless the request has ended meanwhile, and closes it. */
+	async #runPrepared(prepared: PreparedAttempt): Promise<AttemptResult | undefined> {
 		let result: AttemptResult | undefined;
 		try {
 			if (!this.#isEnded && !this.#response.isSendable) {
@@ -463,15 +516,14 @@
 			}
 
 			if (this.#isEnded) {
-				return;
+				return undefined;
 			}
 
 			result = await this.#runner.run(prepared);
+			return result;
 		} finally {
 			this.#attempts.close(prepared, result !== undefined && hasRun(result.outcome));
 		}
-
-		this.#continueAfter(prepared, result);
 	}
 
 	#retryState(now: number): RetryState {
@@ -488,12 +540,13 @@
 			hasPatience: isQueued && this.#wait.hasPatience(now),
 			waits: this.#wait.waits,
 			timeLeftMs: deadline - now,
+			isOtherRunning: this.#unsettled > 0,
 			tryBudget: () => this.#attempts.takeToken(),
 		};
 	}
 
-	#finish(): void {
-		this.#response.end();
+	#finish(streamHead: readonly string[] | undefined): void {
+		this.#response.end(streamHead);
 		this.#end({
 			outcome: 'delivered', status: 200, sends: this.#runner.counts.sends, ...this.#response.timing,
 		});
--- a/src/gateway/retry-policy.ts
+++ b/src/gateway/retry-policy.ts
@@ -5,6 +5,8 @@
 export type AttemptOutcome =
 	/** The whole response has been sent to the client. */
 	| {readonly kind: 'delivered'}
+	/** A whole, signed stream without events, for a client that has asked for what follows the last event of an earlier response. */
+	| {readonly kind: 'nothing_left'}
 	/** A whole, signed response that has not been sent to the client. */
 	| {readonly kind: 'answered'; readonly status: number}
 	/** The request did not run and never will. */
@@ -33,6 +35,8 @@
 	/** Times that the request has waited for a place. */
 	readonly waits: number;
 	readonly timeLeftMs: number;
+	/** Another attempt is going on, silent or not. */
+	readonly isOtherRunning: boolean;
 	/** Takes one retry from the shared budget of the daemons, if available; called last. */
 	tryBudget(): boolean;
 };
@@ -41,6 +45,8 @@
 	| {readonly kind: 'finished'}
 	| {readonly kind: 'deliver'}
 	| {readonly kind: 'repeat'}
+	/** The attempt that is still going on decides. */
+	| {readonly kind: 'wait'}
 	| {readonly kind: 'fail'; readonly ran: 'not_run' | 'unknown'; readonly reason: string; readonly isExpired: boolean};
 
 /** Limit of attempts per request, including rejected ones. More would use up the shared budget when the fleet is full. */
@@ -69,9 +75,19 @@
 	&& sends - unconnectedSends < MAX_SENDS + waits
 	&& unconnectedSends < (hasPatience ? MAX_UNCONNECTED_SENDS : MAX_SENDS);
 
+/**
+ * What the end of one attempt means for the request. A silent server may be sound, so an attempt that fails never ends the request, nor
+ * leads to a further one, while another attempt is going on.
+ */
 export function nextStep(outcome: AttemptOutcome, state: RetryState): NextStep {
+	return state.isOtherRunning && !isFinal(outcome) ? {kind: 'wait'} : stepOf(outcome, state);
+}
+
+/** What the end of the only attempt, or of one that ends the request, means. */
+function stepOf(outcome: AttemptOutcome, state: RetryState): NextStep {
 	switch (outcome.kind) {
 		case 'delivered':
+		case 'nothing_left':
 		case 'aborted': {
 			return {kind: 'finished'};
 		}
@@ -110,3 +126,27 @@
 		}
 	}
 }
+
+/** Whether an end says nothing against the server: its part is done, or the attempt was ended for another reason. */
+export const isEndWithoutFault = ({kind}: AttemptOutcome): boolean => kind === 'delivered' || kind === 'nothing_left' || kind === 'aborted';
+
+/** Whether an attempt ends its request whatever another attempt may still show. */
+function isFinal(outcome: AttemptOutcome): boolean {
+	switch (outcome.kind) {
+		case 'delivered':
+		case 'nothing_left': {
+			return true;
+		}
+
+		case 'answered': {
+			return outcome.status < SERVER_ERROR_STATUS;
+		}
+
+		case 'rejected':
+		case 'broken':
+		case 'expired':
+		case 'aborted': {
+			return false;
+		}
+	}
+}
--- a/src/gateway/silence-watch.ts
+++ b/src/gateway/silence-watch.ts
@@ -1,13 +1,12 @@
-/** Gives a silent attempt up as soon as another one is ready to take over from it. */
+/** Starts another attempt beside one that is silent. */
 import {timerDelay} from '../util/timer-delay.js';
 
 /** Interval in ms at which a silent attempt looks again for another one: several times before a client leaves after two seconds. */
-const HAND_OVER_INTERVAL_MS = 250;
+const LOOK_AGAIN_INTERVAL_MS = 250;
 
 /** Another attempt that is ready. Exactly one of the methods is called. */
-export type HandOver = {
-	/** Makes it the next attempt of the request. The current one ends. */
-	accept(): void;
+export type ReadyAttempt = {
+	start(): void;
 	discard(): void;
 };
 
@@ -15,9 +14,9 @@
 	/** Time in ms without a new event or response after which another attempt is prepared. */
 	readonly timeoutMs: number;
 	/** Prepares another attempt. Resolves with undefined if none is possible now; never rejects. */
-	prepareHandOver(): Promise<HandOver | undefined>;
+	prepareAnother(): Promise<ReadyAttempt | undefined>;
 	/** Called with another attempt that is ready, and whether this one is still silent. Never throws. */
-	onReady(handOver: HandOver, isSilent: boolean): void;
+	onReady(another: ReadyAttempt, isSilent: boolean): void;
 };
 
 export class SilenceWatch {
@@ -35,6 +34,13 @@
 		this.#wait(this.options.timeoutMs);
 	}
 
+	/** Looks again for another attempt, after the one that was started has ended. */
+	lookAgain(): void {
+		if (this.#timer !== undefined) {
+			this.#wait(LOOK_AGAIN_INTERVAL_MS);
+		}
+	}
+
 	stop(): void {
 		clearTimeout(this.#timer);
 		this.#timer = undefined;
@@ -43,19 +49,19 @@
 	#wait(ms: number): void {
 		clearTimeout(this.#timer);
 		this.#timer = setTimeout(() => {
-			void this.#handOver();
+			void this.#prepareAnother();
 		}, timerDelay(ms));
 	}
 
 	/** Looks for another attempt, unless this one has gone on meanwhile, and looks again later if there is none. */
-	async #handOver(): Promise<void> {
+	async #prepareAnother(): Promise<void> {
 		const timer = this.#timer;
-		const handOver = await this.options.prepareHandOver();
+		const another = await this.options.prepareAnother();
 		const isSilent = timer !== undefined && this.#timer === timer;
-		if (handOver) {
-			this.options.onReady(handOver, isSilent);
+		if (another) {
+			this.options.onReady(another, isSilent);
 		} else if (isSilent) {
-			this.#wait(HAND_OVER_INTERVAL_MS);
+			this.#wait(LOOK_AGAIN_INTERVAL_MS);
 		}
 	}
 }
--- a/tests/retry-policy.test.ts
+++ b/tests/retry-policy.test.ts
@@ -1,9 +1,20 @@
 import {describe, expect, it} from 'vitest';
 import {EventSplitter} from '../src/forwarding/event-splitter.js';
-import {nextStep, type RetryState} from '../src/gateway/retry-policy.js';
+import {nextStep, type AttemptOutcome, type RetryState} from '../src/gateway/retry-policy.js';
 
 const createState = (overrides: Partial<RetryState> = {}): RetryState => ({
-	kind: {kind: 'idempotent'}, maxAttempts: 2, runs: 1, sends: 1, receivedSends: 1, unconnectedSends: 0, hasPatience: true, waits: 0, timeLeftMs: 1000, tryBudget: () => true, ...overrides,
+	kind: {kind: 'idempotent'},
+	maxAttempts: 2,
+	runs: 1,
+	sends: 1,
+	receivedSends: 1,
+	unconnectedSends: 0,
+	hasPatience: true,
+	waits: 0,
+	timeLeftMs: 1000,
+	isOtherRunning: false,
+	tryBudget: () => true,
+	...overrides,
 });
 const nonIdempotent = {kind: 'non_idempotent'} as const;
 
@@ -37,6 +48,25 @@
 		expect(nextStep(rejected, createState({runs: 0, receivedSends: 1, ...exhaustedBudget})).kind).toBe('fail');
 	});
 
+	// Guards against a decision on the end of one attempt that ignores what the other one may still show.
+	it.each([
+		['has delivered', {kind: 'delivered'}, 'finished', 'finished'],
+		['has found that the client has all events', {kind: 'nothing_left'}, 'finished', 'finished'],
+		['has an answer', {kind: 'answered', status: 200}, 'deliver', 'deliver'],
+		['has a refusal that the server means', {kind: 'answered', status: 400}, 'deliver', 'deliver'],
+		['has failed at the server', {kind: 'answered', status: 500}, 'wait', 'repeat'],
+		['was refused', {kind: 'rejected', reason: 'full'}, 'wait', 'repeat'],
+		['broke off', {kind: 'broken', reason: 'reset'}, 'wait', 'repeat'],
+		['was overtaken', {kind: 'aborted'}, 'wait', 'finished'],
+		['has expired', {kind: 'expired', wasSent: true}, 'wait', 'fail'],
+	] as ReadonlyArray<readonly [string, AttemptOutcome, string, string]>)('should decide on an attempt that %s by whether another one is going on', (_, outcome, beside, alone) => {
+		const tokens: string[] = [];
+		const tryBudget = (): boolean => tokens.push('token') > 0;
+		expect(nextStep(outcome, createState({isOtherRunning: true, tryBudget})).kind).toBe(beside);
+		expect(tokens).toEqual([]);
+		expect(nextStep(outcome, createState()).kind).toBe(alone);
+	});
+
 	it('should distinguish a request that expired before it was sent from one that had been sent', () => {
 		expect(nextStep({kind: 'expired', wasSent: false}, createState({runs: 0}))).toMatchObject({ran: 'not_run', isExpired: true});
 		expect(nextStep({kind: 'expired', wasSent: true}, createState({runs: 1}))).toMatchObject({ran: 'unknown', isExpired: true});
