Bound the work and memory of what backend servers send without end

What callers saw: a daemon ended, and all requests with it, beside servers that send comments of three bytes as a stream; beside other bytes without end, calm orders took seconds.

Cause: each response was bounded in bytes, which bounds neither memory nor time. Each small event was an object, a regular expression and a write of its own; the parser keeps two objects a field of a head and makes an error for each field past its limit; one turn of the event loop read up to 2 MB of each connection; what waited for slow clients was not counted.

Change: one pace of reading for the whole daemon, whose first 4 KiB of a response are free; neighbouring events are passed on together; a head may have 16 KiB, checked before the parser; the memory of responses counts what is allocated and what is unsent, and the largest gives way, named in the log.

Ruled out: reading in turn alone.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,9 +8,11 @@
 import type {Client, Dispatcher} from 'undici';
 import {CheckedClient} from '../backend/checked-client.js';
 import {createCheckedConnector, NotConnectedError} from '../backend/checked-connector.js';
+import {paceReads} from './paced-reads.js';
+import type {ReadPace} from './read-pace.js';
 
-/** Largest response head that is read: four times the limit for requests. */
-const MAX_HEADER_BYTES = 65_536;
+/** Largest response head that is read, the default of Node.js. The parser keeps two objects for each field of a head. */
+const MAX_HEADER_BYTES = 16_384;
 /**
  * Limit on received bytes that are not part of the body, such as informational responses and chunk extensions, which
  * undici reads without end: what its read buffer and one head may hold, and as much as the body, since short chunks
@@ -52,6 +54,12 @@
 	onEnd(end: ExchangeEnd): void;
 };
 
+export type ExchangeOptions = {
+	readonly connectTimeoutMs: number;
+	/** Shared by all exchanges of this daemon whose bodies are read. */
+	readonly pace?: ReadPace;
+};
+
 /** A running exchange. `abort` closes its connection; the handler is then called with `aborted`, once. */
 export type Exchange = {
 	/** Whether a connection was opened, so that the backend server may have received the request. */
@@ -63,11 +71,12 @@
 };
 
 /** Starts an exchange. The handler's `onEnd` is called exactly once, and not before this function has returned. */
-export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, connectTimeoutMs: number): Exchange {
+export function startExchange(req: ExchangeRequest, handler: ExchangeHandler, {connectTimeoutMs, pace}: ExchangeOptions): Exchange {
 	let isEnded = false;
 	let isStarting = true;
 	let isConnected = false;
 	let isDisconnected = false;
+	let hasHead = false;
 	let bodyBytes = 0;
 	let client: Client | undefined;
 	const openClient = (): Client => new CheckedClient(`http://${req.address}`, {
@@ -83,6 +92,17 @@
 
 				socket.prependListener('error', onDisconnected);
 				socket.prependListener('end', onDisconnected);
+				if (pace) {
+					paceReads(socket, {
+						pace,
+						maxHeadBytes: MAX_HEADER_BYTES,
+						progress: () => ({hasHead, bodyBytes}),
+						onOversizedHead() {
+							end({kind: 'broken', message: `received a head of more than ${MAX_HEADER_BYTES} bytes`, isDisconnected});
+						},
+					});
+				}
+
 				socket.on('readable', () => {
 					if (socket.bytesRead > MAX_FRAMING_BYTES + (2 * bodyBytes)) {
 						end({kind: 'broken', message: `received ${socket.bytesRead} bytes with only ${bodyBytes} bytes of a body`, isDisconnected});
@@ -93,7 +113,7 @@
 		// The caller applies its own timeout for missing data.
 		headersTimeout: 0,
 		bodyTimeout: 0,
-		maxHeaderSize: MAX_HEADER_BYTES,
+		maxHeaderSize: 2 * MAX_HEADER_BYTES,
 	});
 	let controller: Dispatcher.DispatchController | undefined;
 	const end = (result: ExchangeEnd): void => {
@@ -132,7 +152,8 @@
 				controller = started;
 			},
 			onResponseStart(_controller, status, headers) {
-				if (!isEnded && status >= 200) {
+				hasHead = status >= 200;
+				if (!isEnded && hasHead) {
 					handler.onHead({status, headers});
 				}
 			},
--- a/src/gateway/attempt-runner.ts
+++ b/src/gateway/attempt-runner.ts
@@ -184,6 +184,10 @@
 			target,
 			sink,
 			buffers: parts.buffers,
+			readPace: parts.readPace,
+			onDropped(bytes) {
+				parts.logger.warn('response_dropped', {request: request.id, bytes, buffered: parts.buffers.totalBytes});
+			},
 			silenceTimeoutMs,
 			prepareAnother: async () => prepareBeside(),
 			onProgress: () => {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,6 +3,7 @@
 import {
 	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
 } from '../forwarding/exchange.js';
+import type {ReadPace} from '../forwarding/read-pace.js';
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
 import {
 	readRelayNote, relayNoteHeaders, type RelayNote,
@@ -33,10 +34,17 @@
 	readonly lastEventId: number | undefined;
 	/** Whether the client has received the head of a stream, so that nothing but its events can follow. */
 	readonly hasBegun: boolean;
-	/** Sends an event, and `head` before the first one; later heads are ignored. Returns false if the buffer is full. */
-	writeEvent(head: readonly string[], event: RawEvent): boolean;
+	/** Number of bytes that the client has not received yet. */
+	readonly unsentBytes: number;
+	/**
+	 * Sends whole events up to `lastEventId`, which is undefined if none of them has an id, and `head` before the first ones; later heads are
+	 * ignored. Returns false if the buffer is full.
+	 */
+	writeEvents(head: readonly string[], bytes: Uint8Array, lastEventId: number | undefined): boolean;
 	/** Calls `callback` once the client reads again. */
 	onceDrained(callback: () => void): void;
+	/** Closes the connection of the client. */
+	destroy(): void;
 };
 
 export type AttemptOptions = {
@@ -46,6 +54,7 @@
 	readonly target: AttemptTarget;
 	readonly sink: EventSink;
 	readonly buffers: ResponseBuffers;
+	readonly readPace: ReadPace;
 	/** Time in ms without a new event or response after which another attempt is started beside this one. */
 	readonly silenceTimeoutMs: number;
 	/** Prepares another attempt. Resolves with undefined if none is possible now; never rejects. */
@@ -58,6 +67,8 @@
 	onMetadata(metadata: ResponseMetadata, relayNote: RelayNote | undefined): void;
 	/** Called with the number of new events after each one. */
 	onEvent(events: number): void;
+	/** Called before the connection of a client is closed that reads too slowly to give up `bytes` bytes of memory. */
+	onDropped(bytes: number): void;
 	/** Called with an unexpected error, which ends the attempt. */
 	onError(err: unknown): void;
 };
@@ -82,11 +93,19 @@
 	readonly splitter: EventSplitter;
 	readonly account: ResponseAccount;
 	/** Events without an id, such as comments, before the first new event. They are no sign that the request is being served. */
-	preamble: RawEvent[];
+	preamble: GrowingBuffer;
 	/** Bytes received since the last new event. */
 	stalledBytes: number;
 };
 
+/** Neighbouring events that are handled together. */
+type EventRun = {
+	readonly isPreamble: boolean;
+	hasNewEvent: boolean;
+	readonly first: RawEvent;
+	last: RawEvent;
+};
+
 /** `overtaken`: another attempt has shown more than this one. */
 export type AbortReason = 'request_ended' | 'expired' | 'overtaken';
 
@@ -191,7 +210,7 @@
 			onEnd: this.#guard(end => {
 				this.#finish(this.#resultOf(end));
 			}),
-		}, Math.min(CONNECT_TIMEOUT_MS, timeLeftMs));
+		}, {connectTimeoutMs: Math.min(CONNECT_TIMEOUT_MS, timeLeftMs), pace: this.options.readPace});
 		this.#restartSilence();
 	}
 
@@ -218,7 +237,13 @@
 			this.#abortBroken(`response with status ${head.status} lacks a signature`);
 		} else if (request.route.kind.kind === 'stream' && head.status === OK_STATUS) {
 			this.#phase = {
-				kind: 'relaying', head: this.#clientHeaders(head), isFramed: isFramed(head), splitter: EventSplitter.create(), account: this.#openAccount(), preamble: [], stalledBytes: 0,
+				kind: 'relaying',
+				head: this.#clientHeaders(head),
+				isFramed: isFramed(head),
+				splitter: EventSplitter.create(),
+				account: this.#openAccount(),
+				preamble: GrowingBuffer.create(),
+				stalledBytes: 0,
 			};
 		} else if (this.options.sink.hasBegun) {
 			this.#abortBroken(`response with status ${head.status} instead of the rest of the stream`);
@@ -247,9 +272,15 @@
 	}
 
 	#openAccount(): ResponseAccount {
-		const {buffers} = this.options;
+		const {buffers, sink, onDropped} = this.options;
 		return buffers.open(this.#guard(() => {
-			this.#abortBroken(`this response is the largest of the buffered ones, which exceed ${buffers.maxBytes} bytes in total`);
+			if (this.#isPaused) {
+				// The client is slow, not the server.
+				onDropped(sink.unsentBytes);
+				sink.destroy();
+			} else {
+				this.#abortBroken(`this response is the largest of the buffered ones, which exceed ${buffers.maxBytes} bytes in total`);
+			}
 		}));
 	}
 
@@ -273,55 +304,104 @@
 
 	#relay(phase: RelayingPhase, chunk: Uint8Array): void {
 		phase.stalledBytes += chunk.length;
-		for (const event of phase.splitter.push(chunk)) {
-			this.#relayEvent(phase, event);
-			if (this.#finished) {
-				return;
-			}
+		this.#relayEvents(phase, phase.splitter.push(chunk));
+		if (this.#finished) {
+			return;
 		}
 
 		if (phase.stalledBytes > MAX_STALLED_STREAM_BYTES) {
 			this.#abortBroken(`received ${phase.stalledBytes} bytes without a new event`);
 		} else {
-			phase.account.record(phase.stalledBytes);
+			this.#recordMemory(phase);
 		}
 	}
 
-	#relayEvent(phase: RelayingPhase, event: RawEvent): void {
-		const {lastEventId} = this.options.sink;
-		if (event.id === undefined) {
-			if (this.#events > 0) {
-				this.#write(phase.head, event);
-			} else {
-				phase.preamble.push(event);
+	/** Handles neighbouring events together: a server may send thousands of short ones at once. */
+	#relayEvents(phase: RelayingPhase, events: readonly RawEvent[]): void {
+		let {lastEventId} = this.options.sink;
+		let run: EventRun | undefined;
+		const endRun = (): void => {
+			if (run) {
+				this.#relayRun(phase, run, lastEventId);
 			}
-		} else if (lastEventId !== undefined && event.id > lastEventId + 1) {
-			this.#abortBroken(`received event ${event.id} after event ${lastEventId}`);
-		} else if (lastEventId === undefined || event.id > lastEventId) {
-			this.#relayNewEvent(phase, event);
+
+			run = undefined;
+		};
+
+		for (const event of events) {
+			const place = this.#placeOf(event, lastEventId);
+			if (place === 'gap' || place === 'repeated') {
+				endRun();
+				if (place === 'gap') {
+					this.#abortBroken(`received event ${event.id} after event ${lastEventId}`);
+					return;
+				}
+
+				continue;
+			}
+
+			if (run?.isPreamble !== (place === 'preamble')) {
+				endRun();
+			}
+
+			run ??= {
+				isPreamble: place === 'preamble', hasNewEvent: false, first: event, last: event,
+			};
+			run.last = event;
+			if (place === 'new') {
+				run.hasNewEvent = true;
+				lastEventId = event.id;
+				this.#events++;
+				this.options.onEvent(this.#events);
+			}
+		}
+
+		endRun();
+	}
+
+	#relayRun(phase: RelayingPhase, {isPreamble, hasNewEvent, first, last}: EventRun, lastEventId: number | undefined): void {
+		const bytes = first.bytesTo(last);
+		if (isPreamble) {
+			phase.preamble.append(bytes);
+			return;
+		}
+
+		if (hasNewEvent) {
+			this.#recordProgress(phase);
 		}
+
+		this.#write(phase, bytes, lastEventId);
 	}
 
-	#relayNewEvent(phase: RelayingPhase, event: RawEvent): void {
+	/** Where an event stands in the stream of the client; `beside` has no id. */
+	#placeOf({id}: RawEvent, lastEventId: number | undefined): 'preamble' | 'beside' | 'repeated' | 'new' | 'gap' {
+		if (id === undefined) {
+			return this.#events > 0 ? 'beside' : 'preamble';
+		}
+
+		if (lastEventId === undefined || id === lastEventId + 1) {
+			return 'new';
+		}
+
+		return id > lastEventId ? 'gap' : 'repeated';
+	}
+
+	/** Records new events before they are sent, and sends what came before the first of them. */
+	#recordProgress(phase: RelayingPhase): void {
 		phase.stalledBytes = phase.splitter.pendingBytes;
 		this.#isSilent = false;
 		this.#restartSilence();
 		this.options.onProgress();
-		for (const earlier of phase.preamble) {
-			this.#write(phase.head, earlier);
+		if (phase.preamble.length > 0) {
+			this.options.sink.writeEvents(phase.head, phase.preamble.bytes, undefined);
+			phase.preamble = GrowingBuffer.create();
 		}
-
-		phase.preamble = [];
-		this.#events++;
-		this.options.onEvent(this.#events);
-
-		this.#write(phase.head, event);
 	}
 
-	/** Sends an event to the client, and stops reading from the server while the client does not read. */
-	#write(head: readonly string[], event: RawEvent): void {
+	/** Sends events to the client, and stops reading from the server while the client does not read. */
+	#write(phase: RelayingPhase, bytes: Uint8Array, lastEventId: number | undefined): void {
 		const {sink} = this.options;
-		if (sink.writeEvent(head, event) || this.#isPaused) {
+		if (sink.writeEvents(phase.head, bytes, lastEventId) || this.#isPaused) {
 			return;
 		}
 
@@ -332,12 +412,17 @@
 		sink.onceDrained(this.#guard(() => {
 			this.#isPaused = false;
 			if (!this.#finished) {
+				this.#recordMemory(phase);
 				this.#exchange?.resume();
 				this.#restartSilence();
 			}
 		}));
 	}
 
+	#recordMemory({splitter, preamble, account}: RelayingPhase): void {
+		account.record(splitter.capacity + preamble.capacity + this.options.sink.unsentBytes);
+	}
+
 	#resultOf(end: ExchangeEnd): AttemptResult {
 		switch (end.kind) {
 			case 'complete': {
--- a/src/gateway/client-response.ts
+++ b/src/gateway/client-response.ts
@@ -1,5 +1,4 @@
 /** The response to one client: a whole response, a failure, or the events of a stream over several attempts. */
-import type {RawEvent} from '../forwarding/event-splitter.js';
 import {breakOff} from '../http/break-off.js';
 import {canAnswer} from '../http/can-answer.js';
 import {sendFailure} from '../http/error-response.js';
@@ -57,15 +56,19 @@
 		return {firstEventMs, longestGapMs: this.#longestGapMs};
 	}
 
-	writeEvent(head: readonly string[], event: RawEvent): boolean {
+	get unsentBytes(): number {
+		return this.request.res.writableLength;
+	}
+
+	writeEvents(head: readonly string[], bytes: Uint8Array, lastEventId: number | undefined): boolean {
 		const {res} = this.request;
 		if (!res.headersSent) {
 			res.writeHead(200, [...head]);
 		}
 
-		this.#recordEvent(this.clock());
-		this.#lastEventId = event.id ?? this.#lastEventId;
-		return res.write(event.bytes);
+		this.#recordEvents(this.clock());
+		this.#lastEventId = lastEventId ?? this.#lastEventId;
+		return res.write(bytes);
 	}
 
 	onceDrained(callback: () => void): void {
@@ -124,7 +127,7 @@
 		}
 	}
 
-	#recordEvent(now: number): void {
+	#recordEvents(now: number): void {
 		if (this.#firstEventAt === undefined) {
 			this.#firstEventAt = now;
 		} else {
--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -1,5 +1,6 @@
 /** The parts of a daemon that the handling of requests uses. */
 import type {LoadExchange} from '../fleet/load-exchange.js';
+import type {ReadPace} from '../forwarding/read-pace.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {RequestRelay} from '../relaying/request-relay.js';
@@ -23,6 +24,8 @@
 	readonly relay: Pick<RequestRelay, 'isNeeded' | 'isPathDoubtful' | 'chooseAddress' | 'skip' | 'recordConfiguration' | 'requiredConfiguration' | 'recordConnected' | 'recordNotConnected'>;
 	/** Memory of responses, shared by all requests of this daemon. */
 	readonly buffers: ResponseBuffers;
+	/** Work on responses, shared like their memory. */
+	readonly readPace: ReadPace;
 	readonly clock: Clock;
 	/** The time at which events were read that were waiting together. */
 	readonly turnClock: Clock;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -13,6 +13,7 @@
 import {ServerLimits} from '../fleet/server-limits.js';
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
+import {ReadPace} from '../forwarding/read-pace.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
@@ -370,6 +371,7 @@
 			dispatcher,
 			roomShares,
 			buffers: ResponseBuffers.create(settings.memoryBytes * RESPONSE_MEMORY_SHARE),
+			readPace: ReadPace.create(),
 			maxBufferedBodyBytes: settings.memoryBytes * REQUEST_BODY_MEMORY_SHARE,
 			loadExchange,
 			quarantine,
--- a/testing/bench/benchmarks.ts
+++ b/testing/bench/benchmarks.ts
@@ -5,6 +5,7 @@
 import {controlCost} from './control-cost.js';
 import {daemonCost} from './daemon-cost.js';
 import {decisionCost} from './decision-cost.js';
+import {endlessBytes} from './endless-bytes.js';
 import {evidenceCost} from './evidence-cost.js';
 import {domainLeave, domainLoss} from './domain-change.js';
 import {firstToken} from './first-token.js';
@@ -15,5 +16,5 @@
 import {tokenGap} from './token-gap.js';
 
 export const benchmarks: readonly Benchmark[] = [
-	firstToken, blocking, longPromptShare, flood, domainLeave, domainLoss, tokenGap, daemonCost, controlCost, configurationDelivery, claims, decisionCost, evidenceCost, serverPace,
+	firstToken, blocking, longPromptShare, flood, domainLeave, domainLoss, tokenGap, daemonCost, controlCost, configurationDelivery, claims, decisionCost, evidenceCost, endlessBytes, serverPace,
 ];
--- /dev/null
+++ b/testing/load/endless-run.ts
@@ -0,0 +1,188 @@
+/** Runs the daemon program beside backend servers that send bytes without end, and measures its memory and what calm callers get. */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {request} from 'undici';
+import {pause} from '../../src/util/pause.js';
+import {freePeerPort, freePort} from '../free-port.js';
+import {buildPlatformProgram, platformNodeFlags} from '../platform-program.js';
+import {Processes} from '../processes.js';
+import type {EndlessBytes} from '../stand-ins/platform/endless-server-stand-in.js';
+import {PlatformServerStandIn} from '../stand-ins/platform/platform-server-stand-in.js';
+import {StoreStandIn} from '../stand-ins/platform/store-stand-in.js';
+
+/** Memory in MB of the hosts of the first deployments. */
+export const HOST_MEMORY_MB = 350;
+/** Time in ms within which an order of the first deployment has its full worth. */
+export const ORDER_TARGET_MS = 386;
+const ORDER_INTERVAL_MS = 50;
+const ORDER_DEADLINE_MS = 3000;
+const ORDER_WORK_MS = 20;
+const WARM_UP_MS = 1500;
+const READY_TIMEOUT_MS = 10_000;
+/** Lines of the log that are kept. */
+const LOG_LINES = 2000;
+
+export type EndlessLoad = {
+	readonly bytes: EndlessBytes;
+	/** Whether the requests are streams that may be resumed, or calls that may be repeated. */
+	readonly kind: 'stream' | 'call';
+	/** Requests that are open at the same time. */
+	readonly requests: number;
+	/** Whether their clients read what they get. */
+	readonly isReading: boolean;
+	readonly durationMs: number;
+};
+
+export type EndlessResult = {
+	/** Largest resident memory of the daemon in MB; undefined if it has ended by itself. */
+	readonly peakMb: number | undefined;
+	/** Statuses of the calm orders other than 200; 0 for a connection that broke. */
+	readonly failedOrders: readonly number[];
+	/** Times of the calm orders in ms, ascending. */
+	readonly orderMs: readonly number[];
+	readonly log: readonly string[];
+};
+
+const route = (name: string, kind: string, service: string) => ({
+	name,
+	host: 'desk.example',
+	'path-prefix': `/${name}/`,
+	kind,
+	resumable: kind === 'stream',
+	'timeout-ms': 10_000,
+	'target-latency-ms': ORDER_TARGET_MS,
+	'gap-target-ms': 200,
+	priority: 1,
+	service,
+	'max-attempts': 2,
+	anonymous: true,
+});
+
+export async function runEndlessLoad({bytes, kind, requests, isReading, durationMs}: EndlessLoad): Promise<EndlessResult> {
+	const folder = mkdtempSync(path.join(tmpdir(), 'fireflyport-'));
+	const store = await StoreStandIn.create();
+	const desk = await PlatformServerStandIn.create({instance: 'calm', paceMs: ORDER_WORK_MS});
+	const processes = Processes.create();
+	const ports = {
+		front: await freePort(), ready: await freePort(), metrics: await freePort(), peer: await freePeerPort(),
+	};
+	const register = (service: string, instance: string, address: string): void => {
+		store.put('servers', instance, {
+			service, address, zone: 'braga', slots: 1000, state: 'ready', 'cold-remaining-ms': 0, sequence: 1, born: 1,
+		});
+	};
+
+	store.put('config', 'main', {
+		version: 1,
+		routes: [route('order', 'unsafe', 'desk'), route('stream', 'stream', 'endless'), route('call', 'safe', 'endless')],
+		services: [{name: 'desk'}, {name: 'endless'}],
+		limits: {'max-body-bytes': 1_000_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000},
+	});
+	register('desk', 'calm', desk.address);
+	const log: string[] = [];
+	let daemon: ChildProcess | undefined;
+	try {
+		const settings = path.join(folder, 'local.json');
+		writeFileSync(settings, JSON.stringify({
+			node: 'front-1',
+			ip: '127.0.0.1',
+			zone: 'braga',
+			zones: {braga: 'pt-norte'},
+			listen: {front: `127.0.0.1:${ports.front}`, ready: `127.0.0.1:${ports.ready}`},
+			'internal-port-range': [ports.peer, ports.metrics],
+			limits: {'cpu-share': 0.675, cores: 1, 'memory-mb': HOST_MEMORY_MB},
+			bounds: {
+				'grace-s': 5, 'stable-window-ms': 3000, 'retry-budget-ratio': 0.2, 'budget-slack': 100,
+			},
+			platform: {address: store.address},
+		}));
+		daemon = spawn(process.execPath, [...platformNodeFlags(), buildPlatformProgram(folder)], {env: {...process.env, FIREFLYPORT_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
+		for (const stream of [daemon.stdout!, daemon.stderr!]) {
+			createInterface({input: stream}).on('line', line => {
+				log.push(line);
+				log.splice(0, log.length - LOG_LINES);
+			});
+		}
+
+		await waitUntilReady(ports.ready);
+		// Compiles the program's code, which is not what is measured.
+		await sendOrders(ports.front, WARM_UP_MS);
+		const load = await processes.start({
+			name: 'endless load', program: 'testing/load/endless-load.js', args: [bytes, `127.0.0.1:${ports.front}`, `/${kind}/x`, String(requests), String(isReading)],
+		});
+		register('endless', 'endless', load.address);
+		const orders = await sendOrders(ports.front, durationMs);
+		return {
+			peakMb: daemon.exitCode === null && daemon.signalCode === null ? peakMemoryMb(daemon.pid!) : undefined,
+			failedOrders: orders.map(({status}) => status).filter(status => status !== 200),
+			orderMs: orders.map(({ms}) => ms).sort((a, b) => a - b),
+			log,
+		};
+	} finally {
+		daemon?.kill('SIGKILL');
+		await processes.closeAll();
+		await Promise.all([desk.close(), store.close()]);
+		rmSync(folder, {recursive: true});
+	}
+}
+
+/** Largest resident memory of a process so far, in MB. */
+export function peakMemoryMb(pid: number): number {
+	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
+	return Number(groups!.kilobytes) / 1024;
+}
+
+async function waitUntilReady(port: number): Promise<void> {
+	const end = performance.now() + READY_TIMEOUT_MS;
+	for (;;) {
+		try {
+			const {statusCode, body} = await request(`http://127.0.0.1:${port}/-/ready`);
+			await body.dump();
+			if (statusCode === 200) {
+				return;
+			}
+		} catch (err) {
+			// Not listening yet.
+			if (performance.now() > end) {
+				throw err;
+			}
+		}
+
+		await pause(20);
+	}
+}
+
+type Order = {readonly status: number; readonly ms: number};
+
+async function sendOrders(port: number, durationMs: number): Promise<readonly Order[]> {
+	const orders: Array<Promise<Order>> = [];
+	const end = performance.now() + durationMs;
+	while (performance.now() < end) {
+		orders.push(sendOrder(port, orders.length));
+		await pause(ORDER_INTERVAL_MS);
+	}
+
+	return Promise.all(orders);
+}
+
+async function sendOrder(port: number, index: number): Promise<Order> {
+	const startedAt = performance.now();
+	let status = 0;
+	try {
+		const res = await request(`http://127.0.0.1:${port}/order/x`, {
+			method: 'POST', headers: {host: 'desk.example', 'fireflyport-attempt-id': `order-${index}`, 'fireflyport-deadline-ms': String(ORDER_DEADLINE_MS)}, headersTimeout: 2 * ORDER_DEADLINE_MS,
+		});
+		await res.body.dump();
+		status = res.statusCode;
+	} catch {
+		// Counted as a failed order by its status.
+	}
+
+	return {status, ms: performance.now() - startedAt};
+}
--- a/testing/stand-ins/platform/endless-server-stand-in.ts
+++ b/testing/stand-ins/platform/endless-server-stand-in.ts
@@ -6,6 +6,10 @@
 import {listen} from '../../../src/util/listen.js';
 
 const BLOCK_BYTES = 65_536;
+/** Nearly the 256 KiB after which a stream without an event is given up. */
+const HELD_BLOCKS = 5;
+const SHORT_EVENTS = 4000;
+const LARGE_EVENT_BYTES = 100_000;
 const ATTEMPT_ID = /fireflyport-attempt-id: (?<id>.+)\r\n/iv;
 
 /** What the server sends without end after the beginning of a response. */
@@ -18,6 +22,11 @@
 	| 'event'
 	/** Comments of a stream. */
 	| 'comments'
+	/** New events of a stream, as short as they can be, and of 100 kB. */
+	| 'short events'
+	| 'large events'
+	/** Comments of a stream, up to less than a daemon accepts without an event, and then nothing. */
+	| 'held comments'
 	/** Events of a stream that have been sent before. */
 	| 'repeated events'
 	/** Informational responses. */
@@ -87,20 +96,26 @@
 				this.requests++;
 				const [start, block] = this.#response(ATTEMPT_ID.exec(received)?.groups?.id ?? '');
 				socket.write(start);
-				this.#flood(socket, repeat(block));
+				const repeated = typeof block === 'string' ? repeat(block) : undefined;
+				this.#flood(socket, () => repeated ?? Buffer.from((block as () => string)(), 'latin1'));
 			}
 		});
 	}
 
 	/** Writes one block a turn, so that other connections of this process are served meanwhile. */
-	#flood(socket: Socket, block: Buffer): void {
+	#flood(socket: Socket, nextBlock: () => Buffer): void {
 		if (socket.destroyed) {
 			return;
 		}
 
+		const block = nextBlock();
+		if (block.length === 0) {
+			return;
+		}
+
 		this.sentBytes += block.length;
 		const next = (): void => {
-			this.#flood(socket, block);
+			this.#flood(socket, nextBlock);
 		};
 
 		if (socket.write(block)) {
@@ -110,8 +125,8 @@
 		}
 	}
 
-	/** Returns the beginning of the response, and what is repeated after it. */
-	#response(attemptId: string): readonly [start: string, block: string] {
+	/** Returns the beginning of the response, and what is repeated or made after it. */
+	#response(attemptId: string): readonly [start: string, block: string | (() => string)] {
 		const head = (status: string, more = ''): string =>
 			`HTTP/1.1 ${status}\r\nfireflyport-attempt-id: ${attemptId}\r\nfireflyport-response-seal: seal-${this.instance}\r\n${more}\r\n`;
 		switch (this.bytes) {
@@ -131,6 +146,19 @@
 				return [head('200 OK'), ':\n\n'];
 			}
 
+			case 'held comments': {
+				let blocks = 0;
+				return [head('200 OK'), () => blocks++ < HELD_BLOCKS ? ':\n\n'.repeat(BLOCK_BYTES / 4) : ''];
+			}
+
+			case 'short events': {
+				return [head('200 OK'), eventBlocks('', SHORT_EVENTS)];
+			}
+
+			case 'large events': {
+				return [head('200 OK'), eventBlocks('x'.repeat(LARGE_EVENT_BYTES), 1)];
+			}
+
 			case 'repeated events': {
 				return [head('200 OK'), 'id: 1\ndata: 1\n\n'];
 			}
@@ -162,4 +190,10 @@
 	}
 }
 
+/** Makes blocks of `count` further events each. */
+function eventBlocks(data: string, count: number): () => string {
+	let id = 0;
+	return () => Array.from({length: count}, () => `id:${++id}\ndata:${data}\n\n`).join('');
+}
+
 const repeat = (text: string): Buffer => Buffer.from(text.repeat(Math.ceil(BLOCK_BYTES / text.length)), 'latin1');
--- /dev/null
+++ b/tests/endless-load.test.ts
@@ -0,0 +1,27 @@
+import {describe, expect, it} from 'vitest';
+import {
+	HOST_MEMORY_MB, ORDER_TARGET_MS, runEndlessLoad, type EndlessLoad,
+} from '../testing/load/endless-run.js';
+
+const DURATION_MS = 4000;
+const load = (bytes: EndlessLoad['bytes'], kind: EndlessLoad['kind'], requests: number, isReading = true): EndlessLoad => ({
+	bytes, kind, requests, isReading, durationMs: DURATION_MS,
+});
+
+// Guards against a daemon that runs out of memory, or that lets its other requests wait, while backend servers send bytes without end.
+describe('the daemon program beside servers that send without end', () => {
+	it.each([
+		load('held comments', 'stream', 60),
+		load('comments', 'stream', 30),
+		load('large events', 'stream', 67),
+		load('large events', 'stream', 200, false),
+		load('head', 'call', 200),
+		load('tiny chunks', 'call', 200),
+	])('should stay within its memory and answer other requests in time: $requests $kind requests, $bytes, clients read: $isReading', async played => {
+		const {peakMb, failedOrders, orderMs, log} = await runEndlessLoad(played);
+		expect(peakMb, log.slice(-5).join('\n')).toBeLessThan(HOST_MEMORY_MB);
+		expect(failedOrders).toEqual([]);
+		expect(orderMs[Math.floor(0.9 * orderMs.length)]).toBeLessThan(ORDER_TARGET_MS);
+		expect(log.some(line => /event=(?:attempt_failed .*server=endless |response_dropped|silent_attempt)/v.test(line) || played.bytes === 'large events')).toBe(true);
+	}, 60_000);
+});
--- a/tests/endless-responses.test.ts
+++ b/tests/endless-responses.test.ts
@@ -87,6 +87,21 @@
 	});
 });
 
+// Guards against a server that costs every request its work again and again.
+describe('a server that sends without end each time', () => {
+	it('should be asked less than a healthy one of the same failure domain', async () => {
+		const server = await addEndlessServer('desk', 'tiny chunks');
+		const healthy = await fixture.addServer('desk', {instance: 'healthy'});
+		await fixture.waitForLog('server=healthy');
+		for (let sent = 0; sent < 40; sent++) {
+			expect(await fixture.send('/look/x')).toMatchObject({status: 200, body: 'healthy answered'});
+		}
+
+		expect(healthy.arrivals).toHaveLength(40);
+		expect(server.requests).toBeLessThan(10);
+	});
+});
+
 describe('streams without end', () => {
 	const headers = promptHeaders(1000);
 
--- /dev/null
+++ b/tests/read-pace.test.ts
@@ -0,0 +1,80 @@
+import {describe, expect, it} from 'vitest';
+import {ReadPace} from '../src/forwarding/read-pace.js';
+
+const CHUNK = 65_536;
+
+/** Turns of an event loop that the test runs itself. */
+function createTurns() {
+	const deferred: Array<() => void> = [];
+	return {
+		pace: ReadPace.create(callback => {
+			deferred.push(callback);
+		}),
+		runTurn() {
+			for (const callback of deferred.splice(0)) {
+				callback();
+			}
+		},
+		get isIdle() {
+			return deferred.length === 0;
+		},
+	};
+}
+
+/** Reads `chunks` chunks as soon as it may, and calls back for each. */
+function readChunks(pace: ReadPace, chunks: number, onChunk: () => void, isUrgent = false): void {
+	let left = chunks;
+	const read = (): void => {
+		while (left > 0 && pace.mayRead(read, isUrgent)) {
+			left--;
+			pace.record(CHUNK);
+			onChunk();
+		}
+	};
+
+	read();
+}
+
+// Guards against servers that send without end and fill each turn of the event loop.
+describe('pace of reading', () => {
+	it('should bound the work of a turn over all connections, and give each its turn', () => {
+		const turns = createTurns();
+		const handled = Array.from({length: 20}, () => 0);
+		for (const index of handled.keys()) {
+			readChunks(turns.pace, 10, () => {
+				handled[index]!++;
+			});
+		}
+
+		const total = (): number => handled.reduce((sum, count) => sum + count, 0);
+		for (let turn = 1; total() < 200; turn++) {
+			expect(total()).toBe(turn * 4);
+			turns.runTurn();
+			expect(turn).toBeLessThan(100);
+		}
+
+		expect(handled).toEqual(handled.map(() => 10));
+	});
+
+	it('should not make work wait, or add turns, while there is little of it', () => {
+		const turns = createTurns();
+		let handled = 0;
+		readChunks(turns.pace, 3, () => {
+			handled++;
+		});
+		expect([handled, turns.isIdle]).toEqual([3, true]);
+	});
+
+	it('should finish first what is urgent', () => {
+		const turns = createTurns();
+		const order: string[] = [];
+		readChunks(turns.pace, 8, () => order.push('flood'));
+		readChunks(turns.pace, 1, () => order.push('other'));
+		readChunks(turns.pace, 2, () => order.push('urgent'), true);
+		turns.runTurn();
+		expect(order.slice(4, 6)).toEqual(['urgent', 'urgent']);
+		turns.runTurn();
+		turns.runTurn();
+		expect(order).toHaveLength(11);
+	});
+});
--- a/tests/truncated-answers.test.ts
+++ b/tests/truncated-answers.test.ts
@@ -7,6 +7,7 @@
 } from 'vitest';
 import {UndiciPlainServiceClient} from '../src/backend/plain-service-client.js';
 import {startExchange} from '../src/forwarding/exchange.js';
+import {ReadPace} from '../src/forwarding/read-pace.js';
 import {RawServer, sendAndEnd, type RawEnding} from './fixtures/raw-server.js';
 
 const cleanups: Array<() => unknown> = [];
@@ -66,7 +67,7 @@
 		onEnd({kind}) {
 			resolve({status, body, isWhole: kind === 'complete'});
 		},
-	}, 1000);
+	}, {connectTimeoutMs: 1000, pace: ReadPace.create()});
 });
 
 function createPlainClient(): UndiciPlainServiceClient {
