Read the answers of the store and of other daemons in turn

What callers saw: with a store that answers with heads or informational responses without end, checks of the balancer took 414 ms or more (nine of ten), and calls wait as long.

Cause: as for backend servers, a turn of the event loop handles whatever one connection has received, and the parser makes an error for each field past its limit.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,8 +8,8 @@
 import type {Client, Dispatcher} from 'undici';
 import {CheckedClient} from '../backend/checked-client.js';
 import {createCheckedConnector, NotConnectedError} from '../backend/checked-connector.js';
-import {paceReads} from './paced-reads.js';
-import type {ReadPace} from './read-pace.js';
+import {paceReads} from '../http/paced-reads.js';
+import type {ReadPace} from '../http/read-pace.js';
 
 /** Largest response head that is read, the default of Node.js. The parser keeps two objects for each field of a head. */
 const MAX_HEADER_BYTES = 16_384;
@@ -93,8 +93,7 @@
 				socket.prependListener('error', onDisconnected);
 				socket.prependListener('end', onDisconnected);
 				if (pace) {
-					paceReads(socket, {
-						pace,
+					paceReads(socket, pace, {
 						maxHeadBytes: MAX_HEADER_BYTES,
 						progress: () => ({hasHead, bodyBytes}),
 						onOversizedHead() {
--- a/src/gateway/attempt.ts
+++ b/src/gateway/attempt.ts
@@ -3,7 +3,7 @@
 import {
 	startExchange, type Exchange, type ExchangeEnd, type ExchangeHead,
 } from '../forwarding/exchange.js';
-import type {ReadPace} from '../forwarding/read-pace.js';
+import type {ReadPace} from '../http/read-pace.js';
 import type {ResponseAccount, ResponseBuffers} from '../forwarding/response-buffers.js';
 import {
 	readRelayNote, relayNoteHeaders, type RelayNote,
--- a/src/gateway/flow-parts.ts
+++ b/src/gateway/flow-parts.ts
@@ -1,6 +1,6 @@
 /** The parts of a daemon that the handling of requests uses. */
 import type {LoadExchange} from '../fleet/load-exchange.js';
-import type {ReadPace} from '../forwarding/read-pace.js';
+import type {ReadPace} from '../http/read-pace.js';
 import type {ResponseBuffers} from '../forwarding/response-buffers.js';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import type {RequestRelay} from '../relaying/request-relay.js';
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -13,7 +13,7 @@
 import {ServerLimits} from '../fleet/server-limits.js';
 import {ServerHealth} from '../fleet/server-health.js';
 import type {Member} from '../fleet/fleet-topology.js';
-import {ReadPace} from '../forwarding/read-pace.js';
+import {ReadPace} from '../http/read-pace.js';
 import {ResponseBuffers} from '../forwarding/response-buffers.js';
 import {PromptQuarantine} from '../quarantine/prompt-quarantine.js';
 import {QuarantineStore, readQuarantined} from '../quarantine/quarantine-store.js';
--- a/src/object-api/json-client.ts
+++ b/src/object-api/json-client.ts
@@ -1,6 +1,8 @@
 /** HTTP client for the JSON interfaces of the platform's services, with a time limit on each call. */
 import type {IncomingHttpHeaders} from 'node:http';
 import {Agent, type Dispatcher} from 'undici';
+import {createPacedConnector} from '../http/paced-reads.js';
+import {ReadPace} from '../http/read-pace.js';
 import {withTimeLimit, type TimeLimit} from '../util/time-limit.js';
 import {createMeteredConnector, type TrafficMeter} from '../util/traffic-meter.js';
 
@@ -63,7 +65,7 @@
 	readonly #agent: Agent;
 
 	private constructor(readonly origin: string, private readonly caller: string, meter: TrafficMeter | undefined) {
-		const connect = createMeteredConnector({timeout: CONNECT_TIMEOUT_MS}, meter);
+		const connect = createPacedConnector(createMeteredConnector({timeout: CONNECT_TIMEOUT_MS}, meter), ReadPace.create());
 		this.#agent = new Agent({
 			connect, keepAliveTimeout: IDLE_CONNECTION_MS, pipelining: 1, maxResponseSize: MAX_ANSWER_BYTES,
 		});
--- a/src/store/replica-client.ts
+++ b/src/store/replica-client.ts
@@ -1,8 +1,10 @@
 /** Reads relays' copies of the store over keep-alive connections. */
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {Agent} from 'undici';
+import {Agent, buildConnector} from 'undici';
 import {z} from 'zod';
 import {describeError} from '../object-api/json-client.js';
+import {createPacedConnector} from '../http/paced-reads.js';
+import {ReadPace} from '../http/read-pace.js';
 import type {CallOptions} from '../object-api/object-api.js';
 import {createUndiciFetch} from '../peer/undici-fetch.js';
 import type {Logger} from '../util/logger.js';
@@ -44,7 +46,10 @@
 	}
 
 	readonly #agent = new Agent({
-		keepAliveTimeout: IDLE_CONNECTION_MS, keepAliveMaxTimeout: IDLE_CONNECTION_MS, connect: {timeout: CALL_TIMEOUT_MS}, maxResponseSize: MAX_ANSWER_BYTES,
+		keepAliveTimeout: IDLE_CONNECTION_MS,
+		keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+		connect: createPacedConnector(buildConnector({timeout: CALL_TIMEOUT_MS}), ReadPace.create()),
+		maxResponseSize: MAX_ANSWER_BYTES,
 	});
 
 	readonly #clients = new Map<string, TRPCClient<ReplicaRouter>>();
--- a/testing/load/endless-run.ts
+++ b/testing/load/endless-run.ts
@@ -24,6 +24,7 @@
 const ORDER_DEADLINE_MS = 3000;
 const ORDER_WORK_MS = 20;
 const WARM_UP_MS = 1500;
+const CHECK_INTERVAL_MS = 20;
 const READY_TIMEOUT_MS = 10_000;
 /** Lines of the log that are kept. */
 const LOG_LINES = 2000;
@@ -65,13 +66,8 @@
 });
 
 export async function runEndlessLoad({bytes, kind, requests, isReading, durationMs}: EndlessLoad): Promise<EndlessResult> {
-	const folder = mkdtempSync(path.join(tmpdir(), 'fireflyport-'));
 	const store = await StoreStandIn.create();
 	const desk = await PlatformServerStandIn.create({instance: 'calm', paceMs: ORDER_WORK_MS});
-	const processes = Processes.create();
-	const ports = {
-		front: await freePort(), ready: await freePort(), metrics: await freePort(), peer: await freePeerPort(),
-	};
 	const register = (service: string, instance: string, address: string): void => {
 		store.put('servers', instance, {
 			service, address, zone: 'braga', slots: 1000, state: 'ready', 'cold-remaining-ms': 0, sequence: 1, born: 1,
@@ -85,10 +81,72 @@
 		limits: {'max-body-bytes': 1_000_000, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000},
 	});
 	register('desk', 'calm', desk.address);
-	const log: string[] = [];
-	let daemon: ChildProcess | undefined;
+	const processes = Processes.create();
+	const daemon = await DaemonRun.start(store.address);
+	try {
+		await waitUntilReady(daemon.ports.ready);
+		// Compiles the program's code, which is not what is measured.
+		await sendOrders(daemon.ports.front, WARM_UP_MS);
+		const load = await processes.start({
+			name: 'endless load', program: 'testing/load/endless-load.js', args: [bytes, `127.0.0.1:${daemon.ports.front}`, `/${kind}/x`, String(requests), String(isReading)],
+		});
+		register('endless', 'endless', load.address);
+		const orders = await sendOrders(daemon.ports.front, durationMs);
+		return {
+			peakMb: daemon.peakMb,
+			failedOrders: orders.map(({status}) => status).filter(status => status !== 200),
+			orderMs: orders.map(({ms}) => ms).sort((a, b) => a - b),
+			log: daemon.log,
+		};
+	} finally {
+		daemon.close();
+		await processes.closeAll();
+		await Promise.all([desk.close(), store.close()]);
+	}
+}
+
+/** Runs a daemon whose store answers each call without end. The times are those of its answers to the checks of the balancer. */
+export async function runEndlessStore(bytes: EndlessBytes, durationMs: number): Promise<Pick<EndlessResult, 'peakMb' | 'log'> & {readonly checkMs: readonly number[]}> {
+	const processes = Processes.create();
+	const store = await processes.start({name: 'endless store', program: 'testing/load/endless-load.js', args: [bytes, '', '', '0']});
+	const daemon = await DaemonRun.start(store.address);
 	try {
-		const settings = path.join(folder, 'local.json');
+		const checkMs: number[] = [];
+		const end = performance.now() + WARM_UP_MS + durationMs;
+		while (performance.now() < end) {
+			const startedAt = performance.now();
+			const status = await checkReadiness(daemon.ports.ready);
+			if (status !== undefined && performance.now() > end - durationMs) {
+				checkMs.push(performance.now() - startedAt);
+			}
+
+			await pause(CHECK_INTERVAL_MS);
+		}
+
+		return {peakMb: daemon.peakMb, log: daemon.log, checkMs: checkMs.sort((a, b) => a - b)};
+	} finally {
+		daemon.close();
+		await processes.closeAll();
+	}
+}
+
+type DaemonPorts = {readonly front: number; readonly ready: number; readonly metrics: number; readonly peer: number};
+
+/** The daemon program with the flags of the deploy file. */
+class DaemonRun {
+	static async start(storeAddress: string): Promise<DaemonRun> {
+		const ports = {
+			front: await freePort(), ready: await freePort(), metrics: await freePort(), peer: await freePeerPort(),
+		};
+		return new DaemonRun(ports, storeAddress);
+	}
+
+	readonly log: string[] = [];
+	readonly #folder = mkdtempSync(path.join(tmpdir(), 'fireflyport-'));
+	readonly #child: ChildProcess;
+
+	private constructor(readonly ports: DaemonPorts, storeAddress: string) {
+		const settings = path.join(this.#folder, 'local.json');
 		writeFileSync(settings, JSON.stringify({
 			node: 'front-1',
 			ip: '127.0.0.1',
@@ -100,61 +158,57 @@
 			bounds: {
 				'grace-s': 5, 'stable-window-ms': 3000, 'retry-budget-ratio': 0.2, 'budget-slack': 100,
 			},
-			platform: {address: store.address},
+			platform: {address: storeAddress},
 		}));
-		daemon = spawn(process.execPath, [...platformNodeFlags(), buildPlatformProgram(folder)], {env: {...process.env, FIREFLYPORT_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe']});
-		for (const stream of [daemon.stdout!, daemon.stderr!]) {
+		this.#child = spawn(process.execPath, [...platformNodeFlags(), buildPlatformProgram(this.#folder)], {
+			env: {...process.env, FIREFLYPORT_CONFIG: settings}, stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		for (const stream of [this.#child.stdout!, this.#child.stderr!]) {
 			createInterface({input: stream}).on('line', line => {
-				log.push(line);
-				log.splice(0, log.length - LOG_LINES);
+				this.log.push(line);
+				this.log.splice(0, this.log.length - LOG_LINES);
 			});
 		}
+	}
 
-		await waitUntilReady(ports.ready);
-		// Compiles the program's code, which is not what is measured.
-		await sendOrders(ports.front, WARM_UP_MS);
-		const load = await processes.start({
-			name: 'endless load', program: 'testing/load/endless-load.js', args: [bytes, `127.0.0.1:${ports.front}`, `/${kind}/x`, String(requests), String(isReading)],
-		});
-		register('endless', 'endless', load.address);
-		const orders = await sendOrders(ports.front, durationMs);
-		return {
-			peakMb: daemon.exitCode === null && daemon.signalCode === null ? peakMemoryMb(daemon.pid!) : undefined,
-			failedOrders: orders.map(({status}) => status).filter(status => status !== 200),
-			orderMs: orders.map(({ms}) => ms).sort((a, b) => a - b),
-			log,
-		};
-	} finally {
-		daemon?.kill('SIGKILL');
-		await processes.closeAll();
-		await Promise.all([desk.close(), store.close()]);
-		rmSync(folder, {recursive: true});
+	/** Largest resident memory so far in MB; undefined if the program has ended by itself. */
+	get peakMb(): number | undefined {
+		const {pid, exitCode, signalCode} = this.#child;
+		return exitCode === null && signalCode === null ? peakMemoryMb(pid!) : undefined;
+	}
+
+	close(): void {
+		this.#child.kill('SIGKILL');
+		rmSync(this.#folder, {recursive: true});
 	}
 }
 
 /** Largest resident memory of a process so far, in MB. */
-export function peakMemoryMb(pid: number): number {
+function peakMemoryMb(pid: number): number {
 	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
 	return Number(groups!.kilobytes) / 1024;
 }
 
 async function waitUntilReady(port: number): Promise<void> {
 	const end = performance.now() + READY_TIMEOUT_MS;
-	for (;;) {
-		try {
-			const {statusCode, body} = await request(`http://127.0.0.1:${port}/-/ready`);
-			await body.dump();
-			if (statusCode === 200) {
-				return;
-			}
-		} catch (err) {
-			// Not listening yet.
-			if (performance.now() > end) {
-				throw err;
-			}
+	while (await checkReadiness(port) !== 200) {
+		if (performance.now() > end) {
+			throw new Error(`the daemon was not ready within ${READY_TIMEOUT_MS} ms`);
 		}
 
-		await pause(20);
+		await pause(CHECK_INTERVAL_MS);
+	}
+}
+
+/** Returns the status of a check by the balancer; undefined while the daemon does not listen. */
+async function checkReadiness(port: number): Promise<number | undefined> {
+	try {
+		const {statusCode, body} = await request(`http://127.0.0.1:${port}/-/ready`);
+		await body.dump();
+		return statusCode;
+	} catch {
+		// Not listening yet, or no longer.
+		return undefined;
 	}
 }
 
--- a/tests/endless-load.test.ts
+++ b/tests/endless-load.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {
-	HOST_MEMORY_MB, ORDER_TARGET_MS, runEndlessLoad, type EndlessLoad,
+	HOST_MEMORY_MB, ORDER_TARGET_MS, runEndlessLoad, runEndlessStore, type EndlessLoad,
 } from '../testing/load/endless-run.js';
 
 const DURATION_MS = 4000;
@@ -25,3 +25,16 @@
 		expect(log.some(line => /event=(?:attempt_failed .*server=endless |response_dropped|silent_attempt)/v.test(line) || played.bytes === 'large events')).toBe(true);
 	}, 60_000);
 });
+
+// Guards against a store that fills the turns of the event loop in the same way.
+describe('the daemon program with a store that sends without end', () => {
+	/** A fifth of the second in which the balancer asks again, so that two slow answers in a row cost no turn of it. */
+	const MAX_CHECK_MS = 200;
+
+	it.each(['head', 'informational heads', 'tiny chunks', 'body'] as const)('should stay within its memory and answer checks in time: %s', async bytes => {
+		const {peakMb, checkMs, log} = await runEndlessStore(bytes, DURATION_MS);
+		expect(peakMb, log.slice(-5).join('\n')).toBeLessThan(HOST_MEMORY_MB);
+		expect(checkMs.length).toBeGreaterThan(10);
+		expect(checkMs[Math.floor(0.9 * checkMs.length)]).toBeLessThan(MAX_CHECK_MS);
+	}, 60_000);
+});
--- a/tests/read-pace.test.ts
+++ b/tests/read-pace.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from 'vitest';
-import {ReadPace} from '../src/forwarding/read-pace.js';
+import {ReadPace} from '../src/http/read-pace.js';
 
 const CHUNK = 65_536;
 
--- a/tests/truncated-answers.test.ts
+++ b/tests/truncated-answers.test.ts
@@ -7,7 +7,7 @@
 } from 'vitest';
 import {UndiciPlainServiceClient} from '../src/backend/plain-service-client.js';
 import {startExchange} from '../src/forwarding/exchange.js';
-import {ReadPace} from '../src/forwarding/read-pace.js';
+import {ReadPace} from '../src/http/read-pace.js';
 import {RawServer, sendAndEnd, type RawEnding} from './fixtures/raw-server.js';
 
 const cleanups: Array<() => unknown> = [];
