--- a/testing/load/endless-run.ts
+++ b/testing/load/endless-run.ts
@@ -25,6 +25,8 @@
 const ORDER_WORK_MS = 20;
 const WARM_UP_MS = 1500;
 const CHECK_INTERVAL_MS = 20;
+/** Nothing listens on port 1. */
+const NO_STORE = '127.0.0.1:1';
 const READY_TIMEOUT_MS = 10_000;
 /** Lines of the log that are kept. */
 const LOG_LINES = 2000;
@@ -45,11 +47,18 @@
 	readonly peakMb: number | undefined;
 	/** Statuses of the calm orders other than 200; 0 for a connection that broke. */
 	readonly failedOrders: readonly number[];
-	/** Times of the calm orders in ms, ascending. */
+	/** Times of the calm orders in ms, ascending, and of those before the load, which show how busy this machine is otherwise. */
 	readonly orderMs: readonly number[];
+	readonly earlierOrderMs: readonly number[];
 	readonly log: readonly string[];
 };
 
+export type EndlessStoreResult = Pick<EndlessResult, 'peakMb' | 'log'> & {
+	/** Times in ms of the answers to checks of the balancer, ascending, and of a daemon whose store does not listen. */
+	readonly checkMs: readonly number[];
+	readonly earlierCheckMs: readonly number[];
+};
+
 const route = (name: string, kind: string, service: string) => ({
 	name,
 	host: 'desk.example',
@@ -87,6 +96,7 @@
 		await waitUntilReady(daemon.ports.ready);
 		// Compiles the program's code, which is not what is measured.
 		await sendOrders(daemon.ports.front, WARM_UP_MS);
+		const earlier = await sendOrders(daemon.ports.front, WARM_UP_MS);
 		const load = await processes.start({
 			name: 'endless load', program: 'testing/load/endless-load.js', args: [bytes, `127.0.0.1:${daemon.ports.front}`, `/${kind}/x`, String(requests), String(isReading)],
 		});
@@ -95,7 +105,8 @@
 		return {
 			peakMb: daemon.peakMb,
 			failedOrders: orders.map(({status}) => status).filter(status => status !== 200),
-			orderMs: orders.map(({ms}) => ms).sort((a, b) => a - b),
+			orderMs: timesOf(orders),
+			earlierOrderMs: timesOf(earlier),
 			log: daemon.log,
 		};
 	} finally {
@@ -105,11 +116,21 @@
 	}
 }
 
-/** Runs a daemon whose store answers each call without end. The times are those of its answers to the checks of the balancer. */
-export async function runEndlessStore(bytes: EndlessBytes, durationMs: number): Promise<Pick<EndlessResult, 'peakMb' | 'log'> & {readonly checkMs: readonly number[]}> {
+/** Runs a daemon whose store answers each call without end, and before that one whose store does not listen. */
+export async function runEndlessStore(bytes: EndlessBytes, durationMs: number): Promise<EndlessStoreResult> {
 	const processes = Processes.create();
-	const store = await processes.start({name: 'endless store', program: 'testing/load/endless-load.js', args: [bytes, '', '', '0']});
-	const daemon = await DaemonRun.start(store.address);
+	try {
+		const {checkMs: earlierCheckMs} = await checkDaemon(NO_STORE, WARM_UP_MS);
+		const store = await processes.start({name: 'endless store', program: 'testing/load/endless-load.js', args: [bytes, '', '', '0']});
+		return {...await checkDaemon(store.address, durationMs), earlierCheckMs};
+	} finally {
+		await processes.closeAll();
+	}
+}
+
+/** Sends a daemon the checks of the balancer, from the time on at which it is warm. */
+async function checkDaemon(storeAddress: string, durationMs: number): Promise<Omit<EndlessStoreResult, 'earlierCheckMs'>> {
+	const daemon = await DaemonRun.start(storeAddress);
 	try {
 		const checkMs: number[] = [];
 		const end = performance.now() + WARM_UP_MS + durationMs;
@@ -126,7 +147,6 @@
 		return {peakMb: daemon.peakMb, log: daemon.log, checkMs: checkMs.sort((a, b) => a - b)};
 	} finally {
 		daemon.close();
-		await processes.closeAll();
 	}
 }
 
@@ -212,6 +232,8 @@
 	}
 }
 
+const timesOf = (orders: readonly Order[]): readonly number[] => orders.map(({ms}) => ms).sort((a, b) => a - b);
+
 type Order = {readonly status: number; readonly ms: number};
 
 async function sendOrders(port: number, durationMs: number): Promise<readonly Order[]> {
