--- a/testing/bench/endless-bytes.ts
+++ b/testing/bench/endless-bytes.ts
@@ -7,8 +7,7 @@
 
 const DURATION_MS = 8000;
 
-/** The loads that the benchmark and the tests play. */
-export const endlessLoads: readonly EndlessLoad[] = [
+const endlessLoads: readonly EndlessLoad[] = [
 	...([
 		['held comments', 60], ['comments', 30], ['repeated events', 30], ['short events', 30], ['event', 67], ['large events', 67], ['tiny chunks', 67],
 	] as const)
@@ -24,7 +23,7 @@
 		})),
 ];
 
-export const describeLoad = ({bytes, kind, requests, isReading}: EndlessLoad): string => `${requests} ${kind}s, ${bytes}${isReading ? '' : ', clients that do not read'}`;
+const describeLoad = ({bytes, kind, requests, isReading}: EndlessLoad): string => `${requests} ${kind}s, ${bytes}${isReading ? '' : ', clients that do not read'}`;
 
 /** Share of the calm orders that have to be in time. */
 const TIMELY_SHARE = 0.9;
--- a/testing/bench/process-usage.ts
+++ b/testing/bench/process-usage.ts
@@ -1,4 +1,5 @@
 /** CPU time and memory of processes that the benchmark started, read from `/proc`. */
+import {readFileSync} from 'node:fs';
 import {readFile} from 'node:fs/promises';
 
 /** Length of one clock tick of `/proc/<pid>/stat` on Linux. */
@@ -25,3 +26,9 @@
 		anonymousBytes: Number(kilobytes) * 1024,
 	};
 }
+
+/** Largest resident memory of a process so far, in bytes. Throws when the process has ended. */
+export function peakMemoryBytes(pid: number): number {
+	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
+	return Number(groups!.kilobytes) * 1024;
+}
--- a/testing/load/endless-run.ts
+++ b/testing/load/endless-run.ts
@@ -1,7 +1,7 @@
 /** Runs the daemon program beside backend servers that send bytes without end, and measures its memory and what calm callers get. */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {
-	mkdtempSync, readFileSync, rmSync, writeFileSync,
+	mkdtempSync, rmSync, writeFileSync,
 } from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -9,6 +9,7 @@
 import {createInterface} from 'node:readline';
 import {request} from 'undici';
 import {pause} from '../../src/util/pause.js';
+import {peakMemoryBytes} from '../bench/process-usage.js';
 import {freePeerPort, freePort} from '../free-port.js';
 import {buildPlatformProgram, platformNodeFlags} from '../platform-program.js';
 import {Processes} from '../processes.js';
@@ -20,6 +21,7 @@
 export const HOST_MEMORY_MB = 350;
 /** Time in ms within which an order of the first deployment has its full worth. */
 export const ORDER_TARGET_MS = 386;
+const BYTES_PER_MB = 1024 * 1024;
 const ORDER_INTERVAL_MS = 50;
 const ORDER_DEADLINE_MS = 3000;
 const ORDER_WORK_MS = 20;
@@ -194,7 +196,7 @@
 	/** Largest resident memory so far in MB; undefined if the program has ended by itself. */
 	get peakMb(): number | undefined {
 		const {pid, exitCode, signalCode} = this.#child;
-		return exitCode === null && signalCode === null ? peakMemoryMb(pid!) : undefined;
+		return exitCode === null && signalCode === null ? peakMemoryBytes(pid!) / BYTES_PER_MB : undefined;
 	}
 
 	close(): void {
@@ -203,12 +205,6 @@
 	}
 }
 
-/** Largest resident memory of a process so far, in MB. */
-function peakMemoryMb(pid: number): number {
-	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
-	return Number(groups!.kilobytes) / 1024;
-}
-
 async function waitUntilReady(port: number): Promise<void> {
 	const end = performance.now() + READY_TIMEOUT_MS;
 	while (await checkReadiness(port) !== 200) {
--- a/tests/platform-process.test.ts
+++ b/tests/platform-process.test.ts
@@ -15,6 +15,7 @@
 import {
 	afterAll, afterEach, beforeAll, beforeEach, describe, expect, it,
 } from 'vitest';
+import {peakMemoryBytes} from '../testing/bench/process-usage.js';
 import {parseLogLine} from '../testing/processes.js';
 import {buildPlatformProgram, platformNodeFlags} from '../testing/platform-program.js';
 import {waitUntil} from './fixtures/http.js';
@@ -77,12 +78,6 @@
 	}, 10_000);
 }
 
-/** Largest resident memory of a process so far, in bytes. */
-function peakMemoryBytes(pid: number): number {
-	const {groups} = /VmHWM:\s+(?<kilobytes>\d+)/v.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))!;
-	return Number(groups!.kilobytes) * 1024;
-}
-
 describe('platform program', () => {
 	it('should exit with code 2 and name the invalid field', async () => {
 		const started = startProgram({...world.settingsFile(), ip: 'here'});
