Add a review case: machines whose connections to runners are reset serve nothing

Disruption: the machines of one zone are partitioned from all runners for 5 s, their connections to runners are reset.

--- a/review/support-3/lab.mjs
+++ b/review/support-3/lab.mjs
@@ -19,14 +19,14 @@
 	setTimeout(resolve, ms);
 });
 
-/** Returns `count` neighbouring ports that are free on all addresses. */
+/** Returns `count` neighbouring ports that are free on loopback. */
 export async function freePorts(count) {
 	const isFree = async port => new Promise(resolve => {
 		const server = net.createServer();
 		server.once('error', () => {
 			resolve(false);
 		});
-		server.listen(port, '0.0.0.0', () => {
+		server.listen(port, '127.0.0.1', () => {
 			server.close(() => {
 				resolve(true);
 			});
@@ -616,16 +616,22 @@
 	}
 }
 
-/** Passes connections on to an address, until it is cut: then nothing passes in either direction, and new connections hang. */
+/** Passes connections on to an address, until it is disturbed. */
 export class Path {
 	#pairs = new Set();
 	#isCut = false;
+	#isResetting = false;
 	#server;
 
 	static async to(address) {
 		const made = new Path();
 		const [host, port] = address.split(':');
 		made.#server = net.createServer(socket => {
+			if (made.#isResetting) {
+				socket.resetAndDestroy();
+				return;
+			}
+
 			const upstream = net.connect(Number(port), host);
 			const pair = [socket, upstream];
 			made.#pairs.add(pair);
@@ -656,6 +662,7 @@
 		return made;
 	}
 
+	/** Cut, nothing passes in either direction, and new connections hang. */
 	setCut(isCut) {
 		this.#isCut = isCut;
 		for (const pair of this.#pairs) {
@@ -669,9 +676,21 @@
 		}
 	}
 
+	/** Resets all connections, and new ones at once. */
+	setResetting(isResetting) {
+		this.#isResetting = isResetting;
+		if (isResetting) {
+			this.#resetAll();
+		}
+	}
+
 	/** Resets all connections and refuses new ones. */
 	refuse() {
 		this.#server.close();
+		this.#resetAll();
+	}
+
+	#resetAll() {
 		for (const pair of this.#pairs) {
 			for (const socket of pair) {
 				socket.resetAndDestroy();
