--- a/review/support-3/lab.mjs
+++ b/review/support-3/lab.mjs
@@ -541,9 +541,14 @@
 	}
 }
 
-/** A sound runner of a plain service: answers each request after `workMs`, with `slots` at once and `queue` waiting, and rejects the others. */
+/**
+ * A sound runner of a plain service: answers each request after `workMs`, with `slots` at once and `queue` waiting, and rejects the others.
+ * It resets connections beyond `maxConnections`.
+ */
 export class Runner {
 	arrivals = [];
+	resets = 0;
+	#connections = 0;
 	#running = 0;
 	#waiting = [];
 	#server;
@@ -563,6 +568,19 @@
 				this.#handle(req, res);
 			});
 		});
+		const {maxConnections = Infinity} = this.options;
+		this.#server.on('connection', socket => {
+			if (this.#connections >= maxConnections) {
+				this.resets++;
+				socket.resetAndDestroy();
+				return;
+			}
+
+			this.#connections++;
+			socket.on('close', () => {
+				this.#connections--;
+			});
+		});
 		this.port = await freePorts(1);
 		await new Promise(resolve => {
 			this.#server.listen(this.port, '127.0.0.1', resolve);
