--- a/review/support-3/lab.mjs
+++ b/review/support-3/lab.mjs
@@ -103,27 +103,6 @@
 		this.#publish(kind, object, false);
 	}
 
-	remove(kind, name) {
-		const object = this.#objectsOf(kind).get(name);
-		if (object) {
-			this.#objectsOf(kind).delete(name);
-			this.#publish(kind, {...object, metadata: {...object.metadata, revision: ++this.#revision}}, true);
-		}
-	}
-
-	/** Cuts off the watches of a kind that are waiting, whose connections then close without an answer. */
-	cutWatches(kind) {
-		let cut = 0;
-		for (const watch of this.#watches) {
-			if (watch.kind === kind) {
-				watch.cut();
-				cut++;
-			}
-		}
-
-		return cut;
-	}
-
 	close() {
 		for (const server of this.#servers) {
 			server.closeAllConnections();
@@ -198,9 +177,6 @@
 
 		const watch = {
 			kind,
-			cut() {
-				res.destroy();
-			},
 			answer: () => {
 				clearTimeout(watch.timer);
 				this.#watches.delete(watch);
@@ -226,10 +202,6 @@
 export class Daemon {
 	#child;
 	#options;
-	starts = 0;
-	/** Ends that the case did not bring about. */
-	ownEnds = [];
-	#isEnding = false;
 	log = '';
 
 	constructor(options) {
@@ -238,12 +210,8 @@
 		this.address = {host: options.ip, port: options.port};
 	}
 
-	get pid() {
-		return this.#child?.pid;
-	}
-
 	start() {
-		const {name, settingsFile, settings} = this.#options;
+		const {settingsFile, settings} = this.#options;
 		const run = /^run = "(?<command>.*)"$/mv.exec(readFileSync(path.join(root, 'deploy/system.toml'), 'utf8')).groups.command;
 		const [, ...args] = run.split(' ');
 		writeFileSync(settingsFile, JSON.stringify(settings));
@@ -258,29 +226,18 @@
 
 		child.stdout.on('data', keep);
 		child.stderr.on('data', keep);
-		this.#isEnding = false;
-		child.once('exit', (code, signal) => {
-			if (!this.#isEnding) {
-				this.ownEnds.push({name, code, signal});
-			}
-
+		child.once('exit', () => {
 			if (this.#child === child) {
 				this.#child = undefined;
 			}
 		});
 		this.#child = child;
-		this.starts++;
-	}
-
-	signal(name) {
-		this.#child?.kill(name);
 	}
 
 	/** Sends a signal that ends the process, and resolves when it has ended. */
 	async end(signal = 'SIGKILL') {
 		const child = this.#child;
 		if (child) {
-			this.#isEnding = true;
 			child.kill(signal);
 			await new Promise(resolve => {
 				child.once('exit', resolve);
@@ -423,12 +380,11 @@
 		await pause(2500);
 	}
 
-	close() {
-		for (const daemon of this.daemons) {
-			daemon.end();
-		}
-
+	/** Resolves when all daemons have ended. They are killed before this returns. */
+	async close() {
+		const ended = this.daemons.map(async daemon => daemon.end());
 		rmSync(this.#folder, {recursive: true, force: true});
+		await Promise.all(ended);
 	}
 }
 
@@ -485,62 +441,6 @@
 	});
 }
 
-/** A client that sends one request after the other on one connection, which it keeps. */
-export class KeptClient {
-	#agent = new http.Agent({keepAlive: true, maxSockets: 1});
-	#options;
-	#isClosed = false;
-
-	/** `onEnd` gets each request: its id, whether it came on a kept connection, and how it ended. */
-	constructor(options) {
-		this.#options = options;
-		this.ended = this.#run();
-	}
-
-	close() {
-		this.#isClosed = true;
-	}
-
-	async #run() {
-		const {name, pauseMs, onEnd} = this.#options;
-		for (let number = 0; !this.#isClosed; number++) {
-			const id = `${name}-${number}`;
-			const sentAt = performance.now();
-			const answer = await this.#send(id);
-			onEnd({id, ms: Math.round(performance.now() - sentAt), ...answer});
-			await pause(answer.end === 'answered' ? pauseMs : 1000);
-		}
-
-		this.#agent.destroy();
-	}
-
-	async #send(id) {
-		const {
-			host, port, route, method = 'GET', deadlineMs,
-		} = this.#options;
-		return new Promise(resolve => {
-			const req = http.request({
-				host, port, method, path: route, agent: this.#agent, headers: {host: 'desk.example', 'fireflyport-attempt-id': id, 'fireflyport-deadline-ms': String(deadlineMs)},
-			}, res => {
-				res.resume();
-				res.on('end', () => {
-					resolve({isKept: req.reusedSocket, end: 'answered', status: res.statusCode});
-				});
-				res.on('error', err => {
-					resolve({isKept: req.reusedSocket, end: 'closed', message: err.message});
-				});
-			});
-			req.setTimeout(deadlineMs + 1000, () => {
-				req.destroy(new Error('deadline'));
-			});
-			req.on('error', err => {
-				resolve({isKept: req.reusedSocket, end: err.code === 'ECONNREFUSED' ? 'refused' : 'closed', message: err.message});
-			});
-			req.end();
-		});
-	}
-}
-
 /**
  * A sound runner of a plain service: answers each request after `workMs`, with `slots` at once and `queue` waiting, and rejects the others.
  * It resets connections beyond `maxConnections`.
@@ -702,12 +602,6 @@
 		}
 	}
 
-	/** Resets all connections and refuses new ones. */
-	refuse() {
-		this.#server.close();
-		this.#resetAll();
-	}
-
 	#resetAll() {
 		for (const pair of this.#pairs) {
 			for (const socket of pair) {
