--- a/review/support-3/lab.mjs
+++ b/review/support-3/lab.mjs
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {spawn} from 'node:child_process';
 import {
-	mkdtempSync, readFileSync, rmSync, writeFileSync,
+	appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
@@ -41,13 +41,13 @@
 	}
 }
 
-/** The record of a case, and its verdict. */
+/** The record of a case, and its verdict, in record.txt in the folder of the case. */
 export class Record {
-	#lines = [];
 	#startedAt = performance.now();
 
 	constructor(folder) {
 		this.file = path.join(folder, 'record.txt');
+		writeFileSync(this.file, '');
 	}
 
 	get now() {
@@ -55,11 +55,24 @@
 	}
 
 	write(text) {
-		this.#lines.push(`${String(this.now).padStart(6)} ms  ${text}`);
+		appendFileSync(this.file, `${String(this.now).padStart(6)} ms  ${text}\n`);
 	}
 
-	save() {
-		writeFileSync(this.file, `${this.#lines.join('\n')}\n`);
+	/** Writes what was sent, answered and run. `requests`: `id`, `at` and `answer` of each. */
+	writeRequests(requests, runners) {
+		const runs = new Map();
+		for (const {id, arrivals} of runners) {
+			for (const arrival of arrivals) {
+				const text = arrival.hasRun ? `run by ${id} from ${arrival.at} ms on` : `reached ${id} at ${arrival.at} ms and did not run`;
+				runs.set(arrival.id, [...(runs.get(arrival.id) ?? []), text]);
+			}
+		}
+
+		const lines = requests.map(({id, at, machine, answer}) => {
+			const answered = answer ? `answered ${answer.status ?? 'nothing'} (${answer.end}) after ${answer.ms} ms` : 'not answered';
+			return `request ${id} sent to ${machine} at ${at} ms; ${answered}; ${runs.get(id)?.join(', ') ?? 'reached no runner'}\n`;
+		});
+		appendFileSync(this.file, lines.join(''));
 	}
 }
 
